--- /dev/null
+++ b/libcoltsfootdrum/admin/admin-node.c
@@ -0,0 +1,110 @@
+/* What every daemon shows, by the same names.  */
+
+#include "admin/admin.h"
+
+typedef enum
+{
+  TRAFFIC_CONTROL,
+  TRAFFIC_DATA,
+  TRAFFIC_FRAMES
+} traffic_sort_t;
+
+/* One sample of the metric NAME for each kind of frame that SORT has.  */
+static void
+put_traffic (GString *out, const char *name, traffic_sort_t sort,
+             const char *direction, const peer_traffic_t *traffic)
+{
+  for (unsigned kind = MSG_HELLO; kind < MSG_KIND_COUNT; kind++)
+    {
+      g_autofree char *labels = g_strdup_printf (
+          "direction=\"%s\",kind=\"%s\"", direction, msg_kind_name (kind));
+      uint64_t value = sort == TRAFFIC_FRAMES ? traffic[kind].frames
+                                              : traffic[kind].bytes;
+
+      if (sort != TRAFFIC_FRAMES
+          && msg_is_control (kind) != (sort == TRAFFIC_CONTROL))
+        continue;
+      admin_metric (out, name, "counter", labels, (double)value);
+    }
+}
+
+static void
+put_links (const peer_hub_t *hub, cfd_time_t up_ms, GString *out)
+{
+  static const char *const traffic[]
+      = { [TRAFFIC_CONTROL] = "cfd_peer_control_bytes_total",
+          [TRAFFIC_DATA] = "cfd_peer_data_bytes_total",
+          [TRAFFIC_FRAMES] = "cfd_peer_frames_total" };
+  peer_counters_t c;
+
+  peer_hub_counters (hub, &c);
+  const struct
+  {
+    const char *name;
+    const char *labels;
+    uint64_t value;
+  } counters[] = {
+    { "cfd_peer_links_up_total", NULL, c.links_up },
+    { "cfd_peer_links_refused_total", NULL, c.links_refused },
+    { "cfd_peer_frames_bad_total", NULL, c.frames_bad },
+    { "cfd_peer_silences_total", NULL, c.silences },
+  };
+
+  for (unsigned sort = 0; sort < G_N_ELEMENTS (traffic); sort++)
+    {
+      put_traffic (out, traffic[sort], sort, "in", c.in);
+      put_traffic (out, traffic[sort], sort, "out", c.out);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (counters); i++)
+    admin_metric (out, counters[i].name, "counter", counters[i].labels,
+                  (double)counters[i].value);
+  if (up_ms > 0)
+    admin_metric (
+        out, "cfd_control_bytes_per_second", "gauge", NULL,
+        (double)(peer_control_bytes (c.in) + peer_control_bytes (c.out)) * 1000
+            / (double)up_ms);
+}
+
+static void
+count_out (void *user, const rec_t *record)
+{
+  if (record->u.zone.out)
+    (*(unsigned *)user)++;
+}
+
+void
+admin_node_metrics (const admin_node_t *node, cfd_time_t started, GString *out)
+{
+  cfd_time_t now = clock_now ();
+  unsigned zones_out = 0;
+
+  store_each (node->store, REC_ZONE, count_out, &zones_out);
+  admin_metric (out, "cfd_config_revision", "gauge", NULL,
+                (double)store_revision (node->store));
+  admin_metric (out, "cfd_config_age_ms", "gauge", NULL,
+                store_age (node->store, now));
+  admin_metric (out, "cfd_config_behind_ms", "gauge", NULL,
+                (double)store_behind_ms (node->store, now));
+  admin_metric (out, "cfd_platform_up", "gauge", NULL,
+                store_platform_is_up (node->store));
+  admin_metric (out, "cfd_platform_calls_total", "counter", NULL,
+                (double)plat_calls (node->plat));
+  admin_metric (out, "cfd_zones_out", "gauge", NULL, zones_out);
+  put_links (node->hub, now - started, out);
+}
+
+void
+admin_node_status (const admin_node_t *node, const char *not_ready,
+                   JsonBuilder *out)
+{
+  admin_text (out, "instance", node->instance);
+  admin_text (out, "role", node->role);
+  admin_text (out, "zone", node->zone);
+  admin_number (out, "revision", (int64_t)store_revision (node->store));
+  admin_number (out, "config_age_ms", store_age (node->store, clock_now ()));
+  json_builder_set_member_name (out, "platform_up");
+  json_builder_add_boolean_value (out, store_platform_is_up (node->store));
+  json_builder_set_member_name (out, "ready");
+  json_builder_add_boolean_value (out, not_ready == NULL);
+  admin_text (out, "why_not", not_ready);
+}
--- /dev/null
+++ b/libcoltsfootdrum/agent/agent-admin.c
@@ -0,0 +1,113 @@
+/* What the agent shows on its admin port.  */
+
+#include "agent/agent-private.h"
+#include "base/log.h"
+
+static void
+add (GString *text, const char *name, const char *type, double value)
+{
+  g_autofree char *full = g_strconcat ("cfd_agent_", name, NULL);
+
+  admin_metric (text, full, type, NULL, value);
+}
+
+static void
+add_work (GString *text, const agent_counters_t *c)
+{
+  add (text, "grants_total", "counter", (double)c->granted);
+  add (text, "assigned_total", "counter", (double)c->assigned);
+  add (text, "declined_stale_total", "counter", (double)c->declined_stale);
+  add (text, "declined_other_total", "counter", (double)c->declined_other);
+  add (text, "not_started_total", "counter", (double)c->refused);
+  add (text, "started_total", "counter", (double)c->started);
+  add (text, "completed_total", "counter", (double)c->completed);
+  add (text, "broken_total", "counter", (double)c->broken);
+  add (text, "unreached_total", "counter", (double)c->unreached);
+  add (text, "cancelled_total", "counter", (double)c->cancelled);
+  add (text, "link_resumes_total", "counter", (double)c->resumed_links);
+  add (text, "engine_resumes_total", "counter", (double)c->resumed_engine);
+  add (text, "engine_resumes_failed_total", "counter",
+       (double)c->engine_resume_failed);
+  add (text, "prompt_tokens_total", "counter", (double)c->prompt_tokens);
+  add (text, "output_tokens_total", "counter", (double)c->output_tokens);
+  add (text, "woken_total", "counter", (double)c->woken);
+  add (text, "needed_busy_slot_seconds_total", "counter",
+       (double)c->needed_busy_ms / 1000);
+  add (text, "needed_slot_seconds_total", "counter",
+       (double)c->needed_slot_ms / 1000);
+  add (text, "busy_slot_seconds_total", "counter", (double)c->busy_ms / 1000);
+  add (text, "slot_seconds_total", "counter", (double)c->slot_ms / 1000);
+}
+
+/* Slots in use by slots allowed while work waits; 1 when none does, as then
+   no slot is idle in vain.  */
+static double
+utilisation (const cfd_agent_t *agent)
+{
+  unsigned slots = agent->lim.slots;
+
+  if (slots == 0 || (!pick_any_waits (agent->pick) && agent->queued == 0))
+    return 1;
+  return (double)MIN (agent->running, slots) / slots;
+}
+
+static void
+add_state (GString *text, cfd_agent_t *agent, cfd_time_t now)
+{
+  add (text, "running", "gauge", agent->running);
+  add (text, "slots", "gauge", agent->lim.slots);
+  add (text, "limit_state", "gauge", agent->lim.state);
+  add (text, "waiting_announced", "gauge", pick_waiting (agent->pick));
+  add (text, "queued", "gauge", agent->queued);
+  add (text, "may_grant", "gauge", agent_reason (agent, now) == GRANT_MAY);
+  admin_metric (text, "cfd_fairness_spread", "gauge", NULL,
+                pick_spread (agent->pick, now));
+  admin_metric (text, "cfd_utilisation", "gauge", NULL, utilisation (agent));
+}
+
+static void
+write_metrics (void *user, GString *out)
+{
+  cfd_agent_t *agent = user;
+
+  add_work (out, &agent->counters);
+  add_state (out, agent, clock_now ());
+}
+
+static const char *
+not_ready (void *user)
+{
+  grant_reason_t reason = agent_reason (user, clock_now ());
+
+  return reason == GRANT_MAY ? NULL : grant_reason_name (reason);
+}
+
+static void
+write_status (void *user, JsonBuilder *out)
+{
+  cfd_agent_t *agent = user;
+  grant_reason_t reason = agent_reason (agent, clock_now ());
+
+  admin_text (out, "endpoint", agent->endpoint);
+  admin_text (out, "service", agent->service);
+  admin_text (out, "state", grant_reason_name (reason));
+  admin_text (out, "limit", lim_state_name (agent->lim.state));
+  admin_number (out, "in_flight", agent->running);
+  admin_number (out, "slots", agent->lim.slots);
+  admin_number (out, "waiting", pick_waiting (agent->pick));
+}
+
+bool
+agent_admin_start (cfd_agent_t *agent, const char *address, GError **error)
+{
+  static const admin_source_t source
+      = { not_ready, write_metrics, write_status };
+
+  const admin_node_t node
+      = { agent->instance, "agent",     agent->zone, agent->ring,
+          agent->store,    agent->plat, agent->hub };
+
+  agent->admin
+      = admin_new (agent->loop, address, &node, &source, agent, error);
+  return agent->admin != NULL;
+}
--- /dev/null
+++ b/libcoltsfootdrum/agent/agent-config.c
@@ -0,0 +1,279 @@
+/* Configuration at the agent, and whether it may take work.  */
+
+#include "agent/agent-private.h"
+#include "base/log.h"
+#include "config/witness.h"
+
+/* Whatever was read within this time after a stop may have waited in a socket
+   since before it, and confirms nothing.  */
+#define STALE_READ_MS 250
+#define ASK_MS 200
+#define LOOK_MS 1000
+/* What 95 of 100 callers are to see; slower is overload.  */
+#define FIRST_TOKEN_MS 1400.0
+#define TOKEN_INTERVAL_MS 32.0
+
+/* ---- whether it may grant ---- */
+
+static void
+confirm_by_platform (cfd_agent_t *agent, cfd_time_t now)
+{
+  cfd_time_t heard = now - store_age (agent->store, now);
+
+  if (heard > agent->woken_at + STALE_READ_MS)
+    agent->unconfirmed = false;
+}
+
+/* Whether the platform is in reach.  Its list of instances may answer before
+   the configuration was read; after a cut-off that isn't enough, because a
+   zone may have gone out meanwhile.  */
+static bool
+platform_is_up (const cfd_agent_t *agent, cfd_time_t now)
+{
+  cfd_time_t heard = now - store_age (agent->store, now);
+
+  return store_platform_is_up (agent->store) && heard >= agent->cut_off_at;
+}
+
+static void
+note_reason (cfd_agent_t *agent, grant_reason_t reason, cfd_time_t now)
+{
+  if (reason == agent->reason)
+    return;
+  log_info ("agent", "Taking work: state=%s.", grant_reason_name (reason));
+  agent->reason = reason;
+  if (reason == GRANT_CUT_OFF)
+    agent->cut_off_at = now;
+}
+
+static void
+count_zones (const cfd_agent_t *agent, grant_state_t *state, cfd_time_t now)
+{
+  state->age_ms = store_age (agent->store, now);
+  state->zones_known
+      = witness_zones (store_instances (agent->store, ROLE_ROUTER));
+  state->zones_heard = links_zones (agent->links);
+}
+
+grant_reason_t
+agent_reason (cfd_agent_t *agent, cfd_time_t now)
+{
+  grant_state_t state = {
+    .draining = agent->draining,
+    .has_endpoint = agent->has_endpoint,
+    .has_service = agent->has_service,
+    .leaving = agent->leaving,
+    .zone_out = store_zone_is_out (agent->store, agent->zone)
+                || (agent->record_zone != NULL
+                    && store_zone_is_out (agent->store, agent->record_zone)),
+    .settling = agent->settling,
+    .behind = agent->peer_revision > store_revision (agent->store),
+    .platform_up = platform_is_up (agent, now),
+    .ejected
+    = agent->lim.state == LIM_EJECTED && now < agent->lim.ejected_until,
+  };
+  grant_reason_t reason;
+
+  if (agent->unconfirmed)
+    confirm_by_platform (agent, now);
+  state.unconfirmed = agent->unconfirmed;
+  links_count (agent->links, &state.routers_known, &state.routers_heard);
+  if (!state.platform_up)
+    count_zones (agent, &state, now);
+  reason = agent_may_grant (&state);
+  note_reason (agent, reason, now);
+  return reason;
+}
+
+bool
+config_is_withdrawn (const cfd_agent_t *agent)
+{
+  const rec_t *record
+      = store_get (agent->store, REC_ENDPOINT, agent->endpoint);
+
+  if (record == NULL || record->deleted || record->u.endpoint.leaving)
+    return true;
+  return store_zone_is_out (agent->store, agent->zone)
+         || store_zone_is_out (agent->store, record->u.endpoint.zone);
+}
+
+/* ---- configuration ---- */
+
+static void
+ask_config (void *user, const char *router)
+{
+  cfd_agent_t *agent = user;
+  msg_t message = { .kind = MSG_CONFIG_ASK };
+
+  store_make_ask (agent->store, &message.u.config_ask);
+  if (agent_send (agent, router, &message))
+    agent->asked_since_woken = true;
+}
+
+/* In a large fleet most agents learn from peers alone.  */
+static void
+ask_for_word (cfd_agent_t *agent, cfd_time_t now)
+{
+  const char *router;
+
+  if (now - agent->looked_at < LOOK_MS)
+    return;
+  agent->looked_at = now;
+  if (!store_wants_word (agent->store, now))
+    return;
+  router = links_nth_up (agent->links, agent->looks++);
+  if (router != NULL)
+    ask_config (agent, router);
+}
+
+void
+config_hear (cfd_agent_t *agent, const char *router, uint64_t revision,
+             cfd_time_t now)
+{
+  store_heard_of (agent->store, revision, now);
+  if (revision > agent->peer_revision)
+    {
+      agent->peer_revision = revision;
+      g_free (agent->ahead);
+      agent->ahead = g_strdup (router);
+    }
+  config_catch_up (agent, now);
+}
+
+/* Asks the router that showed the newest revision, and another in turn, since
+   that one may be dead by now.  Asking all, each 200 ms, would cost a busy
+   agent more than its heartbeats.  */
+static void
+ask_for_newest (cfd_agent_t *agent)
+{
+  const char *other = links_nth_up (agent->links, agent->looks++);
+
+  if (agent->ahead != NULL)
+    ask_config (agent, agent->ahead);
+  if (other != NULL && g_strcmp0 (other, agent->ahead) != 0)
+    ask_config (agent, other);
+}
+
+/* A peer with newer configuration, or a stop: ask until it is caught up.  */
+void
+config_catch_up (cfd_agent_t *agent, cfd_time_t now)
+{
+  bool behind = agent->peer_revision > store_revision (agent->store);
+
+  ask_for_word (agent, now);
+  if (!agent->unconfirmed && !behind)
+    return;
+  if (now - agent->asked_at < ASK_MS)
+    return;
+  agent->asked_at = now;
+  if (agent->unconfirmed)
+    links_each_up (agent->links, ask_config, agent);
+  else
+    ask_for_newest (agent);
+}
+
+void
+config_take_part (cfd_agent_t *agent, const char *router,
+                  const msg_config_part_t *part, cfd_time_t now)
+{
+  bool is_news = store_take_part (agent->store, part, now);
+
+  /* A piece: the next one now, not at the next tick.  */
+  if (is_news && store_revision (agent->store) < agent->peer_revision)
+    ask_config (agent, (char *)router);
+  if (agent->asked_since_woken)
+    agent->unconfirmed = false;
+  agent_pump (agent, now);
+}
+
+void
+config_answer (cfd_agent_t *agent, const char *router,
+               const msg_config_ask_t *ask, cfd_time_t now)
+{
+  msg_t message = { .kind = MSG_CONFIG_PART };
+
+  store_make_part (agent->store, ROLE_ROUTER, ask, now,
+                   &message.u.config_part);
+  (void)agent_send (agent, router, &message);
+  store_part_clear (&message.u.config_part);
+}
+
+static void
+take_service (cfd_agent_t *agent)
+{
+  const rec_t *record
+      = agent->service != NULL
+            ? store_get (agent->store, REC_SERVICE, agent->service)
+            : NULL;
+
+  agent->has_service = record != NULL && !record->deleted;
+  agent->is_model = agent->has_service && record->u.service.is_model;
+}
+
+static void
+set_limit (cfd_agent_t *agent, cfd_time_t now)
+{
+  lim_settings_t settings = {
+    .max = agent->slots_max,
+    .cold = agent->slots_cold,
+    .first_token_ms = agent->is_model ? FIRST_TOKEN_MS : 0,
+    .token_interval_ms = agent->is_model ? TOKEN_INTERVAL_MS : 0,
+  };
+
+  lim_settings (&agent->lim, &settings, now);
+}
+
+static void
+take_endpoint (cfd_agent_t *agent, const rec_t *record, cfd_time_t now)
+{
+  const rec_endpoint_t *endpoint = &record->u.endpoint;
+  bool moved = g_strcmp0 (agent->url, endpoint->url) != 0;
+  bool changed = g_strcmp0 (agent->service, endpoint->service) != 0;
+
+  agent->has_endpoint = !record->deleted;
+  if (record->deleted)
+    return;
+  agent->leaving = endpoint->leaving;
+  g_free (agent->url);
+  g_free (agent->service);
+  g_free (agent->record_zone);
+  agent->url = g_strdup (endpoint->url);
+  agent->service = g_strdup (endpoint->service);
+  agent->record_zone = g_strdup (endpoint->zone);
+  agent->slots_max = endpoint->slots_max;
+  agent->slots_cold = endpoint->slots_cold;
+  if (moved)
+    lim_restarted (&agent->lim, now);
+  if (changed)
+    {
+      pick_free (agent->pick);
+      agent->pick = pick_new ();
+    }
+}
+
+static void
+on_record (void *user, const rec_t *record, cfd_time_t now)
+{
+  cfd_agent_t *agent = user;
+
+  switch (record->kind)
+    {
+    case REC_ENDPOINT:
+      if (g_strcmp0 (record->name, agent->endpoint) != 0)
+        return;
+      take_endpoint (agent, record, now);
+      take_service (agent);
+      set_limit (agent, now);
+      break;
+    case REC_SERVICE:
+      take_service (agent);
+      set_limit (agent, now);
+      break;
+    case REC_ZONE:
+    case REC_ACCOUNT:
+      break;
+    }
+  (void)agent_reason (agent, now);
+}
+
+const store_events_t agent_store_events = { on_record, NULL, NULL };
--- /dev/null
+++ b/libcoltsfootdrum/agent/agent-peers.c
@@ -0,0 +1,199 @@
+/* Messages from routers, and their links.  */
+
+#include "agent/agent-private.h"
+#include "base/log.h"
+
+bool
+agent_send (cfd_agent_t *agent, const char *router, msg_t *message)
+{
+  return peer_hub_send (agent->hub, router, message);
+}
+
+/* ---- messages ---- */
+
+static void
+take_announce (cfd_agent_t *agent, const char *router,
+               const msg_announce_t *announce, cfd_time_t now)
+{
+  if (g_strcmp0 (announce->service, agent->service) != 0)
+    return;
+  pick_announce (agent->pick, router, announce, now);
+  agent_pump (agent, now);
+}
+
+static void
+take_ack (cfd_agent_t *agent, const msg_ack_t *ack, cfd_time_t now)
+{
+  run_t *run = g_hash_table_lookup (agent->runs, ack->request);
+
+  if (run == NULL)
+    return;
+  run_ack (run, ack, now);
+  if (!ack->done || !run->stream.ended)
+    return;
+  /* It never ran, so that it may be assigned anew.  */
+  if (run->stream.outcome == OUTCOME_UNREACHED)
+    ids_forget (agent->ids, ack->request);
+  else
+    ids_set (agent->ids, ack->request, IDS_STARTED, now);
+  g_hash_table_remove (agent->runs, ack->request);
+}
+
+static void
+take_resume (cfd_agent_t *agent, const peer_id_t *peer,
+             const msg_resume_t *resume, cfd_time_t now)
+{
+  run_t *run = g_hash_table_lookup (agent->runs, resume->request);
+
+  if (run != NULL)
+    run_resume (run, peer, resume, now);
+  else if (ids_get (agent->ids, resume->request) == IDS_REFUSED)
+    agent_not_started (agent, peer->instance, resume->request,
+                       "it was refused before", now);
+  else
+    answer_unknown (agent, peer->instance, resume->request,
+                    "this agent knows no such request");
+}
+
+static void
+take_cancel (cfd_agent_t *agent, const msg_cancel_t *cancel, cfd_time_t now)
+{
+  run_t *run = g_hash_table_lookup (agent->runs, cancel->request);
+
+  if (run != NULL)
+    run_cancel (run, now);
+}
+
+static void
+on_message (void *user, const peer_id_t *peer, const msg_t *message,
+            cfd_time_t received)
+{
+  cfd_agent_t *agent = user;
+  cfd_time_t now = agent_now (agent);
+  const char *router = peer->instance;
+
+  config_hear (agent, router, message->revision, now);
+  switch (message->kind)
+    {
+    case MSG_ANNOUNCE:
+      take_announce (agent, router, &message->u.announce, now);
+      return;
+    case MSG_ASSIGN:
+      agent_assign (agent, peer, &message->u.assign);
+      return;
+    case MSG_DECLINE:
+      agent_decline (agent, peer, &message->u.decline, now);
+      return;
+    case MSG_ACK:
+      take_ack (agent, &message->u.ack, now);
+      return;
+    case MSG_RESUME:
+      take_resume (agent, peer, &message->u.resume, now);
+      return;
+    case MSG_CANCEL:
+      take_cancel (agent, &message->u.cancel, now);
+      return;
+    case MSG_CONFIG_ASK:
+      config_answer (agent, router, &message->u.config_ask, now);
+      return;
+    case MSG_CONFIG_PART:
+      config_take_part (agent, router, &message->u.config_part, now);
+      return;
+    default:
+      log_warn ("agent", "Not a message for an agent: kind=%s from=%s.",
+                msg_kind_name (message->kind), router);
+    }
+}
+
+/* ---- links ---- */
+
+static void
+hold (void *user, const char *router)
+{
+  cfd_agent_t *agent = user;
+
+  if (g_ptr_array_find_with_equal_func (agent->held, router, g_str_equal,
+                                        NULL))
+    return;
+  g_ptr_array_add (agent->held, g_strdup (router));
+  peer_hub_hold (agent->hub, router);
+}
+
+/* Without the platform it matters who is in hearing: heartbeats on all.  */
+static void
+hold_links (cfd_agent_t *agent)
+{
+  if (!store_platform_is_up (agent->store))
+    {
+      links_each_up (agent->links, hold, agent);
+      return;
+    }
+  for (guint i = 0; i < agent->held->len; i++)
+    peer_hub_release (agent->hub, g_ptr_array_index (agent->held, i));
+  g_ptr_array_set_size (agent->held, 0);
+}
+
+static void
+on_up (void *user, const peer_id_t *peer, cfd_time_t now)
+{
+  cfd_agent_t *agent = user;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (peer->role != ROLE_ROUTER)
+    return;
+  links_up (agent->links, peer->instance, peer->zone);
+  /* A restarted router remembers none of what it sent.  */
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      run_t *run = value;
+
+      if (g_str_equal (run->router, peer->instance)
+          && run->router_incarnation != peer->incarnation)
+        run_orphan (run, now);
+    }
+}
+
+static void
+on_down (void *user, const peer_id_t *peer, cfd_time_t now)
+{
+  cfd_agent_t *agent = user;
+  peer_counters_t counters;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (peer->role != ROLE_ROUTER)
+    return;
+  peer_hub_counters (agent->hub, &counters);
+  links_down (agent->links, peer->instance,
+              counters.silences > agent->silences[1], now);
+  pick_router_gone (agent->pick, peer->instance);
+  g_hash_table_iter_init (&iter, agent->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (g_str_equal (((run_t *)value)->router, peer->instance))
+      run_detach (value, now);
+}
+
+static uint64_t
+on_revision (void *user)
+{
+  const cfd_agent_t *agent = user;
+
+  return store_revision (agent->store);
+}
+
+void
+peers_tick (cfd_agent_t *agent, cfd_time_t now)
+{
+  peer_counters_t counters;
+
+  links_expire (agent->links, store_platform_is_up (agent->store), now);
+  hold_links (agent);
+  peer_hub_counters (agent->hub, &counters);
+  agent->silences[1] = agent->silences[0];
+  agent->silences[0] = counters.silences;
+}
+
+const peer_events_t agent_peer_events
+    = { on_message, on_up, on_down, on_revision };
--- /dev/null
+++ b/libcoltsfootdrum/agent/agent-work.c
@@ -0,0 +1,195 @@
+/* Grants out, assignments in.  */
+
+#include "agent/agent-private.h"
+#include "base/log.h"
+#include <math.h>
+#include <string.h>
+
+/* Stale declines after which the agent waits for the next tick: an account
+   whose virtual time moves faster than grants travel must not keep it busy. */
+#define REPICKS_MAX 16u
+
+static bool
+send_grant (cfd_agent_t *agent, uint64_t grant, const pick_choice_t *choice)
+{
+  msg_t message = { .kind = MSG_GRANT };
+
+  message.u.grant = (msg_grant_t){ .grant = grant,
+                                   .incarnation = agent->incarnation,
+                                   .service = agent->service,
+                                   .account = choice->account,
+                                   .limit_vt = choice->limit_vt,
+                                   .floor = choice->floor };
+  return agent_send (agent, choice->router, &message);
+}
+
+/* Offers one slot; false when nothing more can be offered now.  */
+static bool
+grant_one (cfd_agent_t *agent, cfd_time_t now)
+{
+  pick_choice_t choice;
+  uint64_t grant = pick_grant (agent->pick, now, &choice);
+  g_autofree char *router = NULL;
+
+  if (grant == 0)
+    return false;
+  if (agent->stale_row >= AGENT_STALE_ROW_MAX)
+    choice.limit_vt = INFINITY;
+  if (send_grant (agent, grant, &choice))
+    {
+      agent->counters.granted++;
+      tl_add (agent->ring, TL_GRANT, choice.account, agent->zone,
+              agent->endpoint, NULL, choice.router);
+      return true;
+    }
+  router = g_strdup (choice.router);
+  (void)pick_answered (agent->pick, grant, now);
+  pick_router_gone (agent->pick, router);
+  return true;
+}
+
+void
+agent_pump (cfd_agent_t *agent, cfd_time_t now)
+{
+  unsigned flying;
+  unsigned slots;
+
+  if (agent->walking)
+    return;
+  if (agent->policy == CFD_POLICY_LOCAL)
+    {
+      local_pump (agent, now);
+      return;
+    }
+  if (agent_reason (agent, now) != GRANT_MAY)
+    return;
+  flying = pick_expire (agent->pick, now);
+  slots = lim_free (&agent->lim, agent->running + flying, now);
+  while (slots-- > 0)
+    if (!grant_one (agent, now))
+      return;
+}
+
+void
+agent_not_started (cfd_agent_t *agent, const char *router, const char *request,
+                   const char *reason, cfd_time_t now)
+{
+  msg_t message = { .kind = MSG_NOT_STARTED };
+
+  /* Remembered before the word is given: once given, it has to hold.  */
+  ids_set (agent->ids, request, IDS_REFUSED, now);
+  agent->counters.refused++;
+  message.u.not_started
+      = (msg_not_started_t){ .request = request, .reason = reason };
+  tl_add (agent->ring, TL_NOT_STARTED, NULL, agent->zone, agent->endpoint,
+          request, reason);
+  (void)agent_send (agent, router, &message);
+}
+
+/* Why the request of ASSIGN must not be started, or NULL.  NOW was read after
+   the frame was taken from the socket: a process that was stopped in between
+   finds its grants dead.  */
+static const char *
+refusal (cfd_agent_t *agent, const msg_assign_t *assign, bool alive,
+         cfd_time_t now)
+{
+  grant_reason_t reason = agent_reason (agent, now);
+
+  if (!alive)
+    return "the grant is dead";
+  if (assign->incarnation != agent->incarnation)
+    return "the grant is of another incarnation";
+  if (reason != GRANT_MAY)
+    return grant_reason_name (reason);
+  if (g_strcmp0 (assign->service, agent->service) != 0)
+    return "the endpoint is of another service";
+  /* The limit may have been cut back since the grant.  */
+  if (lim_free (&agent->lim, agent->running, now) == 0)
+    return "no slot is free any more";
+  return NULL;
+}
+
+static void
+start (cfd_agent_t *agent, const peer_id_t *peer, const msg_assign_t *assign,
+       cfd_time_t now)
+{
+  run_t *run = run_new (agent, peer, assign);
+
+  ids_set (agent->ids, run->request, IDS_STARTED, now);
+  g_hash_table_insert (agent->runs, run->request, run);
+  run_start (run, now);
+  INVARIANT ("running-within-slots",
+             agent->lim.state == LIM_EJECTED
+                 ? agent->running == 1
+                 : agent->running <= agent->lim.slots,
+             run->request);
+}
+
+void
+agent_assign (cfd_agent_t *agent, const peer_id_t *peer,
+              const msg_assign_t *assign)
+{
+  cfd_time_t now = agent_now (agent);
+  const char *why;
+  bool alive;
+
+  if (assign->grant == 0)
+    {
+      local_push (agent, peer, assign, now);
+      return;
+    }
+  alive = pick_answered (agent->pick, assign->grant, now);
+  if (g_strcmp0 (assign->service, agent->service) == 0)
+    pick_left (agent->pick, peer->instance, &assign->left, now);
+  if (ids_get (agent->ids, assign->request) == IDS_STARTED)
+    {
+      /* No word is given: it did start.  */
+      log_warn ("agent", "Assigned again, not started again: request=%s.",
+                assign->request);
+      if (!g_hash_table_contains (agent->runs, assign->request))
+        answer_unknown (agent, peer->instance, assign->request,
+                        "it was started before");
+      return;
+    }
+  why = refusal (agent, assign, alive, now);
+  agent->counters.assigned++;
+  if (why != NULL)
+    {
+      log_debug ("agent", "Request not started: request=%s why=%s.",
+                 assign->request, why);
+      agent_not_started (agent, peer->instance, assign->request, why, now);
+    }
+  else
+    {
+      agent->repicks = 0;
+      agent->stale_row = 0;
+      start (agent, peer, assign, now);
+    }
+  agent_pump (agent, now);
+}
+
+void
+agent_decline (cfd_agent_t *agent, const peer_id_t *peer,
+               const msg_decline_t *decline, cfd_time_t now)
+{
+  (void)pick_answered (agent->pick, decline->grant, now);
+  if (g_strcmp0 (decline->service, agent->service) == 0)
+    pick_left (agent->pick, peer->instance, &decline->left, now);
+  switch (decline->reason)
+    {
+    case DECLINE_STALE:
+      agent->counters.declined_stale++;
+      agent->stale_row++;
+      break;
+    case DECLINE_NO_WORK:
+      agent->counters.declined_other++;
+      break;
+    case DECLINE_ZONE:
+    case DECLINE_DRAINING:
+      agent->counters.declined_other++;
+      pick_router_gone (agent->pick, peer->instance);
+      break;
+    }
+  if (agent->repicks++ < REPICKS_MAX)
+    agent_pump (agent, now);
+}
--- /dev/null
+++ b/libcoltsfootdrum/base/err.c
@@ -0,0 +1,3 @@
+#include "base/err.h"
+
+G_DEFINE_QUARK (cfd - error - quark, cfd_error)
--- /dev/null
+++ b/libcoltsfootdrum/config/store.c
@@ -0,0 +1,451 @@
+#include "config/store-impl.h"
+#include "base/log.h"
+#include "config/rec-parse.h"
+
+#include <sodium.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define PART "config"
+
+/* ---- keys of accounts ---- */
+
+static guint
+hash_of_key (gconstpointer key)
+{
+  guint value;
+
+  memcpy (&value, key, sizeof value);
+  return value;
+}
+
+/* In constant time, so that the time of a refusal tells nothing of how near a
+   guess came.  */
+static gboolean
+same_key (gconstpointer a, gconstpointer b)
+{
+  return sodium_memcmp (a, b, sizeof (rec_key_t)) == 0;
+}
+
+/* Gives the key HASH to the account with the least name of those that have
+   it, so that all processes choose the same one.  */
+static void
+give_key (store_t *store, rec_key_t *hash, store_entry_t *entry)
+{
+  const store_entry_t *other = g_hash_table_lookup (store->keys, hash);
+
+  if (other != NULL && other != entry)
+    {
+      store->keys_shared = true;
+      log_warn (PART,
+                "Two accounts have one key, the first by name holds it:"
+                " account=%s other=%s.",
+                entry->name, other->name);
+      if (strcmp (other->name, entry->name) < 0)
+        return;
+    }
+  g_hash_table_replace (store->keys, hash, entry);
+}
+
+/* Calls VISIT for each key of ENTRY.  */
+static void
+each_key (store_t *store, store_entry_t *entry,
+          void (*visit) (store_t *store, rec_key_t *hash,
+                         store_entry_t *entry))
+{
+  const rec_t *record = entry->record;
+
+  if (record == NULL || record->kind != REC_ACCOUNT || record->deleted)
+    return;
+  for (unsigned i = 0; i < record->u.account.key_count; i++)
+    visit (store, &record->u.account.keys[i], entry);
+}
+
+static void
+take_key (store_t *store, rec_key_t *hash, store_entry_t *entry)
+{
+  if (g_hash_table_lookup (store->keys, hash) == entry)
+    g_hash_table_remove (store->keys, hash);
+}
+
+/* ENTRY's record changed from one with the keys that were taken.  Where keys
+   were ever shared, one that was given up may belong to another account.  */
+static void
+learn_keys (store_t *store, store_entry_t *entry)
+{
+  GHashTableIter iter;
+  gpointer other;
+
+  each_key (store, entry, give_key);
+  if (!store->keys_shared || entry->kind != REC_ACCOUNT)
+    return;
+  g_hash_table_iter_init (&iter, store->entries[REC_ACCOUNT]);
+  while (g_hash_table_iter_next (&iter, NULL, &other))
+    each_key (store, other, give_key);
+}
+
+/* ---- entries ---- */
+
+static void
+entry_free (gpointer pointer)
+{
+  store_entry_t *entry = pointer;
+
+  rec_free (entry->record);
+  g_free (entry->text);
+  g_ref_string_release (entry->name);
+  g_free (entry);
+}
+
+static store_entry_t *
+entry_need (store_t *store, const rec_t *record)
+{
+  GHashTable *entries = store->entries[record->kind];
+  store_entry_t *entry = g_hash_table_lookup (entries, record->name);
+
+  if (entry != NULL)
+    return entry;
+  entry = g_new0 (store_entry_t, 1);
+  entry->kind = record->kind;
+  entry->name = g_ref_string_acquire (record->name);
+  g_hash_table_insert (entries, entry->name, entry);
+  return entry;
+}
+
+char *
+store_entry_text (const store_entry_t *entry)
+{
+  return entry->text != NULL ? g_strdup (entry->text)
+                             : rec_text (entry->record);
+}
+
+static void
+note_zone (store_t *store, const rec_t *before, const rec_t *record)
+{
+  bool was_out = before != NULL && !before->deleted && before->u.zone.out;
+  bool is_out = !record->deleted && record->u.zone.out;
+
+  if (was_out == is_out)
+    return;
+  log_info (PART, "Zone is %s: zone=%s.", is_out ? "out of service" : "back",
+            record->name);
+  if (store->ring != NULL)
+    tl_add (store->ring, TL_ZONE, NULL, record->name, NULL, NULL,
+            is_out ? "out of service" : "back in service");
+}
+
+/* Puts RECORD, which is owned from now on, into force.  */
+static void
+put_in_force (store_t *store, store_entry_t *entry, rec_t *record,
+              cfd_time_t now)
+{
+  g_autoptr (rec_t) before = entry->record;
+  bool was_there = before != NULL && !before->deleted;
+
+  INVARIANT ("record-monotonic", record->revision >= entry->revision,
+             "a record in force went back to an older revision");
+  each_key (store, entry, take_key);
+  g_clear_pointer (&entry->text, g_free);
+  entry->record = record;
+  entry->revision = record->revision;
+  learn_keys (store, entry);
+  if (record->kind == REC_ZONE)
+    note_zone (store, before, record);
+  if (record->deleted && !was_there)
+    return;
+  if (store->events != NULL && store->events->record != NULL)
+    store->events->record (store->user, record, now);
+}
+
+/* Keeps the text of a record that can't be read, for peers that can, and
+   leaves the last good one in force.  */
+static void
+keep_text (store_entry_t *entry, const rec_t *record, JsonObject *object,
+           const GError *error)
+{
+  log_warn (PART, "Skipped a record, %s: revision=%" G_GUINT64_FORMAT ": %s.",
+            entry->record != NULL ? "the last good one stays in force"
+                                  : "none was in force",
+            record->revision, error->message);
+  g_free (entry->text);
+  entry->text = rec_object_text (object);
+  entry->revision = record->revision;
+}
+
+/* Before any parsing, which is most of the work and memory.  */
+static bool
+is_unwanted (const store_t *store, JsonObject *object)
+{
+  const char *kind
+      = json_object_get_string_member_with_default (object, "kind", "");
+
+  return !store->keeps_accounts
+         && strcmp (kind, rec_kind_name (REC_ACCOUNT)) == 0;
+}
+
+store_entry_t *
+store_take_object (store_t *store, JsonObject *object, cfd_time_t now)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (rec_t) record = NULL;
+  store_entry_t *entry;
+
+  if (is_unwanted (store, object))
+    return NULL;
+  record = rec_parse_envelope (object, &error);
+  if (record == NULL)
+    {
+      log_warn (PART, "Skipped an object: %s.", error->message);
+      return NULL;
+    }
+  entry = entry_need (store, record);
+  if (record->revision <= entry->revision)
+    return entry;
+  if (rec_parse_rest (record, object, store->schema_newest, &error))
+    put_in_force (store, entry, g_steal_pointer (&record), now);
+  else
+    keep_text (entry, record, object, error);
+  return entry;
+}
+
+/* The record that says that NAME is gone as of REVISION.  */
+static rec_t *
+tombstone (rec_kind_t kind, const char *name, uint64_t revision)
+{
+  g_autoptr (JsonObject) object = json_object_new ();
+
+  json_object_set_string_member (object, "kind", rec_kind_name (kind));
+  json_object_set_string_member (object, "name", name);
+  json_object_set_int_member (object, "revision", (gint64)revision);
+  json_object_set_boolean_member (object, "deleted", TRUE);
+  return rec_parse (object, NULL);
+}
+
+static bool
+is_deleted (const store_entry_t *entry)
+{
+  return entry->record != NULL && entry->record->deleted
+         && entry->text == NULL;
+}
+
+void
+store_drop_absent (store_t *store, GHashTable *present, uint64_t revision,
+                   cfd_time_t now)
+{
+  for (int kind = REC_ACCOUNT; kind < STORE_KINDS; kind++)
+    {
+      GHashTableIter iter;
+      gpointer value;
+
+      g_hash_table_iter_init (&iter, store->entries[kind]);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          store_entry_t *entry = value;
+
+          if (is_deleted (entry) || entry->revision > revision
+              || g_hash_table_contains (present, entry))
+            continue;
+          put_in_force (store, entry, tombstone (kind, entry->name, revision),
+                        now);
+        }
+    }
+}
+
+/* ---- revision and age ---- */
+
+void
+store_advance (store_t *store, uint64_t revision, unsigned changed)
+{
+  g_autofree char *detail = NULL;
+
+  if (revision <= store->revision)
+    return;
+  store->revision = revision;
+  store_pieces_overtaken (store);
+  detail = g_strdup_printf ("revision=%" G_GUINT64_FORMAT " records=%u",
+                            revision, changed);
+  log_info (PART, "Configuration is in force: %s.", detail);
+  if (store->ring != NULL)
+    tl_add (store->ring, TL_CONFIG, NULL, NULL, NULL, NULL, detail);
+  if (store->events != NULL && store->events->advanced != NULL)
+    store->events->advanced (store->user);
+}
+
+void
+store_heard_of (store_t *store, uint64_t revision, cfd_time_t now)
+{
+  if (revision <= store->revision)
+    return;
+  if (store->ahead <= store->revision)
+    store->ahead_since = now;
+  store->ahead = MAX (store->ahead, revision);
+}
+
+cfd_time_t
+store_behind_ms (const store_t *store, cfd_time_t now)
+{
+  return store->ahead > store->revision ? now - store->ahead_since : 0;
+}
+
+void
+store_heard (store_t *store, cfd_time_t heard)
+{
+  if (store->heard == CFD_TIME_NEVER || heard > store->heard)
+    store->heard = heard;
+}
+
+uint64_t
+store_revision (const store_t *store)
+{
+  return store->revision;
+}
+
+uint32_t
+store_age (const store_t *store, cfd_time_t now)
+{
+  if (store->heard == CFD_TIME_NEVER)
+    return UINT32_MAX;
+  return (uint32_t)CLAMP (now - store->heard, 0, (cfd_time_t)UINT32_MAX);
+}
+
+bool
+store_platform_is_up (const store_t *store)
+{
+  return store->platform_is_up;
+}
+
+/* ---- look-ups ---- */
+
+const rec_t *
+store_get (const store_t *store, rec_kind_t kind, const char *name)
+{
+  const store_entry_t *entry
+      = g_hash_table_lookup (store->entries[kind], name);
+
+  if (entry == NULL || entry->record == NULL || entry->record->deleted)
+    return NULL;
+  return entry->record;
+}
+
+void
+store_each (const store_t *store, rec_kind_t kind,
+            void (*visit) (void *user, const rec_t *record), void *user)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, store->entries[kind]);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const store_entry_t *entry = value;
+
+      if (entry->record != NULL && !entry->record->deleted)
+        visit (user, entry->record);
+    }
+}
+
+const rec_t *
+store_account_by_key (const store_t *store, const char *key)
+{
+  const store_entry_t *entry;
+  rec_key_t hash;
+
+  rec_key_make (key, &hash);
+  entry = g_hash_table_lookup (store->keys, &hash);
+  return entry == NULL ? NULL : entry->record;
+}
+
+bool
+store_zone_is_out (const store_t *store, const char *zone)
+{
+  const rec_t *record = store_get (store, REC_ZONE, zone);
+
+  return record != NULL && record->u.zone.out;
+}
+
+/* ---- rendezvous ---- */
+
+const char *
+store_home (const store_t *store, const char *account, const char *service,
+            bool (*usable) (void *user, const char *router), void *user)
+{
+  const GPtrArray *routers = store_instances (store, ROLE_ROUTER);
+  g_autofree char *key = g_strconcat (account, "\n", service, NULL);
+  uint64_t seed = XXH3_64bits (key, strlen (key));
+  uint64_t best_weight = 0;
+  const char *best = NULL;
+
+  for (guint i = 0; i < routers->len; i++)
+    {
+      const store_instance_t *router = g_ptr_array_index (routers, i);
+      uint64_t weight;
+
+      if (router->leaving || (usable != NULL && !usable (user, router->name)))
+        continue;
+      weight
+          = XXH3_64bits_withSeed (router->name, strlen (router->name), seed);
+      if (best != NULL
+          && (weight < best_weight
+              || (weight == best_weight && strcmp (router->name, best) > 0)))
+        continue;
+      best = router->name;
+      best_weight = weight;
+    }
+  return best;
+}
+
+/* ---- life ---- */
+
+bool
+store_role_keeps (role_t role, rec_kind_t kind)
+{
+  return role != ROLE_AGENT || kind != REC_ACCOUNT;
+}
+
+void
+store_set_self (store_t *store, role_t role, const char *instance)
+{
+  g_free (store->self);
+  store->self = g_strdup (instance);
+  store->self_role = role;
+  store->keeps_accounts = store_role_keeps (role, REC_ACCOUNT);
+}
+
+store_t *
+store_new (tl_ring_t *ring, const store_events_t *events, void *user)
+{
+  store_t *store = g_new0 (store_t, 1);
+
+  store->ring = ring;
+  store->events = events;
+  store->user = user;
+  store->heard = CFD_TIME_NEVER;
+  store->keeps_accounts = true;
+  store->schema_newest = REC_SCHEMA_NEWEST;
+  store->piece_records = STORE_PIECE_RECORDS;
+  store->state_records = STORE_STATE_RECORDS;
+  for (int kind = 0; kind < STORE_KINDS; kind++)
+    store->entries[kind]
+        = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, entry_free);
+  store->keys = g_hash_table_new (hash_of_key, same_key);
+  for (int role = 0; role < STORE_ROLES; role++)
+    store->instances[role] = g_ptr_array_new ();
+  return store;
+}
+
+void
+store_free (store_t *store)
+{
+  if (store == NULL)
+    return;
+  store_follow_free (store->follow);
+  store_pieces_free (store->pieces);
+  g_hash_table_unref (store->keys);
+  for (int kind = 0; kind < STORE_KINDS; kind++)
+    g_hash_table_unref (store->entries[kind]);
+  for (int role = 0; role < STORE_ROLES; role++)
+    g_ptr_array_unref (store->instances[role]);
+  g_free (store->instances_text);
+  g_free (store->self);
+  g_free (store);
+}
--- /dev/null
+++ b/libcoltsfootdrum/http/test-fetch.c
@@ -0,0 +1,378 @@
+/* The HTTP client against a server that answers by script, well or badly.  */
+
+#include "base/clock.h"
+#include "http/fetch.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define PATIENCE_S 30.0
+#define PORT 7300
+
+/* How the server goes on after it has sent the script.  */
+typedef enum
+{
+  KEEP,
+  CLOSE
+} after_t;
+
+typedef struct
+{
+  struct ev_loop *loop;
+  fetch_pool_t *pool;
+  ev_io listener;
+  ev_io connection;
+  char url[64];
+  const char *script;
+  after_t after;
+  unsigned requests;
+  /* What the client told.  */
+  fetch_t *fetch;
+  fetch_result_t result;
+  unsigned status;
+  unsigned heads;
+  unsigned dones;
+  GString *body;
+  void (*in_head) (void *fixture);
+  void (*in_data) (void *fixture);
+  void (*in_done) (void *fixture);
+} fixture_t;
+
+/* ---- the server ---- */
+
+static void
+close_connection (fixture_t *f)
+{
+  if (f->connection.fd < 0)
+    return;
+  ev_io_stop (f->loop, &f->connection);
+  close (f->connection.fd);
+  f->connection.fd = -1;
+}
+
+static void
+on_request (struct ev_loop *loop, ev_io *io, int revents)
+{
+  fixture_t *f = io->data;
+  char bytes[4096];
+  ssize_t length = read (io->fd, bytes, sizeof bytes - 1);
+
+  if (length <= 0)
+    {
+      close_connection (f);
+      return;
+    }
+  f->requests++;
+  g_assert_cmpint (write (io->fd, f->script, strlen (f->script)), ==,
+                   (ssize_t)strlen (f->script));
+  if (f->after == CLOSE)
+    close_connection (f);
+}
+
+static void
+on_connection (struct ev_loop *loop, ev_io *io, int revents)
+{
+  fixture_t *f = io->data;
+  int fd = accept (io->fd, NULL, NULL);
+
+  g_assert_cmpint (fd, >=, 0);
+  close_connection (f);
+  ev_io_init (&f->connection, on_request, fd, EV_READ);
+  f->connection.data = f;
+  ev_io_start (f->loop, &f->connection);
+}
+
+static void
+set_up (fixture_t *f, gconstpointer data)
+{
+  unsigned pid = (unsigned)getpid ();
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (PORT) };
+  char ip[32];
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int yes = 1;
+
+  snprintf (ip, sizeof ip, "127.%u.%u.%u", 100 + (pid >> 16) % 100,
+            (pid >> 8) % 256, pid % 254 + 1);
+  snprintf (f->url, sizeof f->url, "http://%s:%d/x", ip, PORT);
+  g_assert_cmpint (inet_pton (AF_INET, ip, &address.sin_addr), ==, 1);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+  g_assert_cmpint (bind (fd, (struct sockaddr *)&address, sizeof address), ==,
+                   0);
+  g_assert_cmpint (listen (fd, 8), ==, 0);
+  f->loop = ev_loop_new (EVFLAG_AUTO);
+  f->pool = fetch_pool_new (f->loop);
+  f->body = g_string_new (NULL);
+  f->connection.fd = -1;
+  ev_io_init (&f->listener, on_connection, fd, EV_READ);
+  f->listener.data = f;
+  ev_io_start (f->loop, &f->listener);
+}
+
+static void
+stop_listening (fixture_t *f)
+{
+  if (f->listener.fd < 0)
+    return;
+  ev_io_stop (f->loop, &f->listener);
+  close (f->listener.fd);
+  f->listener.fd = -1;
+}
+
+static void
+tear_down (fixture_t *f, gconstpointer data)
+{
+  close_connection (f);
+  stop_listening (f);
+  fetch_pool_free (f->pool);
+  g_string_free (f->body, TRUE);
+  ev_loop_destroy (f->loop);
+}
+
+/* ---- the client ---- */
+
+static void
+on_head (void *user, unsigned status, const char *const *headers)
+{
+  fixture_t *f = user;
+
+  f->heads++;
+  f->status = status;
+  if (f->in_head != NULL)
+    f->in_head (f);
+}
+
+static void
+on_data (void *user, const void *bytes, size_t length)
+{
+  fixture_t *f = user;
+
+  g_string_append_len (f->body, bytes, (gssize)length);
+  if (f->in_data != NULL)
+    f->in_data (f);
+}
+
+static void
+on_done (void *user, fetch_result_t result, unsigned status, const char *body,
+         size_t length, const char *detail)
+{
+  fixture_t *f = user;
+
+  f->dones++;
+  f->result = result;
+  f->status = status;
+  if (f->in_done != NULL)
+    f->in_done (f);
+}
+
+static void
+start (fixture_t *f, const char *method, unsigned total_ms,
+       unsigned silence_ms)
+{
+  fetch_request_t request = { .method = method,
+                              .url = f->url,
+                              .total_ms = total_ms,
+                              .silence_ms = silence_ms,
+                              .head = on_head,
+                              .data = on_data,
+                              .done = on_done,
+                              .user = f };
+
+  f->fetch = fetch_start (f->pool, &request);
+}
+
+static void
+on_timeout (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  g_error ("the awaited did not come within %g s", PATIENCE_S);
+}
+
+static void
+run_until (fixture_t *f, const unsigned *count, unsigned reached)
+{
+  ev_timer timeout;
+
+  ev_timer_init (&timeout, on_timeout, PATIENCE_S, 0.0);
+  ev_now_update (f->loop);
+  ev_timer_start (f->loop, &timeout);
+  while (*count < reached)
+    ev_run (f->loop, EVRUN_ONCE);
+  ev_timer_stop (f->loop, &timeout);
+}
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+
+static const struct
+{
+  const char *script;
+  after_t after;
+  unsigned total_ms, silence_ms;
+  fetch_result_t result;
+  unsigned status;
+  const char *body;
+} rows[] = {
+  { OK_HEAD "Content-Length: 2\r\n\r\nhi", KEEP, 0, 0, FETCH_ANSWERED, 200,
+    "hi" },
+  { "HTTP/1.1 100 Continue\r\n\r\n" OK_HEAD "Content-Length: 2\r\n\r\nhi",
+    KEEP, 0, 0, FETCH_ANSWERED, 200, "hi" },
+  { OK_HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nT: 1\r\n\r\n",
+    KEEP, 0, 0, FETCH_ANSWERED, 200, "hi" },
+  { "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", KEEP, 0, 0,
+    FETCH_ANSWERED, 503, "" },
+  /* The other side may have run the request in each of these.  */
+  { "", CLOSE, 0, 0, FETCH_BROKEN, 0, "" },
+  { "no HTTP\r\n\r\n", CLOSE, 0, 0, FETCH_BROKEN, 0, "" },
+  { OK_HEAD "Content-Length: 9\r\n\r\nhi", CLOSE, 0, 0, FETCH_BROKEN, 200,
+    "hi" },
+  { OK_HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", CLOSE, 0, 0,
+    FETCH_BROKEN, 200, "hi" },
+  { "", KEEP, 50, 0, FETCH_TIMEOUT, 0, "" },
+  { "", KEEP, 0, 50, FETCH_TIMEOUT, 0, "" },
+  { OK_HEAD "Content-Length: 9\r\n\r\nhi", KEEP, 0, 50, FETCH_TIMEOUT, 200,
+    "hi" },
+};
+
+static void
+test_results (fixture_t *f, gconstpointer data)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_test_message ("row %u", i);
+      f->script = rows[i].script;
+      f->after = rows[i].after;
+      f->heads = 0;
+      g_string_truncate (f->body, 0);
+      start (f, "POST", rows[i].total_ms, rows[i].silence_ms);
+      g_assert_cmpuint (f->dones, ==, i);
+      run_until (f, &f->dones, i + 1);
+      g_assert_cmpint (f->result, ==, rows[i].result);
+      g_assert_cmpuint (f->status, ==, rows[i].status);
+      g_assert_cmpstr (f->body->str, ==, rows[i].body);
+      g_assert_cmpuint (f->heads, ==, rows[i].status == 0 ? 0 : 1);
+    }
+}
+
+static void
+test_unreached (fixture_t *f, gconstpointer data)
+{
+  stop_listening (f);
+  start (f, "POST", 0, 0);
+  run_until (f, &f->dones, 1);
+  g_assert_cmpint (f->result, ==, FETCH_UNREACHED);
+}
+
+static void
+test_never_repeated (fixture_t *f, gconstpointer data)
+{
+  /* The endpoint answers one request and keeps the connection; it reads the
+     next, runs it, and breaks off.  A client that takes the broken connection
+     for a stale one sends the request again, and it runs twice.  */
+  f->script = OK_HEAD "Content-Length: 2\r\n\r\nhi";
+  start (f, "POST", 0, 0);
+  run_until (f, &f->dones, 1);
+  f->script = "";
+  f->after = CLOSE;
+  start (f, "POST", 0, 0);
+  run_until (f, &f->dones, 2);
+  g_assert_cmpint (f->result, ==, FETCH_BROKEN);
+  g_assert_cmpuint (f->requests, ==, 2);
+}
+
+static void
+cancel (void *fixture)
+{
+  fixture_t *f = fixture;
+
+  fetch_cancel (f->fetch);
+}
+
+static void
+start_again (void *fixture)
+{
+  fixture_t *f = fixture;
+
+  f->in_done = NULL;
+  f->in_data = NULL;
+  f->in_head = NULL;
+  start (f, "GET", 0, 0);
+}
+
+static void
+cancel_and_start (void *fixture)
+{
+  cancel (fixture);
+  start_again (fixture);
+}
+
+static void
+test_inside_callbacks (fixture_t *f, gconstpointer data)
+{
+  /* libcurl may not be entered from its own callbacks: a cancel or start there
+     must neither crash nor be lost.  */
+  f->script = OK_HEAD "Content-Length: 2\r\n\r\nhi";
+  f->in_head = cancel_and_start;
+  start (f, "POST", 0, 0);
+  run_until (f, &f->dones, 1);
+  g_assert_cmpuint (f->heads, ==, 2);
+  f->in_data = cancel_and_start;
+  start (f, "POST", 0, 0);
+  run_until (f, &f->dones, 2);
+  g_assert_cmpuint (f->heads, ==, 4);
+  f->in_done = start_again;
+  start (f, "POST", 0, 0);
+  run_until (f, &f->dones, 4);
+}
+
+static void
+pause_now (void *fixture)
+{
+  fixture_t *f = fixture;
+
+  fetch_pause (f->fetch, true);
+}
+
+static void
+test_pause (fixture_t *f, gconstpointer data)
+{
+  /* A caller reads slowly: the endpoint's answer is paused, for longer than
+     the limit of silence, and must go on whole afterwards.  */
+  cfd_time_t until;
+
+  f->script = OK_HEAD "Content-Length: 2\r\n\r\nhi";
+  f->in_head = pause_now;
+  start (f, "POST", 0, 30);
+  run_until (f, &f->heads, 1);
+  until = clock_now () + 60;
+  while (clock_now () < until)
+    ev_run (f->loop, EVRUN_NOWAIT);
+  g_assert_cmpuint (f->body->len, ==, 0);
+  g_assert_cmpuint (f->dones, ==, 0);
+  fetch_pause (f->fetch, false);
+  run_until (f, &f->dones, 1);
+  g_assert_cmpint (f->result, ==, FETCH_ANSWERED);
+  g_assert_cmpstr (f->body->str, ==, "hi");
+}
+
+static void
+add (const char *path, void (*test) (fixture_t *, gconstpointer))
+{
+  g_test_add (path, fixture_t, NULL, set_up, test, tear_down);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  add ("/fetch/results", test_results);
+  add ("/fetch/unreached", test_unreached);
+  add ("/fetch/never-repeated", test_never_repeated);
+  add ("/fetch/inside-callbacks", test_inside_callbacks);
+  add ("/fetch/pause", test_pause);
+  return g_test_run ();
+}
--- /dev/null
+++ b/libcoltsfootdrum/once/once-job.c
@@ -0,0 +1,203 @@
+#include "once/once-job.h"
+#include "base/log.h"
+
+#include <string.h>
+
+#define PART "once"
+#define BACKOFF_LEAST_MS 250
+#define BACKOFF_MOST_MS 5000
+/* A write in doubt may still land after a read did not find it: so many reads,
+   with backoff between them, before it is taken as never written.  */
+#define ABSENT_READS 4
+
+typedef struct
+{
+  list_node_t node;
+  once_jobs_t *jobs;
+  char *name;
+  char *attempt;
+  char *version; /* NULL: read it first */
+  JsonObject *spec;
+  bool in_doubt;
+  unsigned absent;
+  unsigned tries;
+  ev_timer timer;
+} once_job_t;
+
+static void try_job (once_job_t *job);
+
+const char *
+once_text (JsonObject *object, const char *member)
+{
+  JsonNode *node = json_object_get_member (object, member);
+
+  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
+      || json_node_get_value_type (node) != G_TYPE_STRING)
+    return "";
+  return json_node_get_string (node);
+}
+
+JsonObject *
+once_spec (JsonObject *object)
+{
+  JsonNode *node = json_object_get_member (object, "spec");
+
+  if (node == NULL || !JSON_NODE_HOLDS_OBJECT (node))
+    return NULL;
+  return json_node_get_object (node);
+}
+
+static void
+job_free (once_job_t *job)
+{
+  ev_timer_stop (plat_loop (job->jobs->plat), &job->timer);
+  list_remove (&job->node);
+  job->jobs->count--;
+  g_clear_pointer (&job->spec, json_object_unref);
+  g_free (job->name);
+  g_free (job->attempt);
+  g_free (job->version);
+  g_free (job);
+}
+
+static void
+try_later (once_job_t *job)
+{
+  struct ev_loop *loop = plat_loop (job->jobs->plat);
+  unsigned doublings = MIN (job->tries, 10u);
+  unsigned most = MIN (BACKOFF_LEAST_MS << doublings, BACKOFF_MOST_MS);
+  int delay_ms = g_random_int_range ((gint32)most / 2, (gint32)most + 1);
+
+  job->tries++;
+  ev_now_update (loop);
+  ev_timer_set (&job->timer, delay_ms / 1000.0, 0.0);
+  ev_timer_start (loop, &job->timer);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  try_job (timer->data);
+}
+
+/* The claim is not there.  */
+static void
+is_absent (once_job_t *job)
+{
+  if (job->in_doubt && ++job->absent < ABSENT_READS)
+    {
+      try_later (job);
+      return;
+    }
+  if (job->spec != NULL)
+    log_warn (PART, "A claim was removed while its request ran: claim=%s.",
+              job->name);
+  job_free (job);
+}
+
+/* The claim as it is; the job goes on only with its own, unfinished one.  One
+   that was settled as unknown meanwhile is its own still: this job knows.  */
+static void
+is_there (once_job_t *job, JsonObject *object)
+{
+  JsonObject *spec = once_spec (object);
+
+  if (spec == NULL || strcmp (once_text (spec, "attempt"), job->attempt) != 0
+      || strcmp (once_text (spec, "state"), ONCE_STATE_FINISHED) == 0)
+    {
+      job_free (job);
+      return;
+    }
+  g_free (job->version);
+  job->version = g_strdup (once_text (object, "version"));
+  try_job (job);
+}
+
+static void
+on_read (void *user, plat_status_t status, JsonObject *answer)
+{
+  once_job_t *job = user;
+
+  if (status == PLAT_OK)
+    is_there (job, answer);
+  else if (status == PLAT_NOT_FOUND)
+    is_absent (job);
+  else
+    try_later (job);
+  g_clear_pointer (&answer, json_object_unref);
+}
+
+static void
+on_written (void *user, plat_status_t status, JsonObject *answer)
+{
+  once_job_t *job = user;
+
+  g_clear_pointer (&answer, json_object_unref);
+  switch (status)
+    {
+    case PLAT_OK:
+      job_free (job);
+      break;
+    case PLAT_DOWN:
+      try_later (job);
+      break;
+    default:
+      /* The version may be our own lost write's: look.  */
+      g_clear_pointer (&job->version, g_free);
+      try_later (job);
+      break;
+    }
+}
+
+static void
+try_job (once_job_t *job)
+{
+  plat_t *plat = job->jobs->plat;
+
+  if (job->version == NULL)
+    plat_get (plat, ONCE_KIND, job->name, on_read, job);
+  else if (job->spec != NULL)
+    plat_put (plat, ONCE_KIND, job->name, job->version, job->spec, on_written,
+              job);
+  else
+    plat_delete (plat, ONCE_KIND, job->name, job->version, on_written, job);
+}
+
+void
+once_jobs_init (once_jobs_t *jobs, plat_t *plat)
+{
+  jobs->plat = plat;
+  jobs->count = 0;
+  list_init (&jobs->jobs);
+}
+
+void
+once_jobs_clear (once_jobs_t *jobs)
+{
+  list_for_each_safe (node, &jobs->jobs)
+    {
+      once_job_t *job = list_entry (node, once_job_t, node);
+
+      plat_cancel (jobs->plat, job);
+      job_free (job);
+    }
+}
+
+void
+once_jobs_add (once_jobs_t *jobs, const char *name, const char *attempt,
+               const char *version, JsonObject *spec)
+{
+  once_job_t *job = g_new0 (once_job_t, 1);
+
+  job->jobs = jobs;
+  job->name = g_strdup (name);
+  job->attempt = g_strdup (attempt);
+  job->version = g_strdup (version);
+  job->spec = spec == NULL ? NULL : json_object_ref (spec);
+  job->in_doubt = version == NULL;
+  ev_init (&job->timer, on_timer);
+  job->timer.data = job;
+  list_append (&jobs->jobs, &job->node);
+  jobs->count++;
+  try_job (job);
+}
--- /dev/null
+++ b/libcoltsfootdrum/router/avoid.c
@@ -0,0 +1,43 @@
+#include "router/avoid.h"
+
+#include <glib.h>
+
+static avoided_t *
+find (const avoid_t *avoid, const char *agent)
+{
+  for (unsigned i = 0; i < AVOID_MAX; i++)
+    if (g_strcmp0 (avoid->entries[i].agent, agent) == 0)
+      return (avoided_t *)&avoid->entries[i];
+  return NULL;
+}
+
+void
+avoid_add (avoid_t *avoid, const char *agent, cfd_time_t now)
+{
+  avoided_t *entry = find (avoid, agent);
+
+  if (entry == NULL)
+    {
+      entry = &avoid->entries[avoid->next];
+      avoid->next = (avoid->next + 1) % AVOID_MAX;
+      g_free (entry->agent);
+      entry->agent = g_strdup (agent);
+    }
+  entry->until = now + AVOID_AGENT_MS;
+}
+
+bool
+avoid_has (const avoid_t *avoid, const char *agent, cfd_time_t now)
+{
+  const avoided_t *entry = find (avoid, agent);
+
+  return entry != NULL && now < entry->until;
+}
+
+void
+avoid_clear (avoid_t *avoid)
+{
+  for (unsigned i = 0; i < AVOID_MAX; i++)
+    g_free (avoid->entries[i].agent);
+  *avoid = (avoid_t){ 0 };
+}
--- /dev/null
+++ b/libcoltsfootdrum/router/cost.c
@@ -0,0 +1,80 @@
+#include "router/cost.h"
+
+#include "base/pair.h"
+
+#include <stdbool.h>
+
+/* Weight of the newest request.  */
+#define RATIO_WEIGHT 0.1
+
+typedef struct
+{
+  pair_t key;
+  double ratio;
+  cfd_time_t used;
+} entry_t;
+
+struct cost
+{
+  GHashTable *entries; /* pair_t to entry_t */
+};
+
+cost_t *
+cost_new (void)
+{
+  cost_t *cost = g_new0 (cost_t, 1);
+
+  cost->entries = pair_table_new (NULL);
+  return cost;
+}
+
+void
+cost_free (cost_t *cost)
+{
+  if (cost == NULL)
+    return;
+  g_hash_table_unref (cost->entries);
+  g_free (cost);
+}
+
+double
+cost_expect (const cost_t *cost, const char *account, const char *service,
+             double hint)
+{
+  const entry_t *entry = pair_table_find (cost->entries, account, service);
+
+  return hint * (entry != NULL ? entry->ratio : COST_RATIO_FIRST);
+}
+
+void
+cost_learn (cost_t *cost, const char *account, const char *service,
+            double hint, double actual, cfd_time_t now)
+{
+  entry_t *entry = pair_table_find (cost->entries, account, service);
+  double ratio;
+
+  if (hint <= 0)
+    return;
+  ratio = CLAMP (actual / hint, COST_RATIO_LEAST, COST_RATIO_MOST);
+  if (entry == NULL)
+    {
+      entry = pair_table_add (cost->entries, account, service, sizeof *entry);
+      entry->ratio = ratio;
+    }
+  entry->ratio += RATIO_WEIGHT * (ratio - entry->ratio);
+  entry->used = now;
+}
+
+static gboolean
+is_old (gpointer key, gpointer value, gpointer user)
+{
+  const entry_t *entry = value;
+
+  return *(const cfd_time_t *)user - entry->used > COST_FORGET_MS;
+}
+
+void
+cost_expire (cost_t *cost, cfd_time_t now)
+{
+  g_hash_table_foreach_remove (cost->entries, is_old, &now);
+}
--- /dev/null
+++ b/libcoltsfootdrum/router/router-claim.c
@@ -0,0 +1,243 @@
+#include "router/router-private.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#define DIGEST_SIZE 32
+#define RETRY_CLAIM_S 1
+#define RETRY_PLATFORM_S 5
+
+/* ---- the end ---- */
+
+static const char *
+content_type (const request_t *request)
+{
+  static const char name[] = "Content-Type:";
+
+  for (const char *const *header = request_answer_headers (request);
+       header != NULL && *header != NULL; header++)
+    if (g_ascii_strncasecmp (*header, name, sizeof name - 1) == 0)
+      return *header + sizeof name - 1
+             + strspn (*header + sizeof name - 1, " ");
+  return "application/octet-stream";
+}
+
+/* The answer as text, or NULL when it is too large or none: a part must not be
+   given for the whole.  */
+static const char *
+kept_text (request_t *request)
+{
+  GByteArray *kept = request->kept;
+
+  if (!request->kept_whole
+      || (kept->len > 0 && memchr (kept->data, 0, kept->len) != NULL))
+    return NULL;
+  g_byte_array_append (kept, (const guint8 *)"", 1);
+  return (const char *)kept->data;
+}
+
+/* A claim is given back only when the request surely did not run; else it
+   stays, so that whoever asks again is not run a second time.  */
+void
+claim_settle (request_t *request, const req_step_t *step)
+{
+  once_t *once = request->router->once;
+  const char *account = request->item.account;
+
+  if (!request->claimed)
+    return;
+  request->claimed = false;
+  if (step->run == RUN_DONE)
+    once_finish (once, account, request->key, request->status,
+                 content_type (request), kept_text (request));
+  else if (step->run == RUN_NOT_RUN)
+    once_release (once, account, request->key);
+  router_note (request->router, TL_CLAIM, request,
+               step->run == RUN_DONE      ? "finished"
+               : step->run == RUN_NOT_RUN ? "given back"
+                                          : "left: outcome unknown");
+}
+
+/* ---- the beginning ---- */
+
+static void
+answer_replay (request_t *request, const once_answer_t *answer)
+{
+  static const char *const headers[] = { "Idempotent-Replayed: true", NULL };
+
+  request->router->counters.replayed++;
+  if (request->web == NULL)
+    return;
+  if (answer->body != NULL)
+    web_respond (request->web, answer->status, answer->type, headers,
+                 answer->body, strlen (answer->body));
+  else
+    web_problem (
+        request->web, 409, "Already done",
+        "The request with this key ran; its answer could not be kept.",
+        "unknown", -1);
+  request->web = NULL;
+}
+
+static void
+claim_refused (request_t *request, const once_answer_t *answer)
+{
+  switch (answer->verdict)
+    {
+    case ONCE_FINISHED:
+      answer_replay (request, answer);
+      return;
+    case ONCE_RUNNING:
+      request_refuse (
+          request, REFUSED_CLAIM, 409, "Already asked",
+          "A request with this key is running or its outcome is not "
+          "known; ask again with the same key.",
+          RUN_UNKNOWN, RETRY_CLAIM_S);
+      return;
+    case ONCE_UNKNOWN:
+      request_refuse (
+          request, REFUSED_CLAIM, 409, "Outcome unknown",
+          "A request with this key was given to a router that went away; "
+          "find out whether it ran before you send it with another key.",
+          RUN_UNKNOWN, -1);
+      return;
+    case ONCE_MISMATCH:
+      request_refuse (
+          request, REFUSED_CLAIM, 422, "Key used before",
+          "This Idempotency-Key belongs to another request; choose a new "
+          "one.",
+          RUN_NOT_RUN, -1);
+      return;
+    default:
+      request_refuse (
+          request, REFUSED_PLATFORM, 503, "Platform is down",
+          "This call was not run, for its key can't be claimed; an earlier "
+          "one with the same key may have been.  Ask again with it.",
+          RUN_NOT_RUN, RETRY_PLATFORM_S);
+      return;
+    }
+}
+
+static void
+on_claim (void *user, const once_answer_t *answer)
+{
+  request_t *request = user;
+
+  request->claim_pending = false;
+  if (request->state == REQ_OVER)
+    {
+      request_free (request);
+      return;
+    }
+  router_note (request->router, TL_CLAIM, request,
+               answer->verdict == ONCE_MINE ? "made" : "not ours");
+  if (answer->verdict == ONCE_MINE)
+    {
+      request->claimed = true;
+      request->kept = g_byte_array_new ();
+      request->kept_whole = true;
+      request_event (request, REQ_EV_CLAIMED, clock_now ());
+      return;
+    }
+  claim_refused (request, answer);
+  request->state = REQ_OVER;
+  request_free (request);
+}
+
+static char *
+digest_of (const request_t *request)
+{
+  crypto_generichash_state state;
+  unsigned char hash[DIGEST_SIZE];
+  char hex[2 * DIGEST_SIZE + 1];
+  gsize length;
+  const void *body = g_bytes_get_data (request->body, &length);
+
+  crypto_generichash_init (&state, NULL, 0, sizeof hash);
+  crypto_generichash_update (&state, (const unsigned char *)request->method,
+                             strlen (request->method) + 1);
+  crypto_generichash_update (&state, (const unsigned char *)request->path,
+                             strlen (request->path) + 1);
+  crypto_generichash_update (&state, body, length);
+  crypto_generichash_final (&state, hash, sizeof hash);
+  sodium_bin2hex (hex, sizeof hex, hash, sizeof hash);
+  return g_strdup (hex);
+}
+
+static bool
+queue_is_full (const request_t *request, cfd_time_t now)
+{
+  adm_queue_info_t info;
+
+  adm_info (request->router->adm, request->item.account, request->item.service,
+            now, &info);
+  return info.count >= request_queue_max (request);
+}
+
+void
+claim_begin (request_t *request, cfd_time_t now)
+{
+  cfd_router_t *router = request->router;
+  g_autofree char *digest = NULL;
+
+  /* Each claim costs the platform two writes: a flood of them must be turned
+     away before, not after.  */
+  if (queue_is_full (request, now))
+    {
+      request_refuse_full (request,
+                           adm_retry_after (router->adm, request->item.account,
+                                            request->item.service, now));
+      request->state = REQ_OVER;
+      request_free (request);
+      return;
+    }
+  digest = digest_of (request);
+  request->claim_pending = true;
+  once_claim (router->once, request->item.account, request->key, digest,
+              on_claim, request);
+}
+
+/* ---- removal ---- */
+
+/* Names the choice of the router that keeps the ages.  */
+#define AGES_KEY "claim-sweep"
+
+static unsigned
+sweep_routers (void *user)
+{
+  const cfd_router_t *router = user;
+
+  return store_instances (router->store, ROLE_ROUTER)->len;
+}
+
+static bool
+sweep_keeps_ages (void *user)
+{
+  const cfd_router_t *router = user;
+  const char *home = store_home (router->store, AGES_KEY, "", NULL, NULL);
+
+  return g_strcmp0 (home, router->instance) == 0;
+}
+
+static bool
+sweep_is_held (void *user, const char *claim)
+{
+  const cfd_router_t *router = user;
+
+  return once_holds (router->once, claim);
+}
+
+void
+claim_sweep (cfd_router_t *router, const cfd_settings_t *settings)
+{
+  const sweep_setup_t setup = { .kept_s = settings->claims_kept_s,
+                                .calls = (unsigned)settings->claim_calls,
+                                .routers = sweep_routers,
+                                .keeps_ages = sweep_keeps_ages,
+                                .is_held = sweep_is_held,
+                                .user = router };
+
+  once_set_kept (router->once, settings->claims_kept_s);
+  if (settings->claims_kept_s > 0)
+    router->sweep = sweep_new (router->plat, &setup);
+}
--- /dev/null
+++ b/libcoltsfootdrum/router/router-share.c
@@ -0,0 +1,270 @@
+#include "router/router-private.h"
+
+#include "base/pair.h"
+
+#include <string.h>
+
+/* Changes gather so long before they are reported.  */
+#define REPORT_MS 4
+#define UNSENT_MAX 4096u
+
+/* A report that waits for a link.  */
+typedef struct
+{
+  pair_t key;
+  msg_report_entry_t entry;
+} unsent_t;
+
+void
+shares_changed (cfd_router_t *router, cfd_time_t now)
+{
+  if (router->report_at != CFD_TIME_NEVER)
+    return;
+  router->report_at = now + REPORT_MS;
+  router_schedule (router, router->report_at);
+}
+
+/* ---- reports out ---- */
+
+typedef struct
+{
+  cfd_router_t *router;
+  cfd_time_t now;
+  GHashTable *batches; /* router_peer_t to GArray of msg_report_entry_t */
+} reporting_t;
+
+static GArray *
+batch_for (reporting_t *reporting, router_peer_t *peer)
+{
+  GArray *batch = g_hash_table_lookup (reporting->batches, peer);
+
+  if (batch != NULL)
+    return batch;
+  batch = g_array_new (false, false, sizeof (msg_report_entry_t));
+  g_hash_table_insert (reporting->batches, peer, batch);
+  return batch;
+}
+
+static uint64_t
+emit (void *user, const msg_report_entry_t *entry)
+{
+  reporting_t *reporting = user;
+  cfd_router_t *router = reporting->router;
+  const char *home = homes_of (router, entry->account, entry->service);
+
+  router->counters.report_entries++;
+  if (strcmp (home, router->instance) == 0)
+    home_report (router->home, router->instance, router->incarnation, entry,
+                 reporting->now);
+  else
+    g_array_append_val (batch_for (reporting, homes_get (router, home)),
+                        *entry);
+  return homes_number (home);
+}
+
+static void
+remember (router_peer_t *peer, const msg_report_entry_t *entry)
+{
+  unsent_t *unsent
+      = pair_table_find (peer->unsent, entry->account, entry->service);
+
+  if (unsent == NULL && g_hash_table_size (peer->unsent) >= UNSENT_MAX)
+    return;
+  if (unsent == NULL)
+    unsent = pair_table_add (peer->unsent, entry->account, entry->service,
+                             sizeof *unsent);
+  unsent->entry = *entry;
+  unsent->entry.account = unsent->key.account;
+  unsent->entry.service = unsent->key.service;
+}
+
+static bool
+send_report (cfd_router_t *router, router_peer_t *peer, const GArray *batch)
+{
+  for (guint sent = 0; sent < batch->len; sent += MSG_ENTRIES_MAX)
+    {
+      msg_t message = { .kind = MSG_REPORT };
+
+      message.u.report.count = MIN (batch->len - sent, MSG_ENTRIES_MAX);
+      message.u.report.entries
+          = (const msg_report_entry_t *)batch->data + sent;
+      if (!router_send (router, peer->name, &message))
+        return false;
+      router->counters.reports++;
+    }
+  return true;
+}
+
+static void
+report_to (cfd_router_t *router, router_peer_t *peer, const GArray *batch,
+           cfd_time_t now)
+{
+  homes_hold (router, peer, now);
+  if (send_report (router, peer, batch))
+    {
+      homes_sent (router, peer, now);
+      return;
+    }
+  for (guint i = 0; i < batch->len; i++)
+    remember (peer, &g_array_index (batch, msg_report_entry_t, i));
+  homes_missed (router, peer, now);
+}
+
+static void
+report_all (cfd_router_t *router, cfd_time_t now)
+{
+  g_autoptr (GHashTable) batches = g_hash_table_new_full (
+      NULL, NULL, NULL, (GDestroyNotify)g_array_unref);
+  reporting_t reporting = { router, now, batches };
+  GHashTableIter iter;
+  gpointer peer;
+  gpointer batch;
+
+  share_due (router->share, now, emit, &reporting);
+  g_hash_table_iter_init (&iter, batches);
+  while (g_hash_table_iter_next (&iter, &peer, &batch))
+    report_to (router, peer, batch, now);
+}
+
+/* ---- answers of this home ---- */
+
+typedef struct
+{
+  cfd_router_t *router;
+  cfd_time_t now;
+  GHashTable *batches; /* router's name to GArray of msg_share_entry_t */
+} answering_t;
+
+/* A new virtual time for work that waits here goes to the agents with the
+   next refresh; a grant by an older one is declined.  */
+static void
+take_one (cfd_router_t *router, const msg_share_entry_t *entry, cfd_time_t now)
+{
+  double before
+      = share_virtual_time (router->share, entry->account, entry->service);
+  msg_waiting_t left;
+
+  router->counters.shares++;
+  share_take (router->share, entry, now);
+  if (router->policy == CFD_POLICY_LOCAL)
+    return;
+  grant_left (router, entry->account, entry->service, now, &left);
+  turns_moved (router->turns, entry->account, entry->service,
+               left.virtual_time - before);
+  if (left.count > 0)
+    disp_waiting (router->disp, entry->service, &left, now);
+}
+
+static void
+emit_share (void *user, const char *name, const msg_share_entry_t *entry)
+{
+  answering_t *answering = user;
+  GArray *batch;
+
+  if (strcmp (name, answering->router->instance) == 0)
+    {
+      take_one (answering->router, entry, answering->now);
+      return;
+    }
+  if (!told_must_hear (homes_get (answering->router, name)->told, entry,
+                       answering->now))
+    return;
+  batch = g_hash_table_lookup (answering->batches, name);
+  if (batch == NULL)
+    {
+      batch = g_array_new (false, false, sizeof (msg_share_entry_t));
+      g_hash_table_insert (answering->batches, g_strdup (name), batch);
+    }
+  g_array_append_val (batch, *entry);
+}
+
+static void
+send_shares (cfd_router_t *router, const char *name, const GArray *batch)
+{
+  for (guint sent = 0; sent < batch->len; sent += MSG_ENTRIES_MAX)
+    {
+      msg_t message = { .kind = MSG_SHARE };
+
+      message.u.share.count = MIN (batch->len - sent, MSG_ENTRIES_MAX);
+      message.u.share.entries = (const msg_share_entry_t *)batch->data + sent;
+      if (!router_send (router, name, &message))
+        told_forget (homes_get (router, name)->told);
+    }
+}
+
+static void
+answer_all (cfd_router_t *router, cfd_time_t now)
+{
+  g_autoptr (GHashTable) batches = g_hash_table_new_full (
+      g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
+  answering_t answering = { router, now, batches };
+  GHashTableIter iter;
+  gpointer name;
+  gpointer batch;
+
+  home_due (router->home, now, emit_share, &answering);
+  g_hash_table_iter_init (&iter, batches);
+  while (g_hash_table_iter_next (&iter, &name, &batch))
+    send_shares (router, name, batch);
+}
+
+/* ---- for the rest of the router ---- */
+
+void
+shares_run (cfd_router_t *router, cfd_time_t now)
+{
+  bool is_moved = router->homes_moved;
+
+  router->report_at = CFD_TIME_NEVER;
+  router->homes_moved = false;
+  if (is_moved)
+    share_moved (router->share, now, homes_number_of, router);
+  report_all (router, now);
+  answer_all (router, now);
+}
+
+void
+shares_report (cfd_router_t *router, const peer_id_t *peer,
+               const msg_report_t *report, cfd_time_t now)
+{
+  told_t *told = homes_get (router, peer->instance)->told;
+
+  for (uint32_t i = 0; i < report->count; i++)
+    {
+      home_report (router->home, peer->instance, peer->incarnation,
+                   &report->entries[i], now);
+      told_report (told, &report->entries[i]);
+    }
+  shares_changed (router, now);
+}
+
+void
+shares_take (cfd_router_t *router, const char *name, const msg_share_t *share,
+             cfd_time_t now)
+{
+  router_peer_t *peer = homes_get (router, name);
+
+  peer->answered = now;
+  homes_trust (router, peer, now);
+  for (uint32_t i = 0; i < share->count; i++)
+    take_one (router, &share->entries[i], now);
+}
+
+void
+shares_peer_up (cfd_router_t *router, const char *name, cfd_time_t now)
+{
+  router_peer_t *peer = homes_get (router, name);
+  g_autoptr (GArray) batch
+      = g_array_new (false, false, sizeof (msg_report_entry_t));
+  GHashTableIter iter;
+  gpointer value;
+
+  peer->up = true;
+  told_forget (peer->told);
+  homes_trust (router, peer, now);
+  g_hash_table_iter_init (&iter, peer->unsent);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_append_val (batch, ((const unsent_t *)value)->entry);
+  if (batch->len > 0 && send_report (router, peer, batch))
+    g_hash_table_remove_all (peer->unsent);
+}
--- /dev/null
+++ b/libcoltsfootdrum/router/test-cost.c
@@ -0,0 +1,56 @@
+/* The expected cost of a request.  */
+
+#include "router/cost.h"
+
+static void
+test_learns (void)
+{
+  /* Hint and actual of 50 requests, then what to expect of a hint of 1000. */
+  static const struct
+  {
+    unsigned requests;
+    double hint;
+    double actual;
+    double expected;
+  } cases[] = {
+    { 0, 0, 0, 1000 * COST_RATIO_FIRST },
+    { 50, 4096, 409.6, 100 },
+    { 50, 100, 100, 1000 },
+    { 50, 10, 1e9, 2000 },
+    { 50, 1e9, 1, 20 },
+    { 50, 0, 5, 1000 * COST_RATIO_FIRST },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (cost_t) cost = cost_new ();
+
+      for (unsigned j = 0; j < cases[i].requests; j++)
+        cost_learn (cost, "a", "s", cases[i].hint, cases[i].actual, 0);
+      g_assert_cmpfloat_with_epsilon (cost_expect (cost, "a", "s", 1000),
+                                      cases[i].expected, 0.01);
+      g_assert_cmpfloat (cost_expect (cost, "b", "s", 1000), ==,
+                         1000 * COST_RATIO_FIRST);
+    }
+}
+
+static void
+test_expires (void)
+{
+  g_autoptr (cost_t) cost = cost_new ();
+
+  cost_learn (cost, "a", "s", 10, 1, 0);
+  cost_expire (cost, COST_FORGET_MS);
+  g_assert_cmpfloat (cost_expect (cost, "a", "s", 10), ==, 1);
+  cost_expire (cost, COST_FORGET_MS + 1);
+  g_assert_cmpfloat (cost_expect (cost, "a", "s", 10), ==, 5);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/cost/learns", test_learns);
+  g_test_add_func ("/cost/expires", test_expires);
+  return g_test_run ();
+}
--- /dev/null
+++ b/libcoltsfootdrum/router/test-router-request.c
@@ -0,0 +1,174 @@
+/* The life of a request: each (state, event) with the facts that matter, what
+   the router does next, and whether it may say "not run".  */
+
+#include "router/router-step.h"
+#include <glib.h>
+
+#define IDEM 1u   /* idempotent */
+#define RAN 2u    /* may have run before */
+#define GONE 4u   /* caller gone */
+#define BUDGET 8u /* may retry */
+
+typedef struct
+{
+  req_state_t state;
+  req_event_t event;
+  unsigned facts;
+  req_state_t next;
+  req_action_t action;
+  req_run_t run;
+} case_t;
+
+static const case_t cases[] = {
+  { REQ_CLAIMING, REQ_EV_CLAIMED, 0, REQ_QUEUED, REQ_DO_QUEUE, RUN_NOT_RUN },
+  /* The claim comes after the caller left: given back, nothing ran.  */
+  { REQ_CLAIMING, REQ_EV_CALLER_GONE, 0, REQ_CLAIMING, REQ_DO_NOTHING,
+    RUN_NOT_RUN },
+  { REQ_CLAIMING, REQ_EV_CLAIMED, GONE, REQ_OVER, REQ_DO_FORGET, RUN_NOT_RUN },
+  { REQ_CLAIMING, REQ_EV_STOP, 0, REQ_OVER, REQ_DO_REFUSE, RUN_NOT_RUN },
+  { REQ_QUEUED, REQ_EV_ASSIGNED, 0, REQ_SENT, REQ_DO_NOTHING, RUN_UNKNOWN },
+  { REQ_QUEUED, REQ_EV_DEADLINE, 0, REQ_OVER, REQ_DO_REFUSE, RUN_NOT_RUN },
+  /* Queued again after an agent was lost: that agent may have run it.  */
+  { REQ_QUEUED, REQ_EV_DEADLINE, IDEM | RAN, REQ_OVER, REQ_DO_REFUSE,
+    RUN_UNKNOWN },
+  { REQ_QUEUED, REQ_EV_STOP, IDEM | RAN, REQ_OVER, REQ_DO_REFUSE,
+    RUN_UNKNOWN },
+  { REQ_QUEUED, REQ_EV_STOP, 0, REQ_OVER, REQ_DO_REFUSE, RUN_NOT_RUN },
+  { REQ_QUEUED, REQ_EV_CALLER_GONE, 0, REQ_OVER, REQ_DO_FORGET, RUN_NOT_RUN },
+  { REQ_SENT, REQ_EV_DATA, 0, REQ_ANSWERING, REQ_DO_ANSWER, RUN_UNKNOWN },
+  { REQ_SENT, REQ_EV_DATA, GONE, REQ_ANSWERING, REQ_DO_NOTHING, RUN_UNKNOWN },
+  { REQ_SENT, REQ_EV_COMPLETE, 0, REQ_OVER, REQ_DO_FINISH, RUN_DONE },
+  /* The agent's word lets even a non-idempotent one go again, budget or no. */
+  { REQ_SENT, REQ_EV_NOT_RUN, 0, REQ_QUEUED, REQ_DO_REQUEUE, RUN_NOT_RUN },
+  { REQ_SENT, REQ_EV_NOT_RUN, IDEM | RAN, REQ_QUEUED, REQ_DO_REQUEUE,
+    RUN_UNKNOWN },
+  { REQ_SENT, REQ_EV_NOT_RUN, GONE, REQ_OVER, REQ_DO_FORGET, RUN_NOT_RUN },
+  /* Without it: non-idempotent never, idempotent within the budget.  */
+  { REQ_SENT, REQ_EV_LOST, BUDGET, REQ_OVER, REQ_DO_FAIL, RUN_UNKNOWN },
+  { REQ_SENT, REQ_EV_LOST, IDEM | BUDGET, REQ_QUEUED, REQ_DO_RETRY,
+    RUN_UNKNOWN },
+  { REQ_SENT, REQ_EV_LOST, IDEM, REQ_OVER, REQ_DO_FAIL, RUN_UNKNOWN },
+  { REQ_SENT, REQ_EV_LOST, IDEM | BUDGET | GONE, REQ_OVER, REQ_DO_FORGET,
+    RUN_UNKNOWN },
+  { REQ_SENT, REQ_EV_STOP, IDEM, REQ_OVER, REQ_DO_FAIL, RUN_UNKNOWN },
+  /* A caller who leaves stops what may be repeated, not a post.  */
+  { REQ_SENT, REQ_EV_CALLER_GONE, IDEM, REQ_SENT, REQ_DO_CANCEL, RUN_UNKNOWN },
+  { REQ_SENT, REQ_EV_CALLER_GONE, 0, REQ_SENT, REQ_DO_NOTHING, RUN_UNKNOWN },
+  { REQ_ANSWERING, REQ_EV_DATA, 0, REQ_ANSWERING, REQ_DO_NOTHING,
+    RUN_UNKNOWN },
+  { REQ_ANSWERING, REQ_EV_COMPLETE, 0, REQ_OVER, REQ_DO_FINISH, RUN_DONE },
+  /* Bytes were delivered: never a second answer behind the first part.  */
+  { REQ_ANSWERING, REQ_EV_LOST, IDEM | BUDGET, REQ_OVER, REQ_DO_BREAK_OFF,
+    RUN_UNKNOWN },
+  { REQ_ANSWERING, REQ_EV_NOT_RUN, 0, REQ_OVER, REQ_DO_BREAK_OFF,
+    RUN_UNKNOWN },
+  { REQ_ANSWERING, REQ_EV_LOST, IDEM | GONE, REQ_OVER, REQ_DO_FORGET,
+    RUN_UNKNOWN },
+  { REQ_ANSWERING, REQ_EV_CALLER_GONE, IDEM, REQ_ANSWERING, REQ_DO_CANCEL,
+    RUN_UNKNOWN },
+  { REQ_ANSWERING, REQ_EV_STOP, 0, REQ_OVER, REQ_DO_BREAK_OFF, RUN_UNKNOWN },
+  /* Late events of a request that has ended do nothing.  */
+  { REQ_OVER, REQ_EV_COMPLETE, 0, REQ_OVER, REQ_DO_NOTHING, RUN_UNKNOWN },
+  { REQ_OVER, REQ_EV_LOST, IDEM | BUDGET, REQ_OVER, REQ_DO_NOTHING,
+    RUN_UNKNOWN },
+};
+
+static req_facts_t
+facts_of (unsigned bits)
+{
+  return (req_facts_t){ .idempotent = bits & IDEM,
+                        .may_have_run = bits & RAN,
+                        .caller_gone = bits & GONE,
+                        .may_retry = bits & BUDGET };
+}
+
+static void
+test_cases (void)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const case_t *c = &cases[i];
+      req_facts_t facts = facts_of (c->facts);
+      req_step_t step = req_next (c->state, c->event, &facts);
+
+      g_test_message ("case %u", i);
+      g_assert_cmpint (step.next, ==, c->next);
+      g_assert_cmpint (step.action, ==, c->action);
+      g_assert_cmpint (step.run, ==, c->run);
+    }
+}
+
+/* Over every state, event and set of facts: what must never come out.  */
+static void
+test_never (void)
+{
+  for (req_state_t state = 0; state < REQ_STATE_COUNT; state++)
+    for (req_event_t event = 0; event < REQ_EVENT_COUNT; event++)
+      for (unsigned bits = 0; bits < 16; bits++)
+        {
+          req_facts_t facts = facts_of (bits);
+          req_step_t step = req_next (state, event, &facts);
+          bool again = step.action == REQ_DO_RETRY;
+
+          if (again)
+            g_assert_true (facts.idempotent && facts.may_retry);
+          if (state == REQ_ANSWERING)
+            g_assert_true (step.next == REQ_ANSWERING
+                           || step.next == REQ_OVER);
+          if (state != REQ_OVER && facts.may_have_run && state != REQ_CLAIMING)
+            g_assert_cmpint (step.run, !=, RUN_NOT_RUN);
+          if (state == REQ_SENT && event != REQ_EV_NOT_RUN)
+            g_assert_cmpint (step.run, !=, RUN_NOT_RUN);
+        }
+}
+
+#define FROZEN true
+#define DEAD false
+
+/* How long a request is waited for whose agent's link is lost.  */
+static const struct
+{
+  req_state_t state;
+  unsigned facts;
+  bool frozen;
+  cfd_time_t wait;
+} waits[] = {
+  /* Another agent can take it.  */
+  { REQ_SENT, IDEM | BUDGET, FROZEN, REQ_RETRY_WAIT_MS },
+  { REQ_SENT, IDEM | BUDGET, DEAD, REQ_RETRY_WAIT_MS },
+  /* Only its own agent can answer: without budget, a post, a begun answer.  */
+  { REQ_SENT, IDEM, FROZEN, REQ_SILENT_WAIT_MS },
+  { REQ_SENT, BUDGET, FROZEN, REQ_SILENT_WAIT_MS },
+  { REQ_ANSWERING, IDEM | BUDGET, FROZEN, REQ_SILENT_WAIT_MS },
+  /* A post's claim wants the true answer, though its caller left.  */
+  { REQ_SENT, BUDGET | GONE, FROZEN, REQ_SILENT_WAIT_MS },
+  /* It is gone: the caller hears soon.  */
+  { REQ_SENT, IDEM, DEAD, REQ_GONE_WAIT_MS },
+  { REQ_SENT, BUDGET, DEAD, REQ_GONE_WAIT_MS },
+  { REQ_ANSWERING, IDEM | BUDGET, DEAD, REQ_GONE_WAIT_MS },
+  /* Nobody waits.  */
+  { REQ_ANSWERING, IDEM | BUDGET | GONE, FROZEN, REQ_GONE_WAIT_MS },
+};
+
+static void
+test_patience (void)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (waits); i++)
+    {
+      req_facts_t facts = facts_of (waits[i].facts);
+
+      g_test_message ("wait %u", i);
+      g_assert_cmpint (req_patience (waits[i].state, &facts, waits[i].frozen),
+                       ==, waits[i].wait);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/router-request/cases", test_cases);
+  g_test_add_func ("/router-request/never", test_never);
+  g_test_add_func ("/router-request/patience", test_patience);
+  return g_test_run ();
+}
--- /dev/null
+++ b/libcoltsfootdrum/router/test-told.c
@@ -0,0 +1,123 @@
+/* What a home needn't tell again: after each answer that is left out, the
+   router still reckons what the home would have told.  */
+
+#include "router/told.h"
+
+#include <math.h>
+
+/* One router beside others that serve the same account.  The home tells it
+   only what it must hear; whatever the others do, and however many reports
+   and answers go, its own reckoning is never further off than the bound.  */
+static void
+test_reckoning (void)
+{
+  g_autoptr (GRand) random = g_rand_new_with_seed (3);
+  g_autoptr (told_t) told = told_new ();
+  double at_home = 0;
+  double charged = 0;
+  double acked = 0;
+  double last_vt = 0;
+  unsigned heard = 0;
+
+  for (unsigned i = 0; i < 10000; i++)
+    {
+      double own = g_rand_double_range (random, -20, 60);
+      double others = g_rand_int_range (random, 0, 4) == 0
+                          ? g_rand_double_range (random, -5, 60)
+                          : 0;
+      msg_share_entry_t share
+          = { "branch", "draft", i, charged += own, at_home += own + others };
+
+      if (told_must_hear (told, &share, 0))
+        {
+          heard++;
+          acked = share.charged;
+          last_vt = share.virtual_time;
+        }
+      g_assert_cmpfloat (fabs (last_vt + charged - acked - at_home), <,
+                         TOLD_ERROR_MAX);
+    }
+  g_assert_cmpuint (heard, >, 0);
+  g_assert_cmpuint (heard, <, 4000);
+}
+
+static void
+test_lifted (void)
+{
+  /* An account comes back from idle at a router, which lifts it to the floor.
+     It was active elsewhere, so the home did not.  Nobody else adds to the
+     account from then on: unless the home tells the router, the account stays
+     behind all others there.  */
+  g_autoptr (told_t) told = told_new ();
+  const msg_share_entry_t share = { "branch", "draft", 1, 50, 1000 };
+  const msg_share_entry_t next = { "branch", "draft", 2, 60, 1010 };
+  msg_report_entry_t report
+      = { "branch", "draft", 2, 60, 50, 1000, -INFINITY, true };
+
+  g_assert_true (told_must_hear (told, &share, 0));
+  told_report (told, &report);
+  g_assert_false (told_must_hear (told, &next, 0));
+  report.last_vt = 1500;
+  told_report (told, &report);
+  g_assert_true (told_must_hear (told, &next, 0));
+}
+
+static void
+test_forget (void)
+{
+  /* The link broke: an answer may be lost with it, so all is told again.  */
+  g_autoptr (told_t) told = told_new ();
+  const msg_share_entry_t share = { "branch", "draft", 1, 50, 1000 };
+  const msg_share_entry_t other = { "branch", "lookup", 1, 50, 1000 };
+
+  g_assert_true (told_must_hear (told, &share, 0));
+  g_assert_true (told_must_hear (told, &other, 0));
+  g_assert_false (told_must_hear (told, &share, 0));
+  told_forget (told);
+  g_assert_true (told_must_hear (told, &share, 0));
+}
+
+static void
+test_bounded (void)
+{
+  g_autoptr (told_t) told = told_new ();
+  msg_share_entry_t share = { NULL, "draft", 1, 50, 1000 };
+
+  for (unsigned i = 0; i <= TOLD_MAX; i++)
+    {
+      g_autofree char *account = g_strdup_printf ("account-%u", i);
+
+      share.account = account;
+      g_assert_true (told_must_hear (told, &share, 0));
+    }
+  share.account = "account-0";
+  g_assert_true (told_must_hear (told, &share, 0));
+  g_assert_false (told_must_hear (told, &share, 0));
+}
+
+/* A home that agrees with all that a router reports is still heard from, or
+   the router would look for another home.  */
+static void
+test_silence (void)
+{
+  g_autoptr (told_t) told = told_new ();
+  const msg_share_entry_t share = { "branch", "draft", 1, 50, 1000 };
+  const cfd_time_t start = 10000;
+
+  g_assert_true (told_must_hear (told, &share, start));
+  g_assert_false (told_must_hear (told, &share, start + TOLD_SILENCE_MS - 1));
+  g_assert_true (told_must_hear (told, &share, start + TOLD_SILENCE_MS));
+  g_assert_false (told_must_hear (told, &share, start + TOLD_SILENCE_MS + 1));
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/told/reckoning", test_reckoning);
+  g_test_add_func ("/told/lifted", test_lifted);
+  g_test_add_func ("/told/forget", test_forget);
+  g_test_add_func ("/told/bounded", test_bounded);
+  g_test_add_func ("/told/silence", test_silence);
+  return g_test_run ();
+}
--- /dev/null
+++ b/libcoltsfootdrum/router/told.c
@@ -0,0 +1,88 @@
+#include "router/told.h"
+
+#include "base/pair.h"
+
+#include <math.h>
+
+typedef struct
+{
+  pair_t key;
+  double charged;
+  double virtual_time;
+} entry_t;
+
+struct told
+{
+  GHashTable *entries;
+  cfd_time_t said; /* the last answer */
+};
+
+told_t *
+told_new (void)
+{
+  told_t *told = g_new0 (told_t, 1);
+
+  told->entries = pair_table_new (NULL);
+  return told;
+}
+
+void
+told_free (told_t *told)
+{
+  if (told == NULL)
+    return;
+  g_hash_table_unref (told->entries);
+  g_free (told);
+}
+
+void
+told_forget (told_t *told)
+{
+  g_hash_table_remove_all (told->entries);
+  told->said = 0;
+}
+
+/* As the router itself reckons it, with what it charged since.  */
+static double
+reckoned (const entry_t *entry, const msg_share_entry_t *share)
+{
+  return entry->virtual_time + share->charged - entry->charged;
+}
+
+static entry_t *
+find_or_add (told_t *told, const char *account, const char *service)
+{
+  entry_t *entry = pair_table_find (told->entries, account, service);
+
+  if (entry != NULL)
+    return entry;
+  if (g_hash_table_size (told->entries) >= TOLD_MAX)
+    told_forget (told);
+  entry = pair_table_add (told->entries, account, service, sizeof *entry);
+  entry->virtual_time = NAN;
+  return entry;
+}
+
+void
+told_report (told_t *told, const msg_report_entry_t *report)
+{
+  entry_t *entry = find_or_add (told, report->account, report->service);
+
+  entry->charged = report->charged;
+  entry->virtual_time = report->last_vt + report->charged - report->acked;
+}
+
+bool
+told_must_hear (told_t *told, const msg_share_entry_t *share, cfd_time_t now)
+{
+  entry_t *entry = find_or_add (told, share->account, share->service);
+  double error = fabs (share->virtual_time - reckoned (entry, share));
+
+  /* Never told: not a number.  */
+  if (error < TOLD_ERROR_MAX && now - told->said < TOLD_SILENCE_MS)
+    return false;
+  told->said = now;
+  entry->charged = share->charged;
+  entry->virtual_time = share->virtual_time;
+  return true;
+}
--- /dev/null
+++ b/libcoltsfootdrum/wire/peer-auth.c
@@ -0,0 +1,163 @@
+/* Mutual proof of a shared secret.
+
+     both      HELLO (nonce)
+     dialler   PROOF = keyed hash (direction, both nonces, its HELLO)
+     acceptor  checks it, then answers with its own PROOF
+
+   Both nonces are in each hash, so an old proof is worth nothing on a new
+   link.  The direction is in it, so a proof sent back to its maker is refused.
+   The acceptor answers last, so whoever doesn't know the secret gets no hash
+   to guess it from.  */
+
+#include "wire/peer-private.h"
+
+#include "base/log.h"
+#include <sodium.h>
+#include <string.h>
+
+#define DIRECTION_DIALLER 'D'
+#define DIRECTION_ACCEPTOR 'A'
+
+static const char purpose[] = "coltsfootdrum peer link 1";
+
+void
+auth_key (const char *secret, uint8_t key[PEER_KEY_SIZE])
+{
+  crypto_generichash (key, PEER_KEY_SIZE, (const uint8_t *)secret,
+                      strlen (secret), NULL, 0);
+}
+
+/* The proof of the dialler's or the acceptor's side of LINK.  */
+static void
+make_mac (const peer_link_t *link, bool of_dialler, uint8_t mac[PEER_MAC_SIZE])
+{
+  bool ours = of_dialler == link->dialled;
+  const uint8_t *dialler = link->dialled ? link->nonce : link->other_nonce;
+  const uint8_t *acceptor = link->dialled ? link->other_nonce : link->nonce;
+  uint8_t direction = of_dialler ? DIRECTION_DIALLER : DIRECTION_ACCEPTOR;
+  crypto_generichash_state state;
+  const uint8_t *hello;
+  gsize length;
+
+  hello = g_bytes_get_data (ours ? link->hello : link->other_hello, &length);
+  crypto_generichash_init (&state, link->hub->key, PEER_KEY_SIZE,
+                           PEER_MAC_SIZE);
+  crypto_generichash_update (&state, (const uint8_t *)purpose, sizeof purpose);
+  crypto_generichash_update (&state, &direction, sizeof direction);
+  crypto_generichash_update (&state, dialler, MSG_NONCE_SIZE);
+  crypto_generichash_update (&state, acceptor, MSG_NONCE_SIZE);
+  crypto_generichash_update (&state, hello, length);
+  crypto_generichash_final (&state, mac, PEER_MAC_SIZE);
+}
+
+static void
+send_proof (peer_link_t *link)
+{
+  uint8_t mac[PEER_MAC_SIZE];
+  msg_t proof = { .kind = MSG_PROOF };
+
+  make_mac (link, link->dialled, mac);
+  proof.u.proof.mac = (msg_bytes_t){ mac, sizeof mac };
+  (void)link_send (link, &proof);
+}
+
+void
+auth_begin (peer_link_t *link)
+{
+  peer_hub_t *hub = link->hub;
+  size_t prefix = sizeof (uint32_t);
+  msg_t hello = { .kind = MSG_HELLO };
+  size_t start;
+
+  randombytes_buf (link->nonce, sizeof link->nonce);
+  hello.u.hello = (msg_hello_t){ .protocol = MSG_PROTOCOL,
+                                 .role = hub->role,
+                                 .instance = hub->instance,
+                                 .zone = hub->zone,
+                                 .incarnation = hub->incarnation,
+                                 .nonce = { link->nonce, MSG_NONCE_SIZE },
+                                 .short_frames = hub->short_frames };
+  start = link->out->len;
+  if (!link_send (link, &hello))
+    return;
+  link->hello = g_bytes_new (link->out->data + start + prefix,
+                             link->out->len - start - prefix);
+  link->state = LINK_HELLO;
+}
+
+static const char *
+hello_fault (const peer_link_t *link, const msg_hello_t *hello)
+{
+  if (hello->protocol != MSG_PROTOCOL)
+    return "speaks another protocol version";
+  if (hello->nonce.length != MSG_NONCE_SIZE)
+    return "sent a nonce of a wrong size";
+  if (memcmp (hello->nonce.data, link->nonce, MSG_NONCE_SIZE) == 0)
+    return "sent our own nonce back";
+  if (hello->instance[0] == 0)
+    return "has no instance name";
+  if (strcmp (hello->instance, link->hub->instance) == 0)
+    return "has our own instance name";
+  if (link->dialled && strcmp (hello->instance, link->peer->instance) != 0)
+    return "is not the instance that was dialled";
+  return NULL;
+}
+
+static bool
+take_hello (peer_link_t *link, const msg_hello_t *hello,
+            const uint8_t *payload, size_t length)
+{
+  const char *fault = hello_fault (link, hello);
+
+  if (fault != NULL)
+    {
+      log_warn ("peer", "Refused a link: peer=%s fault=%s.", hello->instance,
+                fault);
+      return false;
+    }
+  memcpy (link->other_nonce, hello->nonce.data, MSG_NONCE_SIZE);
+  link->other_hello = g_bytes_new (payload, length);
+  link->id.role = hello->role;
+  link->id.instance = g_strdup (hello->instance);
+  link->id.zone = g_strdup (hello->zone);
+  link->id.incarnation = hello->incarnation;
+  link->short_frames = link->hub->short_frames && hello->short_frames;
+  link->state = LINK_PROOF;
+  if (link->dialled)
+    send_proof (link);
+  return true;
+}
+
+static bool
+take_proof (peer_link_t *link, const msg_proof_t *proof, cfd_time_t now)
+{
+  uint8_t expected[PEER_MAC_SIZE];
+
+  make_mac (link, !link->dialled, expected);
+  if (proof->mac.length != sizeof expected
+      || sodium_memcmp (proof->mac.data, expected, sizeof expected) != 0)
+    {
+      log_warn ("peer",
+                "Refused a link: peer=%s fault=wrong proof; check that both "
+                "sides have the same secret.",
+                link->id.instance);
+      return false;
+    }
+  if (!link->dialled)
+    send_proof (link);
+  hub_link_proved (link->hub, link, now);
+  return true;
+}
+
+bool
+auth_frame (peer_link_t *link, const msg_t *message, const uint8_t *payload,
+            size_t length, cfd_time_t now)
+{
+  if (link->state == LINK_HELLO && message->kind == MSG_HELLO)
+    return take_hello (link, &message->u.hello, payload, length);
+  if (link->state == LINK_PROOF && message->kind == MSG_PROOF)
+    return take_proof (link, &message->u.proof, now);
+  log_warn ("peer", "Refused a link: fault=frame %s before the proof.",
+            msg_kind_name (message->kind));
+  return false;
+}
--- /dev/null
+++ b/libcoltsfootdrum/wire/test-hubs.h
@@ -0,0 +1,65 @@
+/* Several hubs on one loop, for the tests of the links.  "a" is a router, "b"
+   an agent, "c" is for the test to choose.  */
+
+#ifndef WIRE_TEST_HUBS_H
+#define WIRE_TEST_HUBS_H
+
+#include "wire/peer-private.h"
+
+#define HUBS_SECRET "sixteen bytes or more"
+
+typedef struct hubs_node hubs_node_t;
+
+struct hubs_node
+{
+  peer_hub_t *hub;
+  GString *told; /* "+PEER/INCARNATION ", "-PEER/... ", "KIND<PEER " */
+  bool replies;  /* answers a CANCEL by an ACK from inside the callback */
+  /* Called in place of the notes in TOLD, unless NULL; MESSAGE is NULL for
+     an up and a down.  */
+  void (*event) (hubs_node_t *node, const msg_t *message);
+  bool up;          /* ups and downs must alternate, frames come between */
+  unsigned session; /* ups so far */
+  uint64_t seen;    /* for the test's use */
+  uint64_t next;    /* for the test's use */
+};
+
+typedef struct hubs hubs_t;
+
+struct hubs
+{
+  struct ev_loop *loop;
+  ev_timer step;
+  cfd_time_t until;
+  bool (*reached) (hubs_t *hubs);
+  char address_a[32];
+  char address_b[32];
+  char address_c[32];
+  hubs_node_t a, b, c;
+  int raw; /* a socket of somebody who has no hub, or -1 */
+};
+
+/* Starts "a", incarnation 1, and "b", incarnation 2, unconnected.  */
+void hubs_start (hubs_t *hubs, const char *secret_of_b);
+void hubs_end (hubs_t *hubs);
+
+void hubs_node_start (hubs_t *hubs, hubs_node_t *node, role_t role,
+                      const char *instance, const char *address,
+                      uint64_t incarnation, const char *secret);
+void hubs_node_stop (hubs_node_t *node);
+
+/* "a" learns where "b" is and holds it.  */
+void hubs_hold_b (hubs_t *hubs);
+
+/* Runs the loop until REACHED says so; a hang ends the test.  */
+void hubs_run_until (hubs_t *hubs, bool (*reached) (hubs_t *hubs));
+bool hubs_both_up (hubs_t *hubs);
+
+bool hubs_told (const hubs_node_t *node, const char *text);
+peer_counters_t hubs_counters (const hubs_node_t *node);
+peer_link_t *hubs_link (const hubs_node_t *node, const char *instance);
+
+/* Log lines become notes in the test's output.  */
+void hubs_log_as_notes (void);
+
+#endif
--- /dev/null
+++ b/libcoltsfootdrum/wire/test-msg.c
@@ -0,0 +1,383 @@
+/* Frames: every kind survives the wire; truncated, hostile and mutated ones
+   are refused without harm.  */
+
+#include "wire/msg-fields.h"
+
+#include <math.h>
+#include <string.h>
+
+#define MUTATIONS 30000
+#define PREFIX sizeof (uint32_t)
+
+static const char *const header_lines[]
+    = { "Content-Type: text/plain", "X: " };
+static const char *const records[] = { "{\"kind\":\"service\"}", "" };
+static const msg_waiting_t waiting[] = {
+  { "branch-1", 3, 1, 250, 12345.0 },
+  { "", 0, UINT32_MAX, 0, 0.125 },
+};
+static const msg_report_entry_t reports[] = {
+  { "mill", "summary", 9, 1e12, 17, 0.5, -INFINITY, true },
+};
+static const msg_share_entry_t shares[] = {
+  { "mill", "summary", UINT64_MAX, 1.5, 4294967296.0 },
+};
+static const uint8_t bytes[] = { 0, 1, 255, 0 };
+
+#define BYTES                                                                 \
+  {                                                                           \
+    bytes, sizeof bytes                                                       \
+  }
+
+static const msg_t messages[] = {
+  { .kind = MSG_HELLO,
+    .u.hello = { 1, ROLE_ROUTER, "r1", "zone-a", UINT64_MAX, BYTES, true } },
+  { .kind = MSG_PROOF, .u.proof = { BYTES } },
+  { .kind = MSG_PING },
+  { .kind = MSG_PONG },
+  { .kind = MSG_ANNOUNCE,
+    .u.announce = { "draft", true, 3000, G_N_ELEMENTS (waiting), waiting } },
+  { .kind = MSG_ANNOUNCE, .u.announce = { "draft", false, 1, 0, NULL } },
+  { .kind = MSG_GRANT,
+    .u.grant = { 7, UINT64_MAX, "draft", "branch-1", INFINITY, 3.25 } },
+  { .kind = MSG_ASSIGN,
+    .u.assign = { 7,
+                  8,
+                  "req",
+                  "branch-1",
+                  "draft",
+                  "POST",
+                  "/v1/x",
+                  2,
+                  header_lines,
+                  BYTES,
+                  0.1,
+                  true,
+                  { "branch-1", 1, 2, 3, 4.5 } } },
+  { .kind = MSG_DECLINE,
+    .u.decline = { 7, DECLINE_DRAINING, "draft", { "a", 1, 2, 3, 4 } } },
+  { .kind = MSG_NOT_STARTED, .u.not_started = { "req", "the grant lapsed" } },
+  { .kind = MSG_HEAD, .u.head = { "req", 200, 2, header_lines } },
+  { .kind = MSG_DATA, .u.data = { "req", 1ull << 40, 17, BYTES } },
+  { .kind = MSG_END, .u.end = { "req", OUTCOME_UNKNOWN, 9, 1, 2, "why" } },
+  { .kind = MSG_ACK, .u.ack = { "req", 65536, true } },
+  { .kind = MSG_RESUME, .u.resume = { "req", 0, false } },
+  { .kind = MSG_CANCEL, .u.cancel = { "req" } },
+  { .kind = MSG_REPORT, .u.report = { G_N_ELEMENTS (reports), reports } },
+  { .kind = MSG_SHARE, .u.share = { G_N_ELEMENTS (shares), shares } },
+  { .kind = MSG_CONFIG_ASK, .u.config_ask = { 41, true, 40, { 1, "n" } } },
+  { .kind = MSG_CONFIG_PART,
+    .u.config_part = { 1, 2, 3, 2, records, 4, { 1, "n" }, { 2, "" } } },
+  { .kind = MSG_LOAD, .u.load = { "draft", 1, 2, 3 } },
+};
+
+static GByteArray *
+frame_of (unsigned index)
+{
+  msg_t message = messages[index];
+
+  message.stamp = 1ull << 63;
+  message.revision = 990;
+  return msg_encode (&message, NULL);
+}
+
+static msg_t *
+decode_frame (const GByteArray *frame, GError **error)
+{
+  return msg_decode (frame->data + PREFIX, frame->len - PREFIX, NULL, error);
+}
+
+static void
+test_round_trip (void)
+{
+  unsigned kinds = 0;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (messages); i++)
+    {
+      g_autoptr (GError) error = NULL;
+      g_autoptr (GByteArray) sent = frame_of (i);
+      g_autoptr (msg_t) got = decode_frame (sent, &error);
+      g_autoptr (GByteArray) again = NULL;
+
+      g_assert_no_error (error);
+      again = msg_encode (got, NULL);
+      g_assert_cmpmem (sent->data, sent->len, again->data, again->len);
+      g_assert_cmpuint (got->kind, ==, messages[i].kind);
+      g_assert_cmpuint (got->revision, ==, 990);
+      kinds |= 1u << got->kind;
+    }
+  g_assert_cmpuint (kinds, ==, (1u << MSG_KIND_COUNT) - 2);
+}
+
+/* The same table packs and unpacks, so a swapped offset would go unseen by
+   the round trip: look at the fields of the largest kind themselves.  */
+static void
+test_fields (void)
+{
+  g_autoptr (GByteArray) frame = NULL;
+  g_autoptr (msg_t) got = NULL;
+  const msg_assign_t *assign;
+  unsigned index = 0;
+
+  while (messages[index].kind != MSG_ASSIGN)
+    index++;
+  frame = frame_of (index);
+  got = decode_frame (frame, NULL);
+  assign = &got->u.assign;
+  g_assert_cmpuint (assign->grant, ==, 7);
+  g_assert_cmpuint (assign->incarnation, ==, 8);
+  g_assert_cmpstr (assign->request, ==, "req");
+  g_assert_cmpstr (assign->account, ==, "branch-1");
+  g_assert_cmpstr (assign->service, ==, "draft");
+  g_assert_cmpstr (assign->method, ==, "POST");
+  g_assert_cmpstr (assign->path, ==, "/v1/x");
+  g_assert_cmpuint (assign->header_count, ==, 2);
+  g_assert_cmpstr (assign->headers[1], ==, "X: ");
+  g_assert_cmpmem (assign->body.data, assign->body.length, bytes,
+                   sizeof bytes);
+  g_assert_cmpfloat (assign->cost_hint, ==, 0.1);
+  g_assert_true (assign->idempotent);
+  g_assert_cmpuint (assign->left.oldest_ms, ==, 3);
+  /* 4.5, told in whole tokens.  */
+  g_assert_cmpfloat (assign->left.virtual_time, ==, 5);
+}
+
+/* A local message may leave strings NULL; the receiver never sees NULL.  */
+static void
+test_null_strings (void)
+{
+  msg_t message = { .kind = MSG_ASSIGN };
+  g_autoptr (GByteArray) frame = msg_encode (&message, NULL);
+  g_autoptr (msg_t) got = decode_frame (frame, NULL);
+
+  g_assert_cmpstr (got->u.assign.left.account, ==, "");
+  g_assert_cmpstr (got->u.assign.path, ==, "");
+}
+
+static void
+test_truncated (void)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (messages); i++)
+    {
+      g_autoptr (GByteArray) frame = frame_of (i);
+
+      for (size_t length = 0; length < frame->len - PREFIX; length++)
+        {
+          g_autoptr (GError) error = NULL;
+          /* A copy of just this size, so that a read past it is seen.  */
+          g_autofree uint8_t *cut = g_memdup2 (frame->data + PREFIX, length);
+
+          g_assert_null (msg_decode (cut, length, NULL, &error));
+          g_assert_error (error, CFD_ERROR, CFD_ERROR_FRAME);
+        }
+    }
+}
+
+/* What a program from before the late fields sends is understood.  */
+static void
+test_late (void)
+{
+  /* CONFIG_ASK of revision 41, and CONFIG_PART of (1, 2], 3 ms old.  */
+  static const char ask[] = "\x94\x12\x01\x01\x29";
+  static const char part[] = "\x97\x13\x01\x01\x01\x02\x03\x91\xa2{}";
+  g_autoptr (GError) error = NULL;
+  g_autoptr (msg_t) got_ask
+      = msg_decode ((const uint8_t *)ask, sizeof ask - 1, NULL, &error);
+  g_autoptr (msg_t) got_part
+      = msg_decode ((const uint8_t *)part, sizeof part - 1, NULL, &error);
+
+  g_assert_no_error (error);
+  g_assert_cmpuint (got_ask->u.config_ask.have, ==, 41);
+  g_assert_false (got_ask->u.config_ask.pieces);
+  g_assert_cmpuint (got_ask->u.config_ask.state, ==, 0);
+  g_assert_cmpuint (got_part->u.config_part.count, ==, 1);
+  g_assert_cmpuint (got_part->u.config_part.state, ==, 0);
+  g_assert_cmpuint (got_part->u.config_part.next.kind, ==, 0);
+}
+
+#define PAYLOAD(text) (text), sizeof (text) - 1
+
+static void
+test_hostile (void)
+{
+  static const struct
+  {
+    const char *why;
+    const char *payload;
+    size_t length;
+    bool good;
+  } cases[] = {
+    { "empty", PAYLOAD (""), false },
+    { "a ping", PAYLOAD ("\x93\x03\x01\x01"), true },
+    { "a field more than we know", PAYLOAD ("\x94\x03\x01\x01\xa1z"), true },
+    { "a byte after the frame", PAYLOAD ("\x93\x03\x01\x01\x01"), false },
+    { "no array", PAYLOAD ("\x03"), false },
+    { "too few fields", PAYLOAD ("\x92\x03\x01"), false },
+    { "kind 0", PAYLOAD ("\x93\x00\x01\x01"), false },
+    { "unknown kind", PAYLOAD ("\x93\x7f\x01\x01"), false },
+    { "negative stamp", PAYLOAD ("\x93\x03\xff\x01"), false },
+    { "stamp as text", PAYLOAD ("\x93\x03\xa1z\x01"), false },
+    { "array of 4 G items", PAYLOAD ("\xdd\xff\xff\xff\xff\x03"), false },
+    { "array of 64 K items", PAYLOAD ("\xdc\xff\xff\x03\x01\x01"), false },
+    { "map", PAYLOAD ("\x81\x03\x01"), false },
+    { "text of 4 GB", PAYLOAD ("\x94\x0f\x01\x01\xdb\xff\xff\xff\xffz"),
+      false },
+    { "extension", PAYLOAD ("\x94\x0f\x01\x01\xd4\x01z"), false },
+    { "nil in place of text", PAYLOAD ("\x94\x0f\x01\x01\xc0"), false },
+    { "a cancel", PAYLOAD ("\x94\x0f\x01\x01\xa1z"), true },
+    { "a name by number in a whole frame", PAYLOAD ("\x94\x0f\x01\x01\x00"),
+      false },
+    { "zero byte in text", PAYLOAD ("\x94\x0f\x01\x01\xa2z\x00"), false },
+    { "role 0", PAYLOAD ("\x99\x01\x01\x01\x01\x00\xa1z\xa1z\x01\xc4\x01z"),
+      false },
+    { "role 4", PAYLOAD ("\x99\x01\x01\x01\x01\x04\xa1z\xa1z\x01\xc4\x01z"),
+      false },
+    { "role 3", PAYLOAD ("\x99\x01\x01\x01\x01\x03\xa1z\xa1z\x01\xc4\x01z"),
+      true },
+    { "number in place of a flag", PAYLOAD ("\x96\x0d\x01\x01\xa1z\x01\x01"),
+      false },
+    { "32 bits exceeded",
+      PAYLOAD ("\x97\x14\x01\x01\xa1z\x01\x01"
+               "\xcf\x00\x00\x00\x01\x00\x00\x00\x00"),
+      false },
+    { "not a number",
+      PAYLOAD ("\x99\x06\x01\x01\x01\x01\xa1z\xa1z"
+               "\xcb\x7f\xf8\x00\x00\x00\x00\x00\x00\x01"),
+      false },
+    { "infinite limit",
+      PAYLOAD ("\x99\x06\x01\x01\x01\x01\xa1z\xa1z"
+               "\xcb\x7f\xf0\x00\x00\x00\x00\x00\x00\x01"),
+      true },
+    { "infinite virtual time",
+      PAYLOAD ("\x94\x11\x01\x01\x91\x95\xa1z\xa1z\x01\x01"
+               "\xcb\x7f\xf0\x00\x00\x00\x00\x00\x00"),
+      false },
+    { "row too short", PAYLOAD ("\x94\x11\x01\x01\x91\x93\xa1z\xa1z\x01"),
+      false },
+    { "row of no array", PAYLOAD ("\x94\x11\x01\x01\x91\x01"), false },
+    { "nested 40 deep",
+      PAYLOAD ("\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91"
+               "\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91"
+               "\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x01"),
+      false },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree uint8_t *copy = g_memdup2 (cases[i].payload, cases[i].length);
+      g_autoptr (GError) error = NULL;
+      g_autoptr (msg_t) got = msg_decode (copy, cases[i].length, NULL, &error);
+
+      if ((got != NULL) != cases[i].good)
+        g_error ("%s: %s", cases[i].why, error ? error->message : "accepted");
+      g_assert_true ((error == NULL) == cases[i].good);
+    }
+}
+
+/* A sender refuses what the receiver would close the link for.  */
+static void
+test_limits (void)
+{
+  static const uint8_t body[MSG_DATA_MAX + 1];
+  static const char *const many[MSG_HEADERS_MAX + 1];
+  g_autofree char *name = g_strnfill (MSG_NAME_MAX + 1, 'n');
+  g_autofree char *text = g_strnfill (MSG_TEXT_MAX + 1, 't');
+  const char *const texts[] = { text };
+  const msg_waiting_t endless = { "a", 1, 1, 1, INFINITY };
+  const msg_t cases[] = {
+    { .kind = MSG_CANCEL, .u.cancel = { name } },
+    { .kind = MSG_NOT_STARTED, .u.not_started = { "r", text } },
+    { .kind = MSG_DATA, .u.data = { "r", 0, 0, { body, sizeof body } } },
+    { .kind = MSG_HEAD, .u.head = { "r", 200, 1, texts } },
+    { .kind = MSG_HEAD, .u.head = { "r", 200, MSG_HEADERS_MAX + 1, many } },
+    { .kind = MSG_ANNOUNCE, .u.announce = { "s", true, 1, 1, &endless } },
+    { .kind = MSG_GRANT, .u.grant = { 1, 1, "s", "a", NAN, 1 } },
+    { .kind = MSG_DECLINE, .u.decline = { 1, 0, "s", { 0 } } },
+    { .kind = MSG_KIND_COUNT },
+    { .kind = 0 },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    g_assert_null (msg_encode (&cases[i], NULL));
+}
+
+/* The same limits at the receiver, for a sender that checks less.  */
+static void
+test_too_long (void)
+{
+  static const struct
+  {
+    const char *start;
+    size_t length;
+    uint8_t filler;
+    unsigned fillers;
+    bool good;
+  } cases[] = {
+    { PAYLOAD ("\x94\x0f\x01\x01\xda\x00\xff"), 'n', 255, true },
+    { PAYLOAD ("\x94\x0f\x01\x01\xda\x01\x00"), 'n', 256, false },
+    { PAYLOAD ("\x97\x0b\x01\x01\xa1r\x01\x01\xc6\x00\x01\x00\x00"), 0, 65536,
+      true },
+    { PAYLOAD ("\x97\x0b\x01\x01\xa1r\x01\x01\xc6\x00\x01\x00\x01"), 0, 65537,
+      false },
+    { PAYLOAD ("\x96\x0a\x01\x01\xa1r\x01\xdc\x00\x40"), 0xa0, 64, true },
+    { PAYLOAD ("\x96\x0a\x01\x01\xa1r\x01\xdc\x00\x41"), 0xa0, 65, false },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autoptr (GByteArray) payload = g_byte_array_new ();
+      g_autoptr (msg_t) got = NULL;
+
+      g_byte_array_append (payload, (const guint8 *)cases[i].start,
+                           cases[i].length);
+      for (unsigned n = 0; n < cases[i].fillers; n++)
+        g_byte_array_append (payload, &cases[i].filler, 1);
+      got = msg_decode (payload->data, payload->len, NULL, NULL);
+      g_assert_true ((got != NULL) == cases[i].good);
+    }
+}
+
+/* Whatever a mutated frame decodes to must be whole: encoding it again reads
+   every field, so that the sanitizers see a pointer gone wrong.  */
+static void
+test_mutated (void)
+{
+  g_autoptr (GRand) random = g_rand_new_with_seed (20250101);
+  unsigned accepted = 0;
+
+  for (unsigned i = 0; i < MUTATIONS; i++)
+    {
+      g_autoptr (GByteArray) frame
+          = frame_of (g_rand_int_range (random, 0, G_N_ELEMENTS (messages)));
+      g_autoptr (msg_t) got = NULL;
+      int flips = g_rand_int_range (random, 1, 5);
+
+      while (flips-- > 0)
+        frame->data[g_rand_int_range (random, PREFIX, frame->len)]
+            = (uint8_t)g_rand_int_range (random, 0, 256);
+      got = decode_frame (frame, NULL);
+      if (got == NULL)
+        continue;
+      g_byte_array_unref (msg_encode (got, NULL));
+      accepted++;
+    }
+  g_test_message ("accepted %u of %u", accepted, MUTATIONS);
+  g_assert_cmpuint (accepted, >, 0);
+  g_assert_cmpuint (accepted, <, MUTATIONS);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/msg/round-trip", test_round_trip);
+  g_test_add_func ("/msg/fields", test_fields);
+  g_test_add_func ("/msg/late", test_late);
+  g_test_add_func ("/msg/null-strings", test_null_strings);
+  g_test_add_func ("/msg/truncated", test_truncated);
+  g_test_add_func ("/msg/hostile", test_hostile);
+  g_test_add_func ("/msg/limits", test_limits);
+  g_test_add_func ("/msg/too-long", test_too_long);
+  g_test_add_func ("/msg/mutated", test_mutated);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/bench-pick.c
@@ -0,0 +1,75 @@
+/* What a choice costs an agent that hears of very much work: 1,800 accounts,
+   each at three routers, with announcements that refresh a third of them each
+   time.  Prints microseconds; docs/CAPACITY.md uses them.  */
+
+#include "dispatch/pick.h"
+#include <stdio.h>
+
+#define ACCOUNTS 1800u
+#define ROUTERS 3u
+#define ROUNDS 20u
+#define GRANTS 200u
+#define LIFE_MS 3000
+
+static char names[ACCOUNTS][24];
+static const char *const routers[ROUTERS] = { "r-0", "r-1", "r-2" };
+
+static void
+announce (pick_t *pick, unsigned router, unsigned round, cfd_time_t now)
+{
+  static msg_waiting_t words[ACCOUNTS];
+  msg_announce_t message = { .service = "draft",
+                             .full = true,
+                             .life_ms = LIFE_MS,
+                             .count = ACCOUNTS,
+                             .entries = words };
+
+  for (unsigned i = 0; i < ACCOUNTS; i++)
+    words[i] = (msg_waiting_t){ .account = names[i],
+                                .count = 4,
+                                .class_rank = i % 2,
+                                .oldest_ms = i % 700,
+                                .virtual_time = (i * 7919 + round) % 5003 };
+  pick_announce (pick, routers[router], &message, now);
+}
+
+int
+main (void)
+{
+  g_autoptr (pick_t) pick = pick_new ();
+  int64_t announcing = 0;
+  int64_t choosing = 0;
+  cfd_time_t now = 0;
+
+  for (unsigned i = 0; i < ACCOUNTS; i++)
+    g_snprintf (names[i], sizeof names[i], "account-%05u", i);
+  for (unsigned round = 0; round < ROUNDS; round++, now += 100)
+    {
+      int64_t start = clock_now_us ();
+
+      for (unsigned router = 0; router < ROUTERS; router++)
+        announce (pick, router, round, now);
+      announcing += clock_now_us () - start;
+      start = clock_now_us ();
+      for (unsigned i = 0; i < GRANTS; i++)
+        {
+          pick_choice_t choice;
+          unsigned flying = pick_expire (pick, now);
+          uint64_t grant = pick_grant (pick, now, &choice);
+          msg_waiting_t left = { choice.account, 3, 0, 10, 6000 + i };
+          g_autofree char *account = g_strdup (choice.account);
+
+          g_assert (flying == 0);
+          left.account = account;
+          (void)pick_answered (pick, grant, now);
+          pick_left (pick, choice.router, &left, now);
+        }
+      choosing += clock_now_us () - start;
+    }
+  printf ("accounts %u routers %u\n", ACCOUNTS, ROUTERS);
+  printf ("expiry, grant, answer and news of it: %.1f us\n",
+          (double)choosing / (ROUNDS * GRANTS));
+  printf ("entry of a whole announcement: %.2f us\n",
+          (double)announcing / (ROUNDS * ROUTERS * ACCOUNTS));
+  return 0;
+}
--- /dev/null
+++ b/tests/call.c
@@ -0,0 +1,132 @@
+#include "call.h"
+
+#include "base/addr.h"
+#include "base/clock.h"
+#include <poll.h>
+#include <string.h>
+#include <unistd.h>
+
+static void
+send_all (int fd, const char *text)
+{
+  size_t left = strlen (text);
+
+  while (left > 0)
+    {
+      ssize_t sent = send (fd, text, left, MSG_NOSIGNAL);
+      if (sent <= 0)
+        return;
+      text += sent;
+      left -= (size_t)sent;
+    }
+}
+
+static int
+dial (const char *base)
+{
+  addr_t addr;
+  int fd;
+
+  if (!addr_parse (base + strlen ("http://"), &addr, NULL))
+    return -1;
+  fd = socket (addr.storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (connect (fd, (struct sockaddr *)&addr.storage, addr.length) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+call_t *
+call_start (const char *base, const char *method, const char *path,
+            const char *key, const char *headers, const char *body)
+{
+  call_t *call = g_new0 (call_t, 1);
+  g_autofree char *text = g_strdup_printf (
+      "%s %s HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer %s\r\n%s"
+      "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
+      method, path, key, headers ? headers : "", body ? strlen (body) : 0,
+      body ? body : "");
+
+  call->text = g_string_new (NULL);
+  call->fd = dial (base);
+  if (call->fd >= 0)
+    send_all (call->fd, text);
+  return call;
+}
+
+void
+call_free (call_t *call)
+{
+  if (call->fd >= 0)
+    close (call->fd);
+  g_string_free (call->text, TRUE);
+  g_free (call);
+}
+
+unsigned
+call_status (const call_t *call)
+{
+  const char *space = strchr (call->text->str, ' ');
+
+  return space != NULL ? (unsigned)g_ascii_strtoull (space, NULL, 10) : 0;
+}
+
+static gboolean
+is_whole (const call_t *call)
+{
+  const char *body = strstr (call->text->str, "\r\n\r\n");
+  const char *length = strstr (call->text->str, "Content-Length: ");
+
+  if (body == NULL)
+    return FALSE;
+  if (length != NULL && length < body)
+    return strlen (body + 4) >= g_ascii_strtoull (
+               length + strlen ("Content-Length: "), NULL, 10);
+  return g_str_has_suffix (call->text->str, "\r\n0\r\n\r\n");
+}
+
+/* Reads what comes until UNTIL; false at the end of the connection.  */
+static gboolean
+read_some (call_t *call, cfd_time_t until)
+{
+  struct pollfd poll_fd = { .fd = call->fd, .events = POLLIN };
+  cfd_time_t left = until - clock_now ();
+  char part[16384];
+  ssize_t got;
+
+  if (call->fd < 0)
+    return FALSE;
+  if (poll (&poll_fd, 1, (int)MAX (left, 0)) == 0)
+    return TRUE;
+  got = recv (call->fd, part, sizeof part, 0);
+  if (got <= 0)
+    return FALSE;
+  g_string_append_len (call->text, part, got);
+  return TRUE;
+}
+
+gboolean
+call_until (call_t *call, const char *text, int wait_ms)
+{
+  cfd_time_t until = clock_now () + wait_ms;
+
+  while (strstr (call->text->str, text) == NULL)
+    if (clock_now () >= until || !read_some (call, until))
+      return FALSE;
+  return TRUE;
+}
+
+call_end_t
+call_finish (call_t *call, int wait_ms)
+{
+  cfd_time_t until = clock_now () + wait_ms;
+
+  while (!is_whole (call))
+    {
+      if (!read_some (call, until))
+        return CALL_BROKEN;
+      if (clock_now () >= until && !is_whole (call))
+        return CALL_SILENT;
+    }
+  return CALL_WHOLE;
+}
--- /dev/null
+++ b/tests/lint.sh
@@ -0,0 +1,17 @@
+#!/bin/sh
+# Formatter and linter checks over all C files; $1 is a configured build.
+set -eu
+files=$(git ls-files --cached --others --exclude-standard '*.c' '*.h')
+sources=$(git ls-files --cached --others --exclude-standard '*.c')
+[ -n "$files" ] || exit 0
+# shellcheck disable=SC2086  # lists of file names without spaces
+clang-format --dry-run -Werror $files
+# shellcheck disable=SC2086
+cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 --library=gtk \
+  --enable=warning,performance,portability --suppress=missingIncludeSystem \
+  --suppress=unknownMacro --suppress=preprocessorErrorDirective \
+  -j "$(nproc)" -I libcoltsfootdrum $sources
+# shellcheck disable=SC2086
+printf '%s\n' $sources |
+  xargs -r -P "$(nproc)" -n 4 clang-tidy -p "$1" --quiet 2>/dev/null
+echo "lint: clean"
--- /dev/null
+++ b/tests/load.c
@@ -0,0 +1,481 @@
+/* Load from the callers' side.  */
+
+#include "load.h"
+#include "http/fetch.h"
+#include "load-make.h"
+#include "load-tally.h"
+#include "standin.h"
+#include <string.h>
+
+#define RETRY_MS 250
+
+struct load
+{
+  struct ev_loop *loop;
+  const load_plan_t *plan;
+  fetch_pool_t *pool;
+  GRand *random;
+  GPtrArray *requests;
+  GPtrArray *samples;
+  GPtrArray *callers;
+  GArray *intervals;
+  GArray *delays;
+  ev_timer sampler;
+  load_tally_t *tally;
+  unsigned active;
+  int64_t began_us;
+  bool stopped;
+};
+
+/* One of the loops of an account: at most one request at a time.  */
+typedef struct
+{
+  load_t *load;
+  unsigned account;
+  ev_timer pause;
+  load_request_t *request;
+  fetch_t *fetch;
+  bool has_paused;
+  GString *line; /* of the answer, not yet whole */
+  bool said_done;
+  bool wrong;
+} caller_t;
+
+static const char *const kind_names[]
+    = { "stream", "whole", "completion", "lookup", "post", "post-bare" };
+
+const char *
+load_kind_name (load_kind_t kind)
+{
+  return kind_names[kind];
+}
+
+bool
+load_kind_is_model (load_kind_t kind)
+{
+  return kind <= LOAD_COMPLETION;
+}
+
+static const load_account_t *
+account_of (const caller_t *caller)
+{
+  return caller->load->plan->accounts->pdata[caller->account];
+}
+
+static void
+request_free (gpointer data)
+{
+  load_request_t *request = data;
+
+  g_free (request->nonce);
+  g_free (request->detail);
+  g_free (request);
+}
+
+static void
+on_sample (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  load_t *load = watcher->data;
+
+  g_ptr_array_add (load->samples,
+                   load_tally_sample (load->tally, clock_now_us ()));
+}
+
+/* The first byte of the answer's content came.  */
+static void
+note_first (caller_t *caller, int64_t now_us)
+{
+  load_t *load = caller->load;
+  load_request_t *request = caller->request;
+
+  if (request->first_us != 0)
+    return;
+  request->first_us = now_us;
+  if (load_kind_is_model (request->kind))
+    load_tally_first (load->tally, request);
+}
+
+static void
+note_tokens (caller_t *caller, unsigned count, int64_t now_us)
+{
+  load_t *load = caller->load;
+  load_request_t *request = caller->request;
+
+  note_first (caller, now_us);
+  if (request->tokens > 0 && count == 1)
+    {
+      float interval = (float)(now_us - request->last_us) / 1000;
+      g_array_append_val (load->intervals, interval);
+    }
+  request->last_us = now_us;
+  request->tokens += count;
+  load_tally_tokens (load->tally, request, count);
+}
+
+/* The line tells when the engine gave its token.  */
+static void
+note_delay (load_t *load, const char *line, int64_t now_us)
+{
+  const char *given = strstr (line, "\"t\":");
+
+  if (given == NULL)
+    return;
+  float delay = (float)(now_us - g_ascii_strtoll (given + 4, NULL, 10)) / 1000;
+  g_array_append_val (load->delays, delay);
+}
+
+/* The last event of a stream tells when the engine got the request.  */
+static void
+note_engine (load_request_t *request, const char *line)
+{
+  const char *started = strstr (line, "\"started\":");
+
+  if (started != NULL)
+    request->engine_us
+        = g_ascii_strtoll (strchr (started, ':') + 1, NULL, 10) * 1000;
+}
+
+/* One "data: " line of a stream.  */
+static void
+take_line (caller_t *caller, const char *line, int64_t now_us)
+{
+  load_request_t *request = caller->request;
+  const char *mark
+      = strstr (line, request->kind == LOAD_COMPLETION ? "\"text\":\""
+                                                       : "\"content\":\"");
+  char word[STANDIN_WORD_MAX];
+
+  if (strcmp (line, "data: [DONE]") == 0)
+    caller->said_done = true;
+  if (mark == NULL)
+    {
+      note_engine (request, line);
+      return;
+    }
+  mark = strchr (mark, ':') + 2;
+  standin_word (word, caller->load->plan->answer_seed, request->nonce,
+                request->tokens);
+  if (strncmp (mark, word, strlen (word)) != 0 || mark[strlen (word)] != '"')
+    caller->wrong = true;
+  note_delay (caller->load, line, now_us);
+  note_tokens (caller, 1, now_us);
+}
+
+static void
+schedule (caller_t *caller, double after_ms)
+{
+  ev_timer_stop (caller->load->loop, &caller->pause);
+  ev_timer_set (&caller->pause, after_ms / 1000, 0);
+  ev_timer_start (caller->load->loop, &caller->pause);
+}
+
+/* A slow reader stops reading once.  */
+static void
+pause_reading (caller_t *caller)
+{
+  unsigned pause_ms = caller->load->plan->pause_ms;
+
+  if (pause_ms == 0 || caller->has_paused)
+    return;
+  caller->has_paused = true;
+  fetch_pause (caller->fetch, true);
+  schedule (caller, pause_ms);
+}
+
+static void
+on_data (void *user, const void *bytes, size_t length)
+{
+  caller_t *caller = user;
+  load_request_t *request = caller->request;
+  int64_t now_us = clock_now_us ();
+
+  pause_reading (caller);
+  g_string_append_len (caller->line, bytes, (gssize)length);
+  if (request->kind == LOAD_WHOLE || !load_kind_is_model (request->kind)
+      || request->status >= 300)
+    return;
+  char *start = caller->line->str;
+  for (char *end; (end = strchr (start, '\n')) != NULL; start = end + 1)
+    {
+      *end = '\0';
+      take_line (caller, start, now_us);
+    }
+  g_string_erase (caller->line, 0, start - caller->line->str);
+}
+
+static void
+on_head (void *user, unsigned status, const char *const *headers)
+{
+  caller_t *caller = user;
+
+  caller->request->status = status;
+}
+
+/* Whether an answer in one piece is whole and its own.  */
+static bool
+whole_is_right (caller_t *caller, int64_t now_us)
+{
+  load_request_t *request = caller->request;
+  const char *text = caller->line->str;
+
+  if (request->kind == LOAD_WHOLE)
+    {
+      g_autofree char *answer = standin_answer (
+          caller->load->plan->answer_seed, request->nonce, request->length);
+      g_autofree char *content
+          = g_strconcat ("\"content\":\"", answer, "\"", NULL);
+      if (strstr (text, content) == NULL)
+        return false;
+      note_tokens (caller, request->length, now_us);
+      return true;
+    }
+  g_autofree char *nonce
+      = g_strconcat ("\"nonce\":\"", request->nonce, "\"", NULL);
+  note_first (caller, now_us);
+  return strstr (text, nonce) != NULL;
+}
+
+static load_end_t
+judge (caller_t *caller, fetch_result_t result)
+{
+  load_request_t *request = caller->request;
+
+  if (result != FETCH_ANSWERED)
+    return caller->wrong ? LOAD_WRONG : LOAD_BROKEN;
+  if (request->status >= 300)
+    {
+      request->not_run = strstr (caller->line->str, "\"not-run\"") != NULL;
+      return LOAD_REFUSED;
+    }
+  if (request->kind == LOAD_STREAM || request->kind == LOAD_COMPLETION)
+    return caller->said_done && !caller->wrong
+                   && request->tokens == request->length
+               ? LOAD_RIGHT
+               : LOAD_WRONG;
+  return whole_is_right (caller, clock_now_us ()) ? LOAD_RIGHT : LOAD_WRONG;
+}
+
+static void
+on_done (void *user, fetch_result_t result, unsigned status, const char *body,
+         size_t length, const char *detail)
+{
+  caller_t *caller = user;
+  load_t *load = caller->load;
+  load_request_t *request = caller->request;
+
+  request->status = status;
+  request->end = judge (caller, result);
+  request->last_us = clock_now_us ();
+  if (request->end != LOAD_RIGHT)
+    request->detail
+        = g_strdup (result == FETCH_ANSWERED ? caller->line->str : detail);
+  if (request->first_us == 0 && load_kind_is_model (request->kind))
+    load_tally_wait_over (load->tally, request);
+  load->active--;
+  caller->request = NULL;
+  schedule (caller, request->end == LOAD_RIGHT ? account_of (caller)->think_ms
+                                               : RETRY_MS);
+}
+
+static load_request_t *
+request_new (caller_t *caller)
+{
+  load_t *load = caller->load;
+  const load_account_t *account = account_of (caller);
+  load_request_t *request = g_new0 (load_request_t, 1);
+
+  request->account = caller->account;
+  request->kind = make_kind (load->random, account);
+  request->router = make_router (load->plan, load->random, account);
+  request->length = (unsigned)g_rand_int_range (
+      load->random, (gint32)account->least_tokens,
+      (gint32)account->most_tokens + 1);
+  request->nonce = g_strdup_printf ("n%u-%08x", load->requests->len,
+                                    g_rand_int (load->random));
+  request->started_us = clock_now_us ();
+  g_ptr_array_add (load->requests, request);
+  return request;
+}
+
+static void
+send_request (caller_t *caller)
+{
+  load_t *load = caller->load;
+  load_request_t *request = request_new (caller);
+  const load_account_t *account = account_of (caller);
+  g_autofree char *key
+      = g_strconcat ("Authorization: Bearer ", account->key, NULL);
+  g_autofree char *once
+      = g_strconcat ("Idempotency-Key: ", request->nonce, NULL);
+  g_autofree char *url = make_url (load->plan, request);
+  g_autofree char *body = make_body (load->plan, load->random, request);
+  const char *headers[] = { key, "Content-Type: application/json",
+                            request->kind == LOAD_POST ? once : NULL, NULL };
+  const fetch_request_t fetch
+      = { .method = request->kind == LOAD_LOOKUP ? "GET" : "POST",
+          .url = url,
+          .headers = headers,
+          .body = body,
+          .body_length = body != NULL ? strlen (body) : 0,
+          .connect_ms = 3000,
+          .total_ms = 60000,
+          .silence_ms = load->plan->silence_ms,
+          .head = on_head,
+          .data = on_data,
+          .done = on_done,
+          .user = caller };
+
+  caller->request = request;
+  caller->said_done = false;
+  caller->wrong = false;
+  g_string_truncate (caller->line, 0);
+  if (load_kind_is_model (request->kind))
+    load_tally_wait (load->tally, request);
+  load->active++;
+  caller->has_paused = false;
+  caller->fetch = fetch_start (load->pool, &fetch);
+}
+
+/* Milliseconds that an account which works in turns still pauses.  */
+static double
+pause_left (const caller_t *caller)
+{
+  const load_account_t *account = account_of (caller);
+  double turn = account->on_ms + account->off_ms;
+
+  if (account->off_ms <= 0)
+    return 0;
+  double passed = (double)(clock_now_us () - caller->load->began_us) / 1000;
+  double into = passed - turn * (double)(int64_t)(passed / turn);
+  return into < account->on_ms ? 0 : turn - into;
+}
+
+static void
+on_pause_over (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  caller_t *caller = watcher->data;
+  load_t *load = caller->load;
+  unsigned limit = load->plan->request_limit;
+  double wait = pause_left (caller);
+
+  if (caller->request != NULL)
+    {
+      fetch_pause (caller->fetch, false);
+      return;
+    }
+  if (load->stopped || (limit > 0 && load->requests->len >= limit))
+    return;
+  if (wait > 0)
+    schedule (caller, wait + 1);
+  else
+    send_request (caller);
+}
+
+static void
+caller_free (gpointer data)
+{
+  caller_t *caller = data;
+
+  ev_timer_stop (caller->load->loop, &caller->pause);
+  g_string_free (caller->line, TRUE);
+  g_free (caller);
+}
+
+load_t *
+load_new (struct ev_loop *loop, const load_plan_t *plan)
+{
+  load_t *load = g_new0 (load_t, 1);
+
+  load->loop = loop;
+  load->plan = plan;
+  load->pool = fetch_pool_new (loop);
+  load->random = g_rand_new_with_seed ((guint32)plan->seed);
+  load->requests = g_ptr_array_new_with_free_func (request_free);
+  load->samples = g_ptr_array_new_with_free_func (load_sample_free);
+  load->callers = g_ptr_array_new_with_free_func (caller_free);
+  load->intervals = g_array_new (FALSE, FALSE, sizeof (float));
+  load->delays = g_array_new (FALSE, FALSE, sizeof (float));
+  load->tally = load_tally_new (plan);
+  ev_timer_init (&load->sampler, on_sample, 0, LOAD_SAMPLE_MS / 1000.0);
+  load->sampler.data = load;
+  return load;
+}
+
+void
+load_free (load_t *load)
+{
+  ev_timer_stop (load->loop, &load->sampler);
+  fetch_pool_free (load->pool);
+  g_ptr_array_unref (load->callers);
+  g_ptr_array_unref (load->requests);
+  g_ptr_array_unref (load->samples);
+  g_array_unref (load->intervals);
+  g_array_unref (load->delays);
+  g_rand_free (load->random);
+  load_tally_free (load->tally);
+  g_free (load);
+}
+
+void
+load_start (load_t *load)
+{
+  load->began_us = clock_now_us ();
+  for (unsigned i = 0; i < load->plan->accounts->len; i++)
+    {
+      const load_account_t *account = load->plan->accounts->pdata[i];
+      for (unsigned j = 0; j < account->outstanding; j++)
+        {
+          caller_t *caller = g_new0 (caller_t, 1);
+          caller->load = load;
+          caller->account = i;
+          caller->line = g_string_new (NULL);
+          ev_timer_init (&caller->pause, on_pause_over, 0, 0);
+          caller->pause.data = caller;
+          g_ptr_array_add (load->callers, caller);
+          schedule (caller, g_rand_double_range (load->random, 0, 300));
+        }
+    }
+  ev_timer_start (load->loop, &load->sampler);
+}
+
+void
+load_stop (load_t *load)
+{
+  load->stopped = true;
+}
+
+unsigned
+load_active (const load_t *load)
+{
+  return load->active;
+}
+
+unsigned
+load_accounts (const load_t *load)
+{
+  return load->plan->accounts->len;
+}
+
+const GPtrArray *
+load_requests (const load_t *load)
+{
+  return load->requests;
+}
+
+const GPtrArray *
+load_samples (const load_t *load)
+{
+  return load->samples;
+}
+
+const GArray *
+load_intervals (const load_t *load)
+{
+  return load->intervals;
+}
+
+const GArray *
+load_delays (const load_t *load)
+{
+  return load->delays;
+}
--- /dev/null
+++ b/tests/soak.c
@@ -0,0 +1,301 @@
+/* A randomised run of a whole fleet under random faults, all checks on.  One
+   seed fixes the load and the order of faults.  Prints the faults done and a
+   verdict for each invariant; exits with 0 only if all hold.  */
+
+#include "collect.h"
+#include "soak-faults.h"
+#include <ev.h>
+#include <stdio.h>
+
+#define SETTLE_S 45
+/* Quiet time after the faults in which each account must be served.  */
+#define QUIET_S 8
+#define ROUTERS 4
+
+static const fleet_account_t accounts[] = {
+  { "alpha", "key-of-alpha-account", 1 },
+  { "bravo", "key-of-bravo-account", 2 },
+  { "charlie", "key-of-charlie-acc", 1 },
+  { "delta", "key-of-delta-account", 1 },
+  { "echo", "key-of-echo-account", 4 },
+};
+
+static const fleet_plan_t plan = { .zones = 3,
+                                   .routers = ROUTERS,
+                                   .models = 5,
+                                   .plains = 2,
+                                   .slots = 6,
+                                   .slots_cold = 1,
+                                   .plain_slots = 4,
+                                   .cold_ms = 800,
+                                   .step_ms = 12,
+                                   .plain_ms = 30,
+                                   .zone_ms = 1.5,
+                                   .caller_ms = 1,
+                                   .seed = 23,
+                                   .policy = "fleet",
+                                   .account_count = G_N_ELEMENTS (accounts),
+                                   .accounts = accounts };
+
+typedef struct
+{
+  gint64 seed;
+  int seconds;
+  char *only;     /* the one kind of fault; NULL: all */
+  int kinds;      /* the first so many; 0: all */
+  gboolean light; /* load that leaves most slots free */
+  gboolean keep;
+} options_t;
+
+typedef struct
+{
+  struct ev_loop *loop;
+  load_t *load;
+  faults_t *faults;
+  cfd_time_t faults_until;
+  cfd_time_t load_until;
+  cfd_time_t until;
+  guint quiet_from; /* first request of the quiet time */
+  bool calm;
+  bool stopped;
+} soak_t;
+
+static load_account_t *
+soak_account (const fleet_account_t *account, unsigned index, bool light,
+              double *spread)
+{
+  load_account_t *load = g_new0 (load_account_t, 1);
+
+  load->name = (char *)account->name;
+  load->key = (char *)account->key;
+  load->weight = account->weight;
+  load->outstanding = index == 0 ? 24 : 6;
+  if (light)
+    load->outstanding = index == 0 ? 4 : 2;
+  load->kinds[LOAD_STREAM] = 5;
+  load->kinds[LOAD_WHOLE] = 2;
+  load->kinds[LOAD_COMPLETION] = 1;
+  load->kinds[LOAD_LOOKUP] = 2;
+  load->kinds[LOAD_POST] = 3;
+  load->kinds[LOAD_POST_BARE] = 2;
+  load->think_ms = light ? 100 : 20;
+  load->spread = spread;
+  load->least_tokens = 8;
+  load->most_tokens = 80;
+  return load;
+}
+
+static void
+on_step (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  soak_t *soak = watcher->data;
+  cfd_time_t now = clock_now ();
+
+  if (now < soak->faults_until)
+    {
+      faults_step (soak->faults, now);
+      return;
+    }
+  if (!soak->calm)
+    {
+      soak->calm = true;
+      faults_end (soak->faults, now);
+      now = clock_now ();
+      soak->load_until = now + QUIET_S * 1000;
+      soak->until = now + (QUIET_S + SETTLE_S) * 1000;
+      soak->quiet_from = load_requests (soak->load)->len;
+      return;
+    }
+  if (now < soak->load_until)
+    return;
+  if (!soak->stopped)
+    {
+      soak->stopped = true;
+      load_stop (soak->load);
+    }
+  if (load_active (soak->load) == 0 || now >= soak->until)
+    ev_break (loop, EVBREAK_ALL);
+}
+
+/* Accounts without one right answer among the requests of the quiet time.  */
+static unsigned
+starved (const soak_t *soak)
+{
+  const GPtrArray *requests = load_requests (soak->load);
+  unsigned right[G_N_ELEMENTS (accounts)] = { 0 };
+  unsigned count = 0;
+
+  for (guint i = soak->quiet_from; i < requests->len; i++)
+    {
+      const load_request_t *request = g_ptr_array_index (requests, i);
+
+      if (request->end == LOAD_RIGHT)
+        right[request->account]++;
+    }
+  for (unsigned i = 0; i < G_N_ELEMENTS (accounts); i++)
+    if (right[i] == 0)
+      {
+        fprintf (stderr, "soak: %s got no answer after the faults\n",
+                 accounts[i].name);
+        count++;
+      }
+  return count;
+}
+
+/* Sum of the counter that INVARIANT keeps in all processes now running.  */
+static double
+invariant_count (const fleet_t *fleet)
+{
+  static const fleet_sort_t sorts[] = { FLEET_ROUTER, FLEET_AGENT };
+  double sum = 0;
+
+  for (unsigned s = 0; s < G_N_ELEMENTS (sorts); s++)
+    for (unsigned i = 0; i < fleet_count (fleet, sorts[s]); i++)
+      {
+        double value = fleet_metric (fleet, sorts[s], i,
+                                     "cfd_invariant_failures_total");
+
+        sum += value < 0 ? 1 : value;
+      }
+  return sum;
+}
+
+static unsigned
+judge (const char *invariant, double failures)
+{
+  printf ("%s - %s: %g\n", failures > 0 ? "not ok" : "ok", invariant,
+          failures);
+  return failures > 0 ? 1 : 0;
+}
+
+static bool
+verdict (const soak_t *soak, const fleet_t *fleet)
+{
+  collect_t sum;
+  unsigned total = 9;
+  unsigned failed = 0;
+
+  if (!collect (fleet, soak->load, &sum))
+    {
+      printf ("the endpoints could not be asked\n0 passed, 1 failed\n");
+      return false;
+    }
+  faults_print (soak->faults);
+  printf ("%u requests: %u right, %u refused, %u broken, %u unfinished\n",
+          sum.requests, sum.right, sum.refused, sum.broken, sum.unfinished);
+  failed += judge ("every answer is whole and the caller's own",
+                   sum.wrong_answers);
+  failed += judge ("a refusal that says not run is true", sum.false_not_run);
+  failed
+      += judge ("a non-idempotent request runs at most once", sum.double_runs);
+  failed += judge ("no endpoint gets more than it bears", sum.overload_count);
+  failed += judge ("a zone that is out gets no new work",
+                   faults_zone_violations (soak->faults));
+  failed += judge ("what racing operators are told is true",
+                   faults_race_violations (soak->faults));
+  failed += judge ("every request comes to an end", sum.unfinished);
+  failed
+      += judge ("no account starves once the faults are over", starved (soak));
+  failed += judge ("no check inside the programs failed",
+                   invariant_count (fleet) + faults_deaths (soak->faults));
+  printf ("%u passed, %u failed\n", total - failed, failed);
+  return failed == 0;
+}
+
+static bool
+run (fleet_t *fleet, const options_t *options)
+{
+  struct ev_loop *loop = ev_default_loop (0);
+  double spread[ROUTERS] = { 0.5, 0.25, 0.15, 0.1 };
+  char *urls[ROUTERS];
+  g_autoptr (GPtrArray) members = g_ptr_array_new_with_free_func (g_free);
+  load_plan_t load_plan = { .seed = (uint64_t)options->seed,
+                            .answer_seed = plan.seed,
+                            .routers = ROUTERS,
+                            .urls = urls,
+                            .model = FLEET_MODEL,
+                            .plain = FLEET_PLAIN,
+                            .silence_ms = 30000,
+                            .accounts = members };
+  soak_t soak = { .loop = loop };
+  ev_timer step;
+  bool good;
+
+  for (unsigned i = 0; i < ROUTERS; i++)
+    urls[i] = fleet_url (fleet, FLEET_ROUTER, i);
+  for (unsigned i = 0; i < plan.account_count; i++)
+    g_ptr_array_add (members,
+                     soak_account (&accounts[i], i, options->light, spread));
+  soak.load = load_new (loop, &load_plan);
+  soak.faults = faults_new (fleet, (uint64_t)options->seed, options->only,
+                            (unsigned)options->kinds);
+  if (soak.faults == NULL)
+    g_error ("--only names no kind of fault: %s", options->only);
+  soak.faults_until = clock_now () + (cfd_time_t)options->seconds * 1000;
+  ev_timer_init (&step, on_step, 0.1, 0.1);
+  step.data = &soak;
+  ev_timer_start (loop, &step);
+  load_start (soak.load);
+  ev_run (loop, 0);
+  ev_timer_stop (loop, &step);
+  good = verdict (&soak, fleet);
+  faults_free (soak.faults);
+  load_free (soak.load);
+  for (unsigned i = 0; i < ROUTERS; i++)
+    g_free (urls[i]);
+  return good;
+}
+
+static bool
+read_options (int argc, char **argv, options_t *options)
+{
+  const GOptionEntry entries[]
+      = { { "seed", 0, 0, G_OPTION_ARG_INT64, &options->seed,
+            "Fixes the load and the faults", "N" },
+          { "seconds", 0, 0, G_OPTION_ARG_INT, &options->seconds,
+            "Length of the time with faults", "N" },
+          { "only", 0, 0, G_OPTION_ARG_STRING, &options->only,
+            "Does faults of one kind alone, in quick turns", "KIND" },
+          { "light", 0, 0, G_OPTION_ARG_NONE, &options->light,
+            "Load that leaves most slots free", NULL },
+          { "kinds", 0, 0, G_OPTION_ARG_INT, &options->kinds,
+            "Use only the first N kinds of fault, as older seeds did", "N" },
+          { "keep", 0, 0, G_OPTION_ARG_NONE, &options->keep,
+            "Keep the logs also when all is well", NULL },
+          { NULL, 0, 0, 0, NULL, NULL, NULL } };
+  g_autoptr (GOptionContext) context = g_option_context_new (NULL);
+  g_autoptr (GError) error = NULL;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (g_option_context_parse (context, &argc, &argv, &error)
+      && options->seconds >= 1)
+    return true;
+  fprintf (stderr, "soak: %s\n",
+           error != NULL ? error->message : "--seconds is from 1");
+  return false;
+}
+
+int
+main (int argc, char **argv)
+{
+  options_t options = { .seed = 1, .seconds = 60 };
+  g_autoptr (GError) error = NULL;
+  fleet_t *fleet;
+  bool good;
+
+  if (!read_options (argc, argv, &options))
+    return 2;
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  printf ("soak: seed %" G_GINT64_FORMAT ", %d s\n", options.seed,
+          options.seconds);
+  fleet = fleet_new (&plan, &error);
+  if (fleet == NULL)
+    {
+      fprintf (stderr, "soak: %s\n", error->message);
+      return 1;
+    }
+  good = run (fleet, &options);
+  fleet_free (fleet, options.keep || !good);
+  g_free (options.only);
+  return good ? 0 : 1;
+}
--- /dev/null
+++ b/tests/sp-test.c
@@ -0,0 +1,69 @@
+#include "sp-test.h"
+
+#include <stdio.h>
+#include <unistd.h>
+
+#define PATIENCE_S 30.0
+
+void
+sp_test_begin (sp_test_t *test)
+{
+  unsigned pid = (unsigned)getpid ();
+  g_autoptr (GError) error = NULL;
+  char address[32];
+
+  snprintf (address, sizeof address, "127.%u.%u.%u:7100",
+            100 + (pid >> 16) % 100, (pid >> 8) % 256, pid % 254 + 1);
+  snprintf (test->url, sizeof test->url, "http://%s", address);
+  test->loop = ev_loop_new (EVFLAG_AUTO);
+  test->sp = sp_new (test->loop, SP_TEST_HISTORY);
+  g_assert_true (sp_listen (test->sp, address, NULL, &error));
+  g_assert_no_error (error);
+  test->pool = fetch_pool_new (test->loop);
+  test->plat = plat_new (test->pool, test->url);
+}
+
+void
+sp_test_stop (sp_test_t *test)
+{
+  g_clear_pointer (&test->sp, sp_free);
+}
+
+void
+sp_test_end (sp_test_t *test)
+{
+  plat_free (test->plat);
+  fetch_pool_free (test->pool);
+  sp_test_stop (test);
+  ev_loop_destroy (test->loop);
+}
+
+static void
+on_timeout (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  g_error ("the awaited did not come within %g s", PATIENCE_S);
+}
+
+void
+sp_test_run (sp_test_t *test, bool (*holds) (void *user), void *user)
+{
+  ev_timer timeout;
+
+  ev_timer_init (&timeout, on_timeout, PATIENCE_S, 0.0);
+  ev_now_update (test->loop);
+  ev_timer_start (test->loop, &timeout);
+  while (!holds (user))
+    ev_run (test->loop, EVRUN_ONCE);
+  ev_timer_stop (test->loop, &timeout);
+}
+
+void
+sp_test_write (sp_test_t *test, const char *kind, const char *name,
+               const char *spec)
+{
+  g_autoptr (JsonNode) node
+      = spec == NULL ? NULL : json_from_string (spec, NULL);
+
+  sp_model_write (sp_state (test->sp), kind, name, node, clock_now ());
+  sp_wake (test->sp);
+}
--- /dev/null
+++ b/tests/standin.h
@@ -0,0 +1,36 @@
+/* What the stand-ins for outside systems share: the answer that a nonce leads
+   to, JSON over the stand-in's HTTP, and the end of the process with its
+   parent.  */
+
+#ifndef TESTS_STANDIN_H
+#define TESTS_STANDIN_H
+
+#include "base/clock.h"
+#include "http/web.h"
+#include <json-glib/json-glib.h>
+
+#define STANDIN_WORD_MAX 24
+
+/* Token INDEX of the answer to the request NONCE: 0 is the nonce itself, the
+   others depend on all three.  Ends with a space.  */
+void standin_word (char word[STANDIN_WORD_MAX], uint64_t seed,
+                   const char *nonce, unsigned index);
+
+/* The whole answer of COUNT tokens.  */
+char *standin_answer (uint64_t seed, const char *nonce, unsigned count);
+
+/* The value of "NAME=" in TEXT up to the next blank, quote or backslash;
+   NULL when absent.  */
+char *standin_field (const char *text, const char *name);
+
+/* The body as a JSON object, or NULL.  */
+JsonObject *standin_json (const web_request_t *request);
+
+/* Answers with the object that BUILDER holds.  */
+void standin_reply (web_request_t *request, unsigned status,
+                    JsonBuilder *builder);
+
+/* Runs LOOP until SIGTERM or SIGINT, or until the parent is gone.  */
+void standin_run (struct ev_loop *loop);
+
+#endif
--- /dev/null
+++ b/tests/test-cfdctl.c
@@ -0,0 +1,378 @@
+/* cfdctl as operators use it, against a small fleet of real processes.  */
+
+#include "call.h"
+#include "fleet.h"
+#include <json-glib/json-glib.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#define KEY "key-of-the-branch"
+#define WAIT_MS 20000
+#define ZONES 2
+
+typedef struct
+{
+  fleet_t *fleet;
+  char *program;
+  char *platform;
+  char *out; /* of the last run */
+  char *err;
+} desk_t;
+
+static const fleet_account_t account = { "branch", KEY, 1 };
+
+static desk_t *
+desk_new (void)
+{
+  static const fleet_plan_t plan = { .zones = ZONES,
+                                     .routers = 2,
+                                     .models = 2,
+                                     .slots = 8,
+                                     .slots_cold = 8,
+                                     .plain_slots = 4,
+                                     .step_ms = 4,
+                                     .plain_ms = 10,
+                                     .zone_ms = 1,
+                                     .caller_ms = 1,
+                                     .seed = 3,
+                                     .policy = "fleet",
+                                     .account_count = 1,
+                                     .accounts = &account };
+  g_autoptr (GError) error = NULL;
+  g_autofree char *build = proc_build_folder ();
+  desk_t *desk = g_new0 (desk_t, 1);
+
+  desk->fleet = fleet_new (&plan, &error);
+  g_assert_no_error (error);
+  desk->program = g_build_filename (build, "cli", "cfdctl", NULL);
+  desk->platform = fleet_url (desk->fleet, FLEET_PLATFORM, 0);
+  return desk;
+}
+
+static void
+desk_free (desk_t *desk)
+{
+  fleet_free (desk->fleet, false);
+  g_free (desk->program);
+  g_free (desk->platform);
+  g_free (desk->out);
+  g_free (desk->err);
+  g_free (desk);
+}
+
+/* Runs cfdctl with WORDS, split as a shell would; returns its exit status.  */
+static int
+ctl (desk_t *desk, const char *words)
+{
+  g_auto (GStrv) split = NULL;
+  g_autoptr (GPtrArray) argv = g_ptr_array_new ();
+  g_autoptr (GError) error = NULL;
+  int status;
+
+  g_assert_true (g_shell_parse_argv (words, NULL, &split, NULL));
+  g_ptr_array_add (argv, desk->program);
+  g_ptr_array_add (argv, (gpointer) "--platform");
+  g_ptr_array_add (argv, desk->platform);
+  for (unsigned i = 0; split[i] != NULL; i++)
+    g_ptr_array_add (argv, split[i]);
+  g_ptr_array_add (argv, NULL);
+  g_free (desk->out);
+  g_free (desk->err);
+  g_spawn_sync (NULL, (char **)argv->pdata, NULL, G_SPAWN_DEFAULT, NULL, NULL,
+                &desk->out, &desk->err, &status, &error);
+  g_assert_no_error (error);
+  g_assert_true (WIFEXITED (status));
+  g_test_message ("cfdctl %s: %d\n%s%s", words, WEXITSTATUS (status),
+                  desk->out, desk->err);
+  return WEXITSTATUS (status);
+}
+
+static void
+check (desk_t *desk, const char *words, int status, const char *told)
+{
+  g_assert_cmpint (ctl (desk, words), ==, status);
+  if (told != NULL)
+    g_assert_true (strstr (desk->out, told) != NULL
+                   || strstr (desk->err, told) != NULL);
+}
+
+/* ---- records ---- */
+
+typedef struct
+{
+  const char *words;
+  int status;
+  const char *told;
+} record_case_t;
+
+/* In this order.  */
+static const record_case_t record_cases[] = {
+  { "create client-account mill weight=2 queue_max=5 "
+    "keys='[{\"hash\":\"HASH\"}]'",
+    1, "64 lower-case hex digits" },
+  { "create client-account mill weight=2 queue_max=5 keys=[]", 0, "version" },
+  { "create client-account mill weight=2 queue_max=5 keys=[]", 3, "first" },
+  { "get client-account mill", 0, "\"weight\":2" },
+  { "get client-account absent", 2, "cfdctl list" },
+  { "get client-acount mill", 1, "did you mean client-account?" },
+  { "gte client-account mill", 1, "did you mean get?" },
+  { "list client-account", 0, "mill" },
+  { "--output json list endpoint", 0, "{\"kind\":\"endpoint\"" },
+  { "set client-account mill weight=3", 0, "\"weight\":3" },
+  { "set client-account mill schema=9", 1, "schema" },
+  { "set client-account mill weight=heavy", 1, "weight" },
+  { "set client-account mill weight=4 --if-version none-such", 3, "first" },
+  { "get client-account mill", 0, "\"weight\":3" },
+  { "delete client-account mill --if-version none-such", 3, "first" },
+  { "delete client-account mill", 0, NULL },
+  { "get client-account mill", 2, NULL },
+  { "--output xml list", 1, "text or json" },
+};
+
+static void
+test_records (void)
+{
+  desk_t *desk = desk_new ();
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (record_cases); i++)
+    check (desk, record_cases[i].words, record_cases[i].status,
+           record_cases[i].told);
+  desk_free (desk);
+}
+
+static char *
+version_of (desk_t *desk, const char *kind, const char *name)
+{
+  g_autofree char *words
+      = g_strdup_printf ("--output json get %s %s", kind, name);
+  g_autoptr (JsonNode) root = NULL;
+
+  g_assert_cmpint (ctl (desk, words), ==, 0);
+  root = json_from_string (desk->out, NULL);
+  return g_strdup (
+      json_object_get_string_member (json_node_get_object (root), "version"));
+}
+
+/* Two operators read one record and both write what they made of it.  The
+   second must not undo the first's work unseen: it gets a conflict.  */
+static void
+test_race (void)
+{
+  desk_t *desk = desk_new ();
+  g_autofree char *version = version_of (desk, "client-account", "branch");
+  g_autofree char *first = g_strdup_printf (
+      "set client-account branch weight=2 --if-version %s", version);
+  g_autofree char *second = g_strdup_printf (
+      "set client-account branch weight=5 --if-version %s", version);
+
+  check (desk, first, 0, "\"weight\":2");
+  check (desk, second, 3, "another writer was first");
+  check (desk, "get client-account branch", 0, "\"weight\":2");
+  desk_free (desk);
+}
+
+/* ---- zones ---- */
+
+/* A zone is taken out and back; cfdctl ends only when all instances have it in
+   force.  Then one agent is frozen: nobody can know what it thinks, so cfdctl
+   says at the deadline that it is not known to be in force, and where.  */
+static void
+test_zone (void)
+{
+  desk_t *desk = desk_new ();
+  proc_t *agent = fleet_proc (desk->fleet, FLEET_AGENT, 0);
+
+  check (desk, "zone out zone-9", 2, NULL);
+  check (desk, "zone off zone-1", 1, "out|in");
+  check (desk, "zone out zone-1", 0, "in force at all 4 instances");
+  for (unsigned i = 0; i < ZONES; i++)
+    {
+      g_assert_cmpfloat (
+          fleet_metric (desk->fleet, FLEET_ROUTER, i, "cfd_zones_out"), ==, 1);
+      g_assert_cmpfloat (
+          fleet_metric (desk->fleet, FLEET_AGENT, i, "cfd_zones_out"), ==, 1);
+      g_assert_cmpfloat (
+          fleet_metric (desk->fleet, FLEET_AGENT, i, "cfd_ready"), ==, i == 0);
+    }
+  check (desk, "status", 0, "why-not=zone-out");
+  check (desk, "--output json zone in zone-1", 0, "\"instances\":4");
+  proc_stop (agent, SIGSTOP, 0);
+  check (desk, "zone out zone-1 --deadline 2 --timeout 1", 5, "at: agent-0;");
+  check (desk, "status --timeout 1", 0, "no answer");
+  proc_stop (agent, SIGCONT, 0);
+  check (desk, "zone in zone-1", 0, "in force at all 4 instances");
+  desk_free (desk);
+}
+
+/* ---- what happened ---- */
+
+/* The value of a header of the answer; free with g_free.  */
+static char *
+header_of (const call_t *answer, const char *name)
+{
+  g_autofree char *start = g_strdup_printf ("\r\n%s: ", name);
+  const char *value = strstr (answer->text->str, start);
+
+  g_assert_nonnull (value);
+  value += strlen (start);
+  return g_strndup (value, strcspn (value, "\r"));
+}
+
+/* Asks for a short answer; the request's name.  */
+static char *
+serve_one (desk_t *desk)
+{
+  g_autofree char *url = fleet_direct_url (desk->fleet, 0);
+  g_autoptr (call_t) call
+      = call_start (url, "POST", "/v1/chat/completions", KEY,
+                    "X-Request-Id: the-callers-own\r\n",
+                    "{\"model\":\"draft\",\"max_tokens\":5,\"messages\":"
+                    "[{\"role\":\"user\",\"content\":\"hello\"}]}");
+
+  g_assert_cmpint (call_finish (call, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (call), ==, 200);
+  return header_of (call, "X-Request-Id");
+}
+
+/* The place of the first line with both texts, from 0; -1 without.  */
+static int
+line_with (const char *text, const char *one, const char *other)
+{
+  g_auto (GStrv) lines = g_strsplit (text, "\n", 0);
+
+  for (int i = 0; lines[i] != NULL; i++)
+    if (strstr (lines[i], one) != NULL && strstr (lines[i], other) != NULL)
+      return i;
+  return -1;
+}
+
+static void
+check_life (const char *text, const char *id)
+{
+  static const char *const kinds[]
+      = { " admit ", " assign ", " run ", " end " };
+  int last = -1;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      int line = line_with (text, kinds[i], id);
+
+      g_test_message ("%s: line %d", kinds[i], line);
+      g_assert_cmpint (line, >, last);
+      last = line;
+    }
+}
+
+/* A request just served: the time line of all processes tells its admission,
+   assignment, run and end in this order, whatever their clocks say, and
+   explain finds it by the name that the caller got.  */
+static void
+test_timeline (void)
+{
+  desk_t *desk = desk_new ();
+  g_autofree char *id = serve_one (desk);
+  g_autofree char *other = serve_one (desk);
+  g_autofree char *explain = g_strdup_printf ("explain %s", id);
+  g_autofree char *filter
+      = g_strdup_printf ("--output json timeline --request %s", id);
+
+  g_assert_cmpstr (id, !=, "the-callers-own");
+  check (desk, "timeline", 0, id);
+  check_life (desk->out, id);
+  check (desk, explain, 0, "got least");
+  check_life (desk->out, id);
+  g_assert_null (strstr (desk->out, other));
+  check (desk, filter, 0, "\"kind\":\"assign\"");
+  g_assert_null (strstr (desk->out, other));
+  check (desk, "timeline --kind assign", 0, other);
+  g_assert_cmpint (line_with (desk->out, " admit ", ""), ==, -1);
+  check (desk, "timeline --account branch", 0, id);
+  g_assert_cmpint (line_with (desk->out, " config ", ""), ==, -1);
+  check (desk, "timeline --endpoint endpoint-0", 0, " assign ");
+  g_assert_nonnull (strstr (desk->out, " run "));
+  g_assert_null (strstr (desk->out, "endpoint-1"));
+  check (desk, "timeline --kind asign", 1, "did you mean assign?");
+  check (desk, "explain router-0.none.1", 2, "bounded");
+  desk_free (desk);
+}
+
+static void
+signal_endpoints (desk_t *desk, int number)
+{
+  for (unsigned i = 0; i < ZONES; i++)
+    proc_stop (fleet_proc (desk->fleet, FLEET_ENDPOINT, i), number, 0);
+}
+
+/* A refused caller also has a name by which to ask.  */
+static void
+test_refused (void)
+{
+  desk_t *desk = desk_new ();
+  g_autofree char *url = fleet_direct_url (desk->fleet, 1);
+  g_autoptr (call_t) call
+      = call_start (url, "POST", "/v1/completions", "not-a-key", NULL, "{}");
+  g_autofree char *id = NULL;
+  g_autofree char *explain = NULL;
+
+  g_assert_cmpint (call_finish (call, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (call), ==, 401);
+  id = header_of (call, "X-Request-Id");
+  explain = g_strdup_printf ("explain %s", id);
+  check (desk, explain, 0, "Unknown key");
+  desk_free (desk);
+}
+
+/* An agent gets a request and is killed before its endpoint, which is frozen
+   so long, answers: the request is run
+   by the other one, and explain shows both under the one name that the caller
+   has.  */
+static void
+test_retried (void)
+{
+  desk_t *desk = desk_new ();
+  g_autofree char *url = fleet_direct_url (desk->fleet, 0);
+  g_autoptr (call_t) call = NULL;
+  g_autofree char *id = NULL;
+  g_autofree char *explain = NULL;
+  const char *lost;
+
+  signal_endpoints (desk, SIGSTOP);
+  call = call_start (url, "POST", "/v1/chat/completions", KEY, NULL,
+                     "{\"model\":\"draft\",\"max_tokens\":400,\"messages\":"
+                     "[{\"role\":\"user\",\"content\":\"hello\"}]}");
+  for (unsigned i = 0; i < WAIT_MS / 10; i++)
+    if (fleet_metric (desk->fleet, FLEET_ROUTER, 0, "cfd_router_in_flight")
+        > 0)
+      break;
+    else
+      g_usleep (10000);
+  check (desk, "status", 0, "in_flight=1");
+  lost = line_with (desk->out, "agent-0", "in_flight=1") >= 0 ? "agent-0"
+                                                              : "agent-1";
+  proc_stop (fleet_proc (desk->fleet, FLEET_AGENT, lost[6] - '0'), SIGKILL,
+             2000);
+  signal_endpoints (desk, SIGCONT);
+  g_assert_cmpint (call_finish (call, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (call), ==, 200);
+  id = header_of (call, "X-Request-Id");
+  explain = g_strdup_printf ("explain %s", id);
+  check (desk, explain, 0, lost);
+  g_assert_cmpint (line_with (desk->out, " retry ", id), >=, 0);
+  g_assert_cmpint (line_with (desk->out, " assign ", "attempt=2"), >,
+                   line_with (desk->out, " assign ", "attempt=1"));
+  desk_free (desk);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/cfdctl/records", test_records);
+  g_test_add_func ("/cfdctl/race", test_race);
+  g_test_add_func ("/cfdctl/zone", test_zone);
+  g_test_add_func ("/cfdctl/timeline", test_timeline);
+  g_test_add_func ("/cfdctl/refused", test_refused);
+  g_test_add_func ("/cfdctl/retried", test_retried);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test-engine.c
@@ -0,0 +1,108 @@
+/* Tests of the engine stand-in: what it counts decides whether a run of the
+   measurement passes.  */
+
+#include "engine.h"
+#include "standin.h"
+#include <string.h>
+
+static const engine_settings_t settings = {
+  .seed = 7, .slots = 2, .slots_cold = 1, .cold_ms = 1000, .step_ms = 10
+};
+
+static engine_run_t *
+start (engine_t *engine, const char *nonce, cfd_time_t now)
+{
+  g_autofree char *prompt = g_strdup_printf ("nonce=%s length=3", nonce);
+
+  return engine_start (engine, nonce, prompt, true, true, now);
+}
+
+static void
+count_pieces (void *user, engine_run_t *run, const char *bytes, size_t length)
+{
+  unsigned *pieces = user;
+
+  (*pieces)++;
+}
+
+/* Requests beyond what is bearable at that moment are overloads, but not just
+   after the engine turned cold by itself.  */
+static void
+test_overload (void)
+{
+  g_autoptr (engine_t) engine = engine_new (&settings, 0);
+
+  start (engine, "a", 10);
+  g_assert_cmpuint (engine_counters (engine, 10)->overload_count, ==, 0);
+  start (engine, "b", 20);
+  g_assert_cmpuint (engine_counters (engine, 20)->overload_count, ==, 1);
+  engine_set_cold (engine, 5000);
+  start (engine, "c", 5100);
+  g_assert_cmpuint (engine_counters (engine, 5100)->overload_count, ==, 1);
+  g_assert_cmpuint (engine_counters (engine, 5100)->overload_in_grace, ==, 1);
+  start (engine, "d", 5000 + ENGINE_GRACE_MS);
+  g_assert_cmpuint (engine_counters (engine, 6000)->overload_count, ==, 2);
+}
+
+static void
+test_answer (void)
+{
+  g_autoptr (engine_t) engine = engine_new (&settings, 0);
+  engine_run_t *run = start (engine, "a", 2000);
+  unsigned pieces = 0;
+  cfd_time_t now = 2000;
+
+  engine_step (engine, now, count_pieces, &pieces);
+  g_assert_cmpuint (pieces, ==, 0); /* in prefill */
+  for (unsigned i = 0; i < 5; i++)
+    engine_step (engine, now += 100, count_pieces, &pieces);
+  g_assert_cmpuint (pieces, ==, 3);
+  g_assert_cmpuint (engine_running (engine), ==, 0);
+  g_assert_nonnull (strstr (run->body->str, "\"content\":\"a \""));
+  g_assert_nonnull (strstr (run->body->str, "\"completion_tokens\":3"));
+  g_assert_true (g_str_has_suffix (run->body->str, "data: [DONE]\n\n"));
+  /* Three tokens, the last at 2300.  */
+  g_assert_cmpfloat (engine_counters (engine, now)->busy_ms, ==, 300);
+}
+
+static void
+test_cancel (void)
+{
+  g_autoptr (engine_t) engine = engine_new (&settings, 0);
+  engine_run_t *run = start (engine, "a", 2000);
+
+  engine_cancel (engine, run, 2100);
+  engine_cancel (engine, run, 2200);
+  g_assert_cmpuint (engine_running (engine), ==, 0);
+  g_assert_true (engine_find (engine, "a") == run);
+  engine_step (engine, 2101 + ENGINE_KEEP_MS, count_pieces, NULL);
+  g_assert_null (engine_find (engine, "a"));
+}
+
+static void
+test_slow (void)
+{
+  g_autoptr (engine_t) engine = engine_new (&settings, 0);
+  unsigned pieces = 0;
+
+  start (engine, "a", 2000);
+  g_assert_cmpfloat (engine_step (engine, 2000, count_pieces, &pieces), ==,
+                     12.5);
+  engine_set_slow (engine, 4);
+  g_assert_cmpfloat (engine_step (engine, 2000, count_pieces, &pieces), ==,
+                     50);
+  engine_set_slow (engine, 1);
+  g_assert_cmpfloat (engine_step (engine, 2000, count_pieces, &pieces), ==,
+                     12.5);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/engine/overload", test_overload);
+  g_test_add_func ("/engine/answer", test_answer);
+  g_test_add_func ("/engine/cancel", test_cancel);
+  g_test_add_func ("/engine/slow", test_slow);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test-partition.c
@@ -0,0 +1,229 @@
+/* Fair share in a whole fleet that parts and rejoins, and whose homes die.  */
+
+#include "collect.h"
+#include "measure.h"
+
+#include <signal.h>
+
+#define LIMIT_S 20
+#define WARM_S 3
+/* The platform's word and links that went silent need some time.  */
+#define REJOIN_S 3
+/* Virtual times may be the window off the floor on either side of it; the rest
+   is what running requests and rough hints add, as without faults.  */
+#define GAP_MAX 1700
+/* A home that moves takes no bound.  */
+#define MOVED_GAP_MAX 900
+#define ROUTERS 5u
+#define HOME 4u
+
+/* Router 4 of 5 is the home of the first two.  */
+static const fleet_account_t accounts[] = { { "trat", "key-of-trat", 1 },
+                                            { "roi-et", "key-of-roi-et", 1 },
+                                            { "yala", "key-of-yala", 1 },
+                                            { "surin", "key-of-surin", 1 } };
+
+#define ACCOUNTS G_N_ELEMENTS (accounts)
+
+static const fleet_plan_t plan = { .zones = 2,
+                                   .routers = 2,
+                                   .models = 2,
+                                   .slots = 8,
+                                   .slots_cold = 8,
+                                   .plain_slots = 4,
+                                   .step_ms = 12,
+                                   .zone_ms = 1.5,
+                                   .caller_ms = 1,
+                                   .seed = 23,
+                                   .policy = "fleet",
+                                   .account_count = ACCOUNTS,
+                                   .accounts = accounts };
+
+typedef struct
+{
+  struct ev_loop *loop;
+  fleet_t *fleet;
+  load_t *load;
+  load_plan_t load_plan;
+  load_account_t accounts[ACCOUNTS];
+} scene_t;
+
+/* SPREADS has the share of each router for each account.  */
+static scene_t *
+scene_new (const fleet_plan_t *fleet, double (*spreads)[ROUTERS])
+{
+  scene_t *scene = g_new0 (scene_t, 1);
+  g_autoptr (GError) error = NULL;
+
+  scene->loop = ev_loop_new (EVFLAG_AUTO);
+  scene->fleet = fleet_new (fleet, &error);
+  g_assert_no_error (error);
+  scene->load_plan = (load_plan_t){ .seed = 1,
+                                    .answer_seed = fleet->seed,
+                                    .routers = fleet->routers,
+                                    .urls = g_new0 (char *, ROUTERS + 1),
+                                    .model = FLEET_MODEL,
+                                    .plain = FLEET_PLAIN,
+                                    .silence_ms = 30000,
+                                    .accounts = g_ptr_array_new () };
+  for (unsigned i = 0; i < fleet->routers; i++)
+    scene->load_plan.urls[i] = fleet_url (scene->fleet, FLEET_ROUTER, i);
+  for (unsigned i = 0; i < ACCOUNTS; i++)
+    {
+      scene->accounts[i] = (load_account_t){ .name = (char *)accounts[i].name,
+                                             .key = (char *)accounts[i].key,
+                                             .weight = accounts[i].weight,
+                                             .outstanding = 30,
+                                             .spread = spreads[i],
+                                             .least_tokens = 16,
+                                             .most_tokens = 48 };
+      scene->accounts[i].kinds[LOAD_STREAM] = 1;
+      g_ptr_array_add (scene->load_plan.accounts, &scene->accounts[i]);
+    }
+  scene->load = load_new (scene->loop, &scene->load_plan);
+  load_start (scene->load);
+  return scene;
+}
+
+static void
+on_over (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+scene_run (scene_t *scene, double seconds)
+{
+  ev_timer over;
+
+  ev_timer_init (&over, on_over, seconds, 0);
+  ev_timer_start (scene->loop, &over);
+  ev_run (scene->loop, 0);
+}
+
+/* Ends the load and takes the verdict.  */
+static void
+scene_free (scene_t *scene)
+{
+  collect_t sum;
+
+  load_stop (scene->load);
+  for (unsigned i = 0; i < LIMIT_S && load_active (scene->load) > 0; i++)
+    scene_run (scene, 1);
+  g_assert_true (collect (scene->fleet, scene->load, &sum));
+  g_assert_cmpuint (sum.wrong_answers + sum.double_runs + sum.false_not_run,
+                    ==, 0);
+  load_free (scene->load);
+  fleet_free (scene->fleet, false);
+  g_strfreev (scene->load_plan.urls);
+  g_ptr_array_unref (scene->load_plan.accounts);
+  ev_loop_destroy (scene->loop);
+  g_free (scene);
+}
+
+static double
+gap_since (const scene_t *scene, int64_t from_us)
+{
+  fair_gap_t gap = fair_gap (load_samples (scene->load), FAIR_RECEIVED,
+                             ACCOUNTS, from_us, clock_now_us ());
+
+  g_test_message ("gap %.0f: %s and %s", gap.tokens, accounts[gap.a].name,
+                  accounts[gap.b].name);
+  return gap.tokens;
+}
+
+/* Two zones lose each other for 20 s, and one of them the platform.  Both go
+   on, with one account that has work on both sides and gets a share on each,
+   one on the first side alone, and two on the second, which get less there.
+   After the rejoin each caller soon gets the same again.  Without bounds the
+   account of both sides would wait until the others have caught up with what
+   it got, and those two would get all until they have: for as long as the
+   partition lasted, or more.  */
+static void
+test_rejoin (void)
+{
+  double spreads[ACCOUNTS][ROUTERS]
+      = { { 0.5, 0.5 }, { 1, 0 }, { 0, 1 }, { 0, 1 } };
+  const unsigned sides[] = { 0, 1 };
+  scene_t *scene = scene_new (&plan, spreads);
+
+  scene_run (scene, WARM_S);
+  g_assert_true (fleet_part (scene->fleet, sides, true));
+  g_assert_true (fleet_part_platform (scene->fleet, sides, 1, true));
+  scene_run (scene, 20);
+  g_assert_true (fleet_part (scene->fleet, sides, false));
+  g_assert_true (fleet_part_platform (scene->fleet, sides, 1, false));
+  scene_run (scene, REJOIN_S);
+  int64_t joined_us = clock_now_us ();
+  scene_run (scene, 7);
+  g_assert_cmpfloat (gap_since (scene, joined_us), <, GAP_MAX);
+  scene_free (scene);
+}
+
+/* Two accounts have work at four routers and a fifth as their home, which gets
+   SIGNAL and is back 5 s later.  The greatest gap from the signal on.  */
+static double
+gap_without_home (int signal)
+{
+  double spreads[ACCOUNTS][ROUTERS] = { { 0.25, 0.25, 0.25, 0.25, 0 },
+                                        { 0.25, 0.25, 0.25, 0.25, 0 },
+                                        { 1, 0, 0, 0, 0 },
+                                        { 0, 1, 0, 0, 0 } };
+  fleet_plan_t one_zone = plan;
+
+  one_zone.zones = 1;
+  one_zone.routers = ROUTERS;
+  scene_t *scene = scene_new (&one_zone, spreads);
+  proc_t *home = fleet_proc (scene->fleet, FLEET_ROUTER, HOME);
+
+  scene_run (scene, WARM_S);
+  g_assert_cmpfloat (fleet_metric (scene->fleet, FLEET_ROUTER, HOME,
+                                   "cfd_router_accounts{side=\"home\"}"),
+                     ==, 2);
+  int64_t gone_us = clock_now_us ();
+  /* Without a wait, in which the callers here would stand still too.  */
+  (void)proc_stop (home, signal, 0);
+  scene_run (scene, 5);
+  if (proc_runs (home))
+    (void)proc_stop (home, SIGCONT, 0);
+  else
+    g_assert_true (proc_again (fleet_procs (scene->fleet), home, NULL));
+  scene_run (scene, 5);
+  double gap = gap_since (scene, gone_us);
+  scene_free (scene);
+  return gap;
+}
+
+/* The home is killed and comes back empty.  The callers' shares stay the same
+   throughout: the accounts move at once to a home that is rebuilt from what
+   the four routers last heard, and back.  While an account has no home, each
+   of its routers knows but its own part and it gets a share at each.  */
+static void
+test_home_killed (void)
+{
+  double gap = gap_without_home (SIGKILL);
+
+  g_assert_cmpfloat (gap, <, MOVED_GAP_MAX);
+}
+
+/* The home freezes: its links stay open, reports go in and no answer comes.
+   The callers' shares stay the same: the accounts move when answers are
+   overdue, before the links are found silent, and come back to a home that
+   knows old counters and answers reports of long ago.  */
+static void
+test_home_frozen (void)
+{
+  double gap = gap_without_home (SIGSTOP);
+
+  g_assert_cmpfloat (gap, <, MOVED_GAP_MAX);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/partition/rejoin", test_rejoin);
+  g_test_add_func ("/partition/home-killed", test_home_killed);
+  g_test_add_func ("/partition/home-frozen", test_home_frozen);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test-router-faults.c
@@ -0,0 +1,499 @@
+/* What callers see of a router when agents, links, routers or the platform
+   fail.  Each test has its own small fleet of real processes.  */
+
+#include "call.h"
+#include "fleet.h"
+#include "load.h"
+#include <json-glib/json-glib.h>
+#include <signal.h>
+#include <string.h>
+
+#define KEY "key-of-a"
+#define WAIT_MS 20000
+
+static const fleet_account_t accounts[] = { { "a", KEY, 1 } };
+
+/* Router I and agent I are in zone I modulo 2; agent-0 serves the model, agent
+   PLAIN_AGENT the plain service.  */
+#define PLAIN_AGENT 1
+
+static fleet_t *
+start (double step_ms, double plain_ms, unsigned plain_slots)
+{
+  const fleet_plan_t plan = { .zones = 2,
+                              .routers = 2,
+                              .models = 1,
+                              .plains = 1,
+                              .slots = 4,
+                              .slots_cold = 4,
+                              .plain_slots = plain_slots,
+                              .cold_ms = 100,
+                              .step_ms = step_ms,
+                              .plain_ms = plain_ms,
+                              .zone_ms = 0.5,
+                              .seed = 5,
+                              .policy = "fleet",
+                              .account_count = 1,
+                              .accounts = accounts };
+  g_autoptr (GError) error = NULL;
+  fleet_t *fleet = fleet_new (&plan, &error);
+
+  g_assert_no_error (error);
+  return fleet;
+}
+
+static void
+end (fleet_t *fleet)
+{
+  fleet_free (fleet, g_test_failed ());
+}
+
+static call_t *
+stream (fleet_t *fleet, unsigned router, unsigned tokens)
+{
+  g_autofree char *base = fleet_direct_url (fleet, router);
+  g_autofree char *body = g_strdup_printf (
+      "{\"model\":\"" FLEET_MODEL "\",\"stream\":true,\"max_tokens\":%u,"
+      "\"messages\":[{\"role\":\"user\",\"content\":\"nonce=n length=%u\"}]}",
+      tokens, tokens);
+
+  return call_start (base, "POST", "/v1/chat/completions", KEY, NULL, body);
+}
+
+static call_t *
+post (fleet_t *fleet, unsigned router, const char *nonce, const char *once)
+{
+  g_autofree char *base = fleet_direct_url (fleet, router);
+  g_autofree char *body = g_strdup_printf ("{\"nonce\":\"%s\"}", nonce);
+  g_autofree char *header
+      = once != NULL ? g_strdup_printf ("Idempotency-Key: %s\r\n", once)
+                     : NULL;
+
+  return call_start (base, "POST", "/services/" FLEET_PLAIN "/entries", KEY,
+                     header, body);
+}
+
+static call_t *
+look_up (fleet_t *fleet, unsigned router, const char *nonce)
+{
+  g_autofree char *base = fleet_direct_url (fleet, router);
+  g_autofree char *path = g_strdup_printf (
+      "/services/" FLEET_PLAIN "/entries/7?nonce=%s", nonce);
+
+  return call_start (base, "GET", path, KEY, NULL, NULL);
+}
+
+/* How often the plain service ran the request of NONCE.  */
+static unsigned
+executions (fleet_t *fleet, const char *nonce)
+{
+  g_autofree char *base = fleet_url (fleet, FLEET_ENDPOINT, PLAIN_AGENT);
+  g_autofree char *url = g_strconcat (base, "/control/counters", NULL);
+  long status = 0;
+  g_autofree char *text = proc_ask (NULL, url, NULL, NULL, &status);
+  g_autoptr (JsonParser) parser = json_parser_new ();
+
+  g_assert_true (json_parser_load_from_data (parser, text, -1, NULL));
+  JsonObject *nonces = json_object_get_object_member (
+      json_node_get_object (json_parser_get_root (parser)), "nonces");
+  return (unsigned)json_object_get_double_member_with_default (nonces, nonce,
+                                                               0);
+}
+
+static void
+wait_executed (fleet_t *fleet, const char *nonce)
+{
+  for (int i = 0; i < WAIT_MS / 10 && executions (fleet, nonce) == 0; i++)
+    g_usleep (10000);
+  g_assert_cmpuint (executions (fleet, nonce), ==, 1);
+}
+
+static void
+wait_metric (fleet_t *fleet, fleet_sort_t sort, unsigned index,
+             const char *name, double least)
+{
+  for (int i = 0; i < WAIT_MS / 10; i++)
+    {
+      if (fleet_metric (fleet, sort, index, name) >= least)
+        return;
+      g_usleep (10000);
+    }
+  g_assert_not_reached ();
+}
+
+static void
+platform_mode (fleet_t *fleet, const char *mode)
+{
+  g_autofree char *base = fleet_url (fleet, FLEET_PLATFORM, 0);
+  g_autofree char *url = g_strconcat (base, "/control/faults", NULL);
+  g_autofree char *body = g_strdup_printf ("{\"mode\":\"%s\"}", mode);
+  long status = 0;
+  g_autofree char *answer = proc_ask ("PUT", url, NULL, body, &status);
+
+  g_assert_cmpint (status, ==, 200);
+}
+
+/* An agent dies with a stream, a post and a lookup under way.  The stream has
+   delivered a part: it is broken off, visibly.  The post may have run: one
+   answer says "unknown", and it is never sent again.  The lookup may be
+   repeated: the restarted agent answers it whole.  */
+static void
+test_agent_killed (void)
+{
+  fleet_t *fleet = start (20, 1500, 4);
+  g_autoptr (call_t) streamed = stream (fleet, 0, 400);
+  g_autoptr (call_t) posted = post (fleet, 0, "p", NULL);
+  g_autoptr (call_t) looked = look_up (fleet, 0, "l");
+  g_autoptr (GError) error = NULL;
+  proc_t *plain = fleet_proc (fleet, FLEET_AGENT, PLAIN_AGENT);
+
+  g_assert_true (call_until (streamed, "data: ", WAIT_MS));
+  wait_executed (fleet, "p");
+  wait_executed (fleet, "l");
+  g_assert_true (
+      proc_stop (fleet_proc (fleet, FLEET_AGENT, 0), SIGKILL, WAIT_MS));
+  g_assert_true (proc_stop (plain, SIGKILL, WAIT_MS));
+  g_assert_true (proc_again (fleet_procs (fleet), plain, &error));
+  g_assert_cmpint (call_finish (streamed, WAIT_MS), ==, CALL_BROKEN);
+  g_assert_cmpint (call_finish (posted, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (posted), ==, 502);
+  g_assert_nonnull (strstr (posted->text->str, "\"run\":\"unknown\""));
+  g_assert_cmpint (call_finish (looked, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (looked), ==, 200);
+  g_assert_cmpuint (executions (fleet, "p"), ==, 1);
+  end (fleet);
+}
+
+/* The connection between router and agent goes silent in the middle of a
+   stream and of a post, for good, while new ones work.  The callers see a
+   pause, then the rest: the router's heartbeats go unanswered, it dials anew
+   and resumes by offset, and nothing runs twice.  */
+static void
+test_link_silent (void)
+{
+  fleet_t *fleet = start (10, 1000, 4);
+  /* Agent 0 is in zone 0, the caller's router in zone 1; for the plain
+     service it is the other way round.  */
+  g_autoptr (call_t) streamed = stream (fleet, 1, 300);
+  g_autoptr (call_t) posted = post (fleet, 0, "p", NULL);
+
+  g_assert_true (call_until (streamed, "data: ", WAIT_MS));
+  wait_executed (fleet, "p");
+  g_assert_true (fleet_relay (fleet, "zone-1>zone-0", "silent"));
+  g_assert_true (fleet_relay (fleet, "zone-0>zone-1", "silent"));
+  g_assert_cmpint (call_finish (streamed, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_nonnull (strstr (streamed->text->str, "data: [DONE]"));
+  g_assert_cmpint (call_finish (posted, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (posted), ==, 200);
+  g_assert_cmpuint (executions (fleet, "p"), ==, 1);
+  g_assert_cmpfloat (
+      fleet_metric (fleet, FLEET_ROUTER, 1, "cfd_router_resumed_total"), >=,
+      1);
+  end (fleet);
+}
+
+/* A router stands still while an agent offers it a slot, and answers with a
+   post after the offer has lapsed.  The agent gives its word that it did not
+   start it; the router queues it again, and the caller sees one answer of one
+   execution.  Repeated, for whether the offer falls into the pause depends on
+   the machine.  */
+static void
+test_answer_after_lapse (void)
+{
+  fleet_t *fleet = start (10, 700, 1);
+  proc_t *router = fleet_proc (fleet, FLEET_ROUTER, 0);
+  double returned = 0;
+
+  for (unsigned round = 0; round < 5 && returned < 1; round++)
+    {
+      g_autofree char *first = g_strdup_printf ("first-%u", round);
+      g_autofree char *second = g_strdup_printf ("second-%u", round);
+      g_autoptr (call_t) holder = post (fleet, 1, first, NULL);
+      wait_executed (fleet, first);
+      g_autoptr (call_t) waiter = post (fleet, 0, second, NULL);
+      wait_metric (fleet, FLEET_ROUTER, 0, "cfd_router_waiting", 1);
+      kill (router->pid, SIGSTOP);
+      g_assert_cmpint (call_finish (holder, WAIT_MS), ==, CALL_WHOLE);
+      g_usleep (1200000); /* the life of a grant, and some */
+      kill (router->pid, SIGCONT);
+      g_assert_cmpint (call_finish (waiter, WAIT_MS), ==, CALL_WHOLE);
+      g_assert_cmpuint (call_status (waiter), ==, 200);
+      g_assert_cmpuint (executions (fleet, second), ==, 1);
+      returned
+          = fleet_metric (fleet, FLEET_ROUTER, 0, "cfd_router_returned_total");
+    }
+  g_assert_cmpfloat (returned, >=, 1);
+  end (fleet);
+}
+
+/* A caller posts with an Idempotency-Key and asks again through another
+   router: while the first runs it hears "unknown", afterwards it gets the kept
+   answer, with the key on another body a refusal.  With the platform down a
+   new key is refused, and truly not run.  */
+static void
+test_asked_again (void)
+{
+  fleet_t *fleet = start (10, 1000, 4);
+  g_autoptr (call_t) first = post (fleet, 0, "p", "key-1");
+
+  wait_executed (fleet, "p");
+  g_autoptr (call_t) during = post (fleet, 1, "p", "key-1");
+  g_assert_cmpint (call_finish (during, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (during), ==, 409);
+  g_assert_nonnull (strstr (during->text->str, "\"run\":\"unknown\""));
+  g_assert_cmpint (call_finish (first, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (first), ==, 200);
+  /* The kept answer is written after the caller has it.  */
+  for (unsigned i = 0; i < 100; i++)
+    {
+      g_autoptr (call_t) after = post (fleet, 1, "p", "key-1");
+
+      g_assert_cmpint (call_finish (after, WAIT_MS), ==, CALL_WHOLE);
+      if (call_status (after) == 409 && i < 99)
+        {
+          g_usleep (20000);
+          continue;
+        }
+      g_assert_cmpuint (call_status (after), ==, 200);
+      g_assert_nonnull (strstr (after->text->str, "Idempotent-Replayed"));
+      g_assert_nonnull (strstr (after->text->str, "\"executions\":1"));
+      break;
+    }
+  g_autoptr (call_t) other = post (fleet, 1, "q", "key-1");
+  g_assert_cmpint (call_finish (other, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (other), ==, 422);
+  platform_mode (fleet, "down");
+  g_autoptr (call_t) down = post (fleet, 1, "r", "key-2");
+  g_assert_cmpint (call_finish (down, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (down), ==, 503);
+  g_assert_nonnull (strstr (down->text->str, "\"run\":\"not-run\""));
+  g_assert_nonnull (strstr (down->text->str, "Retry-After: "));
+  /* What needs no claim goes on.  */
+  g_autoptr (call_t) bare = post (fleet, 1, "s", NULL);
+  g_assert_cmpint (call_finish (bare, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (bare), ==, 200);
+  g_assert_cmpuint (executions (fleet, "p"), ==, 1);
+  g_assert_cmpuint (executions (fleet, "q"), ==, 0);
+  g_assert_cmpuint (executions (fleet, "r"), ==, 0);
+  end (fleet);
+}
+
+/* The router with a claimed post under way is killed.  Its caller's connection
+   breaks; asked again through the other router the answer is "unknown" and not
+   a second run, for nobody knows whether the first went through.  */
+static void
+test_router_killed (void)
+{
+  fleet_t *fleet = start (10, 1000, 4);
+  g_autoptr (call_t) first = post (fleet, 0, "p", "key-1");
+  g_autoptr (call_t) streamed = stream (fleet, 1, 100);
+
+  wait_executed (fleet, "p");
+  g_assert_true (
+      proc_stop (fleet_proc (fleet, FLEET_ROUTER, 0), SIGKILL, WAIT_MS));
+  g_assert_cmpint (call_finish (first, WAIT_MS), ==, CALL_BROKEN);
+  g_autoptr (call_t) again = post (fleet, 1, "p", "key-1");
+  g_assert_cmpint (call_finish (again, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (again), ==, 409);
+  g_assert_nonnull (strstr (again->text->str, "\"run\":\"unknown\""));
+  g_assert_cmpint (call_finish (streamed, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (executions (fleet, "p"), ==, 1);
+  end (fleet);
+}
+
+/* A router is told to stop with a stream and a post under way and two posts in
+   its queue, while the platform is down.  All callers get their whole answers,
+   then the process waits for the platform, to finish a claim, and ends by
+   itself.  A router told to stop takes no new connections.  */
+static void
+test_drain (void)
+{
+  fleet_t *fleet = start (10, 700, 1);
+  proc_t *router = fleet_proc (fleet, FLEET_ROUTER, 0);
+  g_autofree char *admin = fleet_admin_url (fleet, FLEET_ROUTER, 0);
+  g_autofree char *ready = g_strconcat (admin, "/readyz", NULL);
+  g_autoptr (call_t) streamed = stream (fleet, 0, 100);
+  g_autoptr (call_t) running = post (fleet, 0, "p", NULL);
+  long status = 0;
+
+  g_assert_true (call_until (streamed, "data: ", WAIT_MS));
+  wait_executed (fleet, "p");
+  g_autoptr (call_t) queued = post (fleet, 0, "q", NULL);
+  g_autoptr (call_t) claimed = post (fleet, 0, "r", "key-1");
+  wait_metric (fleet, FLEET_ROUTER, 0, "cfd_router_waiting", 2);
+  platform_mode (fleet, "down");
+  kill (router->pid, SIGTERM);
+  for (int i = 0; i < WAIT_MS / 10 && status != 503; i++)
+    {
+      g_autofree char *answer = proc_ask (NULL, ready, NULL, NULL, &status);
+      g_usleep (10000);
+    }
+  g_autoptr (call_t) late = look_up (fleet, 0, "late");
+  g_assert_cmpint (call_finish (late, WAIT_MS), ==, CALL_BROKEN);
+  g_assert_cmpint (call_finish (running, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpint (call_finish (queued, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpint (call_finish (claimed, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpint (call_finish (streamed, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (running), ==, 200);
+  g_assert_cmpuint (call_status (queued), ==, 200);
+  g_assert_cmpuint (call_status (claimed), ==, 200);
+  g_assert_nonnull (strstr (streamed->text->str, "data: [DONE]"));
+  /* Nothing is left but the claim of the last post to finish.  */
+  g_usleep (1000000);
+  platform_mode (fleet, "up");
+  for (int i = 0; i < WAIT_MS / 10 && proc_runs (router); i++)
+    g_usleep (10000);
+  g_assert_false (proc_runs (router));
+  /* The claim was finished before the process went.  */
+  g_autoptr (call_t) after = post (fleet, 1, "r", "key-1");
+  g_assert_cmpint (call_finish (after, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (after), ==, 200);
+  g_assert_cmpuint (executions (fleet, "r"), ==, 1);
+  end (fleet);
+}
+
+typedef struct
+{
+  load_t *load;
+  proc_t *router;
+  int64_t began_us;
+  int64_t told_us; /* when the router was told to stop; 0 before */
+} shutdown_t;
+
+#define TELL_US 1500000
+#define LOAD_LIMIT_US 60000000
+
+static void
+on_shutdown_check (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  shutdown_t *down = watcher->data;
+  int64_t now = clock_now_us ();
+
+  if (down->told_us == 0 && now - down->began_us > TELL_US)
+    {
+      down->told_us = now;
+      kill (down->router->pid, SIGTERM);
+    }
+  if (down->told_us != 0 && !proc_runs (down->router))
+    load_stop (down->load);
+  if (now - down->began_us > LOAD_LIMIT_US
+      || (down->told_us != 0 && !proc_runs (down->router)
+          && load_active (down->load) == 0))
+    ev_break (loop, EVBREAK_ALL);
+}
+
+/* Of the requests at the router that stops: those it had are answered whole,
+   later ones are served whole too or find no connection.  */
+static void
+judge_shutdown (const shutdown_t *down)
+{
+  const GPtrArray *requests = load_requests (down->load);
+  unsigned before = 0;
+
+  for (guint i = 0; i < requests->len; i++)
+    {
+      const load_request_t *request = g_ptr_array_index (requests, i);
+
+      if (request->router == 0 && request->started_us < down->told_us)
+        {
+          before++;
+          g_assert_cmpint (request->end, ==, LOAD_RIGHT);
+        }
+      if (request->first_us != 0)
+        g_assert_cmpint (request->end, ==, LOAD_RIGHT);
+      if (request->router == 1)
+        g_assert_cmpint (request->end, ==, LOAD_RIGHT);
+    }
+  g_test_message ("%u requests before the signal, %u in all", before,
+                  requests->len);
+  g_assert_cmpuint (before, >, 10);
+}
+
+/* A planned stop of one of two routers under a mixed load that queues.  Nobody
+   who asked before the signal sees a refusal or a cut, nor does anybody whose
+   answer has begun; the other router's callers notice nothing.  */
+static void
+test_drain_under_load (void)
+{
+  fleet_t *fleet = start (10, 60, 2);
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  double spread[] = { 0.5, 0.5 };
+  load_account_t account = { .name = (char *)"a",
+                             .key = (char *)KEY,
+                             .weight = 1,
+                             .outstanding = 24,
+                             .kinds = { 4, 2, 1, 2, 2, 1 },
+                             .think_ms = 5,
+                             .spread = spread,
+                             .least_tokens = 5,
+                             .most_tokens = 30 };
+  g_autoptr (GPtrArray) all = g_ptr_array_new ();
+  char *urls[] = { fleet_direct_url (fleet, 0), fleet_direct_url (fleet, 1) };
+  load_plan_t plan = { .seed = 3,
+                       .answer_seed = 5,
+                       .routers = 2,
+                       .urls = urls,
+                       .model = FLEET_MODEL,
+                       .plain = FLEET_PLAIN,
+                       .silence_ms = WAIT_MS,
+                       .accounts = all };
+  shutdown_t down = { .router = fleet_proc (fleet, FLEET_ROUTER, 0) };
+  ev_timer check;
+
+  g_ptr_array_add (all, &account);
+  down.load = load_new (loop, &plan);
+  ev_timer_init (&check, on_shutdown_check, 0.02, 0.02);
+  check.data = &down;
+  ev_timer_start (loop, &check);
+  down.began_us = clock_now_us ();
+  load_start (down.load);
+  ev_run (loop, 0);
+  judge_shutdown (&down);
+  load_free (down.load);
+  ev_loop_destroy (loop);
+  g_free (urls[0]);
+  g_free (urls[1]);
+  end (fleet);
+}
+
+/* A caller leaves in the middle of a stream, and one in the middle of a post.
+   The stream's slot is free again soon; the post is let to end.  */
+static void
+test_caller_leaves (void)
+{
+  fleet_t *fleet = start (20, 500, 1);
+  call_t *streamed = stream (fleet, 0, 2000);
+  call_t *posted = post (fleet, 0, "p", "key-1");
+
+  g_assert_true (call_until (streamed, "data: ", WAIT_MS));
+  wait_executed (fleet, "p");
+  call_free (streamed);
+  call_free (posted);
+  wait_metric (fleet, FLEET_ROUTER, 0, "cfd_router_ended_total", 2);
+  g_assert_cmpfloat (
+      fleet_metric (fleet, FLEET_ROUTER, 0, "cfd_router_in_flight"), ==, 0);
+  /* The answer of the post was kept for the caller who asks again.  */
+  g_usleep (200000);
+  g_autoptr (call_t) again = post (fleet, 1, "p", "key-1");
+  g_assert_cmpint (call_finish (again, WAIT_MS), ==, CALL_WHOLE);
+  g_assert_cmpuint (call_status (again), ==, 200);
+  g_assert_cmpuint (executions (fleet, "p"), ==, 1);
+  end (fleet);
+}
+
+int
+main (int argc, char **argv)
+{
+  signal (SIGPIPE, SIG_IGN);
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/router-faults/agent-killed", test_agent_killed);
+  g_test_add_func ("/router-faults/link-silent", test_link_silent);
+  g_test_add_func ("/router-faults/answer-after-lapse",
+                   test_answer_after_lapse);
+  g_test_add_func ("/router-faults/asked-again", test_asked_again);
+  g_test_add_func ("/router-faults/router-killed", test_router_killed);
+  g_test_add_func ("/router-faults/drain", test_drain);
+  g_test_add_func ("/router-faults/drain-under-load", test_drain_under_load);
+  g_test_add_func ("/router-faults/caller-leaves", test_caller_leaves);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test-upgrade.c
@@ -0,0 +1,162 @@
+/* A rolling upgrade of a whole fleet: programs that know schema 1 only are
+   replaced one at a time by the present ones, while callers ask and operators
+   of both write records.  */
+
+#include "scene.h"
+#include <signal.h>
+#include <string.h>
+
+#define LIMIT_MS 25000
+#define AGENTS 3u
+#define ZONE_1                                                                \
+  "{\"schema\":2,\"state\":\"out\",\"region\":\"r\",\"note\":\"kept\"}"
+
+static char *
+program (const char *name)
+{
+  g_autofree char *build = proc_build_folder ();
+
+  return g_build_filename (build, name, NULL);
+}
+
+/* The platform tells that the process leaves; it ends when all that runs there
+   is answered, and the present program takes its place.  */
+static void
+upgrade (scene_t *scene, fleet_sort_t sort, unsigned index)
+{
+  fleet_t *fleet = scene->fleet;
+  proc_t *proc = fleet_proc (fleet, sort, index);
+  g_autofree char *base = fleet_admin_url (fleet, sort, index);
+  g_autofree char *ready = g_strconcat (base, "/healthz", NULL);
+  g_autoptr (GError) error = NULL;
+
+  g_assert_true (fleet_list_instance (fleet, sort, index, "leaving", &error));
+  scene_run (scene, 1200);
+  g_assert_false (proc_stop (proc, SIGTERM, 0));
+  for (unsigned i = 0; proc_runs (proc) && i < LIMIT_MS / 50; i++)
+    scene_run (scene, 50);
+  g_assert_false (proc_runs (proc));
+  g_free (proc->argv[0]);
+  proc->argv[0]
+      = program (sort == FLEET_ROUTER ? FLEET_NEW_ROUTER : FLEET_NEW_AGENT);
+  proc_again (fleet_procs (fleet), proc, &error);
+  g_assert_no_error (error);
+  g_assert_true (fleet_list_instance (fleet, sort, index, "live", &error));
+  g_assert_true (proc_wait_ready (ready, 5000));
+  scene_run (scene, 300);
+}
+
+/* The exit status of a cfdctl with WORDS.  */
+static int
+ctl (const scene_t *scene, const char *name, const char *words)
+{
+  g_autofree char *path = program (name);
+  g_autofree char *platform = fleet_url (scene->fleet, FLEET_PLATFORM, 0);
+  g_autofree char *printed = NULL; /* must not stand among the test's own */
+  g_autofree char *line
+      = g_strdup_printf ("%s --platform %s %s", path, platform, words);
+  g_autoptr (GError) error = NULL;
+  int status = 0;
+
+  g_spawn_command_line_sync (line, &printed, NULL, &status, &error);
+  g_assert_no_error (error);
+  g_test_message ("%s", printed);
+  return WEXITSTATUS (status);
+}
+
+static char *
+stored (const scene_t *scene, const char *path)
+{
+  g_autofree char *base = fleet_url (scene->fleet, FLEET_PLATFORM, 0);
+  g_autofree char *url = g_strconcat (base, "/v1/objects/", path, NULL);
+  long status = 0;
+  char *text = proc_ask (NULL, url, NULL, NULL, &status);
+
+  g_assert_cmpint (status, ==, 200);
+  return text;
+}
+
+static scene_t *
+scene_old (bool old_routers)
+{
+  scene_plan_t plan = scene_plan ();
+
+  plan.fleet.zones = 2;
+  plan.fleet.routers = 2;
+  plan.fleet.models = 2;
+  plan.fleet.plains = 1;
+  plan.fleet.old_routers = old_routers;
+  plan.fleet.old_agents = true;
+  plan.fleet.old_records = true;
+  plan.outstanding = 16;
+  plan.kinds[LOAD_LOOKUP] = 1;
+  plan.kinds[LOAD_POST] = 1;
+  return scene_new (&plan);
+}
+
+/* Agents are upgraded under load, and with old routers the one that no caller
+   uses.  In the middle a zone's record is written anew as schema 2 and out:
+   old programs keep the record that they know, each new one takes it up, and
+   nobody's later write takes its unknown member or its schema away.  No
+   request is lost on the way.  */
+static void
+check_upgrade (bool old_routers)
+{
+  g_autoptr (scene_t) scene = scene_old (old_routers);
+  g_autoptr (GError) error = NULL;
+
+  scene_until (scene, scene_is_streaming, LIMIT_MS);
+  g_assert_cmpint (
+      ctl (scene, "tests/old-cfdctl", "set client-account branch weight=2"),
+      ==, 0);
+  if (old_routers)
+    upgrade (scene, FLEET_ROUTER, 1);
+  upgrade (scene, FLEET_AGENT, 0);
+  fleet_put (scene->fleet, "availability-zone", "zone-1", ZONE_1, &error);
+  g_assert_no_error (error);
+  g_assert_cmpint (ctl (scene, "tests/old-cfdctl",
+                        "set availability-zone zone-1 region=old"),
+                   !=, 0);
+  for (unsigned i = 1; i < AGENTS; i++)
+    upgrade (scene, FLEET_AGENT, i);
+  scene_run (scene, 2000);
+
+  double then = scene_counter (scene, 1, "requests");
+  scene_run (scene, 1000);
+  g_assert_cmpfloat (scene_counter (scene, 1, "requests"), ==, then);
+  g_assert_cmpint (
+      ctl (scene, "cli/cfdctl", "set availability-zone zone-1 region=new"), ==,
+      0);
+  g_autofree char *zone = stored (scene, "availability-zone/zone-1");
+  g_autofree char *account = stored (scene, "client-account/branch");
+  g_test_message ("%s %s", zone, account);
+  g_assert_nonnull (strstr (zone, "\"schema\":2"));
+  g_assert_nonnull (strstr (zone, "\"state\":\"out\""));
+  g_assert_nonnull (strstr (zone, "\"note\":\"kept\""));
+  g_assert_nonnull (strstr (zone, "\"region\":\"new\""));
+  g_assert_nonnull (strstr (account, "\"schema\":1"));
+  g_assert_nonnull (strstr (account, "\"weight\":2"));
+  scene_end (scene, LIMIT_MS);
+  g_assert_cmpuint (scene->sum.right, ==, scene->sum.requests);
+}
+
+static void
+test_old_routers (void)
+{
+  check_upgrade (true);
+}
+
+static void
+test_new_routers (void)
+{
+  check_upgrade (false);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/upgrade/old-routers", test_old_routers);
+  g_test_add_func ("/upgrade/new-routers", test_new_routers);
+  return g_test_run ();
+}
