--- /dev/null
+++ b/tests/test-whole.c
@@ -0,0 +1,313 @@
+/* Whole-path tests: separate processes from the caller to the endpoint, and
+   what goes wrong between them.  */
+
+#include "scene.h"
+#include <signal.h>
+#include <string.h>
+
+/* The longest that any scene may take to come to its end, far more than it
+   does: it is there so that a fault shows as a failure and not as a hang.  */
+#define LIMIT_MS 25000
+
+/* ---- requests that are at fault themselves ---- */
+
+typedef struct
+{
+  const char *name;
+  const char *path;
+  const char *header;
+  const char *body;
+  long status;
+} bad_case_t;
+
+#define GOOD_KEY "Authorization: Bearer " SCENE_KEY
+
+static const bad_case_t bad_cases[] = {
+  { "no key", "/v1/chat/completions", NULL, "{\"model\":\"draft\"}", 401 },
+  { "unknown key", "/v1/chat/completions", "Authorization: Bearer wrong",
+    "{\"model\":\"draft\"}", 401 },
+  { "body that is no JSON", "/v1/chat/completions", GOOD_KEY, "{", 400 },
+  { "no model", "/v1/chat/completions", GOOD_KEY, "{}", 400 },
+  { "unknown model", "/v1/chat/completions", GOOD_KEY,
+    "{\"model\":\"absent\",\"messages\":[]}", 404 },
+  { "unknown service", "/services/absent/entries", GOOD_KEY, "{}", 404 },
+};
+
+static void
+test_bad_requests (void)
+{
+  scene_plan_t plan = scene_plan ();
+  plan.outstanding = 0;
+  g_autoptr (scene_t) scene = scene_new (&plan);
+  g_autofree char *base = fleet_direct_url (scene->fleet, 0);
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (bad_cases); i++)
+    {
+      const bad_case_t *c = &bad_cases[i];
+      g_autofree char *url = g_strconcat (base, c->path, NULL);
+      long status = 0;
+      g_autofree char *answer
+          = proc_ask ("POST", url, c->header, c->body, &status);
+      g_test_message ("%s: %s", c->name, answer);
+      g_assert_cmpint (status, ==, c->status);
+      g_assert_nonnull (strstr (answer, "\"not-run\""));
+    }
+  g_assert_cmpfloat (scene_counter (scene, 0, "requests"), ==, 0);
+}
+
+/* ---- processes that end ---- */
+
+/* The caller reads a stream when the agent that serves it is killed.  Bytes
+   have left, so the request can't be run again elsewhere: the answer breaks
+   off, well before any silence limit, and is never taken for whole.  Later
+   requests go to the agent that is left.  */
+static void
+test_agent_killed (void)
+{
+  scene_plan_t plan = scene_plan ();
+  plan.fleet.models = 2;
+  plan.tokens = 120;
+  g_autoptr (scene_t) scene = scene_new (&plan);
+
+  scene_until (scene, scene_is_streaming, LIMIT_MS);
+  int64_t killed_us = clock_now_us ();
+  proc_stop (fleet_proc (scene->fleet, FLEET_AGENT, 0), SIGKILL, 2000);
+  scene_run (scene, 4000);
+  scene_end (scene, LIMIT_MS);
+  const GPtrArray *requests = load_requests (scene->load);
+  unsigned after = 0;
+  for (guint i = 0; i < requests->len; i++)
+    {
+      const load_request_t *request = requests->pdata[i];
+      if (request->started_us > killed_us)
+        after += request->end == LOAD_RIGHT;
+      if (request->started_us < killed_us && request->end == LOAD_BROKEN)
+        g_assert_cmpint (request->last_us - killed_us, <, 15 * G_USEC_PER_SEC);
+    }
+  g_assert_cmpuint (after, >, 0);
+}
+
+/* A planned stop of a router or an agent (SIGTERM) while answers stream: each
+   of them comes whole, and only then does the process end.  */
+static void
+check_drain (fleet_sort_t sort)
+{
+  scene_plan_t plan = scene_plan ();
+  plan.fleet.models = 2;
+  plan.requests = 4;
+  plan.tokens = 80;
+  g_autoptr (scene_t) scene = scene_new (&plan);
+  proc_t *proc = fleet_proc (scene->fleet, sort, 0);
+
+  scene_until (scene, scene_is_streaming, LIMIT_MS);
+  scene_run (scene, 300);
+  g_assert_false (proc_stop (proc, SIGTERM, 0));
+  scene_end (scene, LIMIT_MS);
+  g_assert_cmpuint (scene->sum.right, ==, 4);
+  for (unsigned i = 0; proc_runs (proc) && i < LIMIT_MS / 20; i++)
+    g_usleep (20000);
+  g_assert_false (proc_runs (proc));
+}
+
+static void
+test_drain_router (void)
+{
+  check_drain (FLEET_ROUTER);
+}
+
+static void
+test_drain_agent (void)
+{
+  check_drain (FLEET_AGENT);
+}
+
+/* ---- what comes and goes ---- */
+
+/* A router and an endpoint with its agent join while work runs, and no other
+   process is started again: the endpoint gets a part of the work, and the new
+   router serves callers.  */
+static void
+test_join (void)
+{
+  scene_plan_t plan = scene_plan ();
+  plan.fleet.spare_routers = 1;
+  plan.fleet.spare_models = 1;
+  plan.outstanding = 16;
+  g_autoptr (scene_t) scene = scene_new (&plan);
+  g_autoptr (GError) error = NULL;
+
+  scene_until (scene, scene_is_streaming, LIMIT_MS);
+  fleet_join (scene->fleet, FLEET_AGENT, 1, &error);
+  g_assert_no_error (error);
+  fleet_join (scene->fleet, FLEET_ROUTER, 1, &error);
+  g_assert_no_error (error);
+  g_autofree char *url = fleet_direct_url (scene->fleet, 1);
+  g_autofree char *path = g_strconcat (url, "/v1/completions", NULL);
+  long status = 0;
+  for (unsigned i = 0; i < 100 && status != 200; i++)
+    {
+      g_autofree char *answer = proc_ask (
+          "POST", path, GOOD_KEY,
+          "{\"model\":\"draft\",\"prompt\":\"nonce=joined length=2\"}",
+          &status);
+      scene_run (scene, 50);
+    }
+  g_assert_cmpint (status, ==, 200);
+  scene_run (scene, 3000);
+  scene_end (scene, LIMIT_MS);
+  g_assert_cmpuint (scene->sum.right, ==, scene->sum.requests);
+  g_assert_cmpfloat (scene_counter (scene, 1, "requests"), >, 1);
+}
+
+/* An operator writes one record while two endpoints serve; the one concerned
+   gets no new work after a few seconds, what runs there ends whole, and the
+   other goes on.  */
+static void
+check_withdrawn (const char *kind, const char *name, const char *spec)
+{
+  scene_plan_t plan = scene_plan ();
+  plan.fleet.zones = 2;
+  plan.fleet.models = 2;
+  plan.outstanding = 16;
+  g_autoptr (scene_t) scene = scene_new (&plan);
+  g_autoptr (GError) error = NULL;
+
+  scene_run (scene, 1000);
+  g_assert_cmpfloat (scene_counter (scene, 1, "requests"), >, 0);
+  fleet_put (scene->fleet, kind, name, spec, &error);
+  g_assert_no_error (error);
+  scene_run (scene, 3000);
+  double then = scene_counter (scene, 1, "requests");
+  double other = scene_counter (scene, 0, "requests");
+  scene_run (scene, 1500);
+  g_assert_cmpfloat (scene_counter (scene, 1, "requests"), ==, then);
+  g_assert_cmpfloat (scene_counter (scene, 0, "requests"), >, other);
+  scene_end (scene, LIMIT_MS);
+  g_assert_cmpuint (scene->sum.right, ==, scene->sum.requests);
+}
+
+static void
+test_zone_out (void)
+{
+  check_withdrawn ("availability-zone", "zone-1",
+                   "{\"schema\":2,\"state\":\"out\",\"region\":\"r\"}");
+}
+
+static void
+test_endpoint_leaving (void)
+{
+  check_withdrawn ("endpoint", "endpoint-1",
+                   "{\"schema\":2,\"service\":\"draft\",\"zone\":\"zone-1\","
+                   "\"url\":\"http://127.0.0.1:1\",\"slots\":{\"max\":8,"
+                   "\"cold\":8},\"state\":\"leaving\"}");
+}
+
+/* ---- the network ---- */
+
+/* Streams run from another zone while something befalls the links there.  */
+static scene_t *
+scene_across (void)
+{
+  scene_plan_t plan = scene_plan ();
+  scene_t *scene;
+
+  plan.fleet.zones = 2;
+  plan.fleet.models = 2;
+  plan.requests = 16;
+  plan.outstanding = 16;
+  plan.tokens = 120;
+  scene = scene_new (&plan);
+  scene_until (scene, scene_is_streaming, LIMIT_MS);
+  scene_run (scene, 300);
+  return scene;
+}
+
+/* The open links from the router to an agent in another zone go silent for
+   good while streams run over them; nothing closes, and new connections work.
+   The router notices by its heartbeats, dials again and takes each stream up
+   where it stood: the callers see a pause and whole answers.  */
+static void
+test_silent_links (void)
+{
+  g_autoptr (scene_t) scene = scene_across ();
+
+  g_assert_true (fleet_relay (scene->fleet, "zone-0>zone-1", "silent"));
+  scene_run (scene, 1000);
+  scene_end (scene, LIMIT_MS);
+  g_assert_cmpuint (scene->sum.right, ==, 16);
+}
+
+/* The same, but the links are closed: the router dials at once.  */
+static void
+test_cut_links (void)
+{
+  g_autoptr (scene_t) scene = scene_across ();
+
+  g_assert_true (fleet_relay (scene->fleet, "zone-0>zone-1", "cut"));
+  scene_run (scene, 500);
+  g_assert_true (fleet_relay (scene->fleet, "zone-0>zone-1", "pass"));
+  scene_end (scene, LIMIT_MS);
+  g_assert_cmpuint (scene->sum.right, ==, 16);
+}
+
+/* ---- the platform ---- */
+
+/* The platform is down.  Model work and lookups go on; a post with an
+   Idempotency-Key, which needs a claim there, is refused "not run" and the
+   endpoint never sees it; when the platform is back, posts are served.  */
+static void
+test_platform_down (void)
+{
+  scene_plan_t plan = scene_plan ();
+  plan.fleet.plains = 1;
+  plan.kinds[LOAD_LOOKUP] = 1;
+  g_autoptr (scene_t) scene = scene_new (&plan);
+  g_autofree char *base = fleet_direct_url (scene->fleet, 0);
+  g_autofree char *url
+      = g_strconcat (base, "/services/register/entries", NULL);
+  const char *headers = GOOD_KEY "\nIdempotency-Key: k1";
+  long status = 0;
+
+  scene_until (scene, scene_is_streaming, LIMIT_MS);
+  scene_control (scene, FLEET_PLATFORM, 0, "/control/faults",
+                 "{\"mode\":\"down\"}");
+  guint before = load_requests (scene->load)->len;
+  g_autofree char *refused
+      = proc_ask ("POST", url, headers, "{\"nonce\":\"p1\"}", &status);
+  g_assert_cmpint (status, ==, 503);
+  g_assert_nonnull (strstr (refused, "\"not-run\""));
+  scene_run (scene, 2000);
+  g_assert_cmpuint (load_requests (scene->load)->len, >, before);
+  scene_control (scene, FLEET_PLATFORM, 0, "/control/faults",
+                 "{\"mode\":\"up\"}");
+  for (unsigned i = 0; i < 200 && status != 200; i++)
+    {
+      g_autofree char *answer
+          = proc_ask ("POST", url, headers, "{\"nonce\":\"p1\"}", &status);
+      scene_run (scene, 50);
+    }
+  g_assert_cmpint (status, ==, 200);
+  g_autofree char *again
+      = proc_ask ("POST", url, headers, "{\"nonce\":\"p1\"}", &status);
+  g_assert_cmpint (status, ==, 200);
+  g_assert_nonnull (strstr (again, "\"executions\":1"));
+  scene_end (scene, LIMIT_MS);
+  g_assert_cmpuint (scene->sum.right, ==, scene->sum.requests);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/whole/bad-requests", test_bad_requests);
+  g_test_add_func ("/whole/agent-killed", test_agent_killed);
+  g_test_add_func ("/whole/drain-router", test_drain_router);
+  g_test_add_func ("/whole/drain-agent", test_drain_agent);
+  g_test_add_func ("/whole/join", test_join);
+  g_test_add_func ("/whole/zone-out", test_zone_out);
+  g_test_add_func ("/whole/endpoint-leaving", test_endpoint_leaving);
+  g_test_add_func ("/whole/silent-links", test_silent_links);
+  g_test_add_func ("/whole/cut-links", test_cut_links);
+  g_test_add_func ("/whole/platform-down", test_platform_down);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test-withdrawn.c
@@ -0,0 +1,213 @@
+/* What operators take out of service while something else is at fault, and
+   planned stops of several processes at once, in whole fleets.  */
+
+#include "scene.h"
+#include <signal.h>
+
+#define LIMIT_MS 25000
+/* "After a few seconds": as the soak judges it.  */
+#define GRACE_MS 6000
+/* Until the others have a new record, a broken watch included.  */
+#define LEARN_MS 3000
+#define PLATFORM_DOWN "{\"mode\":\"down\"}"
+#define PLATFORM_UP "{\"mode\":\"up\"}"
+#define ZONE_1_OUT "{\"schema\":2,\"state\":\"out\",\"region\":\"r\"}"
+
+/* Three zones, with a router, an agent and an engine each; the load comes to
+   ROUTER.  */
+static scene_t *
+scene_of_three (unsigned router)
+{
+  scene_plan_t plan = scene_plan ();
+  scene_t *scene;
+
+  plan.fleet.zones = 3;
+  plan.fleet.routers = 3;
+  plan.fleet.models = 3;
+  plan.outstanding = 30;
+  plan.router = router;
+  scene = scene_new (&plan);
+  scene_run (scene, 1500);
+  g_assert_cmpfloat (scene_counter (scene, 1, "requests"), >, 0);
+  return scene;
+}
+
+static void
+signal_zone_1 (const scene_t *scene, int number)
+{
+  proc_stop (fleet_proc (scene->fleet, FLEET_AGENT, 1), number, 0);
+  proc_stop (fleet_proc (scene->fleet, FLEET_ROUTER, 1), number, 0);
+}
+
+static void
+relay_zone_1 (const scene_t *scene, const char *mode)
+{
+  static const char *const groups[]
+      = { "zone-0>zone-1", "zone-2>zone-1", "zone-1>zone-0", "zone-1>zone-2" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (groups); i++)
+    g_assert_true (fleet_relay (scene->fleet, groups[i], mode));
+}
+
+static void
+put (const scene_t *scene, const char *kind, const char *name,
+     const char *spec)
+{
+  g_autoptr (GError) error = NULL;
+
+  fleet_put (scene->fleet, kind, name, spec, &error);
+  g_assert_no_error (error);
+}
+
+static void
+platform (const scene_t *scene, const char *mode)
+{
+  scene_control (scene, FLEET_PLATFORM, 0, "/control/faults", mode);
+}
+
+/* Writes a record that all others learn, and that the stopped processes can't
+   have in their sockets when they wake: their watches are broken off before.
+   The platform is down afterwards.  */
+static void
+put_unseen (scene_t *scene, const char *kind, const char *name,
+            const char *spec)
+{
+  platform (scene, PLATFORM_DOWN);
+  platform (scene, PLATFORM_UP);
+  put (scene, kind, name, spec);
+  scene_run (scene, LEARN_MS);
+  platform (scene, PLATFORM_DOWN);
+}
+
+/* The record of endpoint 1 with its own address: with another one, its engine
+   would get nothing whatever the fleet did.  */
+static char *
+endpoint_1_leaving (const scene_t *scene)
+{
+  g_autofree char *url = fleet_url (scene->fleet, FLEET_ENDPOINT, 1);
+
+  return g_strdup_printf (
+      "{\"schema\":2,\"service\":\"draft\",\"zone\":\"zone-1\","
+      "\"url\":\"%s\",\"slots\":{\"max\":8,\"cold\":8},"
+      "\"state\":\"leaving\"}",
+      url);
+}
+
+/* Endpoint 1 starts nothing from now on, while the load goes on.  */
+static void
+check_starts_nothing (scene_t *scene)
+{
+  double then = scene_counter (scene, 1, "requests");
+
+  scene_run (scene, 2000);
+  g_assert_cmpfloat (scene_counter (scene, 1, "requests"), ==, then);
+}
+
+/* A zone is cut off whole: its agent and router are stopped, its links are
+   dead, and the platform is down when they wake, so that neither can learn
+   that the zone was taken out meanwhile.  The router there has callers and the
+   agent free slots, and the agent had links to that router alone, which it
+   must not take for the whole fleet: it hears one zone of three and offers
+   none. When all is mended it learns that it is out.  */
+static void
+test_zone_cut_off (void)
+{
+  g_autoptr (scene_t) scene = scene_of_three (1);
+
+  signal_zone_1 (scene, SIGSTOP);
+  relay_zone_1 (scene, "hole");
+  put_unseen (scene, "availability-zone", "zone-1", ZONE_1_OUT);
+  scene_run (scene, 2000);
+  signal_zone_1 (scene, SIGCONT);
+  scene_run (scene, GRACE_MS);
+  check_starts_nothing (scene);
+  relay_zone_1 (scene, "pass");
+  platform (scene, PLATFORM_UP);
+  scene_run (scene, 3000);
+  check_starts_nothing (scene);
+  scene_end (scene, LIMIT_MS);
+}
+
+/* An agent is stopped while its endpoint's record says that it leaves, and the
+   platform is down when it wakes with its grants and requests on their way:
+   it learns from a router before it starts anything.  Callers see whole
+   answers, the others serve.  */
+static void
+test_leaving_frozen (void)
+{
+  g_autoptr (scene_t) scene = scene_of_three (0);
+  g_autofree char *leaving = endpoint_1_leaving (scene);
+  double then;
+
+  proc_stop (fleet_proc (scene->fleet, FLEET_AGENT, 1), SIGSTOP, 0);
+  put_unseen (scene, "endpoint", "endpoint-1", leaving);
+  scene_run (scene, 1500);
+  then = scene_counter (scene, 1, "requests");
+  proc_stop (fleet_proc (scene->fleet, FLEET_AGENT, 1), SIGCONT, 0);
+  scene_run (scene, 3000);
+  g_assert_cmpfloat (scene_counter (scene, 1, "requests"), ==, then);
+  platform (scene, PLATFORM_UP);
+  scene_end (scene, LIMIT_MS);
+  g_assert_cmpfloat (fleet_metric (scene->fleet, FLEET_AGENT, 1,
+                                   "cfd_invariant_failures_total"),
+                     ==, 0);
+}
+
+/* The endpoint's record says that it leaves just after all links between its
+   zone and the others went silent, and the platform goes down a moment later:
+   the agent has it from the platform or stops for being cut off.  */
+static void
+test_leaving_cut (void)
+{
+  g_autoptr (scene_t) scene = scene_of_three (1);
+  g_autofree char *leaving = endpoint_1_leaving (scene);
+
+  relay_zone_1 (scene, "hole");
+  put (scene, "endpoint", "endpoint-1", leaving);
+  scene_run (scene, 200);
+  platform (scene, PLATFORM_DOWN);
+  scene_run (scene, GRACE_MS);
+  check_starts_nothing (scene);
+  platform (scene, PLATFORM_UP);
+  relay_zone_1 (scene, "pass");
+  scene_end (scene, LIMIT_MS);
+}
+
+/* A router and an agent that serves its callers are asked to stop at the same
+   moment, with answers on the way between them and requests in the queue.
+   Each caller gets a whole answer, and both processes end.  */
+static void
+test_two_stops (void)
+{
+  scene_plan_t plan = scene_plan ();
+  plan.fleet.routers = 2;
+  plan.fleet.models = 2;
+  plan.requests = 30;
+  plan.outstanding = 30;
+  plan.tokens = 60;
+  g_autoptr (scene_t) scene = scene_new (&plan);
+  proc_t *router = fleet_proc (scene->fleet, FLEET_ROUTER, 0);
+  proc_t *agent = fleet_proc (scene->fleet, FLEET_AGENT, 0);
+
+  scene_until (scene, scene_is_streaming, LIMIT_MS);
+  scene_run (scene, 300);
+  g_assert_false (proc_stop (router, SIGTERM, 0));
+  g_assert_false (proc_stop (agent, SIGTERM, 0));
+  scene_end (scene, LIMIT_MS);
+  g_assert_cmpuint (scene->sum.right, ==, 30);
+  for (unsigned i = 0; i < LIMIT_MS / 20; i++)
+    if (proc_runs (router) || proc_runs (agent))
+      g_usleep (20000);
+  g_assert_false (proc_runs (router) || proc_runs (agent));
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/withdrawn/zone-cut-off", test_zone_cut_off);
+  g_test_add_func ("/withdrawn/leaving-frozen", test_leaving_frozen);
+  g_test_add_func ("/withdrawn/leaving-cut", test_leaving_cut);
+  g_test_add_func ("/withdrawn/two-stops", test_two_stops);
+  return g_test_run ();
+}
