Agents: hear a router's revision by its links and heartbeats too

Every frame carries the sender's revision, but the agent read it from messages alone. HELLO, PROOF, PING and PONG were handled in the hub and theirs was dropped. So when a link to a router of another zone came up, the agent counted it as heard, was no longer cut off, and offered all its slots to the router of its own zone, until it asked (once a second) or the platform's back-off (up to 5 s) ended.

Change: a link keeps the newest revision that its frames showed; `up' brings it, and a new event `heartbeat' does for PING and PONG. An agent behind it grants nothing until it has what is newer, as with messages. Routers leave the event out: agents decide, and a fleet's tree tells routers.

--- a/libcoltsfootdrum/agent/agent-peers.c
+++ b/libcoltsfootdrum/agent/agent-peers.c
@@ -133,6 +133,13 @@
   g_ptr_array_set_size (agent->held, 0);
 }
 
+static void
+on_heartbeat (void *user, const peer_id_t *peer, cfd_time_t now)
+{
+  if (peer->role == ROLE_ROUTER)
+    config_hear (user, peer->instance, peer->revision, now);
+}
+
 static void
 on_up (void *user, const peer_id_t *peer, cfd_time_t now)
 {
@@ -143,6 +150,11 @@
   if (peer->role != ROLE_ROUTER)
     return;
   links_up (agent->links, peer->instance, peer->zone);
+  /* From here on the router counts as heard, and an agent that was cut off may
+     take work again.  Were its revision left to its first message, which may
+     be seconds away, an agent in a zone taken out meanwhile would go on with
+     what it last knew.  */
+  config_hear (agent, peer->instance, peer->revision, now);
   /* A restarted router remembers none of what it sent.  */
   g_hash_table_iter_init (&iter, agent->runs);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -195,5 +207,8 @@
   agent->silences[0] = counters.silences;
 }
 
-const peer_events_t agent_peer_events
-    = { on_message, on_up, on_down, on_revision };
+const peer_events_t agent_peer_events = { .message = on_message,
+                                          .heartbeat = on_heartbeat,
+                                          .up = on_up,
+                                          .down = on_down,
+                                          .revision = on_revision };
--- a/libcoltsfootdrum/agent/test-agent.c
+++ b/libcoltsfootdrum/agent/test-agent.c
@@ -234,6 +234,58 @@
   scene_free (scene);
 }
 
+/* The agent is cut off as above, its zone is taken out, and then a router that
+   knows it is heard again: the agent counts as in reach at once, with the
+   platform still away and no message from that router yet.  Callers in the
+   zone must not be served on that strength: the link's first frame showed
+   newer configuration, so nothing is granted before it is here.  */
+static void
+test_heard_by_link (void)
+{
+  scene_t *scene = scene_new (ENGINE_HANGS);
+  struct ev_loop *others = ev_loop_new (0);
+  peer_hub_t *second = scene_other_router (scene, others, "router-2");
+  peer_hub_t *third = scene_other_router (scene, others, "router-3");
+  unsigned before;
+
+  scene_platform (scene, true);
+  scene_pass (scene, CUT_OFF_MS);
+  before = scene->grants;
+  scene_announce (scene, 1);
+  peer_hub_free (second);
+  scene->router_revision = scene->revision + 1;
+  second = scene_other_router (scene, scene->loop, "router-2");
+  scene->router_revision = scene->revision;
+  scene_announce (scene, 1);
+  scene_pass (scene, 300);
+  g_assert_cmpuint (scene->grants, ==, before);
+  peer_hub_free (second);
+  peer_hub_free (third);
+  ev_loop_destroy (others);
+  scene_free (scene);
+}
+
+/* A router has nothing to say but heartbeats when it learns that the zone was
+   taken out; another that hasn't learnt it announces work.  The agent, which
+   has no word from the platform, heard the first one's revision and grants
+   nothing.  */
+static void
+test_heard_by_heartbeat (void)
+{
+  scene_t *scene = scene_new (ENGINE_HANGS);
+  peer_hub_t *second = scene_other_router (scene, scene->loop, "router-2");
+
+  scene_platform (scene, true);
+  scene->router_revision = scene->revision + 1;
+  scene_pass (scene, PEER_SILENCE_MS);
+  scene->router_revision = scene->revision;
+  scene_announce (scene, 1);
+  scene_pass (scene, 300);
+  g_assert_cmpuint (scene->grants, ==, 0);
+  peer_hub_free (second);
+  scene_free (scene);
+}
+
 /* The platform alone is out of reach: work goes on.  */
 static void
 test_platform_down (void)
@@ -324,6 +376,8 @@
   g_test_add_func ("/agent/slow-reader", test_slow_reader);
   g_test_add_func ("/agent/cancel", test_cancel);
   g_test_add_func ("/agent/cut-off", test_cut_off);
+  g_test_add_func ("/agent/heard-by-link", test_heard_by_link);
+  g_test_add_func ("/agent/heard-by-heartbeat", test_heard_by_heartbeat);
   g_test_add_func ("/agent/platform-down", test_platform_down);
   g_test_add_func ("/agent/stale", test_stale);
   g_test_add_func ("/agent/slots", test_slots);
--- a/libcoltsfootdrum/agent/test-scene.c
+++ b/libcoltsfootdrum/agent/test-scene.c
@@ -277,8 +277,9 @@
   return ((scene_t *)user)->router_revision;
 }
 
-static const peer_events_t events
-    = { on_message, on_up, on_down, on_revision };
+static const peer_events_t events = {
+  .message = on_message, .up = on_up, .down = on_down, .revision = on_revision
+};
 
 /* ---- the scene ---- */
 
@@ -321,7 +322,8 @@
 scene_other_router (scene_t *scene, struct ev_loop *loop, const char *name)
 {
   g_autofree char *link = address (PORT_LINK);
-  static const peer_events_t only_up = { NULL, on_up, NULL, on_revision };
+  static const peer_events_t only_up
+      = { .up = on_up, .revision = on_revision };
   peer_self_t self = { .role = ROLE_ROUTER,
                        .instance = name,
                        .zone = "z",
--- a/libcoltsfootdrum/router/router.c
+++ b/libcoltsfootdrum/router/router.c
@@ -272,7 +272,9 @@
 start_links (cfd_router_t *router, const cfd_settings_t *settings,
              GError **error)
 {
-  static const peer_events_t events = { on_message, on_up, on_down, revision };
+  static const peer_events_t events = {
+    .message = on_message, .up = on_up, .down = on_down, .revision = revision
+  };
   const peer_self_t self = { .role = ROLE_ROUTER,
                              .instance = settings->instance,
                              .zone = settings->zone,
--- a/libcoltsfootdrum/router/test-router-config.c
+++ b/libcoltsfootdrum/router/test-router-config.c
@@ -98,8 +98,10 @@
 static node_t *
 play (fixture_t *f, const char *name, struct ev_loop *loop)
 {
-  static const peer_events_t events
-      = { on_message, on_link, on_link, on_revision };
+  static const peer_events_t events = { .message = on_message,
+                                        .up = on_link,
+                                        .down = on_link,
+                                        .revision = on_revision };
   g_autofree char *listen = address (f, name);
   g_autofree char *router = address (f, SELF);
   const peer_self_t self = { .role = name[0] == 'a' ? ROLE_AGENT : ROLE_ROUTER,
--- a/libcoltsfootdrum/wire/peer-auth.c
+++ b/libcoltsfootdrum/wire/peer-auth.c
@@ -153,6 +153,9 @@
 auth_frame (peer_link_t *link, const msg_t *message, const uint8_t *payload,
             size_t length, cfd_time_t now)
 {
+  /* Believed once the link is proved: the other side's HELLO is part of its
+     proof, and before that the owner hears of nothing.  */
+  link_show_revision (link, message);
   if (link->state == LINK_HELLO && message->kind == MSG_HELLO)
     return take_hello (link, &message->u.hello, payload, length);
   if (link->state == LINK_PROOF && message->kind == MSG_PROOF)
--- a/libcoltsfootdrum/wire/peer-link.c
+++ b/libcoltsfootdrum/wire/peer-link.c
@@ -255,6 +255,21 @@
     hlc_merge (hub->clock, stamp, wall);
 }
 
+static void
+tell_heartbeat (peer_link_t *link, cfd_time_t now)
+{
+  peer_hub_t *hub = link->hub;
+
+  if (hub->events.heartbeat != NULL)
+    hub->events.heartbeat (hub->user, &link->id, now);
+}
+
+void
+link_show_revision (peer_link_t *link, const msg_t *message)
+{
+  link->id.revision = MAX (link->id.revision, message->revision);
+}
+
 static bool
 take_proved (peer_link_t *link, const msg_t *message, cfd_time_t now)
 {
@@ -262,6 +277,7 @@
   msg_t pong = { .kind = MSG_PONG };
 
   take_stamp (hub, message->stamp);
+  link_show_revision (link, message);
   switch (message->kind)
     {
     case MSG_HELLO:
@@ -269,9 +285,11 @@
       return false;
     case MSG_PING:
       (void)link_send (link, &pong);
+      tell_heartbeat (link, now);
       return true;
     case MSG_PONG:
       watch_pong (link);
+      tell_heartbeat (link, now);
       return true;
     default:
       if (hub->events.message != NULL)
--- a/libcoltsfootdrum/wire/peer-private.h
+++ b/libcoltsfootdrum/wire/peer-private.h
@@ -135,6 +135,8 @@
    is full.  */
 bool link_send (peer_link_t *link, msg_t *message);
 void link_flush (peer_link_t *link);
+/* Keeps the revision that MESSAGE, from the other side, was sent at.  */
+void link_show_revision (peer_link_t *link, const msg_t *message);
 size_t link_pending (const peer_link_t *link);
 
 /* ---- peer-auth.c: who is the other side ---- */
--- a/libcoltsfootdrum/wire/peer.h
+++ b/libcoltsfootdrum/wire/peer.h
@@ -45,6 +45,7 @@
   const char *instance;
   const char *zone;
   uint64_t incarnation;
+  uint64_t revision; /* of configuration, the newest that it showed */
 } peer_id_t;
 
 typedef struct
@@ -52,6 +53,8 @@
   /* PEER is valid during the call only; MESSAGE too.  */
   void (*message) (void *user, const peer_id_t *peer, const msg_t *message,
                    cfd_time_t now);
+  /* A PING or PONG came: nothing but the revision in PEER is news.  */
+  void (*heartbeat) (void *user, const peer_id_t *peer, cfd_time_t now);
   /* The first proved link to this peer incarnation is there.  */
   void (*up) (void *user, const peer_id_t *peer, cfd_time_t now);
   /* The last link to this peer incarnation is gone.  */
