Retries: tell a request given back from an endpoint not reached

Cause: agent-faults/retry-elsewhere was red once in a run of all tests: 1 retry in place of 0 went to "the agent that had failed the request". With its events printed, 1 of 72 runs (24 at once) was red again and shows the order: an agent that was ejected gives requests back unstarted whose grants were on their way; the router keeps them from no agent, for that word says nothing against the endpoint; 844 ms later one of them is that agent's first probe. It had not failed there.

Ruled out: the memory of failed agents that lapses after 3 s; a lost link.

Change: the event of such a retry was "it was not started", and so was that of an endpoint that could not be reached, after which the agent is avoided.

--- a/libcoltsfootdrum/router/router-request.c
+++ b/libcoltsfootdrum/router/router-request.c
@@ -281,7 +281,9 @@
       return;
     case REQ_DO_REQUEUE:
       router->counters.returned++;
-      router_note (router, TL_RETRY, request, "it was not started");
+      router_note (router, TL_RETRY, request,
+                   request->not_started ? "the agent gave it back unstarted"
+                                        : "the endpoint was not reached");
       avoid_agent (request, now);
       release_agent (request);
       put_back (request, now);
