--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 check: $(BUILD)/build.ninja $(SANITIZED)/build.ninja
 	tests/check.sh short $(BUILD) $(SANITIZED)
 
-# The soaks of a minute, whose seeds were red once.
+# The soaks of a minute.
 check-long: $(BUILD)/build.ninja $(SANITIZED)/build.ninja
 	tests/check.sh long $(BUILD) $(SANITIZED)
 
--- a/tests/fault-events.c
+++ b/tests/fault-events.c
@@ -2,9 +2,10 @@
 
 #include <string.h>
 
-/* The detail of a retry that follows no failure: an agent's word that nothing
-   ran there comes also when it was ejected with grants on their way, says
-   nothing against the endpoint, and its next probe may be that request.  */
+/* The detail of a retry that follows no failure of the request: another one
+   failed, the agent's limit was cut back or it was ejected, and what answered
+   the grants on their way was given back unstarted.  A router avoids no agent
+   for that word, so the next slot offered there may take the request again. */
 #define RETRY_GIVEN_BACK "the agent gave it back unstarted"
 
 JsonArray *
