--- a/libcoltsfootdrum/base/log.c
+++ b/libcoltsfootdrum/base/log.c
@@ -47,9 +47,10 @@
   invariant_hook_t hook;
   void *hook_user;
   bool has_writer;
-  unsigned lost; /* lines that standard error did not take */
+  int descriptor;
+  unsigned lost; /* lines that the descriptor did not take */
   unsigned failures;
-} state = { .least = LOG_INFO };
+} state = { .least = LOG_INFO, .descriptor = STDERR_FILENO };
 
 static const char *const level_names[] = { "error", "warn", "info", "debug" };
 
@@ -169,13 +170,13 @@
       state.instance ? state.instance : "-", part, message);
 }
 
-/* A reader of our standard error that stopped must not stop us: a pipe that
-   has room for PIPE_BUF bytes takes one line without blocking, and else the
-   line is lost and counted.  */
+/* A reader of our log that stopped must not stop us: a pipe that has room for
+   PIPE_BUF bytes takes one line without blocking, and else the line is lost
+   and counted.  */
 static void
-write_stderr (const char *line)
+write_out (const char *line)
 {
-  struct pollfd ready = { .fd = STDERR_FILENO, .events = POLLOUT };
+  struct pollfd ready = { .fd = state.descriptor, .events = POLLOUT };
   g_autofree char *text = NULL;
 
   if (poll (&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)
@@ -186,7 +187,7 @@
   text = state.lost > 0 ? g_strdup_printf ("%.*s\n(lines lost: %u)\n",
                                            LINE_MOST, line, state.lost)
                         : g_strdup_printf ("%.*s\n", LINE_MOST, line);
-  if (write (STDERR_FILENO, text, strlen (text)) < 0)
+  if (write (state.descriptor, text, strlen (text)) < 0)
     {
       state.lost++;
       return;
@@ -218,7 +219,7 @@
   if (state.sink != NULL)
     state.sink (state.sink_user, line);
   else
-    write_stderr (line);
+    write_out (line);
 }
 
 static log_level_t
@@ -310,6 +311,12 @@
   use_writer ();
 }
 
+void
+log_set_descriptor (int descriptor)
+{
+  state.descriptor = descriptor;
+}
+
 void
 log_set_sink (log_sink_t sink, void *user)
 {
--- a/libcoltsfootdrum/base/log.h
+++ b/libcoltsfootdrum/base/log.h
@@ -19,7 +19,10 @@
 /* INSTANCE goes into every line; JSON selects one JSON object a line.  */
 void log_setup (const char *instance, log_level_t least, bool json);
 
-/* Receives each finished line, without its newline; NULL is standard error. */
+/* Where lines go; standard error until then.  */
+void log_set_descriptor (int descriptor);
+
+/* Receives each finished line, without its newline; NULL is the descriptor. */
 typedef void (*log_sink_t) (void *user, const char *line);
 void log_set_sink (log_sink_t sink, void *user);
 
--- /dev/null
+++ b/libcoltsfootdrum/relay/con.c
@@ -0,0 +1,293 @@
+/* Connections: one ev_io for reading, one for writing while bytes are kept. */
+
+#include "relay/con.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <unistd.h>
+
+/* One read; larger than a usual request or event, so that one call takes all
+   that is there.  */
+#define READ_BYTES 16384
+/* Reads for one wake, so that one busy connection can't hold up the others. */
+#define READS_A_WAKE 4
+/* Bytes sent and not acknowledged for so long end the connection: a path that
+   went silent gives no reset, and the caller would wait for its deadline.  */
+#define SILENT_MS 2500
+
+struct con
+{
+  struct ev_loop *loop;
+  ev_io reader;
+  ev_io writer;
+  ev_timer later; /* tells of an end outside the caller's stack */
+  const con_ops_t *ops;
+  void *user;
+  GByteArray *out;
+  size_t out_done; /* bytes at the front of OUT that are written */
+  bool *gone;      /* set when freed while a callback runs */
+  bool connected;
+  bool sent;
+  bool ending; /* closes once OUT is written */
+  bool failed;
+};
+
+static void
+tell_end (con_t *con, con_end_t end)
+{
+  ev_io_stop (con->loop, &con->reader);
+  ev_io_stop (con->loop, &con->writer);
+  con->ops->ended (con->user, end);
+}
+
+static void
+on_later (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  con_t *con = timer->data;
+
+  tell_end (con, CON_END_RESET);
+}
+
+static void
+fail_later (con_t *con)
+{
+  con->failed = true;
+  ev_io_stop (con->loop, &con->writer);
+  if (ev_is_active (&con->later))
+    return;
+  ev_timer_set (&con->later, 0., 0.);
+  ev_timer_start (con->loop, &con->later);
+}
+
+/* Writes what is kept; false when the connection is broken.  */
+static bool
+flush (con_t *con)
+{
+  while (con->out_done < con->out->len)
+    {
+      ssize_t n = send (con->reader.fd, con->out->data + con->out_done,
+                        con->out->len - con->out_done, MSG_NOSIGNAL);
+
+      if (n < 0 && (errno == EAGAIN || errno == EINTR))
+        return true;
+      if (n < 0)
+        return false;
+      con->sent = true;
+      con->out_done += (size_t)n;
+    }
+  g_byte_array_set_size (con->out, 0);
+  con->out_done = 0;
+  ev_io_stop (con->loop, &con->writer);
+  if (con->ending)
+    shutdown (con->reader.fd, SHUT_WR);
+  return true;
+}
+
+static bool
+finish_connect (con_t *con)
+{
+  int problem = 0;
+  socklen_t length = sizeof problem;
+
+  if (getsockopt (con->reader.fd, SOL_SOCKET, SO_ERROR, &problem, &length) != 0
+      || problem != 0)
+    {
+      tell_end (con, CON_END_UNREACHED);
+      return false;
+    }
+  con->connected = true;
+  ev_io_start (con->loop, &con->reader);
+  return true;
+}
+
+static void
+on_writable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  con_t *con = watcher->data;
+  bool gone = false;
+
+  if (!con->connected)
+    {
+      if (!finish_connect (con))
+        return;
+      con->gone = &gone;
+      if (con->ops->connected != NULL)
+        con->ops->connected (con->user);
+      if (gone)
+        return;
+      con->gone = NULL;
+    }
+  if (!flush (con))
+    tell_end (con, CON_END_RESET);
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  con_t *con = watcher->data;
+  char buffer[READ_BYTES];
+  bool gone = false;
+
+  for (int i = 0; i < READS_A_WAKE; i++)
+    {
+      ssize_t n = recv (watcher->fd, buffer, sizeof buffer, 0);
+
+      if (n < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+      if (n <= 0)
+        {
+          tell_end (con, n == 0 ? CON_END_CLOSED : CON_END_RESET);
+          return;
+        }
+      con->gone = &gone;
+      con->ops->bytes (con->user, buffer, (size_t)n);
+      if (gone)
+        return;
+      con->gone = NULL;
+      if ((size_t)n < sizeof buffer || !ev_is_active (&con->reader))
+        return;
+    }
+}
+
+static void
+set_options (int fd)
+{
+  int on = 1;
+  unsigned silent = SILENT_MS;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof silent);
+}
+
+static con_t *
+con_new (struct ev_loop *loop, int fd, const con_ops_t *ops, void *user)
+{
+  con_t *con = g_new0 (con_t, 1);
+
+  set_options (fd);
+  con->loop = loop;
+  con->ops = ops;
+  con->user = user;
+  con->out = g_byte_array_new ();
+  ev_io_init (&con->reader, on_readable, fd, EV_READ);
+  ev_io_init (&con->writer, on_writable, fd, EV_WRITE);
+  ev_timer_init (&con->later, on_later, 0., 0.);
+  con->reader.data = con;
+  con->writer.data = con;
+  con->later.data = con;
+  return con;
+}
+
+con_t *
+con_new_accepted (struct ev_loop *loop, int fd, const con_ops_t *ops,
+                  void *user)
+{
+  con_t *con = con_new (loop, fd, ops, user);
+
+  con->connected = true;
+  ev_io_start (loop, &con->reader);
+  return con;
+}
+
+con_t *
+con_new_dialled (struct ev_loop *loop, const addr_t *addr,
+                 const con_ops_t *ops, void *user)
+{
+  int fd = addr_dial (addr);
+  con_t *con;
+
+  if (fd < 0)
+    return NULL;
+  con = con_new (loop, fd, ops, user);
+  ev_io_start (loop, &con->writer);
+  return con;
+}
+
+void
+con_free (con_t *con)
+{
+  if (con == NULL)
+    return;
+  if (con->gone != NULL)
+    *con->gone = true;
+  ev_io_stop (con->loop, &con->reader);
+  ev_io_stop (con->loop, &con->writer);
+  ev_timer_stop (con->loop, &con->later);
+  close (con->reader.fd);
+  g_byte_array_unref (con->out);
+  g_free (con);
+}
+
+void
+con_set_ops (con_t *con, const con_ops_t *ops, void *user)
+{
+  con->ops = ops;
+  con->user = user;
+}
+
+bool
+con_is_connected (const con_t *con)
+{
+  return con->connected;
+}
+
+void
+con_write (con_t *con, const void *bytes, size_t length)
+{
+  if (con->failed)
+    return;
+  if (con->connected && con->out->len == 0)
+    {
+      ssize_t n = send (con->reader.fd, bytes, length, MSG_NOSIGNAL);
+
+      if (n < 0 && errno != EAGAIN && errno != EINTR)
+        {
+          fail_later (con);
+          return;
+        }
+      if (n > 0)
+        {
+          con->sent = true;
+          bytes = (const char *)bytes + n;
+          length -= (size_t)n;
+        }
+    }
+  if (length == 0)
+    return;
+  g_byte_array_append (con->out, bytes, (guint)length);
+  ev_io_start (con->loop, &con->writer);
+}
+
+size_t
+con_unwritten (const con_t *con)
+{
+  return con->out->len - con->out_done;
+}
+
+bool
+con_has_sent (const con_t *con)
+{
+  return con->sent;
+}
+
+void
+con_end_when_written (con_t *con)
+{
+  con->ending = true;
+  if (con->connected && con->out->len == 0)
+    shutdown (con->reader.fd, SHUT_WR);
+}
+
+void
+con_hold (con_t *con, bool hold)
+{
+  if (!con->connected || con->failed)
+    return;
+  if (hold)
+    ev_io_stop (con->loop, &con->reader);
+  else
+    ev_io_start (con->loop, &con->reader);
+}
--- /dev/null
+++ b/libcoltsfootdrum/relay/edp.c
@@ -0,0 +1,308 @@
+/* The set of endpoints.  */
+
+#include "relay/edp.h"
+
+#include "base/list.h"
+#include "base/log.h"
+#include <string.h>
+#include <xxhash.h>
+
+/* Requests that a cold endpoint may get at once from one router.  */
+#define COLD_BURST 1.
+
+/* An endpoint that failed is left alone for the first span, and for twice as
+   long after each further failure, up to the second: long enough that a dead
+   one costs few requests, short enough that one that is back is used.  */
+#define SUSPECT_FIRST_MS 250
+#define SUSPECT_MOST_MS 4000
+
+struct edp_set
+{
+  struct ev_loop *loop;
+  list_node_t list;    /* edp_t in use */
+  list_node_t retired; /* gone or replaced, with work under way */
+  GHashTable *by_id;   /* id to edp_t in use */
+  GStrv out;           /* availability zones out of service */
+};
+
+void
+edp_report_free (edp_report_t *report)
+{
+  if (report == NULL)
+    return;
+  g_free (report->id);
+  g_free (report->service);
+  g_free (report->address);
+  g_free (report->zone);
+  g_free (report);
+}
+
+static void
+edp_free (edp_t *edp)
+{
+  list_remove (&edp->node);
+  ups_free (edp->ups);
+  edp_report_free (edp->report);
+  g_free (edp);
+}
+
+edp_set_t *
+edp_set_new (struct ev_loop *loop)
+{
+  edp_set_t *set = g_new0 (edp_set_t, 1);
+
+  set->loop = loop;
+  list_init (&set->list);
+  list_init (&set->retired);
+  set->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  return set;
+}
+
+static void
+free_all (list_node_t *list)
+{
+  list_for_each_safe (node, list)
+    {
+      edp_free (list_entry (node, edp_t, node));
+    }
+}
+
+void
+edp_set_free (edp_set_t *set)
+{
+  if (set == NULL)
+    return;
+  free_all (&set->list);
+  free_all (&set->retired);
+  g_hash_table_unref (set->by_id);
+  g_strfreev (set->out);
+  g_free (set);
+}
+
+static void
+retire (edp_set_t *set, edp_t *edp)
+{
+  g_hash_table_remove (set->by_id, edp->report->id);
+  edp->report->leaving = true;
+  list_remove (&edp->node);
+  list_append (&set->retired, &edp->node);
+}
+
+static bool
+is_out (const edp_set_t *set, const char *zone)
+{
+  return set->out != NULL
+         && g_strv_contains ((const char *const *)set->out, zone);
+}
+
+/* Another process than before answers under the id, or at another address.  */
+static bool
+is_other (const edp_report_t *a, const edp_report_t *b)
+{
+  return strcmp (a->address, b->address) != 0
+         || (a->born_ms != 0 && b->born_ms != 0 && a->born_ms != b->born_ms);
+}
+
+static edp_t *
+add (edp_set_t *set, cfd_time_t now, edp_report_t *report)
+{
+  g_autoptr (GError) error = NULL;
+  addr_t addr;
+  edp_t *edp;
+
+  if (!addr_parse (report->address, &addr, &error))
+    {
+      log_warn ("endpoints",
+                "An endpoint was left out: endpoint=%s "
+                "problem=%s.",
+                report->id, error->message);
+      edp_report_free (report);
+      return NULL;
+    }
+  edp = g_new0 (edp_t, 1);
+  edp->report = report;
+  edp->hash = XXH3_64bits_withSeed (report->id, strlen (report->id),
+                                    (uint64_t)report->born_ms);
+  edp->cold_room = COLD_BURST;
+  edp->ups = ups_new (set->loop, &addr);
+  edp->missing_since = CFD_TIME_NEVER;
+  edp->withdrawn = is_out (set, report->zone);
+  edp->heard = now;
+  list_init (&edp->node);
+  list_append (&set->list, &edp->node);
+  g_hash_table_insert (set->by_id, report->id, edp);
+  log_info ("endpoints",
+            "An endpoint is listed: endpoint=%s service=%s zone=%s "
+            "address=%s slots=%u cold_ms=%" G_GINT64_FORMAT ".",
+            report->id, report->service, report->zone, report->address,
+            report->slots, report->cold_ms);
+  return edp;
+}
+
+/* Takes over REPORT for an endpoint that is known.  */
+static void
+renew (edp_set_t *set, edp_t *edp, edp_report_t *report)
+{
+  if (edp->report->leaving != report->leaving)
+    log_info ("endpoints", "An endpoint changed: endpoint=%s leaving=%d.",
+              report->id, report->leaving);
+  g_hash_table_remove (set->by_id, report->id);
+  edp_report_free (edp->report);
+  edp->report = report;
+  edp->missing_since = CFD_TIME_NEVER;
+  g_hash_table_insert (set->by_id, report->id, edp);
+}
+
+static void
+take_report (edp_set_t *set, cfd_time_t now, edp_report_t *report,
+             int64_t cold_ms, bool first)
+{
+  edp_t *edp = g_hash_table_lookup (set->by_id, report->id);
+  bool is_new = edp == NULL || is_other (edp->report, report);
+  int64_t cold = report->cold_ms;
+
+  if (edp != NULL && is_new)
+    retire (set, edp);
+  /* A start that was seen happen: the endpoint is as cold as it can be,
+     whatever a report from before its start says.  */
+  if (is_new && !first && cold_ms > 0 && report->born_ms == 0)
+    cold = MAX (cold, cold_ms);
+  if (is_new)
+    edp = add (set, now, report);
+  else
+    renew (set, edp, report);
+  if (edp != NULL && cold > 0 && now + cold > edp->cold_until)
+    edp->cold_until = now + cold;
+}
+
+static void
+drop_missing (edp_set_t *set, cfd_time_t now, GHashTable *seen, bool settled)
+{
+  list_for_each_safe (node, &set->list)
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      if (g_hash_table_contains (seen, edp->report->id))
+        continue;
+      if (edp->missing_since == CFD_TIME_NEVER)
+        {
+          edp->missing_since = now;
+          log_info ("endpoints",
+                    "An endpoint is no longer listed: endpoint=%s "
+                    "settled=%d.",
+                    edp->report->id, settled);
+        }
+      if (settled)
+        retire (set, edp);
+    }
+}
+
+void
+edp_set_update (edp_set_t *set, cfd_time_t now, GPtrArray *reports,
+                bool settled, int64_t cold_ms)
+{
+  g_autoptr (GHashTable) seen
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  bool first = list_is_empty (&set->list);
+
+  for (guint i = 0; i < reports->len; i++)
+    {
+      edp_report_t *report = g_ptr_array_index (reports, i);
+
+      g_hash_table_add (seen, g_strdup (report->id));
+      take_report (set, now, report, cold_ms, first);
+    }
+  g_ptr_array_set_free_func (reports, NULL);
+  g_ptr_array_unref (reports);
+  drop_missing (set, now, seen, settled);
+}
+
+void
+edp_set_withdraw (edp_set_t *set, const char *const *zones)
+{
+  g_strfreev (set->out);
+  set->out = g_strdupv ((char **)zones);
+  list_for_each (node, &set->list)
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      edp->withdrawn = is_out (set, edp->report->zone);
+    }
+}
+
+void
+edp_set_sweep (edp_set_t *set, cfd_time_t now)
+{
+  list_for_each (node, &set->list)
+    {
+      ups_sweep (list_entry (node, edp_t, node)->ups, now);
+    }
+  list_for_each_safe (node, &set->retired)
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      if (edp->active == 0)
+        edp_free (edp);
+    }
+}
+
+list_node_t *
+edp_set_list (edp_set_t *set)
+{
+  return &set->list;
+}
+
+edp_t *
+edp_set_find (edp_set_t *set, const char *id)
+{
+  return g_hash_table_lookup (set->by_id, id);
+}
+
+guint
+edp_set_count (const edp_set_t *set)
+{
+  return g_hash_table_size (set->by_id);
+}
+
+bool
+edp_is_open (const edp_t *edp, cfd_time_t now)
+{
+  return !edp->report->leaving && !edp->withdrawn && now >= edp->suspect_until;
+}
+
+bool
+edp_bears (edp_t *edp, cfd_time_t now, double per_s)
+{
+  double gained = (double)(now - edp->cold_filled) * per_s / 1000.;
+
+  if (now >= edp->cold_until)
+    return true;
+  edp->cold_room = MIN (edp->cold_room + gained, COLD_BURST);
+  edp->cold_filled = now;
+  return edp->cold_room >= 1.;
+}
+
+void
+edp_burden (edp_t *edp, cfd_time_t now)
+{
+  if (now < edp->cold_until)
+    edp->cold_room -= 1.;
+}
+
+void
+edp_failed (edp_t *edp, cfd_time_t now)
+{
+  unsigned doublings = MIN (edp->failures, 8);
+  int64_t span = MIN ((int64_t)SUSPECT_FIRST_MS << doublings, SUSPECT_MOST_MS);
+
+  edp->failures++;
+  edp->suspect_until = now + span;
+}
+
+void
+edp_worked (edp_t *edp, cfd_time_t now)
+{
+  edp->failures = 0;
+  edp->suspect_until = 0;
+  edp->heard = now;
+}
--- /dev/null
+++ b/libcoltsfootdrum/relay/hdr.c
@@ -0,0 +1,122 @@
+/* Header fields.  */
+
+#include "relay/hdr.h"
+
+#include <string.h>
+
+void
+hdr_init (hdr_t *hdr)
+{
+  hdr->text = g_byte_array_new ();
+  hdr->fields = g_array_new (FALSE, FALSE, sizeof (hdr_field_t));
+}
+
+void
+hdr_clear (hdr_t *hdr)
+{
+  g_clear_pointer (&hdr->text, g_byte_array_unref);
+  g_clear_pointer (&hdr->fields, g_array_unref);
+}
+
+void
+hdr_reset (hdr_t *hdr)
+{
+  g_byte_array_set_size (hdr->text, 0);
+  g_array_set_size (hdr->fields, 0);
+}
+
+static guint
+keep (hdr_t *hdr, const char *text)
+{
+  guint at = hdr->text->len;
+
+  g_byte_array_append (hdr->text, (const guint8 *)text,
+                       (guint)strlen (text) + 1);
+  return at;
+}
+
+void
+hdr_add (hdr_t *hdr, const char *name, const char *value)
+{
+  hdr_field_t field = { 0 };
+
+  field.name = keep (hdr, name);
+  field.value = keep (hdr, value);
+  g_array_append_val (hdr->fields, field);
+}
+
+guint
+hdr_count (const hdr_t *hdr)
+{
+  return hdr->fields->len;
+}
+
+const char *
+hdr_name (const hdr_t *hdr, guint i)
+{
+  const hdr_field_t *field = &g_array_index (hdr->fields, hdr_field_t, i);
+
+  return (const char *)hdr->text->data + field->name;
+}
+
+const char *
+hdr_value (const hdr_t *hdr, guint i)
+{
+  const hdr_field_t *field = &g_array_index (hdr->fields, hdr_field_t, i);
+
+  return (const char *)hdr->text->data + field->value;
+}
+
+const char *
+hdr_get (const hdr_t *hdr, const char *name)
+{
+  for (guint i = 0; i < hdr_count (hdr); i++)
+    if (g_ascii_strcasecmp (hdr_name (hdr, i), name) == 0)
+      return hdr_value (hdr, i);
+  return NULL;
+}
+
+/* True when the comma-separated LIST holds WORD.  */
+static bool
+list_holds (const char *list, const char *word)
+{
+  g_auto (GStrv) parts = g_strsplit (list, ",", -1);
+
+  for (char **part = parts; *part != NULL; part++)
+    if (g_ascii_strcasecmp (g_strstrip (*part), word) == 0)
+      return true;
+  return false;
+}
+
+bool
+hdr_is_hop (const hdr_t *hdr, guint i)
+{
+  static const char *const hop[] = { "Connection",
+                                     "Keep-Alive",
+                                     "Proxy-Connection",
+                                     "TE",
+                                     "Trailer",
+                                     "Transfer-Encoding",
+                                     "Upgrade",
+                                     "Proxy-Authenticate",
+                                     "Proxy-Authorization",
+                                     "Expect",
+                                     NULL };
+  const char *name = hdr_name (hdr, i);
+  const char *connection;
+
+  for (const char *const *fixed = hop; *fixed != NULL; fixed++)
+    if (g_ascii_strcasecmp (*fixed, name) == 0)
+      return true;
+  connection = hdr_get (hdr, "Connection");
+  return connection != NULL && list_holds (connection, name);
+}
+
+void
+hdr_put (GString *out, const char *name, const char *value)
+{
+  g_string_append (out, name);
+  g_string_append_len (out, ": ", 2);
+  g_string_append (out, value);
+  g_string_append_len (out, "\r\n", 2);
+}
--- /dev/null
+++ b/libcoltsfootdrum/relay/pal.h
@@ -0,0 +1,41 @@
+/* What routers tell each other: how much each has under way at each endpoint,
+   what accounts got from it, and which prompts it sent where.
+
+   Datagrams with absolute figures, sent to every other router at each tick: a
+   lost, doubled or late one does no harm, and a router that falls silent is
+   forgotten.  The codec is msgpack-c's.  */
+
+#ifndef RELAY_PAL_H
+#define RELAY_PAL_H
+
+#include "relay/edp.h"
+#include "relay/pfx.h"
+#include "relay/use.h"
+
+typedef struct pal pal_t;
+
+/* NULL with CFD_ERROR_ADDRESS when ADDRESS (IP:PORT) can't be bound.  */
+pal_t *pal_new (struct ev_loop *loop, const char *name, const char *address,
+                edp_set_t *endpoints, use_t *use, pfx_t *pfx, GError **error);
+void pal_free (pal_t *pal);
+
+/* The other routers' addresses, as the platform's store lists them.  */
+void pal_set_peers (pal_t *pal, const char *const *addresses);
+
+/* Routers heard lately, this one included.  */
+unsigned pal_routers (const pal_t *pal);
+
+/* How long the platform's list of endpoints has been read well here, and the
+   longest such time of any other router; -1: not at all.  */
+void pal_set_steady (pal_t *pal, int64_t steady_ms);
+int64_t pal_peers_steady (const pal_t *pal, cfd_time_t now);
+
+/* Sends this router's figures and adds up the others'.  */
+void pal_tick (pal_t *pal, cfd_time_t now);
+
+/* One datagram's content, for tests.  */
+GByteArray *pal_pack (pal_t *pal, cfd_time_t now);
+/* False when BYTES is no figures of another router.  */
+bool pal_take (pal_t *pal, cfd_time_t now, const void *bytes, size_t length);
+
+#endif
--- /dev/null
+++ b/libcoltsfootdrum/relay/pfx.c
@@ -0,0 +1,217 @@
+/* Cached parts of prompts.  */
+
+#include "relay/pfx.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* A part that was not used for so long is taken for evicted.  */
+#define KEPT_MS 15000
+
+struct pfx
+{
+  GHashTable *uses; /* uint64_t of part and endpoint to pfx_use_t */
+  GArray *news;     /* pfx_news_t, the oldest first */
+};
+
+typedef struct
+{
+  uint64_t key;
+  cfd_time_t last;
+} pfx_use_t;
+
+static guint
+use_hash (gconstpointer data)
+{
+  return (guint) * (const uint64_t *)data;
+}
+
+static gboolean
+use_equal (gconstpointer a, gconstpointer b)
+{
+  return *(const uint64_t *)a == *(const uint64_t *)b;
+}
+
+/* One "ID:TOKENS"; the id is chained to that of the part BEFORE it.  */
+static bool
+parse_part (const char *text, uint64_t before, pfx_part_t *part)
+{
+  const char *colon = strchr (text, ':');
+  char *end = NULL;
+  unsigned long tokens;
+
+  if (colon == NULL || colon == text)
+    return false;
+  tokens = strtoul (colon + 1, &end, 10);
+  if (end == colon + 1 || *end != '\0' || tokens > G_MAXINT)
+    return false;
+  part->id = XXH3_64bits_withSeed (text, (size_t)(colon - text), before);
+  part->tokens = (unsigned)tokens;
+  return true;
+}
+
+pfx_prompt_t *
+pfx_prompt_parse (const char *text)
+{
+  g_auto (GStrv) words = g_strsplit (text, ",", -1);
+  g_autoptr (pfx_prompt_t) prompt = g_new0 (pfx_prompt_t, 1);
+  uint64_t before = 0;
+
+  prompt->parts = g_array_new (FALSE, FALSE, sizeof (pfx_part_t));
+  for (char **word = words; *word != NULL; word++)
+    {
+      pfx_part_t part;
+
+      if (!parse_part (g_strstrip (*word), before, &part))
+        return NULL;
+      before = part.id;
+      prompt->tokens += part.tokens;
+      g_array_append_val (prompt->parts, part);
+    }
+  return prompt->parts->len > 0 ? g_steal_pointer (&prompt) : NULL;
+}
+
+void
+pfx_prompt_free (pfx_prompt_t *prompt)
+{
+  if (prompt == NULL)
+    return;
+  g_array_unref (prompt->parts);
+  g_free (prompt);
+}
+
+static const pfx_part_t *
+part_at (const pfx_prompt_t *prompt, guint i)
+{
+  return &g_array_index (prompt->parts, pfx_part_t, i);
+}
+
+uint64_t
+pfx_prompt_shared (const pfx_prompt_t *prompt)
+{
+  if (prompt->parts->len < 2)
+    return 0;
+  return part_at (prompt, prompt->parts->len - 2)->id;
+}
+
+pfx_t *
+pfx_new (void)
+{
+  pfx_t *pfx = g_new0 (pfx_t, 1);
+
+  pfx->uses = g_hash_table_new_full (use_hash, use_equal, g_free, NULL);
+  pfx->news = g_array_new (FALSE, FALSE, sizeof (pfx_news_t));
+  return pfx;
+}
+
+void
+pfx_free (pfx_t *pfx)
+{
+  if (pfx == NULL)
+    return;
+  g_hash_table_unref (pfx->uses);
+  g_array_unref (pfx->news);
+  g_free (pfx);
+}
+
+unsigned
+pfx_prompt_shared_tokens (const pfx_prompt_t *prompt)
+{
+  return prompt->tokens - part_at (prompt, prompt->parts->len - 1)->tokens;
+}
+
+static uint64_t
+key_of (uint64_t endpoint, uint64_t part)
+{
+  return part ^ (endpoint * UINT64_C (0x9e3779b97f4a7c15));
+}
+
+static void
+note_part (pfx_t *pfx, cfd_time_t now, uint64_t endpoint, uint64_t part)
+{
+  uint64_t key = key_of (endpoint, part);
+  pfx_use_t *use = g_hash_table_lookup (pfx->uses, &key);
+
+  if (use == NULL)
+    {
+      use = g_new0 (pfx_use_t, 1);
+      use->key = key;
+      g_hash_table_insert (pfx->uses, &use->key, use);
+    }
+  use->last = now;
+}
+
+/* All parts but the last, which is the request's own.  */
+void
+pfx_note (pfx_t *pfx, cfd_time_t now, uint64_t endpoint,
+          const pfx_prompt_t *prompt)
+{
+  pfx_news_t news = { .endpoint = endpoint,
+                      .part = pfx_prompt_shared (prompt),
+                      .at = now };
+
+  for (guint i = 0; i + 1 < prompt->parts->len; i++)
+    note_part (pfx, now, endpoint, part_at (prompt, i)->id);
+  if (news.part != 0)
+    g_array_append_val (pfx->news, news);
+}
+
+const GArray *
+pfx_news (pfx_t *pfx, cfd_time_t since)
+{
+  guint old = 0;
+
+  while (old < pfx->news->len
+         && g_array_index (pfx->news, pfx_news_t, old).at < since)
+    old++;
+  if (old > 0)
+    g_array_remove_range (pfx->news, 0, old);
+  return pfx->news;
+}
+
+void
+pfx_hear (pfx_t *pfx, cfd_time_t now, uint64_t endpoint, uint64_t part)
+{
+  note_part (pfx, now, endpoint, part);
+}
+
+static bool
+keeps (const pfx_t *pfx, cfd_time_t now, uint64_t endpoint, uint64_t part)
+{
+  uint64_t key = key_of (endpoint, part);
+  const pfx_use_t *use = g_hash_table_lookup (pfx->uses, &key);
+
+  return use != NULL && now - use->last <= KEPT_MS;
+}
+
+/* The longest chain of parts counts: it is kept together with all before.  */
+unsigned
+pfx_kept (const pfx_t *pfx, cfd_time_t now, uint64_t endpoint,
+          const pfx_prompt_t *prompt)
+{
+  unsigned tokens = pfx_prompt_shared_tokens (prompt);
+
+  for (guint i = prompt->parts->len - 1; i-- > 0;)
+    {
+      if (keeps (pfx, now, endpoint, part_at (prompt, i)->id))
+        return tokens;
+      tokens -= part_at (prompt, i)->tokens;
+    }
+  return 0;
+}
+
+static gboolean
+is_old (gpointer key, gpointer value, gpointer user)
+{
+  const pfx_use_t *use = value;
+  const cfd_time_t *now = user;
+
+  return *now - use->last > KEPT_MS;
+}
+
+void
+pfx_sweep (pfx_t *pfx, cfd_time_t now)
+{
+  g_hash_table_foreach_remove (pfx->uses, is_old, &now);
+}
--- /dev/null
+++ b/libcoltsfootdrum/relay/pfx.h
@@ -0,0 +1,67 @@
+/* Which parts of prompts an endpoint probably keeps in its cache: what routers
+   sent there lately.  A guess; a wrong one costs time alone.  */
+
+#ifndef RELAY_PFX_H
+#define RELAY_PFX_H
+
+#include "base/clock.h"
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct pfx pfx_t;
+
+/* One part of a prompt, in order.  */
+typedef struct
+{
+  uint64_t id; /* with that of all parts before it: a part is kept only
+                  together with these */
+  unsigned tokens;
+} pfx_part_t;
+
+typedef struct
+{
+  GArray *parts; /* pfx_part_t */
+  unsigned tokens;
+} pfx_prompt_t;
+
+/* "ID:TOKENS, ..." with hexadecimal IDs; NULL when malformed or empty.  */
+pfx_prompt_t *pfx_prompt_parse (const char *text);
+void pfx_prompt_free (pfx_prompt_t *prompt);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (pfx_prompt_t, pfx_prompt_free)
+
+/* The part by which requests that share a prompt's beginning are known: the
+   last one but the request's own.  0 when there is none.  */
+uint64_t pfx_prompt_shared (const pfx_prompt_t *prompt);
+
+pfx_t *pfx_new (void);
+void pfx_free (pfx_t *pfx);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (pfx_t, pfx_free)
+
+/* ENDPOINT is a hash of the endpoint's id and start.  */
+void pfx_note (pfx_t *pfx, cfd_time_t now, uint64_t endpoint,
+               const pfx_prompt_t *prompt);
+
+/* What other routers are to be told: the last shared part of a prompt that was
+   noted here lately.  */
+typedef struct
+{
+  uint64_t endpoint;
+  uint64_t part;
+  cfd_time_t at;
+} pfx_news_t;
+
+/* News since SINCE; valid until the next call.  */
+const GArray *pfx_news (pfx_t *pfx, cfd_time_t since);
+/* Another router sent a prompt that ends in PART, but for its own part.  */
+void pfx_hear (pfx_t *pfx, cfd_time_t now, uint64_t endpoint, uint64_t part);
+
+/* Tokens of all parts of PROMPT but its own.  */
+unsigned pfx_prompt_shared_tokens (const pfx_prompt_t *prompt);
+/* Tokens at the front of PROMPT that ENDPOINT keeps, probably.  */
+unsigned pfx_kept (const pfx_t *pfx, cfd_time_t now, uint64_t endpoint,
+                   const pfx_prompt_t *prompt);
+/* Forgets what is old.  */
+void pfx_sweep (pfx_t *pfx, cfd_time_t now);
+
+#endif
--- /dev/null
+++ b/libcoltsfootdrum/relay/plc.c
@@ -0,0 +1,105 @@
+/* Placement.  */
+
+#include "relay/plc.h"
+
+/* So many pairs of a prompt's tokens take as long as one token by itself: 4 x
+   layers x width operations a pair against 2 x parameters a token, for dense
+   models of some billion parameters.  */
+#define PAIRS_A_TOKEN 25000.
+/* An endpoint that is not the home of a prompt must be better by so much, so
+   that routers which know nothing yet choose the same one.  */
+#define AWAY_MS 8.
+/* What running requests add to the time of a new one, at full memory: their
+   tokens are made between the parts of its prompt.  */
+#define FULL_MS 60.
+/* A beginning that is read again costs its own time, and the same again for
+   what it pushes out of the cache.  */
+#define AGAIN 2.
+/* A prompt that takes longer to read than there is time may still go where it
+   waits for no more than this share of the time left.  */
+#define LONG_SHARE 0.4
+/* Of an endpoint's memory, running requests get so much; the rest keeps shared
+   beginnings.  */
+#define MEMORY_SHARE 0.85
+
+double
+plc_reading (double tokens, double kept)
+{
+  double pairs = (tokens * tokens - kept * kept) / 2.;
+
+  return MAX (tokens - kept, 0.) + MAX (pairs, 0.) / PAIRS_A_TOKEN;
+}
+
+double
+plc_first_token (const plc_endpoint_t *endpoint, const plc_request_t *request)
+{
+  return request->base_ms
+         + request->ms_per_work * (endpoint->unread + endpoint->own);
+}
+
+static bool
+is_in_time (const plc_endpoint_t *endpoint, const plc_request_t *request)
+{
+  double first = plc_first_token (endpoint, request);
+  double alone = first - request->ms_per_work * endpoint->unread;
+
+  if (first <= request->left_ms)
+    return true;
+  return alone > request->left_ms
+         && request->ms_per_work * endpoint->unread
+                <= request->left_ms * LONG_SHARE;
+}
+
+static bool
+has_room (const plc_endpoint_t *endpoint, const plc_request_t *request)
+{
+  if (endpoint->active >= endpoint->slots)
+    return false;
+  return endpoint->memory <= 0. || endpoint->active == 0
+         || endpoint->context + request->size
+                <= endpoint->memory * MEMORY_SHARE;
+}
+
+static double
+fullness (const plc_endpoint_t *endpoint)
+{
+  double slots = (double)endpoint->active / endpoint->slots;
+  double memory
+      = endpoint->memory > 0. ? endpoint->context / endpoint->memory : 0.;
+
+  return MAX (slots, memory);
+}
+
+static double
+cost_of (const plc_endpoint_t *endpoint, const plc_request_t *request)
+{
+  return plc_first_token (endpoint, request)
+         + AGAIN * request->ms_per_work * endpoint->missing
+         + fullness (endpoint) * FULL_MS + (endpoint->home ? 0. : AWAY_MS);
+}
+
+int
+plc_choose (const plc_endpoint_t *endpoints, guint count,
+            const plc_request_t *request)
+{
+  guint first = count > 0 ? (guint)(request->draw * count) % count : 0;
+  double best_cost = 0.;
+  int best = -1;
+
+  for (guint n = 0; n < count; n++)
+    {
+      guint i = (first + n) % count;
+      double cost;
+
+      if (!has_room (&endpoints[i], request)
+          || !is_in_time (&endpoints[i], request))
+        continue;
+      cost = cost_of (&endpoints[i], request);
+      if (best < 0 || cost < best_cost)
+        {
+          best = (int)i;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
--- /dev/null
+++ b/libcoltsfootdrum/relay/plc.h
@@ -0,0 +1,49 @@
+/* Where a request goes: a choice among endpoints, from plain figures.
+
+   Load pattern: long prompts before many short ones, on engines that admit in
+   order of arrival.  What is sent to an engine waits behind all prompts that
+   it has still to read, so that a request goes where its first token comes in
+   time, and waits here while that is nowhere.  Prompts that share a beginning
+   stay together while that costs little: each engine that reads the beginning
+   anew loses the time of reading, and the memory to keep it.  */
+
+#ifndef RELAY_PLC_H
+#define RELAY_PLC_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+typedef struct
+{
+  unsigned active; /* requests that run there, of all routers */
+  unsigned slots;  /* requests that may */
+  double unread;   /* reading work sent there and not done yet */
+  double own;      /* reading work of this request there */
+  double missing;  /* tokens of the shared beginning that it doesn't keep */
+  double context;  /* tokens in memory by requests that run */
+  double memory;   /* tokens that it can hold; 0: not told */
+  bool home;       /* where prompts with this beginning go by choice */
+} plc_endpoint_t;
+
+typedef struct
+{
+  double base_ms;     /* until the first token with nothing to be read */
+  double ms_per_work; /* and for each unit of reading work */
+  double left_ms;     /* until the first token is late */
+  double size;        /* tokens that it will hold in memory */
+  double draw;        /* from 0 to 1, breaks ties */
+} plc_request_t;
+
+/* Work of reading a prompt of TOKENS of which KEPT are there already, in
+   tokens: each is read together with all before it.  */
+double plc_reading (double tokens, double kept);
+
+/* Milliseconds until the first token of REQUEST at ENDPOINT.  */
+double plc_first_token (const plc_endpoint_t *endpoint,
+                        const plc_request_t *request);
+
+/* Index of the chosen one of COUNT endpoints; -1 when it has to wait.  */
+int plc_choose (const plc_endpoint_t *endpoints, guint count,
+                const plc_request_t *request);
+
+#endif
--- /dev/null
+++ b/libcoltsfootdrum/relay/rd.c
@@ -0,0 +1,257 @@
+/* HTTP/1.1 messages by libhttp-parser.  */
+
+#include "relay/rd.h"
+
+#include <http_parser.h>
+#include <string.h>
+
+struct rd
+{
+  http_parser parser;
+  rd_kind_t kind;
+  const rd_ops_t *ops;
+  void *user;
+  size_t head_most;
+  size_t head_bytes;
+  GString *target;
+  GString *name;
+  GString *value;
+  rd_head_t head;
+  bool in_value;
+  bool head_done;
+  bool started;
+  bool complete;
+  bool too_large;
+  bool no_body;
+};
+
+static rd_t *
+self (http_parser *parser)
+{
+  return parser->data;
+}
+
+/* Counts bytes of the head; false when it is over its bound.  */
+static bool
+count (rd_t *rd, size_t length)
+{
+  rd->head_bytes += length;
+  if (rd->head_bytes <= rd->head_most)
+    return true;
+  rd->too_large = true;
+  return false;
+}
+
+static void
+keep_field (rd_t *rd)
+{
+  if (!rd->in_value)
+    return;
+  hdr_add (&rd->head.fields, rd->name->str, rd->value->str);
+  g_string_truncate (rd->name, 0);
+  g_string_truncate (rd->value, 0);
+  rd->in_value = false;
+}
+
+static int
+on_begin (http_parser *parser)
+{
+  self (parser)->started = true;
+  return 0;
+}
+
+static int
+on_target (http_parser *parser, const char *at, size_t length)
+{
+  rd_t *rd = self (parser);
+
+  g_string_append_len (rd->target, at, (gssize)length);
+  return count (rd, length) ? 0 : 1;
+}
+
+static int
+on_name (http_parser *parser, const char *at, size_t length)
+{
+  rd_t *rd = self (parser);
+
+  keep_field (rd);
+  g_string_append_len (rd->name, at, (gssize)length);
+  return count (rd, length) ? 0 : 1;
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t length)
+{
+  rd_t *rd = self (parser);
+
+  rd->in_value = true;
+  g_string_append_len (rd->value, at, (gssize)length);
+  return count (rd, length) ? 0 : 1;
+}
+
+static bool
+is_interim (const http_parser *parser)
+{
+  return parser->type == HTTP_RESPONSE && parser->status_code / 100 == 1;
+}
+
+/* Requests without a length, and responses that never have a body.  */
+static bool
+has_no_body (const http_parser *parser)
+{
+  return parser->type == HTTP_REQUEST || parser->status_code == 204
+         || parser->status_code == 304;
+}
+
+static int
+on_head (http_parser *parser)
+{
+  rd_t *rd = self (parser);
+  rd_head_t *head = &rd->head;
+
+  keep_field (rd);
+  /* Neither side switches protocols; the parser would stop reading here.  */
+  parser->upgrade = 0;
+  if (is_interim (parser))
+    return 0;
+  rd->head_done = true;
+  head->method = http_method_str (parser->method);
+  head->target = rd->target->str;
+  head->status = parser->status_code;
+  head->keep_alive = http_should_keep_alive (parser) != 0;
+  head->length = parser->content_length == UINT64_MAX
+                     ? -1
+                     : (int64_t)parser->content_length;
+  head->framed = head->length >= 0 || (parser->flags & F_CHUNKED) != 0
+                 || rd->no_body || has_no_body (parser);
+  if ((parser->flags & F_CHUNKED) != 0)
+    head->length = -1;
+  if (!rd->ops->head (rd->user, head))
+    return -1;
+  return rd->no_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t length)
+{
+  rd_t *rd = self (parser);
+
+  rd->ops->body (rd->user, at, length);
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  rd_t *rd = self (parser);
+
+  if (is_interim (parser))
+    {
+      hdr_reset (&rd->head.fields);
+      return 0;
+    }
+  rd->complete = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_message_begin = on_begin,
+  .on_url = on_target,
+  .on_header_field = on_name,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+rd_t *
+rd_new (rd_kind_t kind, size_t head_most, const rd_ops_t *ops, void *user)
+{
+  rd_t *rd = g_new0 (rd_t, 1);
+
+  rd->kind = kind;
+  rd->head_most = head_most;
+  rd->ops = ops;
+  rd->user = user;
+  rd->target = g_string_new (NULL);
+  rd->name = g_string_new (NULL);
+  rd->value = g_string_new (NULL);
+  hdr_init (&rd->head.fields);
+  rd_reset (rd);
+  return rd;
+}
+
+void
+rd_free (rd_t *rd)
+{
+  if (rd == NULL)
+    return;
+  g_string_free (rd->target, TRUE);
+  g_string_free (rd->name, TRUE);
+  g_string_free (rd->value, TRUE);
+  hdr_clear (&rd->head.fields);
+  g_free (rd);
+}
+
+void
+rd_set_head_most (rd_t *rd, size_t head_most)
+{
+  rd->head_most = head_most;
+}
+
+void
+rd_reset (rd_t *rd)
+{
+  http_parser_init (&rd->parser,
+                    rd->kind == RD_REQUESTS ? HTTP_REQUEST : HTTP_RESPONSE);
+  rd->parser.data = rd;
+  rd->head_bytes = 0;
+  rd->in_value = false;
+  rd->head_done = false;
+  rd->started = false;
+  rd->complete = false;
+  rd->no_body = false;
+  g_string_truncate (rd->target, 0);
+  g_string_truncate (rd->name, 0);
+  g_string_truncate (rd->value, 0);
+  hdr_reset (&rd->head.fields);
+}
+
+rd_result_t
+rd_feed (rd_t *rd, const char *bytes, size_t length, size_t *used)
+{
+  *used = http_parser_execute (&rd->parser, &callbacks, bytes, length);
+  if (rd->complete)
+    return RD_COMPLETE;
+  if (rd->too_large)
+    return RD_TOO_LARGE;
+  if (HTTP_PARSER_ERRNO (&rd->parser) != HPE_OK)
+    return RD_BAD;
+  return RD_MORE;
+}
+
+rd_result_t
+rd_finish (rd_t *rd)
+{
+  http_parser_execute (&rd->parser, &callbacks, NULL, 0);
+  return rd->complete ? RD_COMPLETE : RD_BAD;
+}
+
+bool
+rd_is_idle (const rd_t *rd)
+{
+  return !rd->started;
+}
+
+void
+rd_expect_no_body (rd_t *rd, bool none)
+{
+  rd->no_body = none;
+}
+
+rd_head_t *
+rd_head (rd_t *rd)
+{
+  return &rd->head;
+}
--- /dev/null
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -0,0 +1,125 @@
+/* State that the relay's files share.  */
+
+#ifndef RELAY_RLY_PRIVATE_H
+#define RELAY_RLY_PRIVATE_H
+
+#include "base/list.h"
+#include "relay/bud.h"
+#include "relay/fit.h"
+#include "relay/pfx.h"
+#include "relay/rly.h"
+#include "relay/sse.h"
+
+typedef struct
+{
+  char *name;
+  bud_t repeats;
+  fit_t first_token; /* milliseconds by the reading work before it */
+  list_node_t lines; /* rly_line_t with requests that wait */
+  unsigned waiting;
+} rly_service_t;
+
+/* The waiting requests of one account at one service.  */
+typedef struct
+{
+  list_node_t node;
+  rly_service_t *service;
+  char *account;
+  list_node_t requests; /* the most urgent first, then the oldest */
+  double use;           /* of the account, as of this round */
+  bool passed;          /* its first request found no room this round */
+} rly_line_t;
+
+struct rly
+{
+  struct ev_loop *loop;
+  rly_names_t names;
+  rly_bounds_t bounds;
+  edp_set_t *endpoints;
+  use_t *use;
+  pfx_t *pfx; /* not owned */
+  rte_table_t *table;
+  GHashTable *services; /* name to rly_service_t */
+  list_node_t running;  /* rly_request_t */
+  rly_counts_t counts;
+  unsigned routers;
+  cfd_time_t swept;
+};
+
+/* An answer on its way back.  */
+typedef struct
+{
+  unsigned status;
+  GString *fields; /* finished lines for the caller */
+  GString *body;   /* gathered, or events not passed on yet */
+  sse_t events;
+  bool stream;  /* passed on as it comes */
+  bool not_run; /* the endpoint gave the request back */
+  bool sound;   /* the head may be passed on */
+  bool framed;  /* the end is known before the connection's */
+} rly_answer_t;
+
+typedef struct
+{
+  list_node_t node; /* in a line, or in running */
+  rly_t *rly;
+  ent_call_t *call;
+  rte_table_t *table;
+  const rte_route_t *route;
+  rly_service_t *service;
+  rly_line_t *line;             /* while it waits */
+  const rte_account_t *account; /* NULL on open routes */
+  char *id;
+  pfx_prompt_t *prompt; /* NULL for plain services */
+  double output;        /* tokens expected */
+  double charged;       /* what the account was charged */
+
+  cfd_time_t since;
+  cfd_time_t deadline; /* the caller's */
+  cfd_time_t timeout;  /* the route's */
+  unsigned tries;      /* sends, and connections that failed */
+  unsigned attempts;   /* endpoints that may have got it */
+  char *last_failed;   /* id of the endpoint that failed it last */
+
+  edp_t *edp; /* while it runs */
+  ups_exchange_t *exchange;
+  cfd_time_t sent_at;
+  double ahead;   /* reading work before its first token */
+  double unread;  /* its own part of that, until the first byte */
+  double context; /* tokens that it holds in memory */
+  bool began;     /* the caller has got the head */
+  bool cold;      /* sent while its endpoint was cold */
+  bool held;      /* the answer is not read on: its caller is behind */
+  rly_answer_t answer;
+} rly_request_t;
+
+/* rly.c */
+rly_service_t *rly_service (rly_t *rly, const char *name);
+const char *rly_account_name (const rly_request_t *request);
+/* Ends REQUEST; its call must have been answered or gone.  */
+void rly_request_free (rly_request_t *request);
+
+/* rly-queue.c: waiting and placement.  */
+void rly_wait (rly_request_t *request);
+void rly_unwait (rly_request_t *request);
+void rly_pump (rly_t *rly, rly_service_t *service, cfd_time_t now);
+void rly_pump_all (rly_t *rly, cfd_time_t now);
+
+/* rly-send.c: one exchange with an endpoint.  */
+bool rly_send (rly_request_t *request, edp_t *edp, cfd_time_t now);
+/* Takes REQUEST off its endpoint; CANCEL closes the connection.  */
+void rly_leave (rly_request_t *request, bool cancel);
+/* Time-outs of REQUEST while it runs.  */
+void rly_check_running (rly_request_t *request, cfd_time_t now);
+
+/* rly-answer.c: what the caller gets.  */
+void rly_refuse (rly_request_t *request, cfd_time_t now, const char *reason,
+                 int64_t retry_ms);
+void rly_fail (rly_request_t *request, unsigned status, const char *reason);
+void rly_answer_reset (rly_answer_t *answer);
+void rly_answer_clear (rly_answer_t *answer);
+void rly_take_head (rly_request_t *request, rd_head_t *head);
+void rly_take_body (rly_request_t *request, const char *bytes, size_t length);
+void rly_take_end (rly_request_t *request, ups_end_t end, cfd_time_t now);
+
+#endif
--- /dev/null
+++ b/libcoltsfootdrum/relay/rly.c
@@ -0,0 +1,332 @@
+/* The relay: a request from its arrival until it waits, and the tick.  */
+
+#include "relay/rly-private.h"
+
+#include "base/log.h"
+#include <stdlib.h>
+#include <string.h>
+
+/* Until endpoints' answers show how fast they read prompts; slow, so that a
+   fresh router sends them too little rather than too much.  */
+#define FIRST_BASE_MS 50.
+#define FIRST_MS_PER_WORK (1. / 80.)
+/* Until the configuration is known, callers are told to come back so soon.  */
+#define NO_TABLE_RETRY_MS 500
+/* Of a caller that names no deadline.  */
+#define USUAL_DEADLINE_MS 60000
+/* Sweeps of caches and idle connections.  */
+#define SWEEP_MS 500
+/* Of the budget of repeats a router takes a part for itself that keeps the sum
+   within the bound when work is spread unevenly.  */
+#define REPEAT_SAFETY 0.7
+
+static void
+service_free (void *data)
+{
+  rly_service_t *service = data;
+
+  g_free (service->name);
+  g_free (service);
+}
+
+rly_t *
+rly_new (struct ev_loop *loop, const rly_names_t *names,
+         const rly_bounds_t *bounds, edp_set_t *endpoints, use_t *use,
+         pfx_t *pfx)
+{
+  rly_t *rly = g_new0 (rly_t, 1);
+
+  rly->loop = loop;
+  rly->names = *names;
+  rly->bounds = *bounds;
+  rly->endpoints = endpoints;
+  rly->use = use;
+  rly->pfx = pfx;
+  rly->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  list_init (&rly->running);
+  rly->routers = 1;
+  return rly;
+}
+
+static void
+free_requests (list_node_t *list)
+{
+  list_for_each_safe (node, list)
+    {
+      rly_request_free (list_entry (node, rly_request_t, node));
+    }
+}
+
+static void
+free_lines (rly_service_t *service)
+{
+  while (!list_is_empty (&service->lines))
+    {
+      rly_line_t *line = list_entry (service->lines.next, rly_line_t, node);
+
+      /* The line goes with its last request.  */
+      rly_request_free (list_entry (line->requests.next, rly_request_t, node));
+    }
+}
+
+void
+rly_free (rly_t *rly)
+{
+  GHashTableIter each;
+  void *service;
+
+  if (rly == NULL)
+    return;
+  free_requests (&rly->running);
+  g_hash_table_iter_init (&each, rly->services);
+  while (g_hash_table_iter_next (&each, NULL, &service))
+    free_lines (service);
+  g_hash_table_unref (rly->services);
+  rte_table_unref (rly->table);
+  g_free (rly);
+}
+
+rly_service_t *
+rly_service (rly_t *rly, const char *name)
+{
+  rly_service_t *service = g_hash_table_lookup (rly->services, name);
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (rly_service_t, 1);
+  service->name = g_strdup (name);
+  fit_init (&service->first_token, FIRST_BASE_MS, FIRST_MS_PER_WORK);
+  list_init (&service->lines);
+  bud_init (&service->repeats, rly->bounds.repeat_window_ms,
+            rly->bounds.repeat_ratio * REPEAT_SAFETY,
+            rly->bounds.repeat_slack * REPEAT_SAFETY / rly->routers);
+  g_hash_table_insert (rly->services, service->name, service);
+  return service;
+}
+
+const char *
+rly_account_name (const rly_request_t *request)
+{
+  return request->account != NULL ? request->account->name : "";
+}
+
+void
+rly_set_table (rly_t *rly, rte_table_t *table)
+{
+  if (rly->table != NULL
+      && rte_table_version (table) <= rte_table_version (rly->table))
+    return;
+  log_info ("relay",
+            "A configuration is in force: version=%" G_GUINT64_FORMAT
+            " routes=%u.",
+            rte_table_version (table), rte_table_routes (table));
+  rte_table_unref (rly->table);
+  rly->table = rte_table_ref (table);
+}
+
+const rte_table_t *
+rly_table (const rly_t *rly)
+{
+  return rly->table;
+}
+
+void
+rly_set_routers (rly_t *rly, unsigned routers)
+{
+  GHashTableIter each;
+  void *service;
+
+  rly->routers = MAX (routers, 1);
+  g_hash_table_iter_init (&each, rly->services);
+  while (g_hash_table_iter_next (&each, NULL, &service))
+    ((rly_service_t *)service)->repeats.slack
+        = rly->bounds.repeat_slack * REPEAT_SAFETY / rly->routers;
+}
+
+const rly_counts_t *
+rly_counts (const rly_t *rly)
+{
+  return &rly->counts;
+}
+
+void
+rly_request_free (rly_request_t *request)
+{
+  if (request->edp != NULL)
+    rly_leave (request, true);
+  if (request->line != NULL)
+    rly_unwait (request);
+  list_remove (&request->node);
+  rly_answer_clear (&request->answer);
+  pfx_prompt_free (request->prompt);
+  rte_table_unref (request->table);
+  g_free (request->last_failed);
+  g_free (request->id);
+  g_free (request);
+}
+
+/* The key of "SCHEME KEY"; NULL when there is none.  */
+static const char *
+key_of (const rly_t *rly, const hdr_t *fields)
+{
+  const char *text = hdr_get (fields, "Authorization");
+  size_t scheme = strlen (rly->names.key_scheme);
+
+  if (text == NULL
+      || g_ascii_strncasecmp (text, rly->names.key_scheme, scheme) != 0
+      || text[scheme] != ' ')
+    return NULL;
+  return text + scheme + 1 + strspn (text + scheme + 1, " ");
+}
+
+/* A number in a field; MISSING without one.  */
+static double
+number (const hdr_t *fields, const char *name, double missing)
+{
+  const char *text = hdr_get (fields, name);
+  char *end = NULL;
+  double value = text != NULL ? g_ascii_strtod (text, &end) : missing;
+
+  return end != text && value >= 0. ? value : missing;
+}
+
+/* "PROMPT,MOST": the most tokens that may be generated.  */
+static double
+most_output (const hdr_t *fields, const char *name)
+{
+  const char *text = hdr_get (fields, name);
+  const char *comma = text != NULL ? strchr (text, ',') : NULL;
+
+  return comma != NULL ? g_ascii_strtod (comma + 1, NULL) : 0.;
+}
+
+static void
+read_work (rly_request_t *request, const hdr_t *fields)
+{
+  const rly_names_t *names = &request->rly->names;
+  const char *prompt = hdr_get (fields, names->prompt);
+
+  if (prompt != NULL)
+    request->prompt = pfx_prompt_parse (prompt);
+  request->output = number (fields, names->length_hint,
+                            most_output (fields, names->tokens));
+}
+
+static void
+answer_plainly (rly_t *rly, ent_call_t *call, unsigned status,
+                const char *reason)
+{
+  g_autofree char *fields = NULL;
+
+  log_info ("relay", "A request was turned away: status=%u reason=%s.", status,
+            reason);
+  rly->counts.refused++;
+  if (status == 503)
+    fields
+        = g_strdup_printf ("Retry-After: %.3f\r\n", NO_TABLE_RETRY_MS / 1000.);
+  ent_answer (call, status, fields, NULL, 0);
+}
+
+static rly_request_t *
+request_new (rly_t *rly, ent_call_t *call, const rte_route_t *route,
+             const rte_account_t *account)
+{
+  const hdr_t *fields = &ent_head (call)->fields;
+  rly_request_t *request = g_new0 (rly_request_t, 1);
+  double deadline = number (fields, rly->names.deadline_ms, USUAL_DEADLINE_MS);
+
+  request->rly = rly;
+  request->call = call;
+  request->table = rte_table_ref (rly->table);
+  request->route = route;
+  request->account = account;
+  request->id = g_strdup (hdr_get (fields, rly->names.request_id));
+  request->since = ent_since (call);
+  request->deadline = request->since + (int64_t)deadline;
+  request->timeout = CFD_TIME_NEVER;
+  if (route->timeout_ms > 0)
+    request->timeout = request->since + route->timeout_ms;
+  list_init (&request->node);
+  sse_init (&request->answer.events);
+  request->answer.fields = g_string_new (NULL);
+  request->answer.body = g_string_new (NULL);
+  read_work (request, fields);
+  return request;
+}
+
+void
+rly_on_request (void *user, ent_call_t *call)
+{
+  rly_t *rly = user;
+  rd_head_t *head = ent_head (call);
+  const char *host = hdr_get (&head->fields, "Host");
+  const char *key = key_of (rly, &head->fields);
+  const rte_account_t *account = NULL;
+  const rte_route_t *route;
+  rly_request_t *request;
+  cfd_time_t now = clock_now ();
+
+  rly->counts.requests++;
+  if (rly->table == NULL)
+    {
+      answer_plainly (rly, call, 503, "no-configuration");
+      return;
+    }
+  route = host != NULL ? rte_find (rly->table, host, head->target) : NULL;
+  if (route == NULL)
+    {
+      answer_plainly (rly, call, 404, "no-route");
+      return;
+    }
+  if (key != NULL)
+    account = rte_account (rly->table, key);
+  if (account == NULL && !route->open && rte_table_has_accounts (rly->table))
+    {
+      answer_plainly (rly, call, 401, "unknown-key");
+      return;
+    }
+  request = request_new (rly, call, route, account);
+  ent_set_data (call, request);
+  request->service
+      = rly_service (rly, rte_route_service (route, g_random_double ()));
+  bud_request (&request->service->repeats, now);
+  rly_wait (request);
+  rly_pump (rly, request->service, now);
+}
+
+void
+rly_on_gone (void *user, ent_call_t *call)
+{
+  rly_t *rly = user;
+  rly_request_t *request = ent_data (call);
+  rly_service_t *service;
+
+  if (request == NULL)
+    return;
+  rly->counts.departed++;
+  service = request->service;
+  rly_request_free (request);
+  rly_pump (rly, service, clock_now ());
+}
+
+static void
+tick_running (rly_t *rly, cfd_time_t now)
+{
+  list_for_each_safe (node, &rly->running)
+    {
+      rly_check_running (list_entry (node, rly_request_t, node), now);
+    }
+}
+
+void
+rly_tick (rly_t *rly, cfd_time_t now)
+{
+  tick_running (rly, now);
+  rly_pump_all (rly, now);
+  if (now - rly->swept < SWEEP_MS)
+    return;
+  rly->swept = now;
+  edp_set_sweep (rly->endpoints, now);
+  pfx_sweep (rly->pfx, now);
+}
