Relay: hold back accounts above their fair share, tell changes at once

The order of waiting is each router's own; a slot that got free was taken by whoever waited at the router that saw it.

Change: routers add up what accounts asked for and got; by that comes the level up to which all can be served, and an account above it may use but a part of the wait and of the room at an endpoint. Figures of an endpoint are told to the other routers in the turn in which they change, not at the next tick.

--- a/libcoltsfootdrum/relay/con.c
+++ b/libcoltsfootdrum/relay/con.c
@@ -221,6 +221,15 @@
   g_free (con);
 }
 
+void
+con_abort (con_t *con)
+{
+  struct linger none = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (con->reader.fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+  con_free (con);
+}
+
 void
 con_set_ops (con_t *con, const con_ops_t *ops, void *user)
 {
--- a/libcoltsfootdrum/relay/con.h
+++ b/libcoltsfootdrum/relay/con.h
@@ -39,6 +39,11 @@
 /* Closes; what is still unwritten is given up.  */
 void con_free (con_t *con);
 
+/* As con_free, and resets the connection: bytes that the peer didn't get yet
+   are never sent.  After a usual close the system goes on sending them, and a
+   request that was given up could reach its endpoint seconds later.  */
+void con_abort (con_t *con);
+
 /* Puts other callbacks in place.  */
 void con_set_ops (con_t *con, const con_ops_t *ops, void *user);
 
--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -258,6 +258,19 @@
   return g_hash_table_lookup (set->by_id, id);
 }
 
+edp_t *
+edp_set_by_hash (edp_set_t *set, uint64_t hash)
+{
+  list_for_each (node, &set->list)
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      if (edp->hash == hash)
+        return edp;
+    }
+  return NULL;
+}
+
 guint
 edp_set_count (const edp_set_t *set)
 {
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -43,6 +43,7 @@
   double peer_unread;
   double peer_context;
 
+  bool changed; /* the figures of this router, since others were told */
   cfd_time_t suspect_until; /* gets nothing new until then */
   unsigned failures;        /* in a row */
   cfd_time_t heard;         /* an answer's bytes came */
@@ -69,6 +70,7 @@
 
 list_node_t *edp_set_list (edp_set_t *set);
 edp_t *edp_set_find (edp_set_t *set, const char *id);
+edp_t *edp_set_by_hash (edp_set_t *set, uint64_t hash);
 guint edp_set_count (const edp_set_t *set);
 
 /* New work may go to it now, as far as its state says.  */
--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -270,12 +270,21 @@
 }
 
 void
-ent_free (ent_t *ent)
+ent_close_listener (ent_t *ent)
 {
-  if (ent == NULL)
+  if (ent->listener.fd < 0)
     return;
   ev_io_stop (ent->loop, &ent->listener);
   close (ent->listener.fd);
+  ent->listener.fd = -1;
+}
+
+void
+ent_free (ent_t *ent)
+{
+  if (ent == NULL)
+    return;
+  ent_close_listener (ent);
   list_for_each_safe (node, &ent->callers)
     {
       call_free (list_entry (node, ent_call_t, node));
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -37,6 +37,8 @@
 
 /* Answers from now on end their connections.  */
 void ent_drain (ent_t *ent);
+/* New connections are refused from now on.  */
+void ent_close_listener (ent_t *ent);
 /* Closes connections without a call.  */
 void ent_close_idle (ent_t *ent);
 /* To be called some times a second: closes what took too long.  */
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -18,11 +18,13 @@
    few parts.  */
 #define DATAGRAM_MOST 16384
 /* First item of each datagram, so that stray ones are passed over.  */
-#define MARK "cfd-load-2"
+#define MARK "cfd-load-4"
 /* News of prompts is told in all datagrams of this time, for some are lost. */
 #define NEWS_MS 150
 /* A peer's word on the platform's list counts for so long.  */
 #define STEADY_MS 500
+/* All figures are sent so often, for changes that were lost.  */
+#define WHOLE_MS 100
 /* Datagrams read at one wake.  */
 #define READS_A_WAKE 64
 
@@ -33,11 +35,12 @@
   uint64_t number; /* of its newest datagram */
   cfd_time_t heard;
   int64_t steady_ms;
-  GHashTable *loads; /* endpoint's id to pal_load_t */
+  GHashTable *loads; /* endpoint's hash to pal_load_t */
 } pal_peer_t;
 
 typedef struct
 {
+  uint64_t endpoint;
   unsigned active;
   double unread;
   double context;
@@ -47,6 +50,7 @@
 {
   struct ev_loop *loop;
   ev_io reader;
+  ev_prepare teller; /* tells changes at the end of each turn of the loop */
   char *name;
   uint64_t incarnation;
   uint64_t number;
@@ -56,6 +60,8 @@
   use_t *use;
   pfx_t *pfx;
   int64_t steady_ms;
+  cfd_time_t told;    /* when all figures were sent */
+  uint64_t news_told; /* number of the newest */
 };
 
 static void
@@ -85,6 +91,8 @@
     }
 }
 
+static void on_turn (struct ev_loop *loop, ev_prepare *watcher, int events);
+
 static int
 bind_datagrams (const char *address, GError **error)
 {
@@ -128,6 +136,9 @@
   ev_io_init (&pal->reader, on_readable, fd, EV_READ);
   pal->reader.data = pal;
   ev_io_start (loop, &pal->reader);
+  ev_prepare_init (&pal->teller, on_turn);
+  pal->teller.data = pal;
+  ev_prepare_start (loop, &pal->teller);
   return pal;
 }
 
@@ -137,6 +148,7 @@
   if (pal == NULL)
     return;
   ev_io_stop (pal->loop, &pal->reader);
+  ev_prepare_stop (pal->loop, &pal->teller);
   close (pal->reader.fd);
   g_array_unref (pal->addresses);
   g_hash_table_unref (pal->peers);
@@ -170,79 +182,102 @@
   msgpack_pack_str_body (packer, text, strlen (text));
 }
 
+static bool
+is_told (const edp_t *edp, bool whole)
+{
+  return whole ? edp->active > 0 : edp->changed;
+}
+
 static void
-pack_loads (pal_t *pal, msgpack_packer *packer)
+pack_loads (pal_t *pal, msgpack_packer *packer, bool whole)
 {
-  guint busy = 0;
+  guint count = 0;
 
   list_for_each (node, edp_set_list (pal->endpoints))
     {
-      busy += list_entry (node, edp_t, node)->active > 0;
+      count += is_told (list_entry (node, edp_t, node), whole);
     }
-  msgpack_pack_array (packer, (size_t)busy * 4);
+  msgpack_pack_array (packer, (size_t)count * 4);
   list_for_each (node, edp_set_list (pal->endpoints))
     {
-      const edp_t *edp = list_entry (node, edp_t, node);
+      edp_t *edp = list_entry (node, edp_t, node);
 
-      if (edp->active == 0)
+      if (!is_told (edp, whole))
         continue;
-      pack_text (packer, edp->report->id);
+      msgpack_pack_uint64 (packer, edp->hash);
       msgpack_pack_uint32 (packer, edp->active);
       msgpack_pack_uint64 (packer, (uint64_t)edp->unread);
       msgpack_pack_uint64 (packer, (uint64_t)edp->context);
+      edp->changed = false;
     }
 }
 
 static void
-count_use (void *user, const char *account, double own)
+count_use (void *user, const char *account, const use_sum_t *own)
 {
   ++*(guint *)user;
 }
 
 static void
-pack_use (void *user, const char *account, double own)
+pack_use (void *user, const char *account, const use_sum_t *own)
 {
   msgpack_packer *packer = user;
 
   pack_text (packer, account);
-  msgpack_pack_uint64 (packer, (uint64_t)own);
+  msgpack_pack_uint64 (packer, (uint64_t)own->asked);
+  msgpack_pack_uint64 (packer, (uint64_t)own->got);
 }
 
 static void
-pack_news (pal_t *pal, msgpack_packer *packer, cfd_time_t now)
+pack_news (pal_t *pal, msgpack_packer *packer, cfd_time_t now, bool whole)
 {
   const GArray *news = pfx_news (pal->pfx, now - NEWS_MS);
+  guint first = 0;
 
-  msgpack_pack_array (packer, (size_t)news->len * 2);
-  for (guint i = 0; i < news->len; i++)
+  while (!whole && first < news->len
+         && g_array_index (news, pfx_news_t, first).number <= pal->news_told)
+    first++;
+  msgpack_pack_array (packer, (size_t)(news->len - first) * 2);
+  for (guint i = first; i < news->len; i++)
     {
       const pfx_news_t *one = &g_array_index (news, pfx_news_t, i);
 
       msgpack_pack_uint64 (packer, one->endpoint);
       msgpack_pack_uint64 (packer, one->part);
+      pal->news_told = one->number;
     }
 }
 
+static void
+pack_uses (pal_t *pal, msgpack_packer *packer, cfd_time_t now, bool whole)
+{
+  guint accounts = 0;
+
+  if (whole)
+    use_each_own (pal->use, now, count_use, &accounts);
+  msgpack_pack_array (packer, (size_t)accounts * 3);
+  if (whole)
+    use_each_own (pal->use, now, pack_use, packer);
+}
+
 GByteArray *
-pal_pack (pal_t *pal, cfd_time_t now)
+pal_pack (pal_t *pal, cfd_time_t now, bool whole)
 {
   msgpack_sbuffer buffer;
   msgpack_packer packer;
   GByteArray *bytes = g_byte_array_new ();
-  guint accounts = 0;
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 8);
+  msgpack_pack_array (&packer, 9);
   pack_text (&packer, MARK);
   pack_text (&packer, pal->name);
   msgpack_pack_uint64 (&packer, pal->incarnation);
   msgpack_pack_uint64 (&packer, ++pal->number);
-  pack_loads (pal, &packer);
-  use_each_own (pal->use, now, count_use, &accounts);
-  msgpack_pack_array (&packer, (size_t)accounts * 2);
-  use_each_own (pal->use, now, pack_use, &packer);
-  pack_news (pal, &packer, now);
+  msgpack_pack_uint8 (&packer, whole);
+  pack_loads (pal, &packer, whole);
+  pack_uses (pal, &packer, now, whole);
+  pack_news (pal, &packer, now, whole);
   msgpack_pack_int64 (&packer, pal->steady_ms);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
@@ -282,13 +317,13 @@
   return true;
 }
 
-/* Numbers alone, in pairs.  */
+/* Numbers alone, in rows of COUNT.  */
 static bool
-is_pairs (const msgpack_object *object)
+is_numbers (const msgpack_object *object, unsigned count)
 {
   const msgpack_object_array *array = &object->via.array;
 
-  if (object->type != MSGPACK_OBJECT_ARRAY || array->size % 2 != 0)
+  if (object->type != MSGPACK_OBJECT_ARRAY || array->size % count != 0)
     return false;
   for (unsigned i = 0; i < array->size; i++)
     if (!is_number (&array->ptr[i]))
@@ -301,14 +336,27 @@
 {
   const msgpack_object *items = object->via.array.ptr;
 
-  return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size == 8
+  return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size == 9
          && is_text (&items[0]) && items[0].via.str.size == strlen (MARK)
          && memcmp (items[0].via.str.ptr, MARK, strlen (MARK)) == 0
          && is_text (&items[1]) && is_number (&items[2])
-         && is_number (&items[3]) && is_rows (&items[4], 3)
-         && is_rows (&items[5], 1) && is_pairs (&items[6])
-         && (is_number (&items[7])
-             || items[7].type == MSGPACK_OBJECT_NEGATIVE_INTEGER);
+         && is_number (&items[3]) && is_number (&items[4])
+         && is_numbers (&items[5], 4) && is_rows (&items[6], 2)
+         && is_numbers (&items[7], 2)
+         && (is_number (&items[8])
+             || items[8].type == MSGPACK_OBJECT_NEGATIVE_INTEGER);
+}
+
+static guint
+hash_endpoint (gconstpointer data)
+{
+  return (guint) * (const uint64_t *)data;
+}
+
+static gboolean
+equal_endpoint (gconstpointer a, gconstpointer b)
+{
+  return *(const uint64_t *)a == *(const uint64_t *)b;
 }
 
 static pal_peer_t *
@@ -321,37 +369,79 @@
   peer = g_new0 (pal_peer_t, 1);
   peer->name = g_strdup (name);
   peer->loads
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      = g_hash_table_new_full (hash_endpoint, equal_endpoint, NULL, g_free);
   g_hash_table_insert (pal->peers, peer->name, peer);
   log_info ("peers", "Another router is heard: router=%s.", name);
   return peer;
 }
 
 static void
-take_loads (pal_peer_t *peer, const msgpack_object_array *rows)
+add_up (pal_t *pal, edp_t *edp)
+{
+  GHashTableIter each;
+  void *peer;
+
+  edp->peer_active = 0;
+  edp->peer_unread = 0.;
+  edp->peer_context = 0.;
+  g_hash_table_iter_init (&each, pal->peers);
+  while (g_hash_table_iter_next (&each, NULL, &peer))
+    {
+      const pal_load_t *load
+          = g_hash_table_lookup (((pal_peer_t *)peer)->loads, &edp->hash);
+
+      if (load == NULL)
+        continue;
+      edp->peer_active += load->active;
+      edp->peer_unread += load->unread;
+      edp->peer_context += load->context;
+    }
+}
+
+static void
+add_up_all (pal_t *pal)
+{
+  list_for_each (node, edp_set_list (pal->endpoints))
+    {
+      add_up (pal, list_entry (node, edp_t, node));
+    }
+}
+
+static void
+take_loads (pal_t *pal, pal_peer_t *peer, const msgpack_object_array *rows,
+            bool whole)
 {
-  g_hash_table_remove_all (peer->loads);
+  if (whole)
+    g_hash_table_remove_all (peer->loads);
   for (unsigned i = 0; i + 3 < rows->size; i += 4)
     {
       pal_load_t *load = g_new0 (pal_load_t, 1);
+      edp_t *edp;
 
+      load->endpoint = rows->ptr[i].via.u64;
       load->active = (unsigned)rows->ptr[i + 1].via.u64;
       load->unread = (double)rows->ptr[i + 2].via.u64;
       load->context = (double)rows->ptr[i + 3].via.u64;
-      g_hash_table_replace (peer->loads, text_of (&rows->ptr[i]), load);
+      g_hash_table_replace (peer->loads, &load->endpoint, load);
+      edp = whole ? NULL : edp_set_by_hash (pal->endpoints, load->endpoint);
+      if (edp != NULL)
+        add_up (pal, edp);
     }
+  if (whole)
+    add_up_all (pal);
 }
 
 static void
 take_use (pal_t *pal, const pal_peer_t *peer, cfd_time_t now,
           const msgpack_object_array *rows)
 {
-  for (unsigned i = 0; i + 1 < rows->size; i += 2)
+  for (unsigned i = 0; i + 2 < rows->size; i += 3)
     {
       g_autofree char *account = text_of (&rows->ptr[i]);
+      use_sum_t own = { .asked = (double)rows->ptr[i + 1].via.u64,
+                        .got = (double)rows->ptr[i + 2].via.u64 };
 
-      use_hear (pal->use, now, peer->name, account,
-                (double)rows->ptr[i + 1].via.u64);
+      use_hear (pal->use, now, peer->name, account, &own);
     }
 }
 
@@ -389,10 +479,10 @@
   peer->incarnation = items[2].via.u64;
   peer->number = items[3].via.u64;
   peer->heard = now;
-  take_loads (peer, &items[4].via.array);
-  take_use (pal, peer, now, &items[5].via.array);
-  take_news (pal, now, &items[6].via.array);
-  peer->steady_ms = items[7].via.i64;
+  take_loads (pal, peer, &items[5].via.array, items[4].via.u64 != 0);
+  take_use (pal, peer, now, &items[6].via.array);
+  take_news (pal, now, &items[7].via.array);
+  peer->steady_ms = items[8].via.i64;
 out:
   msgpack_unpacked_destroy (&unpacked);
   return good;
@@ -418,29 +508,31 @@
 }
 
 static void
-add_up (pal_t *pal)
+send_figures (pal_t *pal, cfd_time_t now, bool whole)
 {
+  g_autoptr (GByteArray) bytes = pal_pack (pal, now, whole);
+
+  for (guint i = 0; i < pal->addresses->len; i++)
+    {
+      const addr_t *addr = &g_array_index (pal->addresses, addr_t, i);
+
+      sendto (pal->reader.fd, bytes->data, bytes->len, MSG_NOSIGNAL,
+              (const struct sockaddr *)&addr->storage, addr->length);
+    }
+}
+
+/* Changes of this turn, in one datagram for each other router.  */
+static void
+on_turn (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  pal_t *pal = watcher->data;
+
   list_for_each (node, edp_set_list (pal->endpoints))
     {
-      edp_t *edp = list_entry (node, edp_t, node);
-      GHashTableIter each;
-      void *peer;
-
-      edp->peer_active = 0;
-      edp->peer_unread = 0.;
-      edp->peer_context = 0.;
-      g_hash_table_iter_init (&each, pal->peers);
-      while (g_hash_table_iter_next (&each, NULL, &peer))
-        {
-          const pal_load_t *load = g_hash_table_lookup (
-              ((pal_peer_t *)peer)->loads, edp->report->id);
-
-          if (load == NULL)
-            continue;
-          edp->peer_active += load->active;
-          edp->peer_unread += load->unread;
-          edp->peer_context += load->context;
-        }
+      if (!list_entry (node, edp_t, node)->changed)
+        continue;
+      send_figures (pal, clock_now (), false);
+      return;
     }
 }
 
@@ -471,15 +563,10 @@
 void
 pal_tick (pal_t *pal, cfd_time_t now)
 {
-  g_autoptr (GByteArray) bytes = pal_pack (pal, now);
-
-  for (guint i = 0; i < pal->addresses->len; i++)
-    {
-      const addr_t *addr = &g_array_index (pal->addresses, addr_t, i);
-
-      sendto (pal->reader.fd, bytes->data, bytes->len, MSG_NOSIGNAL,
-              (const struct sockaddr *)&addr->storage, addr->length);
-    }
   forget_silent (pal, now);
-  add_up (pal);
+  add_up_all (pal);
+  if (now - pal->told < WHOLE_MS)
+    return;
+  pal->told = now;
+  send_figures (pal, now, true);
 }
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -1,9 +1,9 @@
 /* What routers tell each other: how much each has under way at each endpoint,
    what accounts got from it, and which prompts it sent where.
 
-   Datagrams with absolute figures, sent to every other router at each tick: a
-   lost, doubled or late one does no harm, and a router that falls silent is
-   forgotten.  The codec is msgpack-c's.  */
+   Datagrams with absolute figures: of endpoints at once when theirs change, of
+   all at each tick.  A lost, doubled or late one does no harm, and a router
+   that falls silent is forgotten.  The codec is msgpack-c's.  */
 
 #ifndef RELAY_PAL_H
 #define RELAY_PAL_H
@@ -33,8 +33,8 @@
 /* Sends this router's figures and adds up the others'.  */
 void pal_tick (pal_t *pal, cfd_time_t now);
 
-/* One datagram's content, for tests.  */
-GByteArray *pal_pack (pal_t *pal, cfd_time_t now);
+/* One datagram's content, for tests: WHOLE, or what changed alone.  */
+GByteArray *pal_pack (pal_t *pal, cfd_time_t now, bool whole);
 /* False when BYTES is no figures of another router.  */
 bool pal_take (pal_t *pal, cfd_time_t now, const void *bytes, size_t length);
 
--- a/libcoltsfootdrum/relay/pfx.c
+++ b/libcoltsfootdrum/relay/pfx.c
@@ -13,6 +13,7 @@
 {
   GHashTable *uses; /* uint64_t of part and endpoint to pfx_use_t */
   GArray *news;     /* pfx_news_t, the oldest first */
+  uint64_t numbers; /* given to news */
 };
 
 typedef struct
@@ -149,6 +150,7 @@
 {
   pfx_news_t news = { .endpoint = endpoint,
                       .part = pfx_prompt_shared (prompt),
+                      .number = ++pfx->numbers,
                       .at = now };
 
   for (guint i = 0; i + 1 < prompt->parts->len; i++)
--- a/libcoltsfootdrum/relay/pfx.h
+++ b/libcoltsfootdrum/relay/pfx.h
@@ -48,6 +48,7 @@
 {
   uint64_t endpoint;
   uint64_t part;
+  uint64_t number; /* counts up */
   cfd_time_t at;
 } pfx_news_t;
 
--- a/libcoltsfootdrum/relay/plc.c
+++ b/libcoltsfootdrum/relay/plc.c
@@ -14,7 +14,7 @@
 #define FULL_MS 60.
 /* A beginning that is read again costs its own time, and the same again for
    what it pushes out of the cache.  */
-#define AGAIN 2.
+#define AGAIN 6.
 /* A prompt that takes longer to read than there is time may still go where it
    waits for no more than this share of the time left.  */
 #define LONG_SHARE 0.4
@@ -41,23 +41,25 @@
 is_in_time (const plc_endpoint_t *endpoint, const plc_request_t *request)
 {
   double first = plc_first_token (endpoint, request);
-  double alone = first - request->ms_per_work * endpoint->unread;
+  double others = request->ms_per_work * endpoint->unread;
 
-  if (first <= request->left_ms)
-    return true;
-  return alone > request->left_ms
-         && request->ms_per_work * endpoint->unread
-                <= request->left_ms * LONG_SHARE;
+  if (others > request->bear_ms)
+    return false;
+  return first <= request->left_ms
+         || (first - others > request->left_ms
+             && others <= request->left_ms * LONG_SHARE);
 }
 
 static bool
 has_room (const plc_endpoint_t *endpoint, const plc_request_t *request)
 {
-  if (endpoint->active >= endpoint->slots)
+  double slots = endpoint->slots * request->room;
+  double memory = endpoint->memory * MEMORY_SHARE * request->room;
+
+  if (endpoint->slots == 0 || endpoint->active >= slots)
     return false;
   return endpoint->memory <= 0. || endpoint->active == 0
-         || endpoint->context + request->size
-                <= endpoint->memory * MEMORY_SHARE;
+         || endpoint->context + request->size <= memory;
 }
 
 static double
--- a/libcoltsfootdrum/relay/plc.h
+++ b/libcoltsfootdrum/relay/plc.h
@@ -30,6 +30,8 @@
   double base_ms;     /* until the first token with nothing to be read */
   double ms_per_work; /* and for each unit of reading work */
   double left_ms;     /* until the first token is late */
+  double bear_ms;     /* of others' reading before its own */
+  double room;        /* part of slots and memory that it may fill */
   double size;        /* tokens that it will hold in memory */
   double draw;        /* from 0 to 1, breaks ties */
 } plc_request_t;
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -43,7 +43,9 @@
   list_node_t running;  /* rly_request_t */
   rly_counts_t counts;
   unsigned routers;
+  bool closed; /* takes no new requests */
   cfd_time_t swept;
+  cfd_time_t levelled;
 };
 
 /* An answer on its way back.  */
@@ -72,7 +74,8 @@
   char *id;
   pfx_prompt_t *prompt; /* NULL for plain services */
   double output;        /* tokens expected */
-  double charged;       /* what the account was charged */
+  double cost;          /* in the unit of accounts' shares */
+  bool charged;         /* to its account */
 
   cfd_time_t since;
   cfd_time_t deadline; /* the caller's */
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -11,6 +11,7 @@
 
 #include "base/log.h"
 #include "relay/plc.h"
+#include <math.h>
 #include <xxhash.h>
 
 /* Of the time in which an answer earns its full worth, a request of a plain
@@ -20,6 +21,17 @@
 #define LONG_PATIENCE 0.25
 /* The aim is the caller's; the rest goes on the way and in estimates.  */
 #define AIM_SHARE 0.9
+/* And so much of it behind prompts that an engine reads before.  What it has
+   to read more than that can wait here, where the order is ours.  */
+#define BEAR 0.5
+/* Accounts that got this part of the fair level begin to be held back, and are
+   down to the last part of what others may use at the second.  */
+#define OVER_FIRST 0.9
+#define OVER_LAST 1.2
+#define OVER_ALLOWANCE 0.2
+/* Of an endpoint's slots and memory so much is kept from those that are held
+   back wholly: a slot that gets free is taken at once, by whoever waits.  */
+#define OVER_RESERVE 0.3
 /* Without an aim.  */
 #define USUAL_AIM_MS 1000
 /* Lines looked at in one round when their first requests find no room.  */
@@ -198,15 +210,34 @@
   return (double)aim_of (request) * AIM_SHARE - (double)(now - request->since);
 }
 
+/* How much of the usual wait behind others, and of the room at endpoints, a
+   request of this account may use: all below its fair share, little above it,
+   so that those who got less find room at the endpoints which keep their
+   prompts. A large account fills what they leave.  */
+static double
+allowance (const rly_request_t *request, cfd_time_t now)
+{
+  double over = use_over (request->rly->use, now, rly_account_name (request));
+  double part = (over - OVER_FIRST) / (OVER_LAST - OVER_FIRST);
+
+  return 1. - (1. - OVER_ALLOWANCE) * CLAMP (part, 0., 1.);
+}
+
 static plc_request_t
 wish_of (const rly_request_t *request, cfd_time_t now)
 {
   const fit_t *line = &request->service->first_token;
-  plc_request_t wish
-      = { .left_ms = left_of (request, now), .draw = g_random_double () };
+  plc_request_t wish = { .left_ms = left_of (request, now),
+                         .room = 1.,
+                         .bear_ms = HUGE_VAL,
+                         .draw = g_random_double () };
+  double allowed;
 
   if (request->prompt == NULL)
     return wish;
+  allowed = allowance (request, now);
+  wish.bear_ms = (double)aim_of (request) * BEAR * allowed;
+  wish.room = 1. - OVER_RESERVE * (1. - allowed);
   wish.base_ms = fit_base (line);
   wish.ms_per_work = fit_slope (line);
   wish.size = request->prompt->tokens + request->output;
@@ -342,7 +373,7 @@
       rly_line_t *line = list_entry (node, rly_line_t, node);
 
       line->passed = false;
-      line->use = use_all (rly->use, now, line->account);
+      line->use = use_all (rly->use, now, line->account).got;
     }
 }
 
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -12,11 +12,6 @@
 /* No first byte for this long beyond what was expected: the endpoint is
    silent. A request that may be repeated goes elsewhere.  */
 #define SILENT_MS 1500
-/* A generated token counts as so many prompt tokens.  */
-#define OUTPUT_WEIGHT 2.
-/* What a request of a plain service counts.  */
-#define PLAIN_COST 100.
-
 static bool
 is_ours (const rly_names_t *names, const char *name)
 {
@@ -88,6 +83,7 @@
 stop_reading_prompt (rly_request_t *request)
 {
   request->edp->unread = MAX (request->edp->unread - request->unread, 0.);
+  request->edp->changed = true;
   request->unread = 0.;
 }
 
@@ -136,14 +132,6 @@
 static const ups_ops_t exchange_ops
     = { .head = on_head, .body = on_body, .ended = on_ended };
 
-static double
-cost_of (const rly_request_t *request)
-{
-  if (request->prompt == NULL)
-    return PLAIN_COST;
-  return request->prompt->tokens + OUTPUT_WEIGHT * request->output;
-}
-
 static void
 begin (rly_request_t *request, edp_t *edp, cfd_time_t now)
 {
@@ -161,13 +149,12 @@
   edp->unread += request->unread;
   edp->context += request->context;
   edp_burden (edp, now);
+  edp->changed = true;
   if (request->prompt != NULL)
     pfx_note (rly->pfx, now, edp->hash, request->prompt);
-  if (request->charged == 0. && request->account != NULL)
-    {
-      request->charged = cost_of (request);
-      use_add (rly->use, now, request->account->name, request->charged);
-    }
+  if (!request->charged)
+    use_get (rly->use, now, rly_account_name (request), request->cost);
+  request->charged = true;
 }
 
 /* Milliseconds until the first byte.  */
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -14,6 +14,12 @@
 #define NO_TABLE_RETRY_MS 500
 /* Of a caller that names no deadline.  */
 #define USUAL_DEADLINE_MS 60000
+/* A generated token counts as so many prompt tokens.  */
+#define OUTPUT_WEIGHT 2.
+/* What a request of a plain service counts.  */
+#define PLAIN_COST 100.
+/* Accounts' level is computed anew so often.  */
+#define LEVEL_MS 100
 /* Sweeps of caches and idle connections.  */
 #define SWEEP_MS 500
 /* Of the budget of repeats a router takes a part for itself that keeps the sum
@@ -144,6 +150,12 @@
         = rly->bounds.repeat_slack * REPEAT_SAFETY / rly->routers;
 }
 
+void
+rly_close (rly_t *rly)
+{
+  rly->closed = true;
+}
+
 const rly_counts_t *
 rly_counts (const rly_t *rly)
 {
@@ -213,6 +225,15 @@
                             most_output (fields, names->tokens));
 }
 
+/* What REQUEST counts in its account's share.  */
+static double
+cost_of (const rly_request_t *request)
+{
+  if (request->prompt == NULL)
+    return PLAIN_COST;
+  return request->prompt->tokens + OUTPUT_WEIGHT * request->output;
+}
+
 static void
 answer_plainly (rly_t *rly, ent_call_t *call, unsigned status,
                 const char *reason)
@@ -252,6 +273,7 @@
   request->answer.fields = g_string_new (NULL);
   request->answer.body = g_string_new (NULL);
   read_work (request, fields);
+  request->cost = cost_of (request);
   return request;
 }
 
@@ -268,9 +290,10 @@
   cfd_time_t now = clock_now ();
 
   rly->counts.requests++;
-  if (rly->table == NULL)
+  if (rly->table == NULL || rly->closed)
     {
-      answer_plainly (rly, call, 503, "no-configuration");
+      answer_plainly (rly, call, 503,
+                      rly->closed ? "shutdown" : "no-configuration");
       return;
     }
   route = host != NULL ? rte_find (rly->table, host, head->target) : NULL;
@@ -291,6 +314,7 @@
   request->service
       = rly_service (rly, rte_route_service (route, g_random_double ()));
   bud_request (&request->service->repeats, now);
+  use_ask (rly->use, now, rly_account_name (request), request->cost);
   rly_wait (request);
   rly_pump (rly, request->service, now);
 }
@@ -322,6 +346,11 @@
 void
 rly_tick (rly_t *rly, cfd_time_t now)
 {
+  if (now - rly->levelled >= LEVEL_MS)
+    {
+      rly->levelled = now;
+      use_level (rly->use, now);
+    }
   tick_running (rly, now);
   rly_pump_all (rly, now);
   if (now - rly->swept < SWEEP_MS)
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -68,6 +68,10 @@
 void rly_set_table (rly_t *rly, rte_table_t *table);
 const rte_table_t *rly_table (const rly_t *rly);
 
+/* New requests are refused from now on, not run; those that are here go on.
+ */
+void rly_close (rly_t *rly);
+
 /* How many routers there are, this one included.  */
 void rly_set_routers (rly_t *rly, unsigned routers);
 
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -39,6 +39,7 @@
   bool foreign; /* the answer being read belongs to another request */
   bool reading; /* bytes are being taken in; freeing waits */
   bool doomed;
+  bool aborted; /* its request was given up */
 } ups_line_t;
 
 struct ups_exchange
@@ -61,7 +62,10 @@
     }
   list_remove (&line->node);
   line->ups->open--;
-  con_free (line->con);
+  if (line->aborted)
+    con_abort (line->con);
+  else
+    con_free (line->con);
   rd_free (line->rd);
   g_free (line);
 }
@@ -336,6 +340,7 @@
   ups_line_t *line = exchange->line;
 
   line->exchange = NULL;
+  line->aborted = true;
   exchange_free (exchange);
   line_free (line);
 }
--- a/libcoltsfootdrum/relay/use.c
+++ b/libcoltsfootdrum/relay/use.c
@@ -1,16 +1,20 @@
-/* Accounts' recent service.  */
+/* Accounts' shares.  */
 
 #include "relay/use.h"
 
 #include <math.h>
+#include <stdlib.h>
 
-/* Below this an account's figure is taken for nothing, in tokens.  */
+/* Below this an account's sums are taken for nothing, in tokens.  */
 #define NOTHING 1.
+/* Accounts that together asked for this little more than they got are served
+   in full: what waits right now is asked for and not got yet.  */
+#define ALL_SERVED 0.95
 
-/* A figure that fades out: after the window it is down to 1/e.  */
+/* Sums that fade out: after the window they are down to 1/e.  */
 typedef struct
 {
-  double amount;
+  use_sum_t sum;
   cfd_time_t at;
 } use_figure_t;
 
@@ -24,6 +28,7 @@
 {
   double window_ms;
   GHashTable *accounts; /* name to use_account_t */
+  double level;         /* INFINITY while all get what they ask for */
 };
 
 static void
@@ -41,6 +46,7 @@
   use_t *use = g_new0 (use_t, 1);
 
   use->window_ms = (double)window_ms;
+  use->level = INFINITY;
   use->accounts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, account_free);
   return use;
@@ -69,32 +75,41 @@
   return account;
 }
 
-static double
+static use_sum_t
 faded (const use_t *use, const use_figure_t *figure, cfd_time_t now)
 {
-  double age = (double)MAX (now - figure->at, 0);
+  double keep = exp (-(double)MAX (now - figure->at, 0) / use->window_ms);
 
-  return figure->amount * exp (-age / use->window_ms);
+  return (use_sum_t){ .asked = figure->sum.asked * keep,
+                      .got = figure->sum.got * keep };
 }
 
 static void
-set_figure (use_figure_t *figure, cfd_time_t now, double amount)
+add (use_t *use, cfd_time_t now, const char *name, double asked, double got)
 {
-  figure->amount = MAX (amount, 0.);
-  figure->at = now;
+  use_account_t *account = account_of (use, name);
+  use_sum_t sum = faded (use, &account->own, now);
+
+  account->own.sum.asked = MAX (sum.asked + asked, 0.);
+  account->own.sum.got = MAX (sum.got + got, 0.);
+  account->own.at = now;
 }
 
 void
-use_add (use_t *use, cfd_time_t now, const char *name, double cost)
+use_ask (use_t *use, cfd_time_t now, const char *account, double cost)
 {
-  use_account_t *account = account_of (use, name);
+  add (use, now, account, cost, 0.);
+}
 
-  set_figure (&account->own, now, faded (use, &account->own, now) + cost);
+void
+use_get (use_t *use, cfd_time_t now, const char *account, double cost)
+{
+  add (use, now, account, 0., cost);
 }
 
 void
 use_hear (use_t *use, cfd_time_t now, const char *router, const char *name,
-          double own)
+          const use_sum_t *own)
 {
   use_account_t *account = account_of (use, name);
   use_figure_t *figure = g_hash_table_lookup (account->peers, router);
@@ -104,37 +119,40 @@
       figure = g_new0 (use_figure_t, 1);
       g_hash_table_insert (account->peers, g_strdup (router), figure);
     }
-  set_figure (figure, now, own);
-}
-
-double
-use_own (use_t *use, cfd_time_t now, const char *name)
-{
-  use_account_t *account = g_hash_table_lookup (use->accounts, name);
-
-  return account != NULL ? faded (use, &account->own, now) : 0.;
+  figure->sum = *own;
+  figure->at = now;
 }
 
-double
-use_all (use_t *use, cfd_time_t now, const char *name)
+static use_sum_t
+sum_of (const use_t *use, const use_account_t *account, cfd_time_t now)
 {
-  use_account_t *account = g_hash_table_lookup (use->accounts, name);
+  use_sum_t all = faded (use, &account->own, now);
   GHashTableIter each;
   void *figure;
-  double sum;
 
-  if (account == NULL)
-    return 0.;
-  sum = faded (use, &account->own, now);
   g_hash_table_iter_init (&each, account->peers);
   while (g_hash_table_iter_next (&each, NULL, &figure))
-    sum += faded (use, figure, now);
-  return sum;
+    {
+      use_sum_t one = faded (use, figure, now);
+
+      all.asked += one.asked;
+      all.got += one.got;
+    }
+  return all;
+}
+
+use_sum_t
+use_all (const use_t *use, cfd_time_t now, const char *name)
+{
+  const use_account_t *account = g_hash_table_lookup (use->accounts, name);
+
+  return account != NULL ? sum_of (use, account, now) : (use_sum_t){ 0 };
 }
 
 void
 use_each_own (use_t *use, cfd_time_t now,
-              void (*back) (void *user, const char *account, double own),
+              void (*back) (void *user, const char *account,
+                            const use_sum_t *own),
               void *user)
 {
   GHashTableIter each;
@@ -144,10 +162,10 @@
   g_hash_table_iter_init (&each, use->accounts);
   while (g_hash_table_iter_next (&each, &name, &account))
     {
-      double own = faded (use, &((use_account_t *)account)->own, now);
+      use_sum_t own = faded (use, &((use_account_t *)account)->own, now);
 
-      if (own >= NOTHING)
-        back (user, name, own);
+      if (own.asked >= NOTHING || own.got >= NOTHING)
+        back (user, name, &own);
     }
 }
 
@@ -161,3 +179,66 @@
   while (g_hash_table_iter_next (&each, NULL, &account))
     g_hash_table_remove (((use_account_t *)account)->peers, router);
 }
+
+static int
+compare (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* The level at which the COUNT accounts that asked for ASKED, least first,
+   take WHOLE together.  */
+static double
+fill (const double *asked, guint count, double whole)
+{
+  for (guint i = 0; i < count; i++)
+    {
+      double even = whole / (count - i);
+
+      if (asked[i] >= even)
+        return even;
+      whole -= asked[i];
+    }
+  return INFINITY;
+}
+
+void
+use_level (use_t *use, cfd_time_t now)
+{
+  g_autoptr (GArray) asked = g_array_new (FALSE, FALSE, sizeof (double));
+  double all_asked = 0.;
+  double all_got = 0.;
+  GHashTableIter each;
+  void *account;
+
+  g_hash_table_iter_init (&each, use->accounts);
+  while (g_hash_table_iter_next (&each, NULL, &account))
+    {
+      use_sum_t sum = sum_of (use, account, now);
+
+      if (sum.asked < NOTHING && sum.got < NOTHING)
+        {
+          g_hash_table_iter_remove (&each);
+          continue;
+        }
+      all_asked += sum.asked;
+      all_got += sum.got;
+      g_array_append_val (asked, sum.asked);
+    }
+  use->level = INFINITY;
+  if (all_got >= all_asked * ALL_SERVED)
+    return;
+  qsort (asked->data, asked->len, sizeof (double), compare);
+  use->level = fill ((const double *)asked->data, asked->len, all_got);
+}
+
+double
+use_over (const use_t *use, cfd_time_t now, const char *account)
+{
+  if (isinf (use->level) || use->level <= 0.)
+    return 0.;
+  return use_all (use, now, account).got / use->level;
+}
