--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -16,6 +16,9 @@
 /* Bounds until the configuration gives its own.  */
 #define HEAD_BYTES 16384
 #define BODY_BYTES 4194304
+/* Idle connections: while no bound is known, and the least one.  */
+#define IDLE_USUAL_MS 60000.
+#define IDLE_LEAST_MS 300.
 /* Connections taken on at one wake, so that a crowd of new ones doesn't hold
    up those that are served.  */
 #define ACCEPTS_A_WAKE 32
@@ -330,8 +333,26 @@
   con_end_when_written (call->con);
 }
 
+/* Milliseconds that a connection may stay idle.  Above half of the connections
+   that there may be it shrinks to the least at the full number: callers who
+   open a new one for each try would use up all descriptors, and nobody else
+   could connect.  */
+static int64_t
+idle_bound (const ent_t *ent)
+{
+  double most = ent->limits.connections;
+  double usual
+      = ent->limits.idle_ms > 0 ? (double)ent->limits.idle_ms : IDLE_USUAL_MS;
+  double free_part;
+
+  if (most <= 0.)
+    return (int64_t)usual;
+  free_part = CLAMP (2. * (1. - ent->count / most), 0., 1.);
+  return (int64_t)MAX (usual * free_part, IDLE_LEAST_MS);
+}
+
 static void
-tick_call (ent_call_t *call, cfd_time_t now)
+tick_call (ent_call_t *call, cfd_time_t now, int64_t idle_ms)
 {
   const ent_limits_t *limits = &call->ent->limits;
   int64_t in_state = now - call->since;
@@ -339,7 +360,7 @@
   switch (call->state)
     {
     case STATE_IDLE:
-      if (limits->idle_ms > 0 && in_state > limits->idle_ms)
+      if (in_state > idle_ms)
         call_free (call);
       break;
     case STATE_READING:
@@ -361,9 +382,11 @@
 void
 ent_tick (ent_t *ent, cfd_time_t now)
 {
+  int64_t idle_ms = idle_bound (ent);
+
   list_for_each_safe (node, &ent->callers)
     {
-      tick_call (list_entry (node, ent_call_t, node), now);
+      tick_call (list_entry (node, ent_call_t, node), now, idle_ms);
     }
 }
 
@@ -453,6 +476,12 @@
     on_bytes (call, (const char *)ahead->data, ahead->len);
 }
 
+void
+ent_close_after (ent_call_t *call)
+{
+  call->keep = false;
+}
+
 void
 ent_answer (ent_call_t *call, unsigned status, const char *fields,
             const void *body, size_t length)
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -18,6 +18,7 @@
   size_t body_bytes;
   int64_t head_ms;
   int64_t idle_ms;
+  unsigned connections; /* in all */
 } ent_limits_t;
 
 typedef struct
@@ -52,6 +53,9 @@
 void ent_set_data (ent_call_t *call, void *data);
 void *ent_data (const ent_call_t *call);
 
+/* The connection ends with the answer to CALL.  */
+void ent_close_after (ent_call_t *call);
+
 /* FIELDS are finished header lines, or NULL.  */
 void ent_answer (ent_call_t *call, unsigned status, const char *fields,
                  const void *body, size_t length);
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -43,11 +43,10 @@
 static void
 finish (rly_request_t *request)
 {
-  rly_t *rly = request->rly;
   rly_service_t *service = request->service;
 
   rly_request_free (request);
-  rly_pump (rly, service, clock_now ());
+  rly_pump_later (service);
 }
 
 void
@@ -75,6 +74,8 @@
   g_ascii_formatd (retry, sizeof retry, "%.3f", (double)retry_ms / 1000.);
   fields = g_strdup_printf ("Retry-After: %s\r\n", retry);
   rly_request_free (request);
+  /* Callers ask again on a new connection.  */
+  ent_close_after (call);
   ent_answer (call, 503, fields, NULL, 0);
 }
 
@@ -197,7 +198,6 @@
 static void
 again (rly_request_t *request, cfd_time_t now, const char *reason)
 {
-  rly_t *rly = request->rly;
   rly_service_t *service = request->service;
 
   log_info ("relay",
@@ -210,7 +210,7 @@
   rly_leave (request, true);
   rly_answer_reset (&request->answer);
   rly_wait (request);
-  rly_pump (rly, service, now);
+  rly_pump_later (service);
 }
 
 static bool
--- /dev/null
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -0,0 +1,214 @@
+/* Placement of requests that wait: what all of one round share is gathered
+   once, the choice itself is plc.h's.  */
+
+#include "relay/rly-private.h"
+
+#include <math.h>
+#include <xxhash.h>
+
+/* The aim is the caller's; the rest goes on the way and in estimates.  */
+#define AIM_SHARE 0.9
+/* So much of it may pass behind prompts that an engine reads before.  What it
+   has to read more than that can wait here, where the order is ours.  */
+#define BEAR 0.5
+/* Of an endpoint's slots and memory so much is kept from accounts that are
+   held back wholly: a slot that gets free is taken at once, by whoever waits.
+ */
+#define OVER_RESERVE 0.3
+/* Slots of an endpoint that doesn't tell.  */
+#define USUAL_SLOTS 8
+/* Of what a cold endpoint bears a second, so much is used: routers' clocks and
+   the way make bursts.  */
+#define COLD_SAFETY 0.8
+
+static unsigned
+slots_of (const edp_t *edp, const rte_service_t *terms)
+{
+  if (edp->report->slots > 0)
+    return edp->report->slots;
+  return terms != NULL && terms->slots > 0 ? terms->slots : USUAL_SLOTS;
+}
+
+static double
+cold_part (const rly_t *rly, const rte_service_t *terms)
+{
+  double per_s = terms != NULL ? terms->cold_per_s : 0.;
+
+  return per_s > 0. ? per_s * COLD_SAFETY / rly->routers : 1.;
+}
+
+/* What holds for all requests.  */
+static plc_endpoint_t
+figures_of (const rly_round_t *round, edp_t *edp)
+{
+  plc_endpoint_t figures = { .active = edp->active + edp->peer_active,
+                             .unread = edp->unread + edp->peer_unread,
+                             .context = edp->context + edp->peer_context };
+
+  if (edp_bears (edp, round->now, round->cold_per_s))
+    figures.slots = slots_of (edp, round->terms);
+  if (round->terms != NULL)
+    figures.memory = (double)round->terms->memory_tokens;
+  return figures;
+}
+
+void
+rly_round_begin (rly_round_t *round, rly_t *rly, rly_service_t *service,
+                 cfd_time_t now)
+{
+  round->rly = rly;
+  round->service = service;
+  round->terms = rte_service (rly->table, service->name);
+  round->now = now;
+  round->base_ms = fit_base (&service->first_token);
+  round->ms_per_work = fit_slope (&service->first_token);
+  round->cold_per_s = cold_part (rly, round->terms);
+  round->count = 0;
+  round->has_room = false;
+  list_for_each (node, edp_set_list (rly->endpoints))
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      if (round->count == RLY_ENDPOINTS_MOST || !edp_is_open (edp, now)
+          || !g_str_equal (edp->report->service, service->name))
+        continue;
+      round->edps[round->count] = edp;
+      round->figures[round->count] = figures_of (round, edp);
+      round->has_room |= round->figures[round->count].active
+                         < round->figures[round->count].slots;
+      round->count++;
+    }
+}
+
+/* The endpoint that all routers choose for prompts with this beginning, while
+   nothing speaks against it: rendezvous hashing.  */
+static const edp_t *
+home_of (const rly_round_t *round, const pfx_prompt_t *prompt)
+{
+  uint64_t part = pfx_prompt_shared (prompt);
+  const edp_t *home = NULL;
+  uint64_t best = 0;
+
+  for (guint i = 0; part != 0 && i < round->count; i++)
+    {
+      const edp_t *edp = round->edps[i];
+      uint64_t score
+          = XXH3_64bits_withSeed (&edp->hash, sizeof edp->hash, part);
+
+      if (home == NULL || score > best)
+        {
+          home = edp;
+          best = score;
+        }
+    }
+  return home;
+}
+
+/* What reading the prompt costs at each endpoint.  */
+static void
+add_prompt (rly_round_t *round, const rly_request_t *request)
+{
+  const pfx_prompt_t *prompt = request->prompt;
+  const edp_t *home = home_of (round, prompt);
+  double shared = pfx_prompt_shared_tokens (prompt);
+
+  for (guint i = 0; i < round->count; i++)
+    {
+      double kept = pfx_kept (round->rly->pfx, round->now,
+                              round->edps[i]->hash, prompt);
+
+      round->figures[i].own = plc_reading (prompt->tokens, kept);
+      round->figures[i].missing = shared - kept;
+      round->figures[i].home = round->edps[i] == home;
+    }
+}
+
+static plc_request_t
+wish_of (const rly_round_t *round, const rly_request_t *request)
+{
+  int64_t waited = round->now - request->since;
+  double allowed = request->line->allowed;
+  plc_request_t wish
+      = { .left_ms = (double)request->aim_ms * AIM_SHARE - (double)waited,
+          .bear_ms = HUGE_VAL,
+          .room = 1.,
+          .draw = g_random_double () };
+
+  if (request->prompt == NULL)
+    return wish;
+  wish.bear_ms = (double)request->aim_ms * BEAR * allowed;
+  wish.room = 1. - OVER_RESERVE * (1. - allowed);
+  wish.base_ms = round->base_ms;
+  wish.ms_per_work = round->ms_per_work;
+  wish.size = request->prompt->tokens + request->output;
+  return wish;
+}
+
+/* Where REQUEST failed last it isn't sent again, as long as there is another
+   endpoint.  */
+static int
+choose (rly_round_t *round, const rly_request_t *request,
+        const plc_request_t *wish)
+{
+  unsigned slots = 0;
+  guint failed = round->count;
+  int chosen;
+
+  for (guint i = 0; i < round->count && request->last_failed != NULL; i++)
+    if (g_str_equal (round->edps[i]->report->id, request->last_failed))
+      failed = i;
+  if (failed < round->count && round->count > 1)
+    {
+      slots = round->figures[failed].slots;
+      round->figures[failed].slots = 0;
+    }
+  chosen = plc_choose (round->figures, round->count, wish);
+  if (failed < round->count && round->count > 1)
+    round->figures[failed].slots = slots;
+  return chosen;
+}
+
+bool
+rly_round_place (rly_round_t *round, rly_request_t *request)
+{
+  plc_request_t wish;
+  plc_endpoint_t *figures;
+  edp_t *edp;
+  int chosen;
+
+  if (!round->has_room)
+    return false;
+  wish = wish_of (round, request);
+  if (request->prompt != NULL)
+    add_prompt (round, request);
+  chosen = choose (round, request, &wish);
+  if (chosen < 0)
+    return false;
+  edp = round->edps[chosen];
+  figures = &round->figures[chosen];
+  request->ahead = figures->unread + figures->own;
+  request->unread = request->prompt != NULL ? figures->own : 0.;
+  request->context = wish.size;
+  if (!rly_send (request, edp, round->now))
+    {
+      figures->slots = 0;
+      return false;
+    }
+  *figures = figures_of (round, edp);
+  return true;
+}
+
+int64_t
+rly_longest_wait (const rly_request_t *request)
+{
+  const fit_t *line = &request->service->first_token;
+  const pfx_prompt_t *prompt = request->prompt;
+  double aim = (double)request->aim_ms * AIM_SHARE;
+  double reading;
+
+  if (prompt == NULL)
+    return (int64_t)(aim * RLY_PLAIN_PATIENCE);
+  reading = plc_reading (prompt->tokens, pfx_prompt_shared_tokens (prompt));
+  return (int64_t)MAX (aim - fit_base (line) - fit_slope (line) * reading,
+                       aim * RLY_LONG_PATIENCE);
+}
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -7,16 +7,19 @@
 #include "relay/bud.h"
 #include "relay/fit.h"
 #include "relay/pfx.h"
+#include "relay/plc.h"
 #include "relay/rly.h"
 #include "relay/sse.h"
 
 typedef struct
 {
+  list_node_t node;
   char *name;
   bud_t repeats;
   fit_t first_token; /* milliseconds by the reading work before it */
   list_node_t lines; /* rly_line_t with requests that wait */
   unsigned waiting;
+  bool due; /* something may have found room in this turn of the loop */
 } rly_service_t;
 
 /* The waiting requests of one account at one service.  */
@@ -27,6 +30,7 @@
   char *account;
   list_node_t requests; /* the most urgent first, then the oldest */
   double use;           /* of the account, as of this round */
+  double allowed;       /* part of the usual room that it may use */
   bool passed;          /* its first request found no room this round */
 } rly_line_t;
 
@@ -39,11 +43,12 @@
   use_t *use;
   pfx_t *pfx; /* not owned */
   rte_table_t *table;
-  GHashTable *services; /* name to rly_service_t */
+  list_node_t services; /* rly_service_t */
   list_node_t running;  /* rly_request_t */
   rly_counts_t counts;
   unsigned routers;
   bool closed; /* takes no new requests */
+  ev_prepare turn;
   cfd_time_t swept;
   cfd_time_t levelled;
 };
@@ -80,6 +85,8 @@
   cfd_time_t since;
   cfd_time_t deadline; /* the caller's */
   cfd_time_t timeout;  /* the route's */
+  int64_t aim_ms;      /* an answer that begins later is late */
+  cfd_time_t until;    /* it is refused when it still waits then */
   unsigned tries;      /* sends, and connections that failed */
   unsigned attempts;   /* endpoints that may have got it */
   char *last_failed;   /* id of the endpoint that failed it last */
@@ -102,11 +109,47 @@
 /* Ends REQUEST; its call must have been answered or gone.  */
 void rly_request_free (rly_request_t *request);
 
-/* rly-queue.c: waiting and placement.  */
+/* rly-queue.c: waiting.  */
 void rly_wait (rly_request_t *request);
 void rly_unwait (rly_request_t *request);
+/* Places what finds room.  */
 void rly_pump (rly_t *rly, rly_service_t *service, cfd_time_t now);
-void rly_pump_all (rly_t *rly, cfd_time_t now);
+/* Refuses what waited too long.  */
+void rly_expire (rly_service_t *service, cfd_time_t now);
+
+/* rly-place.c: one round of placement.  */
+#define RLY_ENDPOINTS_MOST 256
+
+typedef struct
+{
+  rly_t *rly;
+  rly_service_t *service;
+  const rte_service_t *terms; /* NULL when the configuration lacks it */
+  cfd_time_t now;
+  double base_ms; /* the service's first tokens */
+  double ms_per_work;
+  double cold_per_s; /* this router's part of what a cold endpoint bears */
+  bool has_room;     /* some endpoint has a free slot */
+  guint count;
+  edp_t *edps[RLY_ENDPOINTS_MOST];
+  plc_endpoint_t figures[RLY_ENDPOINTS_MOST];
+} rly_round_t;
+
+/* Of the aim, a request of a plain service may wait here for so long.  */
+#define RLY_PLAIN_PATIENCE 0.65
+/* And one whose prompt takes all of it to be read, for so long.  */
+#define RLY_LONG_PATIENCE 0.25
+
+void rly_round_begin (rly_round_t *round, rly_t *rly, rly_service_t *service,
+                      cfd_time_t now);
+/* Sends REQUEST where it finds room; false when it has to wait.  */
+bool rly_round_place (rly_round_t *round, rly_request_t *request);
+/* How long REQUEST may wait from its arrival, in milliseconds: until its
+   prompt, read at once where its beginning is kept, would come too late.  */
+int64_t rly_longest_wait (const rly_request_t *request);
+
+/* rly.c: a pump of SERVICE at the end of this turn of the loop.  */
+void rly_pump_later (rly_service_t *service);
 
 /* rly-send.c: one exchange with an endpoint.  */
 bool rly_send (rly_request_t *request, edp_t *edp, cfd_time_t now);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -117,7 +117,7 @@
     }
   rly_take_body (request, bytes, length);
   if (first)
-    rly_pump (request->rly, request->service, now);
+    rly_pump_later (request->service);
 }
 
 static void
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -27,14 +27,45 @@
 #define REPEAT_SAFETY 0.7
 
 static void
-service_free (void *data)
+service_free (rly_service_t *service)
 {
-  rly_service_t *service = data;
-
+  list_remove (&service->node);
   g_free (service->name);
   g_free (service);
 }
 
+void
+rly_pump_later (rly_service_t *service)
+{
+  service->due = true;
+}
+
+/* Services whose requests may have found room; ALL: every one, and what waited
+   too long is refused.  */
+static void
+pump_all (rly_t *rly, cfd_time_t now, bool all)
+{
+  if (rly->table == NULL)
+    return;
+  list_for_each (node, &rly->services)
+    {
+      rly_service_t *service = list_entry (node, rly_service_t, node);
+
+      if (all)
+        rly_expire (service, now);
+      if (all || service->due)
+        rly_pump (rly, service, now);
+    }
+}
+
+/* Once for all that happened in a turn: a round over all that wait is dear,
+   and under high load a turn brings many events.  */
+static void
+on_turn (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  pump_all (watcher->data, clock_now (), false);
+}
+
 rly_t *
 rly_new (struct ev_loop *loop, const rly_names_t *names,
          const rly_bounds_t *bounds, edp_set_t *endpoints, use_t *use,
@@ -48,10 +79,14 @@
   rly->endpoints = endpoints;
   rly->use = use;
   rly->pfx = pfx;
-  rly->services
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  list_init (&rly->services);
   list_init (&rly->running);
   rly->routers = 1;
+  ev_prepare_init (&rly->turn, on_turn);
+  rly->turn.data = rly;
+  /* Before the other routers are told what this turn changed.  */
+  ev_set_priority (&rly->turn, EV_MAXPRI);
+  ev_prepare_start (loop, &rly->turn);
   return rly;
 }
 
@@ -79,16 +114,17 @@
 void
 rly_free (rly_t *rly)
 {
-  GHashTableIter each;
-  void *service;
-
   if (rly == NULL)
     return;
+  ev_prepare_stop (rly->loop, &rly->turn);
   free_requests (&rly->running);
-  g_hash_table_iter_init (&each, rly->services);
-  while (g_hash_table_iter_next (&each, NULL, &service))
-    free_lines (service);
-  g_hash_table_unref (rly->services);
+  list_for_each_safe (node, &rly->services)
+    {
+      rly_service_t *service = list_entry (node, rly_service_t, node);
+
+      free_lines (service);
+      service_free (service);
+    }
   rte_table_unref (rly->table);
   g_free (rly);
 }
@@ -96,10 +132,14 @@
 rly_service_t *
 rly_service (rly_t *rly, const char *name)
 {
-  rly_service_t *service = g_hash_table_lookup (rly->services, name);
+  rly_service_t *service;
 
-  if (service != NULL)
-    return service;
+  list_for_each (node, &rly->services)
+    {
+      service = list_entry (node, rly_service_t, node);
+      if (g_str_equal (service->name, name))
+        return service;
+    }
   service = g_new0 (rly_service_t, 1);
   service->name = g_strdup (name);
   fit_init (&service->first_token, FIRST_BASE_MS, FIRST_MS_PER_WORK);
@@ -107,7 +147,8 @@
   bud_init (&service->repeats, rly->bounds.repeat_window_ms,
             rly->bounds.repeat_ratio * REPEAT_SAFETY,
             rly->bounds.repeat_slack * REPEAT_SAFETY / rly->routers);
-  g_hash_table_insert (rly->services, service->name, service);
+  list_init (&service->node);
+  list_append (&rly->services, &service->node);
   return service;
 }
 
@@ -140,14 +181,12 @@
 void
 rly_set_routers (rly_t *rly, unsigned routers)
 {
-  GHashTableIter each;
-  void *service;
-
   rly->routers = MAX (routers, 1);
-  g_hash_table_iter_init (&each, rly->services);
-  while (g_hash_table_iter_next (&each, NULL, &service))
-    ((rly_service_t *)service)->repeats.slack
-        = rly->bounds.repeat_slack * REPEAT_SAFETY / rly->routers;
+  list_for_each (node, &rly->services)
+    {
+      list_entry (node, rly_service_t, node)->repeats.slack
+          = rly->bounds.repeat_slack * REPEAT_SAFETY / rly->routers;
+    }
 }
 
 void
@@ -316,7 +355,7 @@
   bud_request (&request->service->repeats, now);
   use_ask (rly->use, now, rly_account_name (request), request->cost);
   rly_wait (request);
-  rly_pump (rly, request->service, now);
+  rly_pump_later (request->service);
 }
 
 void
@@ -331,7 +370,7 @@
   rly->counts.departed++;
   service = request->service;
   rly_request_free (request);
-  rly_pump (rly, service, clock_now ());
+  rly_pump_later (service);
 }
 
 static void
@@ -352,7 +391,7 @@
       use_level (rly->use, now);
     }
   tick_running (rly, now);
-  rly_pump_all (rly, now);
+  pump_all (rly, now, true);
   if (now - rly->swept < SWEEP_MS)
     return;
   rly->swept = now;
