Tests: the relay over real connections, placement and shares by tables

Found by them: a request sent once more after its aim had passed was refused as not run, though an endpoint may have run it, and never found room. It is now placed as one that came just now, and fails as unknown when there is no room.

--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -10,6 +10,7 @@
 #include <errno.h>
 #include <http_parser.h>
 #include <string.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -295,6 +296,16 @@
   g_free (ent);
 }
 
+unsigned
+ent_port (const ent_t *ent)
+{
+  struct sockaddr_in addr = { 0 };
+  socklen_t length = sizeof addr;
+
+  getsockname (ent->listener.fd, (struct sockaddr *)&addr, &length);
+  return ntohs (addr.sin_port);
+}
+
 void
 ent_set_limits (ent_t *ent, const ent_limits_t *limits)
 {
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -34,6 +34,9 @@
                 const ent_ops_t *ops, void *user, GError **error);
 void ent_free (ent_t *ent);
 
+/* The port that it listens on.  */
+unsigned ent_port (const ent_t *ent);
+
 void ent_set_limits (ent_t *ent, const ent_limits_t *limits);
 
 /* Answers from now on end their connections.  */
--- a/libcoltsfootdrum/relay/sse.c
+++ b/libcoltsfootdrum/relay/evs.c
@@ -1,12 +1,12 @@
 /* Events of streams.  */
 
-#include "relay/sse.h"
+#include "relay/evs.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 void
-sse_init (sse_t *sse)
+evs_init (evs_t *sse)
 {
   sse->bytes = g_byte_array_new ();
   sse->last_id = -1;
@@ -14,7 +14,7 @@
 }
 
 void
-sse_clear (sse_t *sse)
+evs_clear (evs_t *sse)
 {
   g_clear_pointer (&sse->bytes, g_byte_array_unref);
 }
@@ -57,7 +57,7 @@
 }
 
 unsigned
-sse_feed (sse_t *sse, const char *bytes, size_t length, GString *out)
+evs_feed (evs_t *sse, const char *bytes, size_t length, GString *out)
 {
   size_t done = 0;
   unsigned events = 0;
@@ -87,14 +87,14 @@
 }
 
 void
-sse_cut (sse_t *sse)
+evs_cut (evs_t *sse)
 {
   g_byte_array_set_size (sse->bytes, 0);
 }
 
 void
-sse_rest (sse_t *sse, GString *out)
+evs_rest (evs_t *sse, GString *out)
 {
   g_string_append_len (out, (const char *)sse->bytes->data, sse->bytes->len);
-  sse_cut (sse);
+  evs_cut (sse);
 }
--- a/libcoltsfootdrum/relay/pfx.c
+++ b/libcoltsfootdrum/relay/pfx.c
@@ -56,7 +56,7 @@
 pfx_prompt_parse (const char *text)
 {
   g_auto (GStrv) words = g_strsplit (text, ",", -1);
-  g_autoptr (pfx_prompt_t) prompt = g_new0 (pfx_prompt_t, 1);
+  pfx_prompt_t *prompt = g_new0 (pfx_prompt_t, 1);
   uint64_t before = 0;
 
   prompt->parts = g_array_new (FALSE, FALSE, sizeof (pfx_part_t));
@@ -65,12 +65,16 @@
       pfx_part_t part;
 
       if (!parse_part (g_strstrip (*word), before, &part))
-        return NULL;
+        goto bad;
       before = part.id;
       prompt->tokens += part.tokens;
       g_array_append_val (prompt->parts, part);
     }
-  return prompt->parts->len > 0 ? g_steal_pointer (&prompt) : NULL;
+  if (prompt->parts->len > 0)
+    return prompt;
+bad:
+  pfx_prompt_free (prompt);
+  return NULL;
 }
 
 void
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -28,7 +28,7 @@
   answer->framed = false;
   g_string_truncate (answer->fields, 0);
   g_string_truncate (answer->body, 0);
-  sse_cut (&answer->events);
+  evs_cut (&answer->events);
 }
 
 void
@@ -36,7 +36,7 @@
 {
   g_string_free (answer->fields, TRUE);
   g_string_free (answer->body, TRUE);
-  sse_clear (&answer->events);
+  evs_clear (&answer->events);
 }
 
 /* Ends REQUEST after its call was answered, and gives its place to others.  */
@@ -57,9 +57,9 @@
   ent_call_t *call = request->call;
   char retry[G_ASCII_DTOSTR_BUF_SIZE];
 
-  /* A stream that was to go on elsewhere: its caller has a part of it, so that
-     nothing can be refused any more.  */
-  if (request->began)
+  /* It was to go on elsewhere: its caller has a part of it, or an endpoint may
+     have run it, so that a refusal would not be true.  */
+  if (request->began || request->may_have_run)
     {
       rly_fail (request, 502, reason);
       return;
@@ -177,7 +177,7 @@
         answer->sound = false;
       return;
     }
-  sse_feed (&answer->events, bytes, length, answer->body);
+  evs_feed (&answer->events, bytes, length, answer->body);
   pass_on (request);
   if (request->held || request->exchange == NULL
       || ent_unwritten (request->call) <= BEHIND_MOST)
@@ -245,6 +245,7 @@
 take_unknown (rly_request_t *request, cfd_time_t now, const char *reason)
 {
   edp_failed (request->edp, now);
+  request->may_have_run = true;
   if (rte_may_repeat (request->route) && may_repeat_now (request, now))
     {
       request->rly->counts.resumed += request->began;
@@ -280,7 +281,7 @@
   rly_answer_t *answer = &request->answer;
   ent_call_t *call = request->call;
 
-  sse_rest (&answer->events, answer->body);
+  evs_rest (&answer->events, answer->body);
   pass_on (request);
   request->rly->counts.answered++;
   if (!request->began)
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -126,7 +126,9 @@
 static plc_request_t
 wish_of (const rly_round_t *round, const rly_request_t *request)
 {
-  int64_t waited = round->now - request->since;
+  /* One that failed elsewhere is late already; it goes where one that came
+     just now would.  */
+  int64_t waited = request->tries == 0 ? round->now - request->since : 0;
   double allowed = request->line->allowed;
   plc_request_t wish
       = { .left_ms = (double)request->aim_ms * AIM_SHARE - (double)waited,
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -9,7 +9,7 @@
 #include "relay/pfx.h"
 #include "relay/plc.h"
 #include "relay/rly.h"
-#include "relay/sse.h"
+#include "relay/evs.h"
 
 typedef struct
 {
@@ -59,7 +59,7 @@
   unsigned status;
   GString *fields; /* finished lines for the caller */
   GString *body;   /* gathered, or events not passed on yet */
-  sse_t events;
+  evs_t events;
   bool stream;  /* passed on as it comes */
   bool not_run; /* the endpoint gave the request back */
   bool sound;   /* the head may be passed on */
@@ -94,12 +94,13 @@
   edp_t *edp; /* while it runs */
   ups_exchange_t *exchange;
   cfd_time_t sent_at;
-  double ahead;   /* reading work before its first token */
-  double unread;  /* its own part of that, until the first byte */
-  double context; /* tokens that it holds in memory */
-  bool began;     /* the caller has got the head */
-  bool cold;      /* sent while its endpoint was cold */
-  bool held;      /* the answer is not read on: its caller is behind */
+  double ahead;      /* reading work before its first token */
+  double unread;     /* its own part of that, until the first byte */
+  double context;    /* tokens that it holds in memory */
+  bool began;        /* the caller has got the head */
+  bool may_have_run; /* an endpoint got it and did not give it back */
+  bool cold;         /* sent while its endpoint was cold */
+  bool held;         /* the answer is not read on: its caller is behind */
   rly_answer_t answer;
 } rly_request_t;
 
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -77,7 +77,8 @@
   request->aim_ms
       = request->route->aim_ms > 0 ? request->route->aim_ms : USUAL_AIM_MS;
   request->until = end;
-  if (!request->began)
+  /* One that failed elsewhere has lost its time by no fault of its own.  */
+  if (request->tries == 0)
     request->until = MIN (request->since + rly_longest_wait (request), end);
   while (before != &line->requests
          && goes_before (request, list_entry (before, rly_request_t, node)))
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -55,7 +55,7 @@
   const rly_names_t *names = &request->rly->names;
   const rd_head_t *head = ent_head (request->call);
   const GByteArray *body = ent_body (request->call);
-  const sse_t *events = &request->answer.events;
+  const evs_t *events = &request->answer.events;
   GString *text = g_string_sized_new (1024 + body->len);
 
   g_string_append_printf (text, "%s %s HTTP/1.1\r\n", head->method,
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -102,7 +102,7 @@
 static void
 free_lines (rly_service_t *service)
 {
-  while (!list_is_empty (&service->lines))
+  while (service->waiting > 0)
     {
       rly_line_t *line = list_entry (service->lines.next, rly_line_t, node);
 
@@ -308,7 +308,7 @@
   if (route->timeout_ms > 0)
     request->timeout = request->since + route->timeout_ms;
   list_init (&request->node);
-  sse_init (&request->answer.events);
+  evs_init (&request->answer.events);
   request->answer.fields = g_string_new (NULL);
   request->answer.body = g_string_new (NULL);
   read_work (request, fields);
--- /dev/null
+++ b/libcoltsfootdrum/relay/test-parts.c
@@ -0,0 +1,218 @@
+/* Small parts of the relay: the routing table, prompts' parts, the budget of
+   repeats, the line through first tokens.  */
+
+#include "relay/bud.h"
+#include "relay/fit.h"
+#include "relay/hdr.h"
+#include "relay/pfx.h"
+#include "relay/rte.h"
+
+#include <string.h>
+
+#define NOW 1000000
+
+static rte_route_t *
+route (const char *host, const char *prefix, const char *service)
+{
+  rte_route_t *one = rte_route_new ();
+
+  one->name = g_strdup (prefix);
+  one->host = g_strdup (host);
+  one->prefix = g_strdup (prefix);
+  rte_route_add_share (one, service, 1.);
+  return one;
+}
+
+static rte_table_t *
+make_table (void)
+{
+  static const char *const keys[] = { "k1", "k2", NULL };
+  rte_limits_t limits = { 0 };
+  rte_table_t *table = rte_table_new (7, &limits);
+  rte_account_t *account = g_new0 (rte_account_t, 1);
+
+  rte_table_add_route (table, route ("Example.org", "/a/", "s1"));
+  rte_table_add_route (table, route ("example.org", "/a/b/", "s2"));
+  rte_table_add_route (table, route ("other.org", "/", "s3"));
+  account->name = g_strdup ("mill");
+  rte_table_add_account (table, account, keys);
+  return table;
+}
+
+typedef struct
+{
+  const char *name;
+  const char *host;
+  const char *target;
+  const char *prefix; /* NULL: no route */
+} find_case_t;
+
+static const find_case_t find_cases[] = {
+  { "longest", "example.org", "/a/b/c", "/a/b/" },
+  { "shorter", "example.org", "/a/x", "/a/" },
+  { "host-case-and-port", "EXAMPLE.org:80", "/a/x", "/a/" },
+  { "other-host", "other.org", "/a/b/", "/" },
+  { "no-host", "nobody.org", "/a/", NULL },
+  { "no-prefix", "example.org", "/b/", NULL },
+  { "not-whole-segment", "example.org", "/ab/", NULL },
+  /* A slash in the query is none of the path.  */
+  { "query", "example.org", "/a/?x=/b/", "/a/" },
+};
+
+static void
+test_find (const void *data)
+{
+  const find_case_t *one = data;
+  g_autoptr (rte_table_t) table = make_table ();
+  const rte_route_t *found = rte_find (table, one->host, one->target);
+
+  g_assert_cmpstr (found != NULL ? found->prefix : NULL, ==, one->prefix);
+}
+
+static void
+test_accounts (void)
+{
+  g_autoptr (rte_table_t) table = make_table ();
+
+  g_assert_cmpstr (rte_account (table, "k2")->name, ==, "mill");
+  g_assert_null (rte_account (table, "k3"));
+}
+
+static void
+test_shares (void)
+{
+  rte_route_t *one = rte_route_new ();
+
+  rte_route_add_share (one, "a", 90.);
+  rte_route_add_share (one, "b", 10.);
+  g_assert_cmpstr (rte_route_service (one, 0.), ==, "a");
+  g_assert_cmpstr (rte_route_service (one, 0.89), ==, "a");
+  g_assert_cmpstr (rte_route_service (one, 0.91), ==, "b");
+  g_assert_cmpstr (rte_route_service (one, 1.), ==, "b");
+  rte_route_free (one);
+}
+
+static void
+test_prompts (void)
+{
+  static const char *const bad[] = { "", "a", "a:", ":5", "a:5,", "a:-1x" };
+  g_autoptr (pfx_prompt_t) prompt = pfx_prompt_parse ("a:100, b:50,c:7");
+
+  g_assert_cmpuint (prompt->tokens, ==, 157);
+  g_assert_cmpuint (pfx_prompt_shared_tokens (prompt), ==, 150);
+  for (guint i = 0; i < G_N_ELEMENTS (bad); i++)
+    g_assert_null (pfx_prompt_parse (bad[i]));
+}
+
+/* What was sent to an endpoint is kept there for a while; a part alone,
+   without those before it, is another one.  */
+static void
+test_kept (void)
+{
+  g_autoptr (pfx_t) pfx = pfx_new ();
+  g_autoptr (pfx_prompt_t) first = pfx_prompt_parse ("a:100,b:50,c:7");
+  g_autoptr (pfx_prompt_t) same = pfx_prompt_parse ("a:100,b:50,d:9");
+  g_autoptr (pfx_prompt_t) begins = pfx_prompt_parse ("a:100,x:50,d:9");
+  g_autoptr (pfx_prompt_t) moved = pfx_prompt_parse ("z:1,b:50,d:9");
+
+  pfx_note (pfx, NOW, 1, first);
+  g_assert_cmpuint (pfx_kept (pfx, NOW, 1, same), ==, 150);
+  g_assert_cmpuint (pfx_kept (pfx, NOW, 1, begins), ==, 100);
+  g_assert_cmpuint (pfx_kept (pfx, NOW, 1, moved), ==, 0);
+  g_assert_cmpuint (pfx_kept (pfx, NOW, 2, same), ==, 0);
+  g_assert_cmpuint (pfx_kept (pfx, NOW + 3600000, 1, same), ==, 0);
+}
+
+/* Another router's word: the last shared part alone, which stands for all
+   before it.  */
+static void
+test_news (void)
+{
+  g_autoptr (pfx_t) here = pfx_new ();
+  g_autoptr (pfx_t) there = pfx_new ();
+  g_autoptr (pfx_prompt_t) prompt = pfx_prompt_parse ("a:100,b:50,c:7");
+  const GArray *news;
+
+  pfx_note (here, NOW, 1, prompt);
+  news = pfx_news (here, NOW);
+  g_assert_cmpuint (news->len, ==, 1);
+  pfx_hear (there, NOW, g_array_index (news, pfx_news_t, 0).endpoint,
+            g_array_index (news, pfx_news_t, 0).part);
+  g_assert_cmpuint (pfx_kept (there, NOW, 1, prompt), ==, 150);
+  g_assert_cmpuint (pfx_news (here, NOW + 1)->len, ==, 0);
+}
+
+/* Load pattern: every request fails.  Of 1,000 in a window a fifth and the
+   fixed part may be sent again, and no more however long it lasts.  */
+static void
+test_budget (void)
+{
+  bud_t bud;
+  unsigned repeats = 0;
+
+  bud_init (&bud, 10000, 0.2, 50.);
+  for (unsigned i = 0; i < 1000; i++)
+    {
+      bud_request (&bud, NOW + i * 10);
+      repeats += bud_repeat (&bud, NOW + i * 10);
+    }
+  g_assert_cmpuint (repeats, >=, 200);
+  g_assert_cmpuint (repeats, <=, 250);
+  g_assert_false (bud_repeat (&bud, NOW + 9999));
+  /* An hour later all is forgotten.  */
+  g_assert_true (bud_repeat (&bud, NOW + 3600000));
+}
+
+static void
+test_line (void)
+{
+  fit_t fit;
+
+  fit_init (&fit, 50., 0.0125);
+  g_assert_cmpfloat_with_epsilon (fit_base (&fit), 50., 1e-6);
+  g_assert_cmpfloat_with_epsilon (fit_slope (&fit), 0.0125, 1e-9);
+  for (unsigned i = 0; i < 2000; i++)
+    fit_add (&fit, i % 20 * 1000., 60. + i % 20 * 8.);
+  g_assert_cmpfloat_with_epsilon (fit_base (&fit), 60., 1.);
+  g_assert_cmpfloat_with_epsilon (fit_slope (&fit), 0.008, 1e-4);
+}
+
+static void
+test_hop_fields (void)
+{
+  hdr_t hdr;
+
+  hdr_init (&hdr);
+  hdr_add (&hdr, "Connection", "close, X-Mine");
+  hdr_add (&hdr, "x-mine", "1");
+  hdr_add (&hdr, "Transfer-Encoding", "chunked");
+  hdr_add (&hdr, "Accept", "*/*");
+  g_assert_true (hdr_is_hop (&hdr, 0));
+  g_assert_true (hdr_is_hop (&hdr, 1));
+  g_assert_true (hdr_is_hop (&hdr, 2));
+  g_assert_false (hdr_is_hop (&hdr, 3));
+  g_assert_cmpstr (hdr_get (&hdr, "accept"), ==, "*/*");
+  hdr_clear (&hdr);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (find_cases); i++)
+    {
+      g_autofree char *path
+          = g_strdup_printf ("/rte/find/%s", find_cases[i].name);
+
+      g_test_add_data_func (path, &find_cases[i], test_find);
+    }
+  g_test_add_func ("/rte/accounts", test_accounts);
+  g_test_add_func ("/rte/shares", test_shares);
+  g_test_add_func ("/pfx/prompts", test_prompts);
+  g_test_add_func ("/pfx/kept", test_kept);
+  g_test_add_func ("/pfx/news", test_news);
+  g_test_add_func ("/bud/storm", test_budget);
+  g_test_add_func ("/fit/line", test_line);
+  g_test_add_func ("/hdr/hop", test_hop_fields);
+  return g_test_run ();
+}
--- /dev/null
+++ b/libcoltsfootdrum/relay/test-plc.c
@@ -0,0 +1,181 @@
+/* Placement, by tables of the load patterns it answers.  */
+
+#include "relay/plc.h"
+
+#include <math.h>
+
+#define WAITS (-1)
+
+typedef struct
+{
+  const char *name;
+  plc_request_t request;
+  plc_endpoint_t endpoints[4];
+  guint count;
+  int chosen;
+} case_t;
+
+/* 50 ms to the first token, 100 tokens read a millisecond.  */
+#define WISH(left, bear)                                                      \
+  {                                                                           \
+    .base_ms = 50., .ms_per_work = 0.01, .left_ms = left, .bear_ms = bear,    \
+    .room = 1., .size = 2000.                                                 \
+  }
+
+#define FREE .slots = 64, .memory = 400000.
+
+static const case_t cases[] = {
+  { "idle-home",
+    WISH (300., 150.),
+    { { FREE, .own = 800. }, { FREE, .own = 800., .home = true } },
+    2,
+    1 },
+  /* A long prompt is being read at the home: a short request goes where its
+     first token comes in time.  */
+  { "behind-a-long-prompt",
+    WISH (300., 150.),
+    { { FREE, .own = 800., .unread = 50000., .home = true },
+      { FREE, .own = 800., .unread = 2000. } },
+    2,
+    1 },
+  /* The kept beginning saves more time than the shorter queue.  */
+  { "kept-beginning",
+    WISH (600., 300.),
+    { { FREE, .own = 7000., .unread = 6000. },
+      { FREE, .own = 12000., .missing = 5000. } },
+    2,
+    0 },
+  { "kept-but-far-behind",
+    WISH (600., 300.),
+    { { FREE, .own = 7000., .unread = 32000. },
+      { FREE, .own = 12000., .missing = 5000. } },
+    2,
+    1 },
+  { "all-behind",
+    WISH (300., 150.),
+    { { FREE, .own = 800., .unread = 40000. },
+      { FREE, .own = 800., .unread = 30000. } },
+    2,
+    WAITS },
+  { "all-slots-taken",
+    WISH (300., 150.),
+    { { FREE, .own = 800., .active = 64 } },
+    1,
+    WAITS },
+  { "memory-full",
+    WISH (300., 150.),
+    { { FREE, .own = 800., .active = 9, .context = 339000. } },
+    1,
+    WAITS },
+  /* Larger than all memory: an idle endpoint takes it all the same.  */
+  { "memory-alone",
+    { .base_ms = 50.,
+      .ms_per_work = 0.01,
+      .left_ms = 600.,
+      .bear_ms = 300.,
+      .room = 1.,
+      .size = 900000. },
+    { { FREE, .own = 800. } },
+    1,
+    0 },
+  /* It can't be in time anywhere, and goes where little is before it.  */
+  { "longer-than-the-aim",
+    WISH (600., 300.),
+    { { FREE, .own = 80000., .unread = 25000. },
+      { FREE, .own = 80000., .unread = 10000. } },
+    2,
+    1 },
+  { "longer-than-the-aim-waits",
+    WISH (600., 300.),
+    { { FREE, .own = 80000., .unread = 25000. } },
+    1,
+    WAITS },
+  { "plain-least-active",
+    { .left_ms = 150., .bear_ms = HUGE_VAL, .room = 1. },
+    { { .active = 3, .slots = 6 },
+      { .active = 1, .slots = 6 },
+      { .active = 2, .slots = 6 } },
+    3,
+    1 },
+  { "plain-full",
+    { .left_ms = 150., .bear_ms = HUGE_VAL, .room = 1. },
+    { { .active = 6, .slots = 6 } },
+    1,
+    WAITS },
+  /* An account above its share leaves a part of the slots to others.  */
+  { "held-back",
+    { .base_ms = 50.,
+      .ms_per_work = 0.01,
+      .left_ms = 300.,
+      .bear_ms = 30.,
+      .room = 0.75,
+      .size = 2000. },
+    { { FREE, .own = 800., .active = 50 },
+      { FREE, .own = 800., .active = 40, .unread = 2000. } },
+    2,
+    1 },
+  { "held-back-waits",
+    { .base_ms = 50.,
+      .ms_per_work = 0.01,
+      .left_ms = 300.,
+      .bear_ms = 30.,
+      .room = 0.75,
+      .size = 2000. },
+    { { FREE, .own = 800., .active = 40, .unread = 4000. } },
+    1,
+    WAITS },
+  { "none", WISH (300., 150.), { { 0 } }, 0, WAITS },
+};
+
+static void
+test_case (const void *data)
+{
+  const case_t *one = data;
+
+  g_assert_cmpint (plc_choose (one->endpoints, one->count, &one->request), ==,
+                   one->chosen);
+}
+
+/* Routers that know the same choose among equal endpoints at random, so that a
+   burst doesn't meet the first of the list.  */
+static void
+test_ties (void)
+{
+  plc_endpoint_t endpoints[4];
+  plc_request_t request = WISH (300., 150.);
+  unsigned chosen = 0;
+
+  for (guint i = 0; i < 4; i++)
+    endpoints[i] = (plc_endpoint_t){ FREE, .own = 800. };
+  for (guint i = 0; i < 4; i++)
+    {
+      request.draw = (i + 0.5) / 4.;
+      chosen |= 1u << plc_choose (endpoints, 4, &request);
+    }
+  g_assert_cmpuint (chosen, ==, 0xf);
+}
+
+static void
+test_reading (void)
+{
+  g_assert_cmpfloat (plc_reading (1000., 1000.), ==, 0.);
+  g_assert_cmpfloat (plc_reading (1000., 0.), >, 1000.);
+  /* The end of a long prompt is read together with all before it.  */
+  g_assert_cmpfloat (plc_reading (50000., 49000.), >,
+                     2. * plc_reading (1000., 0.));
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/plc/%s", cases[i].name);
+
+      g_test_add_data_func (path, &cases[i], test_case);
+    }
+  g_test_add_func ("/plc/ties", test_ties);
+  g_test_add_func ("/plc/reading", test_reading);
+  return g_test_run ();
+}
--- /dev/null
+++ b/libcoltsfootdrum/relay/test-rly.c
@@ -0,0 +1,457 @@
+/* The relay between callers and endpoints over real connections: what a caller
+   gets for each thing that an endpoint may do, and what endpoints get.  */
+
+#include "test-rly-scene.h"
+
+#include <string.h>
+
+#define OK(body_length, body)                                                 \
+  "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\nContent-Length: " body_length \
+  "\r\n\r\n" body
+#define NOT_RUN                                                               \
+  "HTTP/1.1 503 Busy\r\nX-Id: %I\r\nX-Not-Run: 1\r\nContent-Length: "         \
+  "0\r\n\r\n"
+#define EVENTS                                                                \
+  "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\nTransfer-Encoding: "          \
+  "chunked\r\n\r\n"
+#define E1 "f\r\nid: 1\ndata: a\n\n\r\n"
+#define E2 "f\r\nid: 2\ndata: b\n\n\r\n"
+#define E3 "f\r\nid: 3\ndata: c\n\n\r\n"
+#define END "0\r\n\r\n"
+
+#define CALL(path, id)                                                        \
+  "POST " path " HTTP/1.1\r\nHost: h\r\nX-Id: " id                            \
+  "\r\nX-Deadline: 4000\r\nAuthorization: Bearer key-of-the-mill\r\n"         \
+  "Content-Length: 2\r\n\r\nhi"
+
+typedef struct
+{
+  const char *name;
+  const char *call;
+  scene_reply_t replies[3];
+  unsigned reply_count;
+  const char *answer; /* its beginning */
+  const char *holds;  /* further in it; NULL: not looked at */
+  unsigned arrivals;  /* requests at all endpoints */
+  bool broken;        /* the connection ends without the answer's end */
+} case_t;
+
+static const case_t cases[] = {
+  { "whole",
+    CALL ("/once/", "1"),
+    { { OK ("3", "abc"), SCENE_STAYS } },
+    1,
+    "HTTP/1.1 200 OK\r\n",
+    "Content-Length: 3\r\n\r\nabc",
+    1,
+    false },
+  /* The endpoint's own word that nothing ran: another may have it, where the
+     route lets two endpoints try.  */
+  { "not-run-elsewhere",
+    CALL ("/twice/", "1"),
+    { { NOT_RUN, SCENE_STAYS }, { OK ("1", "x"), SCENE_STAYS } },
+    2,
+    "HTTP/1.1 200 OK\r\n",
+    "\r\n\r\nx",
+    2,
+    false },
+  { "not-run-once",
+    CALL ("/once/", "1"),
+    { { NOT_RUN, SCENE_STAYS } },
+    1,
+    "HTTP/1.1 503 ",
+    "Retry-After: 0.",
+    1,
+    false },
+  /* Closed without an answer: it may have run, and runs once at most.  */
+  { "broken-once",
+    CALL ("/once/", "1"),
+    { { "", SCENE_RESETS }, { OK ("1", "x"), SCENE_STAYS } },
+    2,
+    "HTTP/1.1 502 ",
+    NULL,
+    1,
+    false },
+  { "broken-twice",
+    CALL ("/twice/", "1"),
+    { { "", SCENE_RESETS }, { OK ("1", "x"), SCENE_STAYS } },
+    2,
+    "HTTP/1.1 200 OK\r\n",
+    "\r\n\r\nx",
+    2,
+    false },
+  /* A status that promises "not run", which the endpoint did not say.  */
+  { "busy-without-word",
+    CALL ("/once/", "1"),
+    { { "HTTP/1.1 503 Busy\r\nX-Id: %I\r\nContent-Length: 0\r\n\r\n",
+        SCENE_STAYS } },
+    1,
+    "HTTP/1.1 502 ",
+    NULL,
+    1,
+    false },
+  { "own-error",
+    CALL ("/once/", "1"),
+    { { "HTTP/1.1 500 No\r\nX-Id: %I\r\nX-Stamp: s\r\nContent-Length: "
+        "2\r\n\r\n"
+        "no",
+        SCENE_STAYS } },
+    1,
+    "HTTP/1.1 500 ",
+    "X-Stamp: s",
+    1,
+    false },
+  { "no-stamp-once",
+    CALL ("/once/", "1"),
+    { { "HTTP/1.1 200 OK\r\nX-Id: %I\r\nContent-Length: 1\r\n\r\nx",
+        SCENE_STAYS } },
+    1,
+    "HTTP/1.1 502 ",
+    NULL,
+    1,
+    false },
+  { "short-body-twice",
+    CALL ("/twice/", "1"),
+    { { "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\nContent-Length: "
+        "9\r\n\r\nab",
+        SCENE_CLOSES },
+      { OK ("1", "x"), SCENE_STAYS } },
+    2,
+    "HTTP/1.1 200 OK\r\n",
+    "\r\n\r\nx",
+    2,
+    false },
+  { "no-http-once",
+    CALL ("/once/", "1"),
+    { { "\x01\x02 what\r\n\r\n", SCENE_STAYS } },
+    1,
+    "HTTP/1.1 502 ",
+    NULL,
+    1,
+    false },
+  /* A second answer to an earlier request comes where this one's is due.  */
+  { "other-answer-first",
+    CALL ("/once/", "1"),
+    { { "HTTP/1.1 200 OK\r\nX-Id: 77\r\nX-Stamp: s\r\nContent-Length: "
+        "3\r\n\r\n"
+        "old" OK ("3", "new"),
+        SCENE_STAYS } },
+    1,
+    "HTTP/1.1 200 OK\r\n",
+    "\r\n\r\nnew",
+    1,
+    false },
+  { "unframed",
+    CALL ("/once/", "1"),
+    { { "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\n\r\nabc",
+        SCENE_CLOSES } },
+    1,
+    "HTTP/1.1 200 OK\r\n",
+    "Content-Length: 3\r\n\r\nabc",
+    1,
+    false },
+  { "unframed-reset",
+    CALL ("/once/", "1"),
+    { { "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\n\r\nabc",
+        SCENE_RESETS } },
+    1,
+    "HTTP/1.1 502 ",
+    NULL,
+    1,
+    false },
+  { "events",
+    CALL ("/events/", "1"),
+    { { EVENTS E1 E2 END, SCENE_STAYS } },
+    1,
+    "HTTP/1.1 200 OK\r\n",
+    "data: b\n\n\r\n0\r\n\r\n",
+    1,
+    false },
+  { "events-go-on-elsewhere",
+    CALL ("/events/", "1"),
+    { { EVENTS E1 "8\r\nid: 2\nda\r\n", SCENE_CLOSES },
+      { EVENTS E2 E3 END, SCENE_STAYS } },
+    2,
+    "HTTP/1.1 200 OK\r\n",
+    "data: c\n\n\r\n0\r\n\r\n",
+    2,
+    false },
+  { "events-break-off",
+    CALL ("/events-once/", "1"),
+    { { EVENTS E1 "8\r\nid: 2\nda\r\n", SCENE_CLOSES } },
+    1,
+    "HTTP/1.1 200 OK\r\n",
+    "data: a\n\n",
+    1,
+    true },
+  { "no-route",
+    CALL ("/none/", "1"),
+    { { NULL, SCENE_STAYS } },
+    1,
+    "HTTP/1.1 404 ",
+    NULL,
+    0,
+    false },
+  { "unknown-key",
+    "GET /once/ HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer x\r\n\r\n",
+    { { NULL, SCENE_STAYS } },
+    1,
+    "HTTP/1.1 401 ",
+    NULL,
+    0,
+    false },
+  { "no-key",
+    "GET /once/ HTTP/1.1\r\nHost: h\r\n\r\n",
+    { { NULL, SCENE_STAYS } },
+    1,
+    "HTTP/1.1 401 ",
+    NULL,
+    0,
+    false },
+  { "malformed",
+    "GET\r\n\r\n",
+    { { NULL, SCENE_STAYS } },
+    1,
+    "HTTP/1.1 400 ",
+    NULL,
+    0,
+    false },
+};
+
+static void
+test_case (const void *data)
+{
+  const case_t *one = data;
+  scene_t *scene = scene_new (one->replies, one->reply_count, 4);
+  scene_caller_t *caller = scene_call (scene, one->call);
+
+  scene_wait_for (scene, caller, one->broken ? NULL : "\r\n\r\n");
+  if (one->holds != NULL)
+    scene_wait_for (scene, caller, one->holds);
+  g_assert_true (g_str_has_prefix (caller->text->str, one->answer));
+  if (one->holds != NULL)
+    g_assert_nonnull (strstr (caller->text->str, one->holds));
+  if (one->broken)
+    g_assert_null (strstr (caller->text->str, "0\r\n\r\n"));
+  g_assert_cmpuint (scene->arrived, ==, one->arrivals);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* Fields that the endpoint gets: the caller's own but its key and those that
+   only the router may set; the account, the endpoint's id, the time left.  */
+static void
+test_fields (void)
+{
+  static const scene_reply_t replies[] = { { OK ("1", "x"), SCENE_STAYS } };
+  static const char call[]
+      = "POST /once/a?b=c HTTP/1.1\r\nHost: h\r\nX-Id: 9\r\nX-Own: o\r\n"
+        "X-Account: other\r\nX-Hold: 5\r\nX-Expect: e9\r\n"
+        "Authorization: Bearer key-of-the-mill\r\n"
+        "Connection: keep-alive, X-Gone\r\nX-Gone: g\r\nX-Deadline: 2000\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n";
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller = scene_call (scene, call);
+  const char *deadline;
+
+  scene_wait_for (scene, caller, "\r\n\r\nx");
+  g_assert_true (g_str_has_prefix (scene->last->str, "POST /once/a?b=c|"));
+  g_assert_nonnull (strstr (scene->last->str, "|X-Id=9|"));
+  g_assert_nonnull (strstr (scene->last->str, "|X-Own=o|"));
+  g_assert_nonnull (strstr (scene->last->str, "|X-Account=mill|"));
+  g_assert_nonnull (strstr (scene->last->str, "|X-Expect=e"));
+  g_assert_nonnull (strstr (scene->last->str, "|Content-Length=2|body=hi"));
+  g_assert_null (strstr (scene->last->str, "other"));
+  g_assert_null (strstr (scene->last->str, "e9"));
+  g_assert_null (strstr (scene->last->str, "X-Hold"));
+  g_assert_null (strstr (scene->last->str, "X-Gone"));
+  g_assert_null (strstr (scene->last->str, "key-of-the-mill"));
+  deadline = strstr (scene->last->str, "|X-Deadline=");
+  g_assert_nonnull (deadline);
+  g_assert_cmpint (atoi (deadline + strlen ("|X-Deadline=")), <=, 2000);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* A stream goes on at another endpoint, which is told the last event that the
+   caller has: not the half one that came after it.  */
+static void
+test_last_event (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E1 "8\r\nid: 2\nda\r\n", SCENE_CLOSES },
+          { EVENTS E2 END, SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 2, 4);
+  scene_caller_t *caller = scene_call (scene, CALL ("/events/", "1"));
+
+  scene_wait_for (scene, caller, "\r\n0\r\n\r\n");
+  g_assert_nonnull (strstr (scene->last->str, "|Last-Event-Id=1|"));
+  g_assert_cmpuint (scene->backs[0].requests, ==, 1);
+  g_assert_cmpuint (scene->backs[1].requests, ==, 1);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* An address on which nobody listens got nothing, so that a request which may
+   run once goes on to another endpoint.  */
+static void
+test_unreached (void)
+{
+  static const scene_reply_t replies[] = { { OK ("1", "x"), SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 1, 4);
+
+  scene_list (scene, 1, true, 4);
+  for (unsigned i = 0; i < 6; i++)
+    {
+      scene_caller_t *caller = scene_call (scene, CALL ("/once/", "1"));
+
+      scene_wait_for (scene, caller, "\r\n\r\n");
+      g_assert_true (
+          g_str_has_prefix (caller->text->str, "HTTP/1.1 200 OK\r\n"));
+      scene_caller_free (caller);
+    }
+  scene_free (scene);
+}
+
+static bool
+has_lost (void *user)
+{
+  return ((scene_t *)user)->lost > 0;
+}
+
+static bool
+has_arrived (void *user)
+{
+  return ((scene_t *)user)->arrived > 0;
+}
+
+/* The caller leaves while its request runs: the connection to the endpoint
+   ends, whereupon the endpoint drops the work.  */
+static void
+test_caller_leaves (void)
+{
+  static const scene_reply_t replies[] = { { NULL, SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller = scene_call (scene, CALL ("/once/", "1"));
+
+  scene_run (scene, has_arrived, scene);
+  scene_caller_free (caller);
+  scene_run (scene, has_lost, scene);
+  g_assert_cmpuint (rly_counts (scene->rly)->running, ==, 0);
+  scene_free (scene);
+}
+
+/* Load pattern: more requests than slots.  The second waits here, since the
+   endpoint is full, and is refused when its answer could no longer be in time,
+   long before its deadline; the endpoint never hears of it.  */
+static void
+test_refused_in_time (void)
+{
+  static const scene_reply_t replies[] = { { NULL, SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 1, 1);
+  scene_caller_t *first;
+  scene_caller_t *second;
+  int64_t begun;
+
+  scene_list (scene, 1, false, 1);
+  first = scene_call (scene, CALL ("/once/", "1"));
+  scene_run (scene, has_arrived, scene);
+  begun = clock_now ();
+  second = scene_call (scene, CALL ("/once/", "2"));
+  scene_wait_for (scene, second, "\r\n\r\n");
+  g_assert_true (g_str_has_prefix (second->text->str, "HTTP/1.1 503 "));
+  g_assert_nonnull (strstr (second->text->str, "Retry-After: 0."));
+  g_assert_cmpint (clock_now () - begun, <, 4000);
+  g_assert_cmpuint (scene->arrived, ==, 1);
+  scene_caller_free (first);
+  scene_caller_free (second);
+  scene_free (scene);
+}
+
+/* An endpoint accepts and stays silent: a request that may run twice is sent
+   to the other one.  */
+static void
+test_silent_endpoint (void)
+{
+  static const scene_reply_t replies[]
+      = { { NULL, SCENE_STAYS }, { OK ("1", "x"), SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 2, 4);
+  scene_caller_t *caller = scene_call (scene, CALL ("/twice/", "1"));
+
+  scene_wait_for (scene, caller, "\r\n\r\n");
+  g_assert_true (g_str_has_prefix (caller->text->str, "HTTP/1.1 200 OK\r\n"));
+  g_assert_cmpuint (scene->arrived, ==, 2);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* Two requests on one connection, sent together: two answers, in order.  */
+static void
+test_pipelined (void)
+{
+  static const scene_reply_t replies[]
+      = { { OK ("3", "one"), SCENE_STAYS }, { OK ("3", "two"), SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 2, 4);
+  scene_caller_t *caller
+      = scene_call (scene, CALL ("/once/", "1") CALL ("/once/", "2"));
+
+  scene_wait_for (scene, caller, "two");
+  g_assert_nonnull (strstr (caller->text->str, "\r\n\r\noneHTTP/1.1 200 OK"));
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* Before the first configuration nothing can be said of a route or a key: the
+   caller is told to come back, never that they don't exist.  */
+static void
+test_closed (void)
+{
+  static const scene_reply_t replies[] = { { NULL, SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller;
+
+  rly_close (scene->rly);
+  caller = scene_call (scene, CALL ("/none/", "1"));
+  scene_wait_for (scene, caller, "\r\n\r\n");
+  g_assert_true (g_str_has_prefix (caller->text->str, "HTTP/1.1 503 "));
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* An older configuration never comes back.  */
+static void
+test_table_never_older (void)
+{
+  static const scene_reply_t replies[] = { { NULL, SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  rte_limits_t limits = { 0 };
+  g_autoptr (rte_table_t) newer = rte_table_new (9, &limits);
+  g_autoptr (rte_table_t) older = rte_table_new (8, &limits);
+
+  rly_set_table (scene->rly, newer);
+  rly_set_table (scene->rly, older);
+  g_assert_cmpuint (rte_table_version (rly_table (scene->rly)), ==, 9);
+  scene_free (scene);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/rly/%s", cases[i].name);
+
+      g_test_add_data_func (path, &cases[i], test_case);
+    }
+  g_test_add_func ("/rly/fields", test_fields);
+  g_test_add_func ("/rly/last-event", test_last_event);
+  g_test_add_func ("/rly/unreached", test_unreached);
+  g_test_add_func ("/rly/caller-leaves", test_caller_leaves);
+  g_test_add_func ("/rly/refused-in-time", test_refused_in_time);
+  g_test_add_func ("/rly/silent-endpoint", test_silent_endpoint);
+  g_test_add_func ("/rly/pipelined", test_pipelined);
+  g_test_add_func ("/rly/closed", test_closed);
+  g_test_add_func ("/rly/table-never-older", test_table_never_older);
+  return g_test_run ();
+}
--- /dev/null
+++ b/libcoltsfootdrum/relay/test-use.c
@@ -0,0 +1,97 @@
+/* Accounts' shares: the level, and who is above it.  */
+
+#include "relay/use.h"
+
+#include <math.h>
+
+#define WINDOW_MS 4000
+#define NOW 1000000
+
+typedef struct
+{
+  const char *name;
+  struct
+  {
+    const char *account;
+    double asked;
+    double got;
+    double over; /* parts of the level */
+  } rows[5];
+} case_t;
+
+/* Load pattern: many small accounts beside a few large, several times over
+   capacity.  */
+static const case_t cases[] = {
+  { "all-served", { { "a", 900, 900, 0 }, { "b", 10, 10, 0 } } },
+  { "one-waits-a-moment", { { "a", 900, 880, 0 }, { "b", 10, 10, 0 } } },
+  { "large-beside-small",
+    { { "large", 900, 290, 1. }, { "small", 10, 10, 10. / 290. } } },
+  { "two-large",
+    { { "a", 900, 400, 400. / 300. },
+      { "b", 900, 200, 200. / 300. },
+      { "c", 30, 30, 0.1 } } },
+  /* An account that asks for less than the level is not held back for the
+     others, and counts in full.  */
+  { "between",
+    { { "a", 1000, 300, 1.5 },
+      { "b", 1000, 100, 0.5 },
+      { "c", 150, 150, 0.75 } } },
+};
+
+static void
+test_case (const void *data)
+{
+  const case_t *one = data;
+  g_autoptr (use_t) use = use_new (WINDOW_MS);
+
+  for (unsigned i = 0; one->rows[i].account != NULL; i++)
+    {
+      use_ask (use, NOW, one->rows[i].account, one->rows[i].asked);
+      use_get (use, NOW, one->rows[i].account, one->rows[i].got);
+    }
+  use_level (use, NOW);
+  for (unsigned i = 0; one->rows[i].account != NULL; i++)
+    g_assert_cmpfloat_with_epsilon (use_over (use, NOW, one->rows[i].account),
+                                    one->rows[i].over, 1e-6);
+}
+
+static void
+test_fades (void)
+{
+  g_autoptr (use_t) use = use_new (WINDOW_MS);
+
+  use_get (use, NOW, "a", 100.);
+  g_assert_cmpfloat_with_epsilon (use_all (use, NOW + WINDOW_MS, "a").got,
+                                  100. / G_E, 1e-6);
+}
+
+/* What other routers served counts for an account's share here; a router that
+   fell silent is forgotten, and a newer word takes an older one's place.  */
+static void
+test_hears (void)
+{
+  g_autoptr (use_t) use = use_new (WINDOW_MS);
+
+  use_get (use, NOW, "a", 10.);
+  use_hear (use, NOW, "r1", "a", &(use_sum_t){ .asked = 50., .got = 20. });
+  use_hear (use, NOW, "r1", "a", &(use_sum_t){ .asked = 60., .got = 30. });
+  use_hear (use, NOW, "r2", "a", &(use_sum_t){ .asked = 5., .got = 5. });
+  g_assert_cmpfloat (use_all (use, NOW, "a").got, ==, 45.);
+  use_forget (use, "r1");
+  g_assert_cmpfloat (use_all (use, NOW, "a").got, ==, 15.);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/use/%s", cases[i].name);
+
+      g_test_add_data_func (path, &cases[i], test_case);
+    }
+  g_test_add_func ("/use/fades", test_fades);
+  g_test_add_func ("/use/hears", test_hears);
+  return g_test_run ();
+}
