--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -99,16 +99,23 @@
     }
 }
 
+/* A line goes with its last request, so that they are gathered first.  */
 static void
 free_lines (rly_service_t *service)
 {
-  while (service->waiting > 0)
+  g_autoptr (GPtrArray) requests = g_ptr_array_new ();
+
+  list_for_each (node, &service->lines)
     {
-      rly_line_t *line = list_entry (service->lines.next, rly_line_t, node);
+      rly_line_t *line = list_entry (node, rly_line_t, node);
 
-      /* The line goes with its last request.  */
-      rly_request_free (list_entry (line->requests.next, rly_request_t, node));
+      list_for_each (inner, &line->requests)
+        {
+          g_ptr_array_add (requests, list_entry (inner, rly_request_t, node));
+        }
     }
+  for (guint i = 0; i < requests->len; i++)
+    rly_request_free (g_ptr_array_index (requests, i));
 }
 
 void
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -306,12 +306,16 @@
 void
 scene_free (scene_t *scene)
 {
+  g_autoptr (GPtrArray) lines = NULL;
+
   ev_timer_stop (scene->loop, &scene->tick);
   rly_free (scene->rly);
   ent_free (scene->ent);
   edp_set_free (scene->endpoints);
-  while (scene->lines->len > 0)
-    line_free (g_ptr_array_index (scene->lines, 0));
+  lines = g_steal_pointer (&scene->lines);
+  scene->lines = g_ptr_array_new ();
+  for (guint i = 0; i < lines->len; i++)
+    line_free (g_ptr_array_index (lines, i));
   for (unsigned i = 0; i < SCENE_ENDPOINTS; i++)
     {
       ev_io_stop (scene->loop, &scene->backs[i].listener);
