Relay: requests wait for an endpoint that keeps their prompt's beginning

Change: while an endpoint keeps nine tenths of the beginning, only such ones are considered, and those that are nearly idle. Callers that come again with less than the usual deadline are taken for late, and use a part of the room.

--- a/libcoltsfootdrum/platform/plat.h
+++ b/libcoltsfootdrum/platform/plat.h
@@ -1,4 +1,4 @@
-/* The platform's object API behind one small interface; docs/PLATFORM.md has
+/* The platform's object API behind one small interface; docs/OBJECT-API.md has
    the contract.  Objects are JSON of at most 1 MiB:
 
      {"kind", "name", "version": opaque string, "revision": integer,
--- a/libcoltsfootdrum/relay/pfx.c
+++ b/libcoltsfootdrum/relay/pfx.c
@@ -7,7 +7,7 @@
 #include <xxhash.h>
 
 /* A part that was not used for so long is taken for evicted.  */
-#define KEPT_MS 15000
+#define KEPT_MS 8000
 
 struct pfx
 {
--- a/libcoltsfootdrum/relay/plc.c
+++ b/libcoltsfootdrum/relay/plc.c
@@ -14,10 +14,13 @@
 #define FULL_MS 60.
 /* A beginning that is read again costs its own time, and the same again for
    what it pushes out of the cache.  */
-#define AGAIN 6.
+#define AGAIN 15.
 /* A prompt that takes longer to read than there is time may still go where it
    waits for no more than this share of the time left.  */
 #define LONG_SHARE 0.4
+/* An endpoint filled no more than this has room to spare: a beginning that is
+   read there too takes nothing from others.  */
+#define SPARE 0.15
 /* Of an endpoint's memory, running requests get so much; the rest keeps shared
    beginnings.  */
 #define MEMORY_SHARE 0.85
@@ -50,28 +53,30 @@
              && others <= request->left_ms * LONG_SHARE);
 }
 
+static double
+fullness (const plc_endpoint_t *endpoint)
+{
+  double slots = (double)endpoint->active / endpoint->slots;
+  double memory
+      = endpoint->memory > 0. ? endpoint->context / endpoint->memory : 0.;
+
+  return MAX (slots, memory);
+}
+
 static bool
 has_room (const plc_endpoint_t *endpoint, const plc_request_t *request)
 {
   double slots = endpoint->slots * request->room;
   double memory = endpoint->memory * MEMORY_SHARE * request->room;
 
-  if (endpoint->slots == 0 || endpoint->active >= slots)
+  if (endpoint->slots == 0 || endpoint->active >= slots
+      || (endpoint->missing > request->missing_most
+          && fullness (endpoint) > SPARE))
     return false;
   return endpoint->memory <= 0. || endpoint->active == 0
          || endpoint->context + request->size <= memory;
 }
 
-static double
-fullness (const plc_endpoint_t *endpoint)
-{
-  double slots = (double)endpoint->active / endpoint->slots;
-  double memory
-      = endpoint->memory > 0. ? endpoint->context / endpoint->memory : 0.;
-
-  return MAX (slots, memory);
-}
-
 static double
 cost_of (const plc_endpoint_t *endpoint, const plc_request_t *request)
 {
--- a/libcoltsfootdrum/relay/plc.h
+++ b/libcoltsfootdrum/relay/plc.h
@@ -27,13 +27,14 @@
 
 typedef struct
 {
-  double base_ms;     /* until the first token with nothing to be read */
-  double ms_per_work; /* and for each unit of reading work */
-  double left_ms;     /* until the first token is late */
-  double bear_ms;     /* of others' reading before its own */
-  double room;        /* part of slots and memory that it may fill */
-  double size;        /* tokens that it will hold in memory */
-  double draw;        /* from 0 to 1, breaks ties */
+  double base_ms;      /* until the first token with nothing to be read */
+  double ms_per_work;  /* and for each unit of reading work */
+  double left_ms;      /* until the first token is late */
+  double bear_ms;      /* of others' reading before its own */
+  double room;         /* part of slots and memory that it may fill */
+  double size;         /* tokens that it will hold in memory */
+  double missing_most; /* of the shared beginning, where it may go */
+  double draw;         /* from 0 to 1, breaks ties */
 } plc_request_t;
 
 /* Work of reading a prompt of TOKENS of which KEPT are there already, in
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -7,7 +7,7 @@
 #include <xxhash.h>
 
 /* The aim is the caller's; the rest goes on the way and in estimates.  */
-#define AIM_SHARE 0.9
+#define AIM_SHARE 0.8
 /* So much of it may pass behind prompts that an engine reads before.  What it
    has to read more than that can wait here, where the order is ours.  */
 #define BEAR 0.5
@@ -15,6 +15,8 @@
    held back wholly: a slot that gets free is taken at once, by whoever waits.
  */
 #define OVER_RESERVE 0.3
+/* An endpoint keeps a beginning when no more than this share is missing.  */
+#define MISSING_SHARE 0.1
 /* Slots of an endpoint that doesn't tell.  */
 #define USUAL_SLOTS 8
 /* Of what a cold endpoint bears a second, so much is used: routers' clocks and
@@ -104,13 +106,15 @@
   return home;
 }
 
-/* What reading the prompt costs at each endpoint.  */
-static void
+/* What reading the prompt costs at each endpoint; true when one keeps most of
+   its beginning.  */
+static bool
 add_prompt (rly_round_t *round, const rly_request_t *request)
 {
   const pfx_prompt_t *prompt = request->prompt;
   const edp_t *home = home_of (round, prompt);
   double shared = pfx_prompt_shared_tokens (prompt);
+  bool kept_somewhere = false;
 
   for (guint i = 0; i < round->count; i++)
     {
@@ -119,20 +123,36 @@
 
       round->figures[i].own = plc_reading (prompt->tokens, kept);
       round->figures[i].missing = shared - kept;
+      kept_somewhere |= kept >= shared * (1. - MISSING_SHARE);
       round->figures[i].home = round->edps[i] == home;
     }
+  return kept_somewhere;
+}
+
+/* The most that may be missing of its beginning where REQUEST goes now.  It
+   waits for an endpoint that keeps it: with all of them full, a slot that gets
+   free anywhere would else be taken by whoever waits, and each beginning be
+   read everywhere.  */
+static double
+missing_most (const rly_request_t *request)
+{
+  if (request->tries > 0)
+    return HUGE_VAL;
+  return pfx_prompt_shared_tokens (request->prompt) * MISSING_SHARE;
 }
 
 static plc_request_t
 wish_of (const rly_round_t *round, const rly_request_t *request)
 {
-  /* One that failed elsewhere is late already; it goes where one that came
-     just now would.  */
-  int64_t waited = request->tries == 0 ? round->now - request->since : 0;
-  double allowed = request->line->allowed;
+  /* What is late already goes where one that came just now would.  */
+  bool anew = request->tries > 0 || request->late;
+  int64_t waited = anew ? 0 : round->now - request->asked;
+  double allowed
+      = request->late ? request->line->late_allowed : request->line->allowed;
   plc_request_t wish
       = { .left_ms = (double)request->aim_ms * AIM_SHARE - (double)waited,
           .bear_ms = HUGE_VAL,
+          .missing_most = HUGE_VAL,
           .room = 1.,
           .draw = g_random_double () };
 
@@ -181,8 +201,8 @@
   if (!round->has_room)
     return false;
   wish = wish_of (round, request);
-  if (request->prompt != NULL)
-    add_prompt (round, request);
+  if (request->prompt != NULL && add_prompt (round, request))
+    wish.missing_most = missing_most (request);
   chosen = choose (round, request, &wish);
   if (chosen < 0)
     return false;
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -6,6 +6,7 @@
 #include "base/list.h"
 #include "relay/bud.h"
 #include "relay/fit.h"
+#include "relay/hab.h"
 #include "relay/pfx.h"
 #include "relay/plc.h"
 #include "relay/rly.h"
@@ -31,6 +32,7 @@
   list_node_t requests; /* the most urgent first, then the oldest */
   double use;           /* of the account, as of this round */
   double allowed;       /* part of the usual room that it may use */
+  double late_allowed;  /* and its requests that are late already */
   bool passed;          /* its first request found no room this round */
 } rly_line_t;
 
@@ -45,6 +47,7 @@
   rte_table_t *table;
   list_node_t services; /* rly_service_t */
   list_node_t running;  /* rly_request_t */
+  GHashTable *habits;   /* route's name to hab_t */
   rly_counts_t counts;
   unsigned routers;
   bool closed; /* takes no new requests */
@@ -82,11 +85,13 @@
   double cost;          /* in the unit of accounts' shares */
   bool charged;         /* to its account */
 
-  cfd_time_t since;
+  cfd_time_t since;    /* its arrival */
+  cfd_time_t asked;    /* its caller's first try, as far as can be told */
   cfd_time_t deadline; /* the caller's */
   cfd_time_t timeout;  /* the route's */
   int64_t aim_ms;      /* an answer that begins later is late */
   cfd_time_t until;    /* it is refused when it still waits then */
+  bool late;           /* its caller came again, too late for the aim */
   unsigned tries;      /* sends, and connections that failed */
   unsigned attempts;   /* endpoints that may have got it */
   char *last_failed;   /* id of the endpoint that failed it last */
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -16,6 +16,10 @@
 #define OVER_FIRST 0.9
 #define OVER_LAST 1.2
 #define OVER_ALLOWANCE 0.2
+/* What came again too late may use so much of the usual room, and waits for it
+   for so much of the time it has left.  */
+#define LATE_ALLOWANCE 0.3
+#define LATE_PATIENCE 0.15
 /* Without an aim.  */
 #define USUAL_AIM_MS 1000
 /* Lines looked at in one round when their requests find no room.  */
@@ -64,9 +68,26 @@
     return a->began;
   if (rank_of (a) != rank_of (b))
     return rank_of (a) < rank_of (b);
+  if (a->late != b->late)
+    return b->late;
   return a->since < b->since;
 }
 
+/* How long REQUEST may wait at its first time here.  One that can still be in
+   time waits as long as that holds.  One that came again too late waits for
+   room that nobody else can use.  */
+static void
+set_patience (rly_request_t *request, cfd_time_t end)
+{
+  cfd_time_t latest = request->asked + rly_longest_wait (request);
+  double left = (double)(end - request->since);
+
+  request->late = latest <= request->since;
+  if (request->late)
+    latest = request->since + (int64_t)(left * LATE_PATIENCE);
+  request->until = MIN (latest, end);
+}
+
 void
 rly_wait (rly_request_t *request)
 {
@@ -77,9 +98,10 @@
   request->aim_ms
       = request->route->aim_ms > 0 ? request->route->aim_ms : USUAL_AIM_MS;
   request->until = end;
+  request->late = false;
   /* One that failed elsewhere has lost its time by no fault of its own.  */
   if (request->tries == 0)
-    request->until = MIN (request->since + rly_longest_wait (request), end);
+    set_patience (request, end);
   while (before != &line->requests
          && goes_before (request, list_entry (before, rly_request_t, node)))
     before = before->prev;
@@ -173,6 +195,7 @@
       line->passed = false;
       line->use = use_all (rly->use, now, line->account).got;
       line->allowed = allowance (rly->use, now, line->account);
+      line->late_allowed = MIN (line->allowed, LATE_ALLOWANCE);
     }
 }
 
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -81,6 +81,8 @@
   rly->pfx = pfx;
   list_init (&rly->services);
   list_init (&rly->running);
+  rly->habits
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   rly->routers = 1;
   ev_prepare_init (&rly->turn, on_turn);
   rly->turn.data = rly;
@@ -133,6 +135,7 @@
       service_free (service);
     }
   rte_table_unref (rly->table);
+  g_hash_table_unref (rly->habits);
   g_free (rly);
 }
 
@@ -295,6 +298,19 @@
   ent_answer (call, status, fields, NULL, 0);
 }
 
+static hab_t *
+habit_of (rly_t *rly, const rte_route_t *route)
+{
+  const char *name = route->name != NULL ? route->name : route->prefix;
+  hab_t *habit = g_hash_table_lookup (rly->habits, name);
+
+  if (habit != NULL)
+    return habit;
+  habit = g_new0 (hab_t, 1);
+  g_hash_table_insert (rly->habits, g_strdup (name), habit);
+  return habit;
+}
+
 static rly_request_t *
 request_new (rly_t *rly, ent_call_t *call, const rte_route_t *route,
              const rte_account_t *account)
@@ -310,6 +326,8 @@
   request->account = account;
   request->id = g_strdup (hdr_get (fields, rly->names.request_id));
   request->since = ent_since (call);
+  request->asked
+      = request->since - hab_waited (habit_of (rly, route), (int64_t)deadline);
   request->deadline = request->since + (int64_t)deadline;
   request->timeout = CFD_TIME_NEVER;
   if (route->timeout_ms > 0)
--- a/libcoltsfootdrum/relay/test-plc.c
+++ b/libcoltsfootdrum/relay/test-plc.c
@@ -19,7 +19,7 @@
 #define WISH(left, bear)                                                      \
   {                                                                           \
     .base_ms = 50., .ms_per_work = 0.01, .left_ms = left, .bear_ms = bear,    \
-    .room = 1., .size = 2000.                                                 \
+    .room = 1., .size = 2000., .missing_most = HUGE_VAL                       \
   }
 
 #define FREE .slots = 64, .memory = 400000.
