--- /dev/null
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -0,0 +1,214 @@
+/* What routers tell each other: figures add up, late words change nothing, a
+   silent router counts for nothing, and stray bytes are passed over.  */
+
+#include "relay/pal.h"
+
+#include <string.h>
+
+#define NOW 1000000
+#define COLD_MS 0
+
+typedef struct
+{
+  struct ev_loop *loop;
+  edp_set_t *endpoints;
+  use_t *use;
+  pfx_t *pfx;
+  pal_t *pal;
+} side_t;
+
+static side_t
+side_new (const char *name)
+{
+  side_t side = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  edp_report_t *report = g_new0 (edp_report_t, 1);
+  GPtrArray *reports = g_ptr_array_new ();
+
+  report->id = g_strdup ("e1");
+  report->service = g_strdup ("app");
+  report->address = g_strdup ("127.0.0.1:9");
+  report->zone = g_strdup ("z");
+  g_ptr_array_add (reports, report);
+  side.endpoints = edp_set_new (side.loop);
+  edp_set_update (side.endpoints, NOW, reports, true, COLD_MS);
+  side.use = use_new (4000);
+  side.pfx = pfx_new ();
+  side.pal = pal_new (side.loop, name, "127.0.0.1:0", side.endpoints, side.use,
+                      side.pfx, NULL);
+  g_assert_nonnull (side.pal);
+  return side;
+}
+
+static void
+side_free (side_t *side)
+{
+  pal_free (side->pal);
+  edp_set_free (side->endpoints);
+  use_free (side->use);
+  pfx_free (side->pfx);
+  ev_loop_destroy (side->loop);
+}
+
+static edp_t *
+endpoint_of (side_t *side)
+{
+  return edp_set_find (side->endpoints, "e1");
+}
+
+static void
+set_load (side_t *side, unsigned active, double unread)
+{
+  edp_t *edp = endpoint_of (side);
+
+  edp->active = active;
+  edp->unread = unread;
+  edp->context = unread * 2.;
+  edp->changed = true;
+}
+
+static void
+tell (side_t *from, side_t *to, cfd_time_t now, bool whole)
+{
+  g_autoptr (GByteArray) bytes = pal_pack (from->pal, now, whole);
+  bool taken = pal_take (to->pal, now, bytes->data, bytes->len);
+
+  g_assert_true (taken);
+}
+
+static void
+test_adds_up (gconstpointer data)
+{
+  bool whole = GPOINTER_TO_INT (data);
+  side_t here = side_new ("here");
+  side_t one = side_new ("one");
+  side_t two = side_new ("two");
+
+  set_load (&one, 3, 500.);
+  set_load (&two, 4, 700.);
+  tell (&one, &here, NOW, whole);
+  tell (&two, &here, NOW, whole);
+  g_assert_cmpuint (endpoint_of (&here)->peer_active, ==, 7);
+  g_assert_cmpfloat (endpoint_of (&here)->peer_unread, ==, 1200.);
+  g_assert_cmpfloat (endpoint_of (&here)->peer_context, ==, 2400.);
+  g_assert_cmpuint (pal_routers (here.pal), ==, 3);
+  /* Absolute figures: the newer word takes the older one's place.  */
+  set_load (&one, 1, 0.);
+  tell (&one, &here, NOW, whole);
+  g_assert_cmpuint (endpoint_of (&here)->peer_active, ==, 5);
+  side_free (&here);
+  side_free (&one);
+  side_free (&two);
+}
+
+/* A datagram that was overtaken by a newer one of the same router.  */
+static void
+test_overtaken (void)
+{
+  side_t here = side_new ("here");
+  side_t one = side_new ("one");
+  g_autoptr (GByteArray) old = NULL;
+
+  set_load (&one, 9, 900.);
+  old = pal_pack (one.pal, NOW, true);
+  set_load (&one, 2, 100.);
+  tell (&one, &here, NOW, true);
+  pal_take (here.pal, NOW, old->data, old->len);
+  g_assert_cmpuint (endpoint_of (&here)->peer_active, ==, 2);
+  side_free (&here);
+  side_free (&one);
+}
+
+/* A router is killed: nobody says so, its requests end with it, and its
+   figures would keep room from others for ever.  */
+static void
+test_silent (void)
+{
+  side_t here = side_new ("here");
+  side_t one = side_new ("one");
+
+  set_load (&one, 9, 900.);
+  use_get (one.use, NOW, "mill", 5000.);
+  tell (&one, &here, NOW, true);
+  g_assert_cmpfloat (use_all (here.use, NOW, "mill").got, ==, 5000.);
+  pal_tick (here.pal, NOW + 5000);
+  g_assert_cmpuint (endpoint_of (&here)->peer_active, ==, 0);
+  g_assert_cmpuint (pal_routers (here.pal), ==, 1);
+  g_assert_cmpfloat (use_all (here.use, NOW, "mill").got, ==, 0.);
+  side_free (&here);
+  side_free (&one);
+}
+
+static void
+test_prompts (void)
+{
+  side_t here = side_new ("here");
+  side_t one = side_new ("one");
+  g_autoptr (pfx_prompt_t) prompt = pfx_prompt_parse ("a:100,b:50,c:7");
+  uint64_t endpoint = endpoint_of (&here)->hash;
+
+  pfx_note (one.pfx, NOW, endpoint_of (&one)->hash, prompt);
+  tell (&one, &here, NOW, false);
+  g_assert_cmpuint (pfx_kept (here.pfx, NOW, endpoint, prompt), ==, 150);
+  side_free (&here);
+  side_free (&one);
+}
+
+/* Another router read the platform's list well while this one could not: what
+   the list lacks then is gone, and not lapsed by an outage.  */
+static void
+test_steady (void)
+{
+  side_t here = side_new ("here");
+  side_t one = side_new ("one");
+
+  g_assert_cmpint (pal_peers_steady (here.pal, NOW), ==, -1);
+  pal_set_steady (one.pal, 9000);
+  tell (&one, &here, NOW, true);
+  g_assert_cmpint (pal_peers_steady (here.pal, NOW), ==, 9000);
+  g_assert_cmpint (pal_peers_steady (here.pal, NOW + 2000), ==, -1);
+  side_free (&here);
+  side_free (&one);
+}
+
+/* Each datagram cut at each length, and with each byte changed: nothing but a
+   refusal or other figures may come of it.  */
+static void
+test_stray (void)
+{
+  side_t here = side_new ("here");
+  side_t one = side_new ("one");
+  g_autoptr (GByteArray) bytes = NULL;
+
+  set_load (&one, 3, 500.);
+  use_get (one.use, NOW, "mill", 5000.);
+  bytes = pal_pack (one.pal, NOW, true);
+  for (guint i = 0; i < bytes->len; i++)
+    {
+      bool taken = pal_take (here.pal, NOW, bytes->data, i);
+
+      g_assert_false (taken);
+    }
+  for (guint i = 0; i < bytes->len; i++)
+    {
+      bytes->data[i] ^= 0xff;
+      pal_take (here.pal, NOW, bytes->data, bytes->len);
+      bytes->data[i] ^= 0xff;
+    }
+  side_free (&here);
+  side_free (&one);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_data_func ("/pal/adds-up", GINT_TO_POINTER (true), test_adds_up);
+  g_test_add_data_func ("/pal/adds-up-changes", GINT_TO_POINTER (false),
+                        test_adds_up);
+  g_test_add_func ("/pal/overtaken", test_overtaken);
+  g_test_add_func ("/pal/silent", test_silent);
+  g_test_add_func ("/pal/prompts", test_prompts);
+  g_test_add_func ("/pal/steady", test_steady);
+  g_test_add_func ("/pal/stray", test_stray);
+  return g_test_run ();
+}
--- a/libcoltsfootdrum/relay/test-parts.c
+++ b/libcoltsfootdrum/relay/test-parts.c
@@ -3,6 +3,7 @@
 
 #include "relay/bud.h"
 #include "relay/fit.h"
+#include "relay/hab.h"
 #include "relay/hdr.h"
 #include "relay/pfx.h"
 #include "relay/rte.h"
@@ -163,6 +164,36 @@
   g_assert_true (bud_repeat (&bud, NOW + 3600000));
 }
 
+/* Load pattern: callers who were refused come back at once, each with what is
+   left of the time that all begin with.  */
+static void
+test_habits (void)
+{
+  hab_t hab = { 0 };
+  int64_t waited = 0;
+
+  /* Nothing is said before a habit is known.  */
+  waited = hab_waited (&hab, 300);
+  g_assert_cmpint (waited, ==, 0);
+  for (unsigned i = 0; i < 100; i++)
+    waited = hab_waited (&hab, 8000);
+  g_assert_cmpint (waited, ==, 0);
+  for (unsigned i = 0; i < 40; i++)
+    {
+      waited = hab_waited (&hab, 7000 + i);
+      g_assert_cmpint (waited, ==, 1000 - i);
+    }
+  /* A longer one is no habit, and has not waited.  */
+  waited = hab_waited (&hab, 60000);
+  g_assert_cmpint (waited, ==, 0);
+  /* The habit changes.  */
+  for (unsigned i = 0; i < 1000; i++)
+    waited = hab_waited (&hab, 5000);
+  g_assert_cmpint (waited, ==, 0);
+  waited = hab_waited (&hab, 4500);
+  g_assert_cmpint (waited, ==, 500);
+}
+
 static void
 test_line (void)
 {
@@ -212,6 +243,7 @@
   g_test_add_func ("/pfx/kept", test_kept);
   g_test_add_func ("/pfx/news", test_news);
   g_test_add_func ("/bud/storm", test_budget);
+  g_test_add_func ("/hab/habits", test_habits);
   g_test_add_func ("/fit/line", test_line);
   g_test_add_func ("/hdr/hop", test_hop_fields);
   return g_test_run ();
