--- a/libcoltsfootdrum/platform/test-plat.c
+++ b/libcoltsfootdrum/platform/test-plat.c
@@ -1,5 +1,6 @@
 /* The contract of the platform's object API, with its fault cases, against the
-   stand-in that the other tests use.  docs/OBJECT-API.md tells the contract.  */
+   stand-in that the other tests use.  docs/OBJECT-API.md tells the contract.
+ */
 
 #include "sp-test.h"
 
