--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -211,7 +211,7 @@
   edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
 }
 
-static void
+static rte_route_t *
 add_route (rte_table_t *table, const char *prefix, rte_kind_t kind,
            unsigned attempts, bool resumable)
 {
@@ -224,9 +224,10 @@
   route->attempts = attempts;
   route->resumable = resumable;
   route->aim_ms = 300;
-  route->timeout_ms = 5000;
+  route->timeout_ms = 30000;
   rte_route_add_share (route, "app", 1.);
   rte_table_add_route (table, route);
+  return route;
 }
 
 static rte_table_t *
@@ -243,6 +244,7 @@
   add_route (table, "/once/", RTE_ONCE, 1, false);
   add_route (table, "/events/", RTE_STREAM, 2, true);
   add_route (table, "/events-once/", RTE_STREAM, 1, false);
+  add_route (table, "/slow/", RTE_IDEMPOTENT, 1, false)->aim_ms = 10000;
   for (unsigned i = 0; i < G_N_ELEMENTS (accounts); i++)
     {
       rte_account_t *account = g_new0 (rte_account_t, 1);
--- a/libcoltsfootdrum/relay/test-rly.c
+++ b/libcoltsfootdrum/relay/test-rly.c
@@ -363,11 +363,77 @@
   g_assert_nonnull (strstr (second->text->str, "Retry-After: 0."));
   g_assert_cmpint (clock_now () - begun, <, 4000);
   g_assert_cmpuint (scene->arrived, ==, 1);
+  /* Callers ask again on a new connection; this one would stay open, idle.  */
+  scene_wait_for (scene, second, NULL);
   scene_caller_free (first);
   scene_caller_free (second);
   scene_free (scene);
 }
 
+#define PROMPT_CALL(id, prompt)                                               \
+  "POST /slow/ HTTP/1.1\r\nHost: h\r\nX-Id: " id "\r\nX-Prompt: " prompt      \
+  "\r\nX-Deadline: 20000\r\nAuthorization: Bearer key-of-the-mill\r\n"        \
+  "Content-Length: 0\r\n\r\n"
+
+static bool
+has_waiting (void *user)
+{
+  return rly_counts (((scene_t *)user)->rly)->waiting > 0;
+}
+
+static bool
+has_two (void *user)
+{
+  return ((scene_t *)user)->arrived >= 2;
+}
+
+/* Load pattern: a long request before short ones.  The endpoint is reading a
+   long prompt; the next long one of the account would come too late behind it
+   and waits.  The short one that came after it is sent all the same, and
+   first.  */
+static void
+test_short_past_long (void)
+{
+  static const scene_reply_t replies[] = { { NULL, SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 1, 8);
+  scene_caller_t *callers[3];
+
+  scene_list (scene, 1, false, 8);
+  callers[0] = scene_call (scene, PROMPT_CALL ("1", "a:100000"));
+  scene_run (scene, has_arrived, scene);
+  callers[1] = scene_call (scene, PROMPT_CALL ("2", "b:160000"));
+  scene_run (scene, has_waiting, scene);
+  callers[2] = scene_call (scene, PROMPT_CALL ("3", "c:100"));
+  scene_run (scene, has_two, scene);
+  g_assert_nonnull (strstr (scene->last->str, "|X-Id=3|"));
+  g_assert_cmpuint (rly_counts (scene->rly)->refused, ==, 0);
+  for (guint i = 0; i < G_N_ELEMENTS (callers); i++)
+    scene_caller_free (callers[i]);
+  scene_free (scene);
+}
+
+/* Callers connect and stay idle until the most connections are open: the idle
+   ones end, though the configuration lets them stay for a minute, so that
+   others can connect.  */
+static void
+test_idle_connections (void)
+{
+  static const scene_reply_t replies[] = { { OK ("1", "x"), SCENE_STAYS } };
+  static const ent_limits_t limits
+      = { .head_bytes = 16384, .idle_ms = 60000, .connections = 4 };
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *callers[4];
+
+  ent_set_limits (scene->ent, &limits);
+  for (guint i = 0; i < G_N_ELEMENTS (callers); i++)
+    callers[i] = scene_call (scene, "");
+  for (guint i = 0; i < G_N_ELEMENTS (callers); i++)
+    scene_wait_for (scene, callers[i], i < 2 ? NULL : "");
+  for (guint i = 0; i < G_N_ELEMENTS (callers); i++)
+    scene_caller_free (callers[i]);
+  scene_free (scene);
+}
+
 /* An endpoint accepts and stays silent: a request that may run twice is sent
    to the other one.  */
 static void
@@ -449,6 +515,8 @@
   g_test_add_func ("/rly/unreached", test_unreached);
   g_test_add_func ("/rly/caller-leaves", test_caller_leaves);
   g_test_add_func ("/rly/refused-in-time", test_refused_in_time);
+  g_test_add_func ("/rly/short-past-long", test_short_past_long);
+  g_test_add_func ("/rly/idle-connections", test_idle_connections);
   g_test_add_func ("/rly/silent-endpoint", test_silent_endpoint);
   g_test_add_func ("/rly/pipelined", test_pipelined);
   g_test_add_func ("/rly/closed", test_closed);
