Relay: tell changes more seldom to many routers, send nothing for callers who left

Change: changes are gathered for a millisecond a router. Before a request is sent the connection of its caller is looked at: a process that is behind reads the request first, and the end of the connection a turn later.

--- a/libcoltsfootdrum/relay/con.c
+++ b/libcoltsfootdrum/relay/con.c
@@ -290,6 +290,14 @@
     shutdown (con->reader.fd, SHUT_WR);
 }
 
+bool
+con_is_open (const con_t *con)
+{
+  char byte;
+
+  return recv (con->reader.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
 void
 con_hold (con_t *con, bool hold)
 {
--- a/libcoltsfootdrum/relay/con.h
+++ b/libcoltsfootdrum/relay/con.h
@@ -63,6 +63,10 @@
    bytes would reset it, and the peer might lose what was written last.  */
 void con_end_when_written (con_t *con);
 
+/* False when the peer has closed and all that it sent was read: its end is
+   still to be told.  */
+bool con_is_open (const con_t *con);
+
 /* Stops and restarts reading.  */
 void con_hold (con_t *con, bool hold);
 
--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -555,6 +555,12 @@
   call_free (call);
 }
 
+bool
+ent_is_there (const ent_call_t *call)
+{
+  return con_is_open (call->con);
+}
+
 size_t
 ent_unwritten (const ent_call_t *call)
 {
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -71,6 +71,9 @@
 /* Closes the connection, so that the answer doesn't look whole.  */
 void ent_break (ent_call_t *call);
 
+/* False when the caller has left, as the system knows already.  */
+bool ent_is_there (const ent_call_t *call);
+
 /* Bytes that the caller has not taken yet.  */
 size_t ent_unwritten (const ent_call_t *call);
 
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -25,6 +25,10 @@
 #define STEADY_MS 500
 /* All figures are sent so often, for changes that were lost.  */
 #define WHOLE_MS 100
+/* Changes are told no more often than this for each router they go to: with N
+   routers each change makes N datagrams, and small machines would spend all
+   their time on them.  */
+#define TELL_MS_A_ROUTER 1
 /* Datagrams read at one wake.  */
 #define READS_A_WAKE 64
 
@@ -60,8 +64,9 @@
   use_t *use;
   pfx_t *pfx;
   int64_t steady_ms;
-  cfd_time_t told;    /* when all figures were sent */
-  uint64_t news_told; /* number of the newest */
+  cfd_time_t told_changes; /* when changes were sent */
+  cfd_time_t told;         /* when all figures were sent */
+  uint64_t news_told;      /* number of the newest */
 };
 
 static void
@@ -521,21 +526,30 @@
     }
 }
 
-/* Changes of this turn, in one datagram for each other router.  */
 static void
-on_turn (struct ev_loop *loop, ev_prepare *watcher, int events)
+tell_changes (pal_t *pal, cfd_time_t now)
 {
-  pal_t *pal = watcher->data;
+  int64_t pause = (int64_t)pal->addresses->len * TELL_MS_A_ROUTER;
 
+  if (now - pal->told_changes < pause)
+    return;
   list_for_each (node, edp_set_list (pal->endpoints))
     {
       if (!list_entry (node, edp_t, node)->changed)
         continue;
-      send_figures (pal, clock_now (), false);
+      pal->told_changes = now;
+      send_figures (pal, now, false);
       return;
     }
 }
 
+/* What changed in this turn, in one datagram for each other router.  */
+static void
+on_turn (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  tell_changes (watcher->data, clock_now ());
+}
+
 void
 pal_set_steady (pal_t *pal, int64_t steady_ms)
 {
@@ -566,7 +580,10 @@
   forget_silent (pal, now);
   add_up_all (pal);
   if (now - pal->told < WHOLE_MS)
-    return;
+    {
+      tell_changes (pal, now);
+      return;
+    }
   pal->told = now;
   send_figures (pal, now, true);
 }
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -204,7 +204,9 @@
   if (request->prompt != NULL && add_prompt (round, request))
     wish.missing_most = missing_most (request);
   chosen = choose (round, request, &wish);
-  if (chosen < 0)
+  /* A process that is behind reads a request, and the end of its connection a
+     turn later: by then an endpoint would work for a caller who left.  */
+  if (chosen < 0 || !ent_is_there (request->call))
     return false;
   edp = round->edps[chosen];
   figures = &round->figures[chosen];
--- a/libcoltsfootdrum/relay/test-rly.c
+++ b/libcoltsfootdrum/relay/test-rly.c
@@ -3,7 +3,10 @@
 
 #include "test-rly-scene.h"
 
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define OK(body_length, body)                                                 \
   "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\nContent-Length: " body_length \
@@ -341,6 +344,36 @@
   scene_free (scene);
 }
 
+static bool
+has_departed (void *user)
+{
+  return rly_counts (((scene_t *)user)->rly)->departed > 0;
+}
+
+/* The router is behind: when it comes to read a request, its caller has given
+   up and closed the connection.  The end lies behind the request's bytes; no
+   endpoint may get it.  */
+static void
+test_left_before_read (void)
+{
+  static const scene_reply_t replies[] = { { OK ("1", "x"), SCENE_STAYS } };
+  static const char call[] = CALL ("/once/", "1");
+  scene_t *scene = scene_new (replies, 1, 4);
+  struct sockaddr_in addr = { .sin_family = AF_INET,
+                              .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
+                              .sin_port = htons (ent_port (scene->ent)) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int connected = connect (fd, (struct sockaddr *)&addr, sizeof addr);
+  ssize_t sent = send (fd, call, strlen (call), MSG_NOSIGNAL);
+
+  g_assert_cmpint (connected, ==, 0);
+  g_assert_cmpint (sent, ==, strlen (call));
+  close (fd);
+  scene_run (scene, has_departed, scene);
+  g_assert_cmpuint (scene->arrived, ==, 0);
+  scene_free (scene);
+}
+
 /* Load pattern: more requests than slots.  The second waits here, since the
    endpoint is full, and is refused when its answer could no longer be in time,
    long before its deadline; the endpoint never hears of it.  */
@@ -514,6 +547,7 @@
   g_test_add_func ("/rly/last-event", test_last_event);
   g_test_add_func ("/rly/unreached", test_unreached);
   g_test_add_func ("/rly/caller-leaves", test_caller_leaves);
+  g_test_add_func ("/rly/left-before-read", test_left_before_read);
   g_test_add_func ("/rly/refused-in-time", test_refused_in_time);
   g_test_add_func ("/rly/short-past-long", test_short_past_long);
   g_test_add_func ("/rly/idle-connections", test_idle_connections);
