--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -104,7 +104,6 @@
   double context;    /* tokens that it holds in memory */
   bool began;        /* the caller has got the head */
   bool may_have_run; /* an endpoint got it and did not give it back */
-  bool cold;         /* sent while its endpoint was cold */
   bool held;         /* the answer is not read on: its caller is behind */
   rly_answer_t answer;
 } rly_request_t;
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -144,7 +144,6 @@
   request->sent_at = now;
   request->tries++;
   request->attempts++;
-  request->cold = now < edp->cold_until;
   edp->active++;
   edp->unread += request->unread;
   edp->context += request->context;
