Relay: what never began to run is not counted as got

Endpoints whose answers were lost still worked for callers that they had been cut off from, and gave back what was sent: in one second one account had 2,304 requests sent and 81 begun. All were charged, so that by our sums it had 4.8 million tokens in the window, above the level of 3.0 million, and was held back in the next second (151 thousand tokens begun).

Change: a request that leaves its endpoint without the first byte of a success takes its charge back. First bytes of failures no longer teach how fast prompts are read.

Test: rly-share/given-back; without the change the account got 1,000 tokens.

--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -84,6 +84,7 @@
   double output;        /* tokens expected */
   double cost;          /* in the unit of accounts' shares */
   bool charged;         /* to its account */
+  bool ran;             /* an endpoint began to answer it */
 
   cfd_time_t since;    /* its arrival */
   cfd_time_t asked;    /* its caller's first try, as far as can be told */
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -102,6 +102,13 @@
   rly_take_head (request, head);
 }
 
+/* Anything else says nothing of how fast prompts are read.  */
+static bool
+is_success (const rly_answer_t *answer)
+{
+  return answer->sound && answer->status / 100 == 2;
+}
+
 static void
 on_body (void *user, const char *bytes, size_t length)
 {
@@ -110,7 +117,8 @@
   bool first = request->unread > 0.;
 
   request->edp->heard = now;
-  if (first && request->answer.sound)
+  request->ran |= is_success (&request->answer);
+  if (first && is_success (&request->answer))
     {
       learn (request, now);
       stop_reading_prompt (request);
@@ -195,6 +203,18 @@
   return true;
 }
 
+/* What never began to run was not got.  Endpoints that give back hundreds of
+   requests a second would else make the account that sent them seem the best
+   served one, and it would wait while the others are served.  */
+static void
+take_back_charge (rly_request_t *request, cfd_time_t now)
+{
+  if (!request->charged || request->ran)
+    return;
+  use_get (request->rly->use, now, rly_account_name (request), -request->cost);
+  request->charged = false;
+}
+
 void
 rly_leave (rly_request_t *request, bool cancel)
 {
@@ -212,6 +232,7 @@
   request->rly->counts.running--;
   request->edp = NULL;
   list_remove (&request->node);
+  take_back_charge (request, clock_now ());
 }
 
 /* What was expected of the first byte, and a span in which an endpoint that
