Relay: an account that is behind need not wait for a kept beginning

Ruled out: slots and memory full (1 endpoint of 38 at most), the order of lines (the account was first), the limit of the room of large accounts.

Change: while an account got less than 0.7 of what it is due (the level, or what it asked for), its prompts may go to endpoints that don't keep their beginning; the cost of reading it again still steers them.

Test: rly-share/behind; without the change the request waits until the test's limit. use/* for what an account is due.

--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -136,7 +136,7 @@
 static double
 missing_most (const rly_request_t *request)
 {
-  if (request->tries > 0)
+  if (request->tries > 0 || request->line->behind)
     return HUGE_VAL;
   return pfx_prompt_shared_tokens (request->prompt) * MISSING_SHARE;
 }
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -33,6 +33,7 @@
   double use;           /* of the account, as of this round */
   double allowed;       /* part of the usual room that it may use */
   double late_allowed;  /* and its requests that are late already */
+  bool behind;          /* its account got far less than it is due */
   bool passed;          /* its first request found no room this round */
 } rly_line_t;
 
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -16,6 +16,8 @@
 #define OVER_FIRST 0.9
 #define OVER_LAST 1.2
 #define OVER_ALLOWANCE 0.2
+/* An account that got less than this part of what it is due is behind.  */
+#define BEHIND 0.7
 /* What came again too late may use so much of the usual room, and waits for it
    for so much of the time it has left.  */
 #define LATE_ALLOWANCE 0.3
@@ -195,6 +197,7 @@
       line->passed = false;
       line->use = use_all (rly->use, now, line->account).got;
       line->allowed = allowance (rly->use, now, line->account);
+      line->behind = use_of_due (rly->use, now, line->account) < BEHIND;
       line->late_allowed = MIN (line->allowed, LATE_ALLOWANCE);
     }
 }
--- a/libcoltsfootdrum/relay/test-rly-share.c
+++ b/libcoltsfootdrum/relay/test-rly-share.c
@@ -14,6 +14,33 @@
   "\r\nX-Deadline: 20000\r\nAuthorization: Bearer key-of-the-mill\r\n"        \
   "Content-Length: 0\r\n\r\n"
 
+/* Tokens that others get, far more than all requests of a test.  */
+#define MUCH 1e8
+
+static bool
+has_one (void *user)
+{
+  return ((scene_t *)user)->arrived >= 1;
+}
+
+static bool
+has_two (void *user)
+{
+  return ((scene_t *)user)->arrived >= 2;
+}
+
+static bool
+has_three (void *user)
+{
+  return ((scene_t *)user)->arrived >= 3;
+}
+
+static bool
+has_waiting (void *user)
+{
+  return rly_counts (((scene_t *)user)->rly)->waiting > 0;
+}
+
 /* Endpoints give back what they get.  The caller sees refusals, and its
    account got nothing.  Were they counted, it would pass for the best served
    one, and its other requests would wait behind those of accounts that are
@@ -36,10 +63,42 @@
   scene_free (scene);
 }
 
+/* All callers of an account come to one router, and what they ask begins
+   alike.  The endpoint that keeps the beginning reads a long prompt; the other
+   one is free but would read the beginning anew.  The request waits, until the
+   account is far behind the others: with one endpoint alone it could never
+   catch up.  */
+static void
+test_behind (void)
+{
+  static const scene_reply_t replies[] = { { NULL, SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *callers[3];
+  cfd_time_t now;
+
+  callers[0] = scene_call (scene, CALL ("/slow/", "1", "a:20000,b:200000"));
+  scene_run (scene, has_one, scene);
+  callers[1] = scene_call (scene, CALL ("/slow/", "2", "c:30000,d:10"));
+  scene_run (scene, has_two, scene);
+  callers[2] = scene_call (scene, CALL ("/slow/", "3", "a:20000,e:10"));
+  scene_run (scene, has_waiting, scene);
+  g_assert_cmpuint (scene->arrived, ==, 2);
+  now = clock_now ();
+  use_ask (scene->use, now, "mill", 2. * MUCH);
+  use_ask (scene->use, now, "press", 2. * MUCH);
+  use_get (scene->use, now, "press", MUCH);
+  scene_run (scene, has_three, scene);
+  g_assert_nonnull (strstr (scene->last->str, "|X-Id=3|"));
+  for (guint i = 0; i < G_N_ELEMENTS (callers); i++)
+    scene_caller_free (callers[i]);
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/rly-share/given-back", test_given_back);
+  g_test_add_func ("/rly-share/behind", test_behind);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-use.c
+++ b/libcoltsfootdrum/relay/test-use.c
@@ -16,26 +16,28 @@
     double asked;
     double got;
     double over; /* parts of the level */
+    double of_due;
   } rows[5];
 } case_t;
 
 /* Load pattern: many small accounts beside a few large, several times over
    capacity.  */
 static const case_t cases[] = {
-  { "all-served", { { "a", 900, 900, 0 }, { "b", 10, 10, 0 } } },
-  { "one-waits-a-moment", { { "a", 900, 880, 0 }, { "b", 10, 10, 0 } } },
+  { "all-served", { { "a", 900, 900, 0, 1. }, { "b", 10, 10, 0, 1. } } },
+  { "one-waits-a-moment",
+    { { "a", 900, 880, 0, 1. }, { "b", 10, 10, 0, 1. } } },
   { "large-beside-small",
-    { { "large", 900, 290, 1. }, { "small", 10, 10, 10. / 290. } } },
+    { { "large", 900, 290, 1., 1. }, { "small", 10, 10, 10. / 290., 1. } } },
   { "two-large",
-    { { "a", 900, 400, 400. / 300. },
-      { "b", 900, 200, 200. / 300. },
-      { "c", 30, 30, 0.1 } } },
+    { { "a", 900, 400, 400. / 300., 400. / 300. },
+      { "b", 900, 200, 200. / 300., 200. / 300. },
+      { "c", 30, 30, 0.1, 1. } } },
   /* An account that asks for less than the level is not held back for the
      others, and counts in full.  */
   { "between",
-    { { "a", 1000, 300, 1.5 },
-      { "b", 1000, 100, 0.5 },
-      { "c", 150, 150, 0.75 } } },
+    { { "a", 1000, 300, 1.5, 1.5 },
+      { "b", 1000, 100, 0.5, 0.5 },
+      { "c", 150, 150, 0.75, 1. } } },
 };
 
 static void
@@ -51,8 +53,14 @@
     }
   use_level (use, NOW);
   for (unsigned i = 0; one->rows[i].account != NULL; i++)
-    g_assert_cmpfloat_with_epsilon (use_over (use, NOW, one->rows[i].account),
-                                    one->rows[i].over, 1e-6);
+    {
+      const char *account = one->rows[i].account;
+
+      g_assert_cmpfloat_with_epsilon (use_over (use, NOW, account),
+                                      one->rows[i].over, 1e-6);
+      g_assert_cmpfloat_with_epsilon (use_of_due (use, NOW, account),
+                                      one->rows[i].of_due, 1e-6);
+    }
 }
 
 static void
--- a/libcoltsfootdrum/relay/use.c
+++ b/libcoltsfootdrum/relay/use.c
@@ -242,3 +242,14 @@
     return 0.;
   return use_all (use, now, account).got / use->level;
 }
+
+double
+use_of_due (const use_t *use, cfd_time_t now, const char *account)
+{
+  use_sum_t all = use_all (use, now, account);
+  double due = MIN (all.asked, use->level);
+
+  if (isinf (use->level) || due < NOTHING)
+    return 1.;
+  return all.got / due;
+}
--- a/libcoltsfootdrum/relay/use.h
+++ b/libcoltsfootdrum/relay/use.h
@@ -52,4 +52,8 @@
    share, at the others' cost.  0 while all get what they ask for.  */
 double use_over (const use_t *use, cfd_time_t now, const char *account);
 
+/* What ACCOUNT got, in parts of what it is due: the level, or all it asked for
+   when that is less.  1 while all get what they ask for.  */
+double use_of_due (const use_t *use, cfd_time_t now, const char *account);
+
 #endif
