Relay: a pause for an endpoint that gives requests back

An endpoint works for callers that were cut off, or sheds; each further request is refused at once and uses up the budget of repeats.

Change: after giving one back an endpoint gets nothing new from this router for 20 ms, doubled with each further one up to 80 ms, until it takes one.

Test: edp/gives-back.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -16,6 +16,12 @@
 #define SUSPECT_FIRST_MS 250
 #define SUSPECT_MOST_MS 4000
 
+/* An endpoint that gives requests back works for others than we know of, or
+   still for callers whose connection was cut.  Each further one would be
+   refused too; a slot gets free there within some 20 ms.  */
+#define FULL_FIRST_MS 20
+#define FULL_MOST_MS 80
+
 struct edp_set
 {
   struct ev_loop *loop;
@@ -280,7 +286,8 @@
 bool
 edp_is_open (const edp_t *edp, cfd_time_t now)
 {
-  return !edp->report->leaving && !edp->withdrawn && now >= edp->suspect_until;
+  return !edp->report->leaving && !edp->withdrawn && now >= edp->suspect_until
+         && now >= edp->full_until;
 }
 
 bool
@@ -319,3 +326,20 @@
   edp->suspect_until = 0;
   edp->heard = now;
 }
+
+void
+edp_gave_back (edp_t *edp, cfd_time_t now)
+{
+  unsigned doublings = MIN (edp->given_back, 8);
+  int64_t span = MIN ((int64_t)FULL_FIRST_MS << doublings, FULL_MOST_MS);
+
+  edp->given_back++;
+  edp->full_until = now + span;
+}
+
+void
+edp_took (edp_t *edp)
+{
+  edp->given_back = 0;
+  edp->full_until = 0;
+}
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -46,6 +46,8 @@
   bool changed; /* the figures of this router, since others were told */
   cfd_time_t suspect_until; /* gets nothing new until then */
   unsigned failures;        /* in a row */
+  cfd_time_t full_until;    /* the same: it gave requests back */
+  unsigned given_back;      /* in a row */
   cfd_time_t heard;         /* an answer's bytes came */
 } edp_t;
 
@@ -86,5 +88,8 @@
 /* An exchange with it failed, or went well.  */
 void edp_failed (edp_t *edp, cfd_time_t now);
 void edp_worked (edp_t *edp, cfd_time_t now);
+/* It gave a request back, for it has no room; or it took one.  */
+void edp_gave_back (edp_t *edp, cfd_time_t now);
+void edp_took (edp_t *edp);
 
 #endif
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -226,6 +226,7 @@
 static void
 take_not_run (rly_request_t *request, cfd_time_t now)
 {
+  edp_gave_back (request->edp, now);
   if (may_repeat_now (request, now))
     {
       again (request, now, "not-run");
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -120,6 +120,7 @@
   request->ran |= is_success (&request->answer);
   if (first && is_success (&request->answer))
     {
+      edp_took (request->edp);
       learn (request, now);
       stop_reading_prompt (request);
     }
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -141,6 +141,35 @@
   ev_loop_destroy (loop);
 }
 
+/* An endpoint that has no room, though its figures say so, gets the next
+   request a little later, and later again with each that it gives back; all
+   at once when it takes one.  */
+static void
+test_gives_back (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  edp_set_t *set = edp_set_new (loop);
+  int64_t last = 0;
+  edp_t *edp;
+
+  update (set, NOW, report ("e1", 1, 0), true);
+  edp = edp_set_find (set, "e1");
+  for (unsigned i = 0; i < 12; i++)
+    {
+      edp_gave_back (edp, NOW);
+      g_assert_false (edp_is_open (edp, NOW));
+      g_assert_cmpint (edp->full_until - NOW, >=, last);
+      last = edp->full_until - NOW;
+    }
+  /* Well below callers' aims: room that is there is not left unused.  */
+  g_assert_cmpint (last, <=, 100);
+  g_assert_true (edp_is_open (edp, NOW + last));
+  edp_took (edp);
+  g_assert_true (edp_is_open (edp, NOW));
+  edp_set_free (set);
+  ev_loop_destroy (loop);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -150,5 +179,6 @@
   g_test_add_func ("/edp/cold", test_cold);
   g_test_add_func ("/edp/zone-out", test_zone_out);
   g_test_add_func ("/edp/failures", test_failures);
+  g_test_add_func ("/edp/gives-back", test_gives_back);
   return g_test_run ();
 }
