Peers: many routers tell all figures more seldom

Change: 15 ms for each other router between whole figures, 100 ms at least and 300 at most, below a third of the silence after which a router is forgotten. Small fleets send as before.

--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -23,8 +23,11 @@
 #define NEWS_MS 150
 /* A peer's word on the platform's list counts for so long.  */
 #define STEADY_MS 500
-/* All figures are sent so often, for changes that were lost.  */
-#define WHOLE_MS 100
+/* All figures are sent so often, for changes that were lost; with many routers
+   more seldom, for they make N x N datagrams.  Below a third of SILENT_MS.  */
+#define WHOLE_LEAST_MS 100
+#define WHOLE_MS_A_ROUTER 15
+#define WHOLE_MOST_MS 300
 /* Changes are told no more often than this for each router they go to: with N
    routers each change makes N datagrams, and small machines would spend all
    their time on them.  */
@@ -574,12 +577,19 @@
   return longest;
 }
 
+static int64_t
+whole_pause (const pal_t *pal)
+{
+  return CLAMP ((int64_t)pal->addresses->len * WHOLE_MS_A_ROUTER,
+                WHOLE_LEAST_MS, WHOLE_MOST_MS);
+}
+
 void
 pal_tick (pal_t *pal, cfd_time_t now)
 {
   forget_silent (pal, now);
   add_up_all (pal);
-  if (now - pal->told < WHOLE_MS)
+  if (now - pal->told < whole_pause (pal))
     {
       tell_changes (pal, now);
       return;
