Placement: an endpoint of the router's own availability zone first

Change: a far endpoint costs 1.5 ms for each kilobyte of request and expected answer: less than any beginning of some hundred tokens that would be read again, more than the choice between equal endpoints.

Tests: plc/near-first, plc/kept-far-away.

--- a/libcoltsfootdrum/relay/plc.c
+++ b/libcoltsfootdrum/relay/plc.c
@@ -82,7 +82,8 @@
 {
   return plc_first_token (endpoint, request)
          + AGAIN * request->ms_per_work * endpoint->missing
-         + fullness (endpoint) * FULL_MS + (endpoint->home ? 0. : AWAY_MS);
+         + fullness (endpoint) * FULL_MS + (endpoint->home ? 0. : AWAY_MS)
+         + (endpoint->far ? request->far_ms : 0.);
 }
 
 int
--- a/libcoltsfootdrum/relay/plc.h
+++ b/libcoltsfootdrum/relay/plc.h
@@ -23,6 +23,7 @@
   double context;  /* tokens in memory by requests that run */
   double memory;   /* tokens that it can hold; 0: not told */
   bool home;       /* where prompts with this beginning go by choice */
+  bool far;        /* in another availability zone */
 } plc_endpoint_t;
 
 typedef struct
@@ -34,6 +35,7 @@
   double room;         /* part of slots and memory that it may fill */
   double size;         /* tokens that it will hold in memory */
   double missing_most; /* of the shared beginning, where it may go */
+  double far_ms;       /* what another availability zone is as bad as */
   double draw;         /* from 0 to 1, breaks ties */
 } plc_request_t;
 
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -17,6 +17,11 @@
 #define OVER_RESERVE 0.3
 /* An endpoint keeps a beginning when no more than this share is missing.  */
 #define MISSING_SHARE 0.1
+/* Bytes between availability zones are paid for, and links between them are
+   slower.  A kilobyte that has to cross is as bad as so much delay.  */
+#define FAR_MS_A_KB 1.5
+/* A generated token is so many bytes of an event stream.  */
+#define BYTES_A_TOKEN 8.
 /* Slots of an endpoint that doesn't tell.  */
 #define USUAL_SLOTS 8
 /* Of what a cold endpoint bears a second, so much is used: routers' clocks and
@@ -39,13 +44,23 @@
   return per_s > 0. ? per_s * COLD_SAFETY / rly->routers : 1.;
 }
 
+static bool
+is_far (const rly_round_t *round, const edp_t *edp)
+{
+  const char *zone = round->rly->bounds.zone;
+
+  return zone != NULL && edp->report->zone != NULL
+         && !g_str_equal (zone, edp->report->zone);
+}
+
 /* What holds for all requests.  */
 static plc_endpoint_t
 figures_of (const rly_round_t *round, edp_t *edp)
 {
   plc_endpoint_t figures = { .active = edp->active + edp->peer_active,
                              .unread = edp->unread + edp->peer_unread,
-                             .context = edp->context + edp->peer_context };
+                             .context = edp->context + edp->peer_context,
+                             .far = is_far (round, edp) };
 
   if (edp_bears (edp, round->now, round->cold_per_s))
     figures.slots = slots_of (edp, round->terms);
@@ -82,6 +97,16 @@
     }
 }
 
+/* What it is as bad as that REQUEST and its answer cross between zones.  */
+static double
+far_ms (const rly_request_t *request)
+{
+  double bytes
+      = ent_body (request->call)->len + request->output * BYTES_A_TOKEN;
+
+  return bytes / 1024. * FAR_MS_A_KB;
+}
+
 /* The endpoint that all routers choose for prompts with this beginning, while
    nothing speaks against it: rendezvous hashing.  */
 static const edp_t *
@@ -118,13 +143,14 @@
 
   for (guint i = 0; i < round->count; i++)
     {
+      plc_endpoint_t *figures = &round->figures[i];
       double kept = pfx_kept (round->rly->pfx, round->now,
                               round->edps[i]->hash, prompt);
 
-      round->figures[i].own = plc_reading (prompt->tokens, kept);
-      round->figures[i].missing = shared - kept;
+      figures->own = plc_reading (prompt->tokens, kept);
+      figures->missing = shared - kept;
+      figures->home = round->edps[i] == home;
       kept_somewhere |= kept >= shared * (1. - MISSING_SHARE);
-      round->figures[i].home = round->edps[i] == home;
     }
   return kept_somewhere;
 }
@@ -154,6 +180,7 @@
           .bear_ms = HUGE_VAL,
           .missing_most = HUGE_VAL,
           .room = 1.,
+          .far_ms = far_ms (request),
           .draw = g_random_double () };
 
   if (request->prompt == NULL)
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -38,6 +38,7 @@
   double repeat_ratio;
   double repeat_slack;
   int64_t share_window_ms; /* over which accounts' shares are compared */
+  const char *zone;        /* the router's own; NULL: not told */
 } rly_bounds_t;
 
 typedef struct
--- a/libcoltsfootdrum/relay/test-plc.c
+++ b/libcoltsfootdrum/relay/test-plc.c
@@ -19,7 +19,7 @@
 #define WISH(left, bear)                                                      \
   {                                                                           \
     .base_ms = 50., .ms_per_work = 0.01, .left_ms = left, .bear_ms = bear,    \
-    .room = 1., .size = 2000., .missing_most = HUGE_VAL                       \
+    .room = 1., .size = 2000., .far_ms = 20., .missing_most = HUGE_VAL        \
   }
 
 #define FREE .slots = 64, .memory = 400000.
@@ -30,6 +30,20 @@
     { { FREE, .own = 800. }, { FREE, .own = 800., .home = true } },
     2,
     1 },
+  /* Bytes between availability zones are paid for.  */
+  { "near-first",
+    WISH (300., 150.),
+    { { FREE, .own = 800., .far = true, .home = true },
+      { FREE, .own = 800. } },
+    2,
+    1 },
+  /* A long beginning that is kept far away is not read again for that.  */
+  { "kept-far-away",
+    WISH (600., 300.),
+    { { FREE, .own = 7000., .far = true },
+      { FREE, .own = 12000., .missing = 5000. } },
+    2,
+    0 },
   /* A long prompt is being read at the home: a short request goes where its
      first token comes in time.  */
   { "behind-a-long-prompt",
