--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -18,7 +18,7 @@
    few parts.  */
 #define DATAGRAM_MOST 16384
 /* First item of each datagram, so that stray ones are passed over.  */
-#define MARK "cfd-load-4"
+#define MARK "cfd-load-5"
 /* News of prompts is told in all datagrams of this time, for some are lost. */
 #define NEWS_MS 150
 /* A peer's word on the platform's list counts for so long.  */
@@ -42,6 +42,7 @@
   uint64_t number; /* of its newest datagram */
   cfd_time_t heard;
   int64_t steady_ms;
+  int64_t seen[PAL_LISTS];
   GHashTable *loads; /* endpoint's hash to pal_load_t */
 } pal_peer_t;
 
@@ -67,6 +68,7 @@
   use_t *use;
   pfx_t *pfx;
   int64_t steady_ms;
+  int64_t seen[PAL_LISTS];
   cfd_time_t told_changes; /* when changes were sent */
   cfd_time_t told;         /* when all figures were sent */
   uint64_t news_told;      /* number of the newest */
@@ -268,6 +270,16 @@
     use_each_own (pal->use, now, pack_use, packer);
 }
 
+static void
+pack_seen (const pal_t *pal, msgpack_packer *packer, bool whole)
+{
+  unsigned count = whole ? PAL_LISTS : 0;
+
+  msgpack_pack_array (packer, count);
+  for (unsigned i = 0; i < count; i++)
+    msgpack_pack_uint64 (packer, (uint64_t)pal->seen[i]);
+}
+
 GByteArray *
 pal_pack (pal_t *pal, cfd_time_t now, bool whole)
 {
@@ -277,7 +289,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 9);
+  msgpack_pack_array (&packer, 10);
   pack_text (&packer, MARK);
   pack_text (&packer, pal->name);
   msgpack_pack_uint64 (&packer, pal->incarnation);
@@ -287,6 +299,7 @@
   pack_uses (pal, &packer, now, whole);
   pack_news (pal, &packer, now, whole);
   msgpack_pack_int64 (&packer, pal->steady_ms);
+  pack_seen (pal, &packer, whole);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
@@ -344,7 +357,7 @@
 {
   const msgpack_object *items = object->via.array.ptr;
 
-  return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size == 9
+  return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size == 10
          && is_text (&items[0]) && items[0].via.str.size == strlen (MARK)
          && memcmp (items[0].via.str.ptr, MARK, strlen (MARK)) == 0
          && is_text (&items[1]) && is_number (&items[2])
@@ -352,7 +365,8 @@
          && is_numbers (&items[5], 4) && is_rows (&items[6], 2)
          && is_numbers (&items[7], 2)
          && (is_number (&items[8])
-             || items[8].type == MSGPACK_OBJECT_NEGATIVE_INTEGER);
+             || items[8].type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+         && is_numbers (&items[9], PAL_LISTS);
 }
 
 static guint
@@ -460,6 +474,13 @@
     pfx_hear (pal->pfx, now, pairs->ptr[i].via.u64, pairs->ptr[i + 1].via.u64);
 }
 
+static void
+take_seen (pal_peer_t *peer, const msgpack_object_array *revisions)
+{
+  for (unsigned i = 0; i < MIN (revisions->size, PAL_LISTS); i++)
+    peer->seen[i] = revisions->ptr[i].via.i64;
+}
+
 bool
 pal_take (pal_t *pal, cfd_time_t now, const void *bytes, size_t length)
 {
@@ -491,6 +512,7 @@
   take_use (pal, peer, now, &items[6].via.array);
   take_news (pal, now, &items[7].via.array);
   peer->steady_ms = items[8].via.i64;
+  take_seen (peer, &items[9].via.array);
 out:
   msgpack_unpacked_destroy (&unpacked);
   return good;
@@ -577,6 +599,32 @@
   return longest;
 }
 
+void
+pal_set_seen (pal_t *pal, unsigned list, int64_t revision)
+{
+  g_return_if_fail (list < PAL_LISTS);
+  pal->seen[list] = revision;
+}
+
+int64_t
+pal_peers_seen (const pal_t *pal, cfd_time_t now, unsigned list)
+{
+  GHashTableIter each;
+  void *data;
+  int64_t newest = 0;
+
+  g_return_val_if_fail (list < PAL_LISTS, 0);
+  g_hash_table_iter_init (&each, pal->peers);
+  while (g_hash_table_iter_next (&each, NULL, &data))
+    {
+      const pal_peer_t *peer = data;
+
+      if (now - peer->heard <= STEADY_MS)
+        newest = MAX (newest, peer->seen[list]);
+    }
+  return newest;
+}
+
 static int64_t
 whole_pause (const pal_t *pal)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -30,6 +30,14 @@
 void pal_set_steady (pal_t *pal, int64_t steady_ms);
 int64_t pal_peers_steady (const pal_t *pal, cfd_time_t now);
 
+/* Lists of the platform that routers compare notes on.  */
+#define PAL_LISTS 4
+
+/* The platform's revision at which LIST (below PAL_LISTS) was last seen to
+   change here, and the newest such revision of any other router; 0: none.  */
+void pal_set_seen (pal_t *pal, unsigned list, int64_t revision);
+int64_t pal_peers_seen (const pal_t *pal, cfd_time_t now, unsigned list);
+
 /* Sends this router's figures and adds up the others'.  */
 void pal_tick (pal_t *pal, cfd_time_t now);
 
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -170,6 +170,30 @@
   side_free (&one);
 }
 
+/* A router saw a list of the platform change; one that is no longer heard says
+   nothing.  */
+static void
+test_seen (void)
+{
+  side_t here = side_new ("here");
+  side_t one = side_new ("one");
+  side_t two = side_new ("two");
+
+  g_assert_cmpint (pal_peers_seen (here.pal, NOW, 1), ==, 0);
+  pal_set_seen (one.pal, 1, 700);
+  pal_set_seen (two.pal, 1, 900);
+  pal_set_seen (two.pal, 2, 1000);
+  tell (&one, &here, NOW, true);
+  tell (&two, &here, NOW, true);
+  /* What changed alone keeps the last word.  */
+  tell (&two, &here, NOW, false);
+  g_assert_cmpint (pal_peers_seen (here.pal, NOW, 1), ==, 900);
+  g_assert_cmpint (pal_peers_seen (here.pal, NOW + 2000, 1), ==, 0);
+  side_free (&here);
+  side_free (&one);
+  side_free (&two);
+}
+
 /* Each datagram cut at each length, and with each byte changed: nothing but a
    refusal or other figures may come of it.  */
 static void
@@ -209,6 +233,7 @@
   g_test_add_func ("/pal/silent", test_silent);
   g_test_add_func ("/pal/prompts", test_prompts);
   g_test_add_func ("/pal/steady", test_steady);
+  g_test_add_func ("/pal/seen", test_seen);
   g_test_add_func ("/pal/stray", test_stray);
   return g_test_run ();
 }
