Peers: shorter datagrams

Change: changes alone no longer carry the router's name and a text mark (its incarnation tells it, once whole figures have brought the name); hashes of endpoints and parts of prompts have 32 bits; reading work and memory are told in units of 10 and 100 tokens.

Tests: pal/unnamed; pal/adds-up-changes and pal/prompts now tell whole figures first, for a router's first changes say nothing without its name.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -22,6 +22,10 @@
 #define FULL_FIRST_MS 20
 #define FULL_MOST_MS 80
 
+/* Half of a hash: short in datagrams, and some hundred endpoints don't meet in
+   it.  */
+#define HASH_MASK 0xffffffffu
+
 struct edp_set
 {
   struct ev_loop *loop;
@@ -128,7 +132,8 @@
   edp = g_new0 (edp_t, 1);
   edp->report = report;
   edp->hash = XXH3_64bits_withSeed (report->id, strlen (report->id),
-                                    (uint64_t)report->born_ms);
+                                    (uint64_t)report->born_ms)
+              & HASH_MASK;
   edp->cold_room = COLD_BURST;
   edp->ups = ups_new (set->loop, &addr);
   edp->missing_since = CFD_TIME_NEVER;
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -17,8 +17,13 @@
 /* The largest datagram; the loopback and usual links carry it whole or in
    few parts.  */
 #define DATAGRAM_MOST 16384
-/* First item of each datagram, so that stray ones are passed over.  */
-#define MARK "cfd-load-5"
+/* First item of each datagram, so that stray ones and other versions' are
+   passed over.  */
+#define FORMAT 0xcfd6
+/* Units of reading work and of memory in datagrams, in tokens: small numbers
+   are short, and nothing is decided by less.  */
+#define UNREAD_UNIT 10.
+#define CONTEXT_UNIT 100.
 /* News of prompts is told in all datagrams of this time, for some are lost. */
 #define NEWS_MS 150
 /* A peer's word on the platform's list counts for so long.  */
@@ -216,8 +221,8 @@
         continue;
       msgpack_pack_uint64 (packer, edp->hash);
       msgpack_pack_uint32 (packer, edp->active);
-      msgpack_pack_uint64 (packer, (uint64_t)edp->unread);
-      msgpack_pack_uint64 (packer, (uint64_t)edp->context);
+      msgpack_pack_uint64 (packer, (uint64_t)(edp->unread / UNREAD_UNIT));
+      msgpack_pack_uint64 (packer, (uint64_t)(edp->context / CONTEXT_UNIT));
       edp->changed = false;
     }
 }
@@ -290,8 +295,8 @@
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
   msgpack_pack_array (&packer, 10);
-  pack_text (&packer, MARK);
-  pack_text (&packer, pal->name);
+  msgpack_pack_uint32 (&packer, FORMAT);
+  pack_text (&packer, whole ? pal->name : "");
   msgpack_pack_uint64 (&packer, pal->incarnation);
   msgpack_pack_uint64 (&packer, ++pal->number);
   msgpack_pack_uint8 (&packer, whole);
@@ -358,8 +363,7 @@
   const msgpack_object *items = object->via.array.ptr;
 
   return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size == 10
-         && is_text (&items[0]) && items[0].via.str.size == strlen (MARK)
-         && memcmp (items[0].via.str.ptr, MARK, strlen (MARK)) == 0
+         && is_number (&items[0]) && items[0].via.u64 == FORMAT
          && is_text (&items[1]) && is_number (&items[2])
          && is_number (&items[3]) && is_number (&items[4])
          && is_numbers (&items[5], 4) && is_rows (&items[6], 2)
@@ -382,7 +386,7 @@
 }
 
 static pal_peer_t *
-peer_of (pal_t *pal, const char *name)
+peer_by_name (pal_t *pal, const char *name)
 {
   pal_peer_t *peer = g_hash_table_lookup (pal->peers, name);
 
@@ -397,6 +401,29 @@
   return peer;
 }
 
+static pal_peer_t *
+peer_by_incarnation (const pal_t *pal, uint64_t incarnation)
+{
+  GHashTableIter each;
+  void *peer;
+
+  g_hash_table_iter_init (&each, pal->peers);
+  while (g_hash_table_iter_next (&each, NULL, &peer))
+    if (((pal_peer_t *)peer)->incarnation == incarnation)
+      return peer;
+  return NULL;
+}
+
+/* The sender.  Its name comes with whole figures alone, so that of a router
+   which is not known yet the first changes tell nothing: NULL.  */
+static pal_peer_t *
+peer_of (pal_t *pal, const char *name, uint64_t incarnation)
+{
+  if (*name == '\0')
+    return peer_by_incarnation (pal, incarnation);
+  return peer_by_name (pal, name);
+}
+
 static void
 add_up (pal_t *pal, edp_t *edp)
 {
@@ -442,8 +469,8 @@
 
       load->endpoint = rows->ptr[i].via.u64;
       load->active = (unsigned)rows->ptr[i + 1].via.u64;
-      load->unread = (double)rows->ptr[i + 2].via.u64;
-      load->context = (double)rows->ptr[i + 3].via.u64;
+      load->unread = (double)rows->ptr[i + 2].via.u64 * UNREAD_UNIT;
+      load->context = (double)rows->ptr[i + 3].via.u64 * CONTEXT_UNIT;
       g_hash_table_replace (peer->loads, &load->endpoint, load);
       edp = whole ? NULL : edp_set_by_hash (pal->endpoints, load->endpoint);
       if (edp != NULL)
@@ -500,7 +527,9 @@
   name = text_of (&items[1]);
   if (g_str_equal (name, pal->name))
     goto out;
-  peer = peer_of (pal, name);
+  peer = peer_of (pal, name, items[2].via.u64);
+  if (peer == NULL)
+    goto out;
   /* An older one of the same start came late.  */
   if (peer->incarnation == items[2].via.u64
       && peer->number >= items[3].via.u64)
--- a/libcoltsfootdrum/relay/pfx.c
+++ b/libcoltsfootdrum/relay/pfx.c
@@ -9,6 +9,10 @@
 /* A part that was not used for so long is taken for evicted.  */
 #define KEPT_MS 8000
 
+/* Half of a hash: some thousand parts hardly meet in it, and routers tell each
+   other of parts by the thousand.  */
+#define ID_MASK 0xffffffffu
+
 struct pfx
 {
   GHashTable *uses; /* uint64_t of part and endpoint to pfx_use_t */
@@ -47,7 +51,8 @@
   tokens = strtoul (colon + 1, &end, 10);
   if (end == colon + 1 || *end != '\0' || tokens > G_MAXINT)
     return false;
-  part->id = XXH3_64bits_withSeed (text, (size_t)(colon - text), before);
+  part->id
+      = XXH3_64bits_withSeed (text, (size_t)(colon - text), before) & ID_MASK;
   part->tokens = (unsigned)tokens;
   return true;
 }
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -83,6 +83,9 @@
   side_t one = side_new ("one");
   side_t two = side_new ("two");
 
+  /* A router's first word is whole: it has its name.  */
+  tell (&one, &here, NOW, true);
+  tell (&two, &here, NOW, true);
   set_load (&one, 3, 500.);
   set_load (&two, 4, 700.);
   tell (&one, &here, NOW, whole);
@@ -100,6 +103,24 @@
   side_free (&two);
 }
 
+/* Changes of a router whose name was not told yet are passed over, and good:
+   whole figures come soon.  */
+static void
+test_unnamed (void)
+{
+  side_t here = side_new ("here");
+  side_t one = side_new ("one");
+
+  set_load (&one, 3, 500.);
+  tell (&one, &here, NOW, false);
+  g_assert_cmpuint (endpoint_of (&here)->peer_active, ==, 0);
+  g_assert_cmpuint (pal_routers (here.pal), ==, 1);
+  tell (&one, &here, NOW, true);
+  g_assert_cmpuint (endpoint_of (&here)->peer_active, ==, 3);
+  side_free (&here);
+  side_free (&one);
+}
+
 /* A datagram that was overtaken by a newer one of the same router.  */
 static void
 test_overtaken (void)
@@ -146,6 +167,7 @@
   g_autoptr (pfx_prompt_t) prompt = pfx_prompt_parse ("a:100,b:50,c:7");
   uint64_t endpoint = endpoint_of (&here)->hash;
 
+  tell (&one, &here, NOW, true);
   pfx_note (one.pfx, NOW, endpoint_of (&one)->hash, prompt);
   tell (&one, &here, NOW, false);
   g_assert_cmpuint (pfx_kept (here.pfx, NOW, endpoint, prompt), ==, 150);
@@ -229,6 +251,7 @@
   g_test_add_data_func ("/pal/adds-up", GINT_TO_POINTER (true), test_adds_up);
   g_test_add_data_func ("/pal/adds-up-changes", GINT_TO_POINTER (false),
                         test_adds_up);
+  g_test_add_func ("/pal/unnamed", test_unnamed);
   g_test_add_func ("/pal/overtaken", test_overtaken);
   g_test_add_func ("/pal/silent", test_silent);
   g_test_add_func ("/pal/prompts", test_prompts);
