--- a/libcoltsfootdrum/admin/admin-node.c
+++ b/libcoltsfootdrum/admin/admin-node.c
@@ -1,6 +1,7 @@
 /* What every daemon shows, by the same names.  */
 
 #include "admin/admin.h"
+#include "admin/prom.h"
 
 typedef enum
 {
@@ -24,7 +25,7 @@
       if (sort != TRAFFIC_FRAMES
           && msg_is_control (kind) != (sort == TRAFFIC_CONTROL))
         continue;
-      admin_metric (out, name, "counter", labels, (double)value);
+      prom_sample (out, name, "counter", labels, (double)value);
     }
 }
 
@@ -56,10 +57,10 @@
       put_traffic (out, traffic[sort], sort, "out", c.out);
     }
   for (size_t i = 0; i < G_N_ELEMENTS (counters); i++)
-    admin_metric (out, counters[i].name, "counter", counters[i].labels,
-                  (double)counters[i].value);
+    prom_sample (out, counters[i].name, "counter", counters[i].labels,
+                 (double)counters[i].value);
   if (up_ms > 0)
-    admin_metric (
+    prom_sample (
         out, "cfd_control_bytes_per_second", "gauge", NULL,
         (double)(peer_control_bytes (c.in) + peer_control_bytes (c.out)) * 1000
             / (double)up_ms);
@@ -79,17 +80,17 @@
   unsigned zones_out = 0;
 
   store_each (node->store, REC_ZONE, count_out, &zones_out);
-  admin_metric (out, "cfd_config_revision", "gauge", NULL,
-                (double)store_revision (node->store));
-  admin_metric (out, "cfd_config_age_ms", "gauge", NULL,
-                store_age (node->store, now));
-  admin_metric (out, "cfd_config_behind_ms", "gauge", NULL,
-                (double)store_behind_ms (node->store, now));
-  admin_metric (out, "cfd_platform_up", "gauge", NULL,
-                store_platform_is_up (node->store));
-  admin_metric (out, "cfd_platform_calls_total", "counter", NULL,
-                (double)plat_calls (node->plat));
-  admin_metric (out, "cfd_zones_out", "gauge", NULL, zones_out);
+  prom_sample (out, "cfd_config_revision", "gauge", NULL,
+               (double)store_revision (node->store));
+  prom_sample (out, "cfd_config_age_ms", "gauge", NULL,
+               store_age (node->store, now));
+  prom_sample (out, "cfd_config_behind_ms", "gauge", NULL,
+               (double)store_behind_ms (node->store, now));
+  prom_sample (out, "cfd_platform_up", "gauge", NULL,
+               store_platform_is_up (node->store));
+  prom_sample (out, "cfd_platform_calls_total", "counter", NULL,
+               (double)plat_calls (node->plat));
+  prom_sample (out, "cfd_zones_out", "gauge", NULL, zones_out);
   put_links (node->hub, now - started, out);
 }
 
--- a/libcoltsfootdrum/admin/admin.c
+++ b/libcoltsfootdrum/admin/admin.c
@@ -1,4 +1,5 @@
 #include "admin/admin.h"
+#include "admin/prom.h"
 
 #include "base/log.h"
 
@@ -41,11 +42,11 @@
   g_autoptr (GString) out = g_string_new (NULL);
 
   admin_node_metrics (&admin->node, admin->started, out);
-  admin_metric (out, "cfd_ready", "gauge", NULL,
-                admin->source.not_ready (admin->user) == NULL);
+  prom_sample (out, "cfd_ready", "gauge", NULL,
+               admin->source.not_ready (admin->user) == NULL);
   admin->source.metrics (admin->user, out);
-  admin_metric (out, "cfd_invariant_failures_total", "counter", NULL,
-                invariant_failures ());
+  prom_sample (out, "cfd_invariant_failures_total", "counter", NULL,
+               invariant_failures ());
   web_respond (request, 200, "text/plain; version=0.0.4", NULL, out->str,
                out->len);
 }
@@ -142,22 +143,6 @@
   g_free (admin);
 }
 
-void
-admin_metric (GString *out, const char *name, const char *type,
-              const char *labels, double value)
-{
-  char number[G_ASCII_DTOSTR_BUF_SIZE];
-  g_autofree char *line = g_strdup_printf ("# TYPE %s %s\n", name, type);
-
-  g_ascii_dtostr (number, sizeof number, value);
-  if (strstr (out->str, line) == NULL)
-    g_string_append (out, line);
-  g_string_append (out, name);
-  if (labels != NULL)
-    g_string_append_printf (out, "{%s}", labels);
-  g_string_append_printf (out, " %s\n", number);
-}
-
 void
 admin_text (JsonBuilder *out, const char *name, const char *value)
 {
--- a/libcoltsfootdrum/admin/admin.h
+++ b/libcoltsfootdrum/admin/admin.h
@@ -47,11 +47,6 @@
 void admin_free (admin_t *admin);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (admin_t, admin_free)
 
-/* Appends one sample, before the first of its name the type line; TYPE is
-   "counter" or "gauge", LABELS is NULL or "name=\"value\",...".  */
-void admin_metric (GString *out, const char *name, const char *type,
-                   const char *labels, double value);
-
 /* Members of the status object.  */
 void admin_text (JsonBuilder *out, const char *name, const char *value);
 void admin_number (JsonBuilder *out, const char *name, int64_t value);
--- a/libcoltsfootdrum/agent/agent-admin.c
+++ b/libcoltsfootdrum/agent/agent-admin.c
@@ -1,6 +1,7 @@
 /* What the agent shows on its admin port.  */
 
 #include "agent/agent-private.h"
+#include "admin/prom.h"
 #include "base/log.h"
 
 static void
@@ -8,7 +9,7 @@
 {
   g_autofree char *full = g_strconcat ("cfd_agent_", name, NULL);
 
-  admin_metric (text, full, type, NULL, value);
+  prom_sample (text, full, type, NULL, value);
 }
 
 static void
@@ -60,9 +61,9 @@
   add (text, "waiting_announced", "gauge", pick_waiting (agent->pick));
   add (text, "queued", "gauge", agent->queued);
   add (text, "may_grant", "gauge", agent_reason (agent, now) == GRANT_MAY);
-  admin_metric (text, "cfd_fairness_spread", "gauge", NULL,
-                pick_spread (agent->pick, now));
-  admin_metric (text, "cfd_utilisation", "gauge", NULL, utilisation (agent));
+  prom_sample (text, "cfd_fairness_spread", "gauge", NULL,
+               pick_spread (agent->pick, now));
+  prom_sample (text, "cfd_utilisation", "gauge", NULL, utilisation (agent));
 }
 
 static void
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -322,6 +322,8 @@
       return;
     }
   edp_worked (request->edp, now);
+  if (answer->status / 100 == 2)
+    prom_hist_add (&request->service->whole, now - request->since);
   if (answer->stream)
     {
       end_stream (request);
--- /dev/null
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -0,0 +1,81 @@
+/* The relay's counters and latencies as text.  docs/RELAY-METRICS.md lists
+   them.  */
+
+#include "relay/rly-private.h"
+
+#include "admin/prom.h"
+
+typedef struct
+{
+  const char *name;
+  const char *labels;
+  uint64_t value;
+} counter_t;
+
+static void
+put_counters (const rly_counts_t *c, GString *out)
+{
+  const counter_t counters[] = {
+    { "cfd_relay_requests_total", NULL, c->requests },
+    { "cfd_relay_ended_total", "outcome=\"answered\"", c->answered },
+    { "cfd_relay_ended_total", "outcome=\"refused\"", c->refused },
+    { "cfd_relay_ended_total", "outcome=\"failed\"", c->failed },
+    { "cfd_relay_ended_total", "outcome=\"left\"", c->departed },
+    { "cfd_relay_repeats_total", NULL, c->repeats },
+    { "cfd_relay_resumed_total", NULL, c->resumed },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (counters); i++)
+    prom_sample (out, counters[i].name, "counter", counters[i].labels,
+                 (double)counters[i].value);
+}
+
+static unsigned
+count_open (const rly_t *rly, cfd_time_t now)
+{
+  unsigned count = 0;
+
+  list_for_each (node, edp_set_list (rly->endpoints))
+    {
+      count += edp_is_open (list_entry (node, edp_t, node), now);
+    }
+  return count;
+}
+
+static void
+put_state (const rly_t *rly, cfd_time_t now, GString *out)
+{
+  uint64_t version = rly->table != NULL ? rte_table_version (rly->table) : 0;
+
+  prom_sample (out, "cfd_relay_waiting", "gauge", NULL, rly->counts.waiting);
+  prom_sample (out, "cfd_relay_running", "gauge", NULL, rly->counts.running);
+  prom_sample (out, "cfd_relay_routers", "gauge", NULL, rly->routers);
+  prom_sample (out, "cfd_relay_endpoints", "gauge", NULL,
+               edp_set_count (rly->endpoints));
+  prom_sample (out, "cfd_relay_endpoints_open", "gauge", NULL,
+               count_open (rly, now));
+  prom_sample (out, "cfd_relay_config_version", "gauge", NULL,
+               (double)version);
+}
+
+static void
+put_latencies (const rly_service_t *service, GString *out)
+{
+  g_autofree char *name = g_strescape (service->name, NULL);
+  g_autofree char *labels = g_strdup_printf ("service=\"%s\"", name);
+
+  prom_hist_put (&service->wait, out, "cfd_relay_wait_ms", labels);
+  prom_hist_put (&service->first_byte, out, "cfd_relay_first_byte_ms", labels);
+  prom_hist_put (&service->whole, out, "cfd_relay_answer_ms", labels);
+}
+
+void
+rly_metrics (const rly_t *rly, cfd_time_t now, GString *out)
+{
+  put_counters (&rly->counts, out);
+  put_state (rly, now, out);
+  list_for_each (node, &rly->services)
+    {
+      put_latencies (list_entry (node, rly_service_t, node), out);
+    }
+}
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -3,6 +3,7 @@
 #ifndef RELAY_RLY_PRIVATE_H
 #define RELAY_RLY_PRIVATE_H
 
+#include "admin/prom.h"
 #include "base/list.h"
 #include "relay/bud.h"
 #include "relay/fit.h"
@@ -17,8 +18,11 @@
   list_node_t node;
   char *name;
   bud_t repeats;
-  fit_t first_token; /* milliseconds by the reading work before it */
-  list_node_t lines; /* rly_line_t with requests that wait */
+  fit_t first_token;      /* milliseconds by the reading work before it */
+  prom_hist_t wait;       /* from the arrival until it was sent */
+  prom_hist_t first_byte; /* until the first byte of a success */
+  prom_hist_t whole;      /* until a success was whole */
+  list_node_t lines;      /* rly_line_t with requests that wait */
   unsigned waiting;
   bool due; /* something may have found room in this turn of the loop */
 } rly_service_t;
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -117,7 +117,11 @@
   bool first = request->unread > 0.;
 
   request->edp->heard = now;
-  request->ran |= is_success (&request->answer);
+  if (!request->ran && is_success (&request->answer))
+    {
+      request->ran = true;
+      prom_hist_add (&request->service->first_byte, now - request->since);
+    }
   if (first && is_success (&request->answer))
     {
       edp_took (request->edp);
@@ -193,6 +197,7 @@
       return false;
     }
   begin (request, edp, now);
+  prom_hist_add (&request->service->wait, now - request->since);
   log_info (
       "relay",
       "A request was sent: request=%s account=%s endpoint=%s active=%u "
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -82,4 +82,7 @@
 
 const rly_counts_t *rly_counts (const rly_t *rly);
 
+/* Appends counters and latencies in Prometheus' text format.  */
+void rly_metrics (const rly_t *rly, cfd_time_t now, GString *out);
+
 #endif
--- a/libcoltsfootdrum/router/router-admin.c
+++ b/libcoltsfootdrum/router/router-admin.c
@@ -1,4 +1,5 @@
 #include "router/router-private.h"
+#include "admin/prom.h"
 
 #include <inttypes.h>
 
@@ -25,8 +26,8 @@
 put_counters (GString *out, const counter_t *counters, unsigned count)
 {
   for (unsigned i = 0; i < count; i++)
-    admin_metric (out, counters[i].name, "counter", counters[i].labels,
-                  (double)counters[i].value);
+    prom_sample (out, counters[i].name, "counter", counters[i].labels,
+                 (double)counters[i].value);
 }
 
 static void
@@ -161,25 +162,25 @@
   put_requests (router, out);
   put_control (router, out);
   put_claims (router, out);
-  admin_metric (out, "cfd_router_waiting", "gauge", NULL,
-                adm_waiting (router->adm));
-  admin_metric (out, "cfd_router_in_flight", "gauge", NULL, router->in_flight);
-  admin_metric (out, "cfd_router_agents_doubted", "gauge", NULL,
-                disp_doubted (router->disp, clock_now ()));
-  admin_metric (out, "cfd_router_retry_budget", "gauge", NULL,
-                router->retry_budget);
-  admin_metric (out, "cfd_router_accounts", "gauge", "side=\"share\"",
-                share_accounts (router->share));
-  admin_metric (out, "cfd_router_accounts", "gauge", "side=\"home\"",
-                home_accounts (router->home));
+  prom_sample (out, "cfd_router_waiting", "gauge", NULL,
+               adm_waiting (router->adm));
+  prom_sample (out, "cfd_router_in_flight", "gauge", NULL, router->in_flight);
+  prom_sample (out, "cfd_router_agents_doubted", "gauge", NULL,
+               disp_doubted (router->disp, clock_now ()));
+  prom_sample (out, "cfd_router_retry_budget", "gauge", NULL,
+               router->retry_budget);
+  prom_sample (out, "cfd_router_accounts", "gauge", "side=\"share\"",
+               share_accounts (router->share));
+  prom_sample (out, "cfd_router_accounts", "gauge", "side=\"home\"",
+               home_accounts (router->home));
   const home_bounded_t bounded = home_bounded (router->home);
-  admin_metric (out, "cfd_share_bounded_tokens_total", "counter",
-                "side=\"debt\"", bounded.debt);
-  admin_metric (out, "cfd_share_bounded_tokens_total", "counter",
-                "side=\"credit\"", bounded.credit);
-  admin_metric (out, "cfd_fairness_spread", "gauge", NULL, spread (router));
-  admin_metric (out, "cfd_router_passed_over_ms", "gauge", NULL,
-                (double)turns_longest (router->turns));
+  prom_sample (out, "cfd_share_bounded_tokens_total", "counter",
+               "side=\"debt\"", bounded.debt);
+  prom_sample (out, "cfd_share_bounded_tokens_total", "counter",
+               "side=\"credit\"", bounded.credit);
+  prom_sample (out, "cfd_fairness_spread", "gauge", NULL, spread (router));
+  prom_sample (out, "cfd_router_passed_over_ms", "gauge", NULL,
+               (double)turns_longest (router->turns));
 }
 
 static void
