cfdctl logs: one story of the log lines of several processes

On-call engineers have the routers' log lines and nothing that reads them together. `cfdctl logs FILE...` prints lines in order of time, by request, account or endpoint; of a request also what its instance and its endpoints went through around that time. It needs no platform.

Test: ctl/logs.

--- a/libcoltsfootdrum/ctl/ctl.c
+++ b/libcoltsfootdrum/ctl/ctl.c
@@ -32,6 +32,8 @@
   { "timeline", "", "events of all processes in one order", ctl_cmd_timeline },
   { "explain", "REQUEST-ID", "where a request went, when and why",
     ctl_cmd_explain },
+  { "logs", "FILE...", "log lines of several processes as one story",
+    ctl_cmd_logs },
 };
 
 typedef struct
@@ -72,13 +74,13 @@
           { "file", 0, 0, G_OPTION_ARG_STRING, &ctl->file,
             "create: read the spec as JSON, - is standard input", "FILE" },
           { "account", 0, 0, G_OPTION_ARG_STRING, &ctl->account,
-            "timeline: of this client account", "NAME" },
+            "timeline, logs: of this client account", "NAME" },
           { "zone", 0, 0, G_OPTION_ARG_STRING, &ctl->zone,
             "timeline: of this availability zone", "NAME" },
           { "endpoint", 0, 0, G_OPTION_ARG_STRING, &ctl->endpoint,
-            "timeline: of this endpoint", "NAME" },
+            "timeline, logs: of this endpoint", "NAME" },
           { "request", 0, 0, G_OPTION_ARG_STRING, &ctl->request,
-            "timeline: of this request", "ID" },
+            "timeline, logs: of this request", "ID" },
           { "kind", 0, 0, G_OPTION_ARG_STRING, &ctl->kind,
             "timeline: of this kind of event", "KIND" },
           { "version", 0, 0, G_OPTION_ARG_NONE, &options->version,
@@ -149,7 +151,8 @@
   command = find_command (words[0]);
   if (command == NULL)
     return CTL_USAGE;
-  if (options->platform == NULL && command->run != ctl_cmd_key_hash)
+  if (options->platform == NULL && command->run != ctl_cmd_key_hash
+      && command->run != ctl_cmd_logs)
     return ctl_usage ("set --platform or CFD_PLATFORM to http://IP:PORT");
   ctl->loop = ev_loop_new (EVFLAG_AUTO);
   ctl->pool = fetch_pool_new (ctl->loop);
--- a/libcoltsfootdrum/ctl/ctl.h
+++ b/libcoltsfootdrum/ctl/ctl.h
@@ -67,6 +67,26 @@
 /* Prints "cfdctl: MESSAGE" and returns CTL_USAGE.  */
 ctl_exit_t ctl_usage (const char *format, ...) G_GNUC_PRINTF (1, 2);
 
+/* ---- ctl-logs.c: log lines of several processes ---- */
+typedef struct ctl_logs ctl_logs_t;
+
+/* NULL members are not looked at.  */
+typedef struct
+{
+  const char *request; /* and what may tell why it went as it did */
+  const char *account;
+  const char *endpoint;
+} ctl_logs_filter_t;
+
+ctl_logs_t *ctl_logs_new (void);
+void ctl_logs_free (ctl_logs_t *logs);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (ctl_logs_t, ctl_logs_free)
+/* Adds the lines of TEXT; such as are no log lines are counted.  */
+void ctl_logs_read (ctl_logs_t *logs, const char *text);
+/* The lines that FILTER lets through, in order of time; free with g_free.  */
+char *ctl_logs_story (const ctl_logs_t *logs, const ctl_logs_filter_t *filter,
+                      bool json);
+
 /* ---- commands; ARGS holds COUNT words after the command ---- */
 ctl_exit_t ctl_cmd_create (ctl_t *ctl, int count, char **args);
 ctl_exit_t ctl_cmd_get (ctl_t *ctl, int count, char **args);
@@ -78,6 +98,7 @@
 ctl_exit_t ctl_cmd_status (ctl_t *ctl, int count, char **args);
 ctl_exit_t ctl_cmd_timeline (ctl_t *ctl, int count, char **args);
 ctl_exit_t ctl_cmd_explain (ctl_t *ctl, int count, char **args);
+ctl_exit_t ctl_cmd_logs (ctl_t *ctl, int count, char **args);
 
 /* ---- ctl-spec.c: pure ---- */
 /* Sets MEMBER=VALUE in SPEC; MEMBER may name a nested one with dots.  VALUE
--- a/libcoltsfootdrum/ctl/test-ctl.c
+++ b/libcoltsfootdrum/ctl/test-ctl.c
@@ -55,11 +55,57 @@
   g_assert_null (ctl_nearest ("zebra", words));
 }
 
+/* Lines of two processes and a collector's words before them: a request was
+   sent to an endpoint that then fell silent.  */
+#define SENT                                                                  \
+  "12.1 r1 {\"wall_ms\":5100,\"instance\":\"r1\",\"part\":\"relay\","         \
+  "\"message\":\"sent\",\"request\":\"7\",\"endpoint\":\"e1\"}\n"
+#define OTHER                                                                 \
+  "{\"wall_ms\":5150,\"instance\":\"r1\",\"part\":\"relay\","                 \
+  "\"message\":\"sent\",\"request\":\"8\",\"endpoint\":\"e1\"}\n"
+#define LAPSED                                                                \
+  "{\"wall_ms\":5900,\"instance\":\"r2\",\"part\":\"endpoints\","             \
+  "\"message\":\"lapsed\",\"endpoint\":\"e1\"}\n"
+#define ELSEWHERE                                                             \
+  "{\"wall_ms\":5900,\"instance\":\"r2\",\"part\":\"endpoints\","             \
+  "\"message\":\"lapsed\",\"endpoint\":\"e2\"}\n"
+#define LONG_AGO                                                              \
+  "{\"wall_ms\":100,\"instance\":\"r1\",\"part\":\"store\","                  \
+  "\"message\":\"up\"}\n"
+#define FAILED                                                                \
+  "{\"wall_ms\":6000,\"instance\":\"r1\",\"part\":\"relay\","                 \
+  "\"message\":\"failed\",\"request\":\"7\",\"endpoint\":\"e1\"}\n"
+
+static void
+test_logs (void)
+{
+  static const ctl_logs_filter_t one = { .request = "7" };
+  static const ctl_logs_filter_t endpoint = { .endpoint = "e2" };
+  static const ctl_logs_filter_t none = { .request = "9" };
+  g_autoptr (ctl_logs_t) logs = ctl_logs_new ();
+  g_autofree char *story = NULL;
+  g_autofree char *of_endpoint = NULL;
+  g_autofree char *nothing = NULL;
+
+  ctl_logs_read (logs, FAILED OTHER SENT LONG_AGO "no log line\n{\"a\":");
+  ctl_logs_read (logs, LAPSED ELSEWHERE);
+  story = ctl_logs_story (logs, &one, false);
+  g_assert_cmpstr (story, ==,
+                   "00:00:05.100 r1 relay: sent\n"
+                   "00:00:05.900 r2 endpoints: lapsed\n"
+                   "00:00:06.000 r1 relay: failed\n");
+  of_endpoint = ctl_logs_story (logs, &endpoint, true);
+  g_assert_true (g_str_has_prefix (of_endpoint, "{\"wall_ms\":5900,"));
+  nothing = ctl_logs_story (logs, &none, false);
+  g_assert_cmpstr (nothing, ==, "");
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/ctl/assign", test_assign);
   g_test_add_func ("/ctl/nearest", test_nearest);
+  g_test_add_func ("/ctl/logs", test_logs);
   return g_test_run ();
 }
