--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -287,10 +287,12 @@
 answer_plainly (rly_t *rly, ent_call_t *call, unsigned status,
                 const char *reason)
 {
+  const char *id = hdr_get (&ent_head (call)->fields, rly->names.request_id);
   g_autofree char *fields = NULL;
 
-  log_info ("relay", "A request was turned away: status=%u reason=%s.", status,
-            reason);
+  log_info ("relay",
+            "A request was turned away: request=%s status=%u reason=%s.",
+            id != NULL ? id : "", status, reason);
   rly->counts.refused++;
   if (status == 503)
     fields
