Relay: what must hold is checked inside

The relay had no check of its own. Five now: a refused request never began to run; none is sent again that may have run, unless it may repeat; nothing goes to an endpoint that is not open; a cold endpoint's rate; an endpoint's count of requests under way.

A success that also says "not run" no longer counts as begun: an endpoint could else have made the first check fail by two words that don't fit together.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -310,8 +310,10 @@
 void
 edp_burden (edp_t *edp, cfd_time_t now)
 {
-  if (now < edp->cold_until)
-    edp->cold_room -= 1.;
+  if (now >= edp->cold_until)
+    return;
+  edp->cold_room -= 1.;
+  INVARIANT ("cold-within-rate", edp->cold_room >= 0., edp->report->id);
 }
 
 void
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -64,6 +64,7 @@
       rly_fail (request, 502, reason);
       return;
     }
+  INVARIANT ("refusal-is-true", !request->ran, request->id);
   log_info ("relay",
             "A request was refused, not run: request=%s account=%s reason=%s "
             "waited_ms=%" G_GINT64_FORMAT
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -106,7 +106,7 @@
 static bool
 is_success (const rly_answer_t *answer)
 {
-  return answer->sound && answer->status / 100 == 2;
+  return answer->sound && !answer->not_run && answer->status / 100 == 2;
 }
 
 static void
@@ -150,6 +150,10 @@
 {
   rly_t *rly = request->rly;
 
+  INVARIANT ("at-most-once",
+             !request->may_have_run || rte_may_repeat (request->route),
+             request->id);
+  INVARIANT ("endpoint-open", edp_is_open (edp, now), edp->report->id);
   rly_unwait (request);
   list_append (&rly->running, &request->node);
   rly->counts.running++;
@@ -234,6 +238,7 @@
   request->held = false;
   stop_reading_prompt (request);
   edp->context = MAX (edp->context - request->context, 0.);
+  INVARIANT ("running-counted", edp->active > 0, edp->report->id);
   edp->active--;
   request->rly->counts.running--;
   request->edp = NULL;
