Agent: what was started before a stop is not sent after it

Cause: withdrawn/leaving-frozen was red once: an endpoint that was leaving got six requests after its agent woke. The agent checks for a stop before a start, but libcurl connects and sends in later turns of the loop, so that a process stopped in between sent what it had started, whatever was written meanwhile. Ruled out: a grant or a start after waking (the log of the red run). Change: fetch_request_t has may_send, asked through libcurl's callback before the request on a connection that stands; the agent reads the clock there, so that a stop is noticed in the same call, and gives the request back as not run (FETCH_WITHHELD) while unconfirmed or withdrawn. Its limit learns nothing from it.

--- a/libcoltsfootdrum/agent/agent-private.h
+++ b/libcoltsfootdrum/agent/agent-private.h
@@ -144,6 +144,7 @@
   bool paused;         /* not reading, the router is slow */
   bool untimed;        /* token times are ours, not the endpoint's */
   bool discarding;     /* nobody will read the rest */
+  bool withheld;       /* it must not be sent any more, and was not */
   bool attached;       /* the router's link is there */
   cfd_time_t detached;
   cfd_time_t started;
--- a/libcoltsfootdrum/agent/agent-run.c
+++ b/libcoltsfootdrum/agent/agent-run.c
@@ -165,6 +165,9 @@
 {
   lim_t *lim = &run->agent->lim;
 
+  /* That says nothing of the endpoint.  */
+  if (run->withheld)
+    return;
   switch (outcome)
     {
     case OUTCOME_COMPLETE:
@@ -366,6 +369,11 @@
       else
         run_finish (run, OUTCOME_UNREACHED, detail, now);
       return;
+    case FETCH_WITHHELD:
+      run->withheld = true;
+      run_finish (run, OUTCOME_UNREACHED,
+                  "stopped before it was sent, and in doubt since", now);
+      return;
     case FETCH_BROKEN:
     case FETCH_TIMEOUT:
       run_broken (run, detail, now);
@@ -387,6 +395,19 @@
   run->fetch = fetch_start (run->agent->pool, &whole);
 }
 
+/* A process that was stopped between starting a request and sending it may
+   have slept through the record that takes its endpoint out of service.  The
+   clock is read here so that the stop is seen in the same call that sends.  */
+static bool
+may_send (void *user)
+{
+  run_t *run = user;
+  cfd_agent_t *agent = run->agent;
+
+  (void)agent_now (agent);
+  return !agent->unconfirmed && !config_is_withdrawn (agent);
+}
+
 void
 run_start (run_t *run, cfd_time_t now)
 {
@@ -399,6 +420,7 @@
     .body = run->body->data,
     .body_length = run->body->len,
     .repeatable = run->idempotent && !run->is_model,
+    .may_send = may_send,
   };
 
   INVARIANT ("start-in-service", !config_is_withdrawn (agent), run->request);
--- a/libcoltsfootdrum/agent/test-agent.c
+++ b/libcoltsfootdrum/agent/test-agent.c
@@ -1,12 +1,15 @@
 /* A whole agent against frames of a router.  */
 
 #include "agent/agent-grant.h"
+#include "agent/agent-private.h"
 #include "agent/test-scene.h"
 #include <math.h>
 #include <string.h>
 
 /* The silence that closes a held link, and some more.  */
 #define CUT_OFF_MS (PEER_SILENCE_MS + 1000)
+/* Longer than the gap by which the agent knows that it was stopped.  */
+#define STOP_MS 1500
 
 /* ---- the cases ---- */
 
@@ -92,6 +95,25 @@
   scene_free (scene);
 }
 
+/* The process is stopped after a request was started and before it was sent,
+   and nothing confirms that the endpoint is still in service: the router gets
+   the request back as not run, and the endpoint sees nothing of it.  */
+static void
+test_stopped_before_sending (void)
+{
+  scene_t *scene = scene_new (ENGINE_WHOLE);
+
+  scene_run (scene, "q");
+  while (scene->agent->counters.started == 0)
+    ev_run (scene->loop, EVRUN_ONCE);
+  g_usleep (STOP_MS * 1000);
+  SCENE_UNTIL (scene, scene->ends == 1);
+  g_assert_cmpint (scene->end.outcome, ==, OUTCOME_UNREACHED);
+  scene_pass (scene, 300);
+  g_assert_cmpuint (scene->starts, ==, 0);
+  scene_free (scene);
+}
+
 /* The endpoint begins to leave while a grant is out, and the platform goes
    down after that: the request that answers the grant is given back unstarted,
    and no slot is offered, however long the platform is away.  When the
@@ -393,6 +415,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/agent/runs", test_runs);
   g_test_add_func ("/agent/not-started", test_not_started);
+  g_test_add_func ("/agent/stopped-before-sending",
+                   test_stopped_before_sending);
   g_test_add_func ("/agent/leaving", test_leaving);
   g_test_add_func ("/agent/behind", test_behind);
   g_test_add_func ("/agent/link-lost", test_link_lost);
--- a/libcoltsfootdrum/http/fetch.c
+++ b/libcoltsfootdrum/http/fetch.c
@@ -37,6 +37,7 @@
   char error[CURL_ERROR_SIZE];
   bool added;      /* libcurl has it */
   bool cancelled;  /* waits for WORK to free it */
+  bool withheld;   /* not sent, by the owner's word */
   bool silent;     /* ran into the silence limit */
   bool too_large;  /* ran into BODY_MAX */
   bool ended;      /* in the last callback */
@@ -110,6 +111,8 @@
 {
   if (code == CURLE_OK && fetch->has_head)
     return FETCH_ANSWERED;
+  if (fetch->withheld)
+    return FETCH_WITHHELD;
   if (!may_be_sent (fetch, code))
     return FETCH_UNREACHED;
   if (code == CURLE_OPERATION_TIMEDOUT)
@@ -365,6 +368,21 @@
   return fetch->cancelled || fetch->too_large ? 0 : length;
 }
 
+static int
+on_connected (void *user, char *peer, char *local, int peer_port,
+              int local_port)
+{
+  fetch_t *fetch = user;
+  const fetch_request_t *request = &fetch->request;
+
+  if (fetch->cancelled)
+    return CURL_PREREQFUNC_ABORT;
+  if (request->may_send (request->user))
+    return CURL_PREREQFUNC_OK;
+  fetch->withheld = true;
+  return CURL_PREREQFUNC_ABORT;
+}
+
 static void
 set_up (fetch_t *fetch, const fetch_request_t *request)
 {
@@ -377,6 +395,11 @@
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, fetch);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, fetch);
+  if (request->may_send != NULL)
+    {
+      curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_connected);
+      curl_easy_setopt (easy, CURLOPT_PREREQDATA, fetch);
+    }
   fetch->header_list = fetch_easy_setup (easy, request);
 }
 
--- a/libcoltsfootdrum/http/fetch.h
+++ b/libcoltsfootdrum/http/fetch.h
@@ -15,6 +15,7 @@
 {
   FETCH_ANSWERED,  /* the whole answer came */
   FETCH_UNREACHED, /* no connection was made: the request was never sent */
+  FETCH_WITHHELD,  /* MAY_SEND said no: the request was never sent */
   FETCH_BROKEN,    /* sent, maybe in part; whether it took effect is unknown */
   FETCH_TIMEOUT    /* as FETCH_BROKEN, after the time limit */
 } fetch_result_t;
@@ -32,6 +33,9 @@
   bool repeatable;     /* may use a kept connection: libcurl sends again by
                           itself when that turns out to be closed */
 
+  /* Asked once the connection stands, just before the first byte is sent:
+     time may have passed since the start.  NULL: always.  */
+  bool (*may_send) (void *user);
   /* NULL when not wanted.  HEADERS is NULL-ended.  */
   void (*head) (void *user, unsigned status, const char *const *headers);
   /* With DATA set the body is streamed to it, else collected.  */
--- a/libcoltsfootdrum/http/test-fetch.c
+++ b/libcoltsfootdrum/http/test-fetch.c
@@ -39,6 +39,8 @@
   unsigned heads;
   unsigned dones;
   GString *body;
+  unsigned asked;
+  bool allowed;
   void (*in_head) (void *fixture);
   void (*in_data) (void *fixture);
   void (*in_done) (void *fixture);
@@ -171,18 +173,25 @@
     f->in_done (f);
 }
 
+static fetch_request_t
+request_of (fixture_t *f, const char *method, unsigned total_ms,
+            unsigned silence_ms)
+{
+  return (fetch_request_t){ .method = method,
+                            .url = f->url,
+                            .total_ms = total_ms,
+                            .silence_ms = silence_ms,
+                            .head = on_head,
+                            .data = on_data,
+                            .done = on_done,
+                            .user = f };
+}
+
 static void
 start (fixture_t *f, const char *method, unsigned total_ms,
        unsigned silence_ms)
 {
-  fetch_request_t request = { .method = method,
-                              .url = f->url,
-                              .total_ms = total_ms,
-                              .silence_ms = silence_ms,
-                              .head = on_head,
-                              .data = on_data,
-                              .done = on_done,
-                              .user = f };
+  fetch_request_t request = request_of (f, method, total_ms, silence_ms);
 
   f->fetch = fetch_start (f->pool, &request);
 }
@@ -359,6 +368,36 @@
   g_assert_cmpstr (f->body->str, ==, "hi");
 }
 
+static bool
+refuse (void *user)
+{
+  fixture_t *f = user;
+
+  f->asked++;
+  return f->allowed;
+}
+
+/* An owner that learns between start and connection that a request must not be
+   sent any more: the server sees no byte of it, and the result says so.  */
+static void
+test_withheld (fixture_t *f, gconstpointer data)
+{
+  fetch_request_t request = request_of (f, "POST", 0, 0);
+
+  f->script = OK_HEAD "Content-Length: 2\r\n\r\nhi";
+  request.may_send = refuse;
+  f->fetch = fetch_start (f->pool, &request);
+  run_until (f, &f->dones, 1);
+  g_assert_cmpint (f->result, ==, FETCH_WITHHELD);
+  g_assert_cmpuint (f->asked, ==, 1);
+  g_assert_cmpuint (f->requests, ==, 0);
+  f->allowed = true;
+  f->fetch = fetch_start (f->pool, &request);
+  run_until (f, &f->dones, 2);
+  g_assert_cmpint (f->result, ==, FETCH_ANSWERED);
+  g_assert_cmpuint (f->requests, ==, 1);
+}
+
 static void
 add (const char *path, void (*test) (fixture_t *, gconstpointer))
 {
@@ -374,5 +413,6 @@
   add ("/fetch/never-repeated", test_never_repeated);
   add ("/fetch/inside-callbacks", test_inside_callbacks);
   add ("/fetch/pause", test_pause);
+  add ("/fetch/withheld", test_withheld);
   return g_test_run ();
 }
