Placement: an endpoint copies a cached prefix from another one

Change: a request placed where part of its prefix is missing names the endpoint that caches most of it, where a copy is expected to be faster than the prefill; the copy's time, from the service's terms, enters the estimate of the first token and is taken off the samples that the latency model learns from.

--- /dev/null
+++ b/libcoltsfootdrum/relay/mech.c
@@ -0,0 +1,71 @@
+/* Names of mechanisms.  */
+
+#include "relay/mech.h"
+
+#include "base/err.h"
+
+typedef struct
+{
+  const char *name;
+  mech_t bit;
+  const char *what;
+} mech_row_t;
+
+static const mech_row_t rows[] = {
+  { "prefix-fetch", MECH_PREFIX_FETCH,
+    "an endpoint copies a cached prefix from another one" },
+  { "prefix-affinity", MECH_PREFIX_AFFINITY,
+    "requests with a common prefix go to the same endpoints" },
+  { "prefix-wait", MECH_PREFIX_WAIT,
+    "a request waits for an endpoint that caches its prefix" },
+  { "throttle", MECH_THROTTLE,
+    "accounts above the fair level leave a part of the capacity" },
+  { "late-last", MECH_LATE_LAST,
+    "requests past their latency objective go last" },
+  { "zone-cost", MECH_ZONE_COST,
+    "endpoints of the own availability zone are preferred" },
+  { "reject-pause", MECH_REJECT_PAUSE,
+    "an endpoint that rejects requests gets a short pause" },
+};
+
+static const mech_row_t *
+find (const char *name)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    if (g_str_equal (rows[i].name, name))
+      return &rows[i];
+  return NULL;
+}
+
+bool
+mech_parse (const char *names, unsigned *bits, GError **error)
+{
+  g_auto (GStrv) words = g_strsplit (names != NULL ? names : "", ",", -1);
+
+  *bits = 0;
+  for (char **word = words; *word != NULL; word++)
+    {
+      const mech_row_t *row = find (g_strstrip (*word));
+
+      if (row == NULL)
+        {
+          g_set_error (error, CFD_ERROR, CFD_ERROR_SETTING,
+                       "No mechanism is called \"%s\"; see --help for their "
+                       "names",
+                       *word);
+          return false;
+        }
+      *bits |= row->bit;
+    }
+  return true;
+}
+
+char *
+mech_help (void)
+{
+  GString *text = g_string_new (NULL);
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    g_string_append_printf (text, "  %s: %s\n", rows[i].name, rows[i].what);
+  return g_string_free (text, FALSE);
+}
--- /dev/null
+++ b/libcoltsfootdrum/relay/mech.h
@@ -0,0 +1,28 @@
+/* Mechanisms: parts of the relay's decisions that can be switched off one by
+   one, to measure what each is worth.  */
+
+#ifndef RELAY_MECH_H
+#define RELAY_MECH_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+typedef enum
+{
+  MECH_PREFIX_FETCH = 1u << 0,
+  MECH_PREFIX_AFFINITY = 1u << 1,
+  MECH_PREFIX_WAIT = 1u << 2,
+  MECH_THROTTLE = 1u << 3,
+  MECH_LATE_LAST = 1u << 4,
+  MECH_ZONE_COST = 1u << 5,
+  MECH_REJECT_PAUSE = 1u << 6
+} mech_t;
+
+/* The bits of NAMES, separated by commas; NULL names none.  False with
+   CFD_ERROR_SETTING when a name isn't known.  */
+bool mech_parse (const char *names, unsigned *bits, GError **error);
+
+/* A line for each mechanism, "NAME: what it does".  Free with g_free.  */
+char *mech_help (void);
+
+#endif
--- a/libcoltsfootdrum/relay/plc.c
+++ b/libcoltsfootdrum/relay/plc.c
@@ -36,7 +36,7 @@
 double
 plc_first_token (const plc_endpoint_t *endpoint, const plc_request_t *request)
 {
-  return request->base_ms
+  return request->base_ms + endpoint->fetch_ms
          + request->ms_per_work * (endpoint->unread + endpoint->own);
 }
 
--- a/libcoltsfootdrum/relay/plc.h
+++ b/libcoltsfootdrum/relay/plc.h
@@ -20,6 +20,7 @@
   double unread;   /* reading work sent there and not done yet */
   double own;      /* reading work of this request there */
   double missing;  /* tokens of the shared beginning that it doesn't keep */
+  double fetch_ms; /* to copy what it lacks of a cached prefix */
   double context;  /* tokens in memory by requests that run */
   double memory;   /* tokens that it can hold; 0: not told */
   bool home;       /* where prompts with this beginning go by choice */
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -227,7 +227,8 @@
 static void
 take_not_run (rly_request_t *request, cfd_time_t now)
 {
-  edp_gave_back (request->edp, now);
+  if (rly_has (request->rly, MECH_REJECT_PAUSE))
+    edp_gave_back (request->edp, now);
   if (may_repeat_now (request, now))
     {
       again (request, now, "not-run");
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -24,6 +24,8 @@
 #define FAR_MS_A_KB 1.5
 /* A generated token is so many bytes of an event stream.  */
 #define BYTES_A_TOKEN 8.
+/* From the order to copy a cached prefix until its first byte.  */
+#define TRANSFER_SETUP_MS 3.
 /* Slots of an endpoint that doesn't tell.  */
 #define USUAL_SLOTS 8
 /* Of what a cold endpoint bears a second, so much is used: routers' clocks and
@@ -106,6 +108,8 @@
   double bytes
       = ent_body (request->call)->len + request->output * BYTES_A_TOKEN;
 
+  if (!rly_has (request->rly, MECH_ZONE_COST))
+    return 0.;
   return bytes / 1024. * FAR_MS_A_KB;
 }
 
@@ -133,28 +137,65 @@
   return home;
 }
 
-/* What reading the prompt costs at each endpoint; true when one keeps most of
-   its beginning.  */
+/* Milliseconds in which an endpoint copies TOKENS of a cached prefix from
+   another one; 0 when the service has no transfers.  */
+static double
+transfer_ms (const rly_round_t *round, double tokens)
+{
+  const rte_service_t *terms = round->terms;
+
+  if (terms == NULL || terms->link_mbps <= 0.
+      || !rly_has (round->rly, MECH_PREFIX_FETCH))
+    return 0.;
+  return TRANSFER_SETUP_MS
+         + tokens * terms->token_bytes * 8. / (terms->link_mbps * 1000.);
+}
+
+/* The prefill work of PROMPT at endpoint I, or what is left of it after a copy
+   of the cached prefix from another endpoint, where that is faster.  */
+static void
+add_work (rly_round_t *round, const pfx_prompt_t *prompt, guint i)
+{
+  plc_endpoint_t *figures = &round->figures[i];
+  double cached = round->cached[i];
+  double most = round->cached[round->source];
+  double copy_ms = transfer_ms (round, most - cached);
+  double left = plc_reading (prompt->tokens, most);
+
+  figures->own = plc_reading (prompt->tokens, cached);
+  figures->fetch_ms = 0.;
+  if (copy_ms <= 0. || copy_ms >= round->ms_per_work * (figures->own - left))
+    return;
+  figures->own = left;
+  figures->fetch_ms = copy_ms;
+}
+
+/* What prefilling the prompt costs at each endpoint; true when one caches most
+   of its shared parts.  */
 static bool
 add_prompt (rly_round_t *round, const rly_request_t *request)
 {
   const pfx_prompt_t *prompt = request->prompt;
-  const edp_t *home = home_of (round, prompt);
+  bool affinity = rly_has (round->rly, MECH_PREFIX_AFFINITY);
+  const edp_t *home = affinity ? home_of (round, prompt) : NULL;
   double shared = pfx_prompt_shared_tokens (prompt);
-  bool kept_somewhere = false;
 
+  round->source = 0;
+  for (guint i = 0; i < round->count; i++)
+    {
+      round->cached[i] = pfx_kept (round->rly->pfx, round->now,
+                                   round->edps[i]->hash, prompt);
+      if (round->cached[i] > round->cached[round->source])
+        round->source = i;
+    }
   for (guint i = 0; i < round->count; i++)
     {
-      plc_endpoint_t *figures = &round->figures[i];
-      double kept = pfx_kept (round->rly->pfx, round->now,
-                              round->edps[i]->hash, prompt);
-
-      figures->own = plc_reading (prompt->tokens, kept);
-      figures->missing = shared - kept;
-      figures->home = round->edps[i] == home;
-      kept_somewhere |= kept >= shared * (1. - MISSING_SHARE);
+      add_work (round, prompt, i);
+      round->figures[i].missing = affinity ? shared - round->cached[i] : 0.;
+      round->figures[i].home = round->edps[i] == home;
     }
-  return kept_somewhere;
+  return round->count > 0
+         && round->cached[round->source] >= shared * (1. - MISSING_SHARE);
 }
 
 /* The most that may be missing of its beginning where REQUEST goes now.  It
@@ -164,7 +205,8 @@
 static double
 missing_most (const rly_request_t *request)
 {
-  if (request->tries > 0 || request->line->behind)
+  if (request->tries > 0 || request->line->behind
+      || !rly_has (request->rly, MECH_PREFIX_WAIT))
     return HUGE_VAL;
   return pfx_prompt_shared_tokens (request->prompt) * MISSING_SHARE;
 }
@@ -224,6 +266,7 @@
 {
   plc_request_t wish;
   plc_endpoint_t *figures;
+  const edp_t *source = NULL;
   edp_t *edp;
   int chosen;
 
@@ -242,7 +285,10 @@
   request->ahead = figures->unread + figures->own;
   request->unread = request->prompt != NULL ? figures->own : 0.;
   request->context = wish.size;
-  if (!rly_send (request, edp, round->now))
+  request->fetch_ms = request->prompt != NULL ? figures->fetch_ms : 0.;
+  if (request->fetch_ms > 0.)
+    source = round->edps[round->source];
+  if (!rly_send (request, edp, source, round->now))
     {
       figures->slots = 0;
       return false;
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -8,6 +8,7 @@
 #include "relay/bud.h"
 #include "relay/fit.h"
 #include "relay/hab.h"
+#include "relay/mech.h"
 #include "relay/pfx.h"
 #include "relay/plc.h"
 #include "relay/rly.h"
@@ -108,6 +109,7 @@
   double ahead;      /* reading work before its first token */
   double unread;     /* its own part of that, until the first byte */
   double context;    /* tokens that it holds in memory */
+  double fetch_ms;   /* for its cached prefix to be copied there */
   bool began;        /* the caller has got the head */
   bool may_have_run; /* an endpoint got it and did not give it back */
   bool held;         /* the answer is not read on: its caller is behind */
@@ -116,6 +118,8 @@
 
 /* rly.c */
 rly_service_t *rly_service (rly_t *rly, const char *name);
+/* The mechanism is not switched off.  */
+bool rly_has (const rly_t *rly, mech_t mechanism);
 const char *rly_account_name (const rly_request_t *request);
 /* Ends REQUEST; its call must have been answered or gone.  */
 void rly_request_free (rly_request_t *request);
@@ -144,6 +148,8 @@
   guint count;
   edp_t *edps[RLY_ENDPOINTS_MOST];
   plc_endpoint_t figures[RLY_ENDPOINTS_MOST];
+  double cached[RLY_ENDPOINTS_MOST]; /* tokens of the present prompt */
+  guint source; /* the endpoint that caches most of them */
 } rly_round_t;
 
 /* Of the aim, a request of a plain service may wait here for so long.  */
@@ -163,7 +169,9 @@
 void rly_pump_later (rly_service_t *service);
 
 /* rly-send.c: one exchange with an endpoint.  */
-bool rly_send (rly_request_t *request, edp_t *edp, cfd_time_t now);
+/* SOURCE, unless NULL, is where EDP copies the cached prefix from.  */
+bool rly_send (rly_request_t *request, edp_t *edp, const edp_t *source,
+               cfd_time_t now);
 /* Takes REQUEST off its endpoint; CANCEL closes the connection.  */
 void rly_leave (rly_request_t *request, bool cancel);
 /* Time-outs of REQUEST while it runs.  */
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -84,7 +84,8 @@
   cfd_time_t latest = request->asked + rly_longest_wait (request);
   double left = (double)(end - request->since);
 
-  request->late = latest <= request->since;
+  request->late
+      = latest <= request->since && rly_has (request->rly, MECH_LATE_LAST);
   if (request->late)
     latest = request->since + (int64_t)(left * LATE_PATIENCE);
   request->until = MIN (latest, end);
@@ -196,7 +197,9 @@
 
       line->passed = false;
       line->use = use_all (rly->use, now, line->account).got;
-      line->allowed = allowance (rly->use, now, line->account);
+      line->allowed = rly_has (rly, MECH_THROTTLE)
+                          ? allowance (rly->use, now, line->account)
+                          : 1.;
       line->behind = use_of_due (rly->use, now, line->account) < BEHIND;
       line->late_allowed = MIN (line->allowed, LATE_ALLOWANCE);
     }
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -51,7 +51,8 @@
 }
 
 static GString *
-request_text (const rly_request_t *request, const edp_t *edp, cfd_time_t now)
+request_text (const rly_request_t *request, const edp_t *edp,
+              const edp_t *source, cfd_time_t now)
 {
   const rly_names_t *names = &request->rly->names;
   const rd_head_t *head = ent_head (request->call);
@@ -65,6 +66,8 @@
   g_string_append_printf (text, "%s: %" G_GINT64_FORMAT "\r\n",
                           names->deadline_ms, time_left (request, now));
   hdr_put (text, names->expect_endpoint, edp->report->id);
+  if (source != NULL)
+    hdr_put (text, names->fetch_from, source->report->address);
   if (request->account != NULL)
     hdr_put (text, names->account, request->account->name);
   if (events->last_id >= 0)
@@ -92,7 +95,7 @@
 learn (rly_request_t *request, cfd_time_t now)
 {
   fit_add (&request->service->first_token, request->ahead,
-           (double)(now - request->sent_at));
+           (double)(now - request->sent_at) - request->fetch_ms);
 }
 
 static void
@@ -180,14 +183,16 @@
 {
   const fit_t *line = &request->service->first_token;
 
-  return fit_base (line) + fit_slope (line) * request->ahead;
+  return fit_base (line) + fit_slope (line) * request->ahead
+         + request->fetch_ms;
 }
 
 bool
-rly_send (rly_request_t *request, edp_t *edp, cfd_time_t now)
+rly_send (rly_request_t *request, edp_t *edp, const edp_t *source,
+          cfd_time_t now)
 {
   const rly_names_t *names = &request->rly->names;
-  g_autoptr (GString) text = request_text (request, edp, now);
+  g_autoptr (GString) text = request_text (request, edp, source, now);
   ups_request_t wire
       = { .bytes = text->str,
           .length = text->len,
@@ -207,10 +212,11 @@
       "relay",
       "A request was sent: request=%s account=%s endpoint=%s active=%u "
       "peers=%u ahead=%.0f own=%.0f expect_ms=%.0f waited_ms=%" G_GINT64_FORMAT
-      ".",
+      " source=%s fetch_ms=%.0f.",
       request->id, rly_account_name (request), edp->report->id, edp->active,
       edp->peer_active, request->ahead, request->unread, expected (request),
-      now - request->since);
+      now - request->since, source != NULL ? source->report->id : "",
+      request->fetch_ms);
   return true;
 }
 
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -162,6 +162,12 @@
   return service;
 }
 
+bool
+rly_has (const rly_t *rly, mech_t mechanism)
+{
+  return (rly->bounds.disabled & mechanism) == 0;
+}
+
 const char *
 rly_account_name (const rly_request_t *request)
 {
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -26,9 +26,10 @@
   const char *prompt;          /* parts of the prompt */
   const char *tokens;          /* prompt tokens, most generated ones */
   const char *length_hint;     /* generated tokens, about */
-  const char *last_event;      /* a stream goes on after that event */
-  const char *key_scheme;      /* of the Authorization field */
-  const char *const *ours;     /* a caller must not set these; NULL-ended */
+  const char *fetch_from;  /* address that a cached prefix is copied from */
+  const char *last_event;  /* a stream goes on after that event */
+  const char *key_scheme;  /* of the Authorization field */
+  const char *const *ours; /* a caller must not set these; NULL-ended */
 } rly_names_t;
 
 /* Bounds that the deployment sets.  */
@@ -39,6 +40,7 @@
   double repeat_slack;
   int64_t share_window_ms; /* over which accounts' shares are compared */
   const char *zone;        /* the router's own; NULL: not told */
+  unsigned disabled;       /* mech_t bits that are switched off */
 } rly_bounds_t;
 
 typedef struct
--- a/libcoltsfootdrum/relay/rte.h
+++ b/libcoltsfootdrum/relay/rte.h
@@ -48,6 +48,8 @@
   unsigned slots;        /* engines: requests that run at once */
   int64_t memory_tokens; /* engines: for running requests and cached parts */
   double event_tokens;   /* engines: tokens in one event of a stream */
+  double token_bytes;    /* engines: of cache memory; 0: not told */
+  double link_mbps;      /* between engines; 0: no transfers */
 } rte_service_t;
 
 typedef struct
--- a/libcoltsfootdrum/relay/test-parts.c
+++ b/libcoltsfootdrum/relay/test-parts.c
@@ -5,9 +5,12 @@
 #include "relay/fit.h"
 #include "relay/hab.h"
 #include "relay/hdr.h"
+#include "relay/mech.h"
 #include "relay/pfx.h"
 #include "relay/rte.h"
 
+#include "base/err.h"
+
 #include <string.h>
 
 #define NOW 1000000
@@ -226,6 +229,23 @@
   hdr_clear (&hdr);
 }
 
+static void
+test_mechanisms (void)
+{
+  g_autofree char *help = mech_help ();
+  g_autoptr (GError) error = NULL;
+  unsigned bits = 1;
+
+  g_assert_true (mech_parse (NULL, &bits, &error));
+  g_assert_cmpuint (bits, ==, 0);
+  g_assert_true (mech_parse ("prefix-fetch, throttle", &bits, &error));
+  g_assert_cmpuint (bits, ==, MECH_PREFIX_FETCH | MECH_THROTTLE);
+  g_assert_nonnull (strstr (help, "  prefix-fetch: "));
+  g_assert_false (mech_parse ("throttle,none", &bits, &error));
+  g_assert_error (error, CFD_ERROR, CFD_ERROR_SETTING);
+  g_assert_nonnull (strstr (error->message, "--help"));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -245,6 +265,7 @@
   g_test_add_func ("/bud/storm", test_budget);
   g_test_add_func ("/hab/habits", test_habits);
   g_test_add_func ("/fit/line", test_line);
+  g_test_add_func ("/mech/names", test_mechanisms);
   g_test_add_func ("/hdr/hop", test_hop_fields);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -34,6 +34,7 @@
   .prompt = "X-Prompt",
   .tokens = "X-Tokens",
   .length_hint = "X-Hint",
+  .fetch_from = "X-Fetch",
   .last_event = "Last-Event-Id",
   .key_scheme = "Bearer",
   .ours = ours,
@@ -230,6 +231,18 @@
   return route;
 }
 
+/* Engines that copy 1,000 tokens of cache in about a millisecond.  */
+static void
+add_service (rte_table_t *table)
+{
+  rte_service_t *service = g_new0 (rte_service_t, 1);
+
+  service->name = g_strdup ("app");
+  service->token_bytes = 125000.;
+  service->link_mbps = 1e6;
+  rte_table_add_service (table, service);
+}
+
 static rte_table_t *
 make_table (void)
 {
@@ -245,6 +258,7 @@
   add_route (table, "/events/", RTE_STREAM, 2, true);
   add_route (table, "/events-once/", RTE_STREAM, 1, false);
   add_route (table, "/slow/", RTE_IDEMPOTENT, 1, false)->aim_ms = 10000;
+  add_service (table);
   for (unsigned i = 0; i < G_N_ELEMENTS (accounts); i++)
     {
       rte_account_t *account = g_new0 (rte_account_t, 1);
--- a/libcoltsfootdrum/relay/test-rly-share.c
+++ b/libcoltsfootdrum/relay/test-rly-share.c
@@ -94,11 +94,39 @@
   scene_free (scene);
 }
 
+/* The endpoint that caches a prefix has no free slot.  The other endpoint gets
+   the request with the address to copy the prefix from, and doesn't prefill it
+   anew.  Its own prefix, cached where it goes, is not copied.  */
+static void
+test_prefix_fetched (void)
+{
+  static const scene_reply_t replies[] = { { NULL, SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 1, 1);
+  scene_caller_t *callers[2];
+  g_autofree char *source = NULL;
+  unsigned first;
+
+  callers[0] = scene_call (scene, CALL ("/slow/", "1", "a:20000,b:10"));
+  scene_run (scene, has_one, scene);
+  g_assert_null (strstr (scene->last->str, "|X-Fetch="));
+  first = scene->backs[0].requests > 0 ? 0 : 1;
+  source
+      = g_strdup_printf ("|X-Fetch=127.0.0.1:%u|", scene->backs[first].port);
+  callers[1] = scene_call (scene, CALL ("/slow/", "2", "a:20000,c:10"));
+  scene_run (scene, has_two, scene);
+  g_assert_nonnull (strstr (scene->last->str, "|X-Id=2|"));
+  g_assert_nonnull (strstr (scene->last->str, source));
+  for (guint i = 0; i < G_N_ELEMENTS (callers); i++)
+    scene_caller_free (callers[i]);
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/rly-share/given-back", test_given_back);
   g_test_add_func ("/rly-share/behind", test_behind);
+  g_test_add_func ("/rly-share/prefix-fetched", test_prefix_fetched);
   return g_test_run ();
 }
