Peers: sums of the other routers' figures are kept by differences

Cause: each whole datagram and each tick added up all endpoints over all routers: with 68 routers before 80 endpoints some 300 times a second, the first part of a router's processor time, which grows with the fleet's square. Endpoints were also looked up by a walk over the list. Change: a router's datagram changes the sums by the difference to its last one; endpoints listed since are counted once; an index by hash. What is left grows with the datagrams, not their square.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -33,6 +33,7 @@
   list_node_t list;    /* edp_t in use */
   list_node_t retired; /* gone or replaced, with work under way */
   GHashTable *by_id;   /* id to edp_t in use */
+  GHashTable *by_hash; /* hash to edp_t in use */
   GStrv out;           /* availability zones out of service */
 };
 
@@ -66,6 +67,7 @@
   list_init (&set->list);
   list_init (&set->retired);
   set->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  set->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
   return set;
 }
 
@@ -86,6 +88,7 @@
   free_all (&set->list);
   free_all (&set->retired);
   g_hash_table_unref (set->by_id);
+  g_hash_table_unref (set->by_hash);
   g_strfreev (set->out);
   g_free (set);
 }
@@ -94,6 +97,7 @@
 retire (edp_set_t *set, edp_t *edp)
 {
   g_hash_table_remove (set->by_id, edp->report->id);
+  g_hash_table_remove (set->by_hash, &edp->hash);
   edp->report->leaving = true;
   list_remove (&edp->node);
   list_append (&set->retired, &edp->node);
@@ -143,6 +147,7 @@
   list_init (&edp->node);
   list_append (&set->list, &edp->node);
   g_hash_table_insert (set->by_id, report->id, edp);
+  g_hash_table_replace (set->by_hash, &edp->hash, edp);
   log_info ("endpoints",
             "An endpoint is listed: endpoint=%s service=%s zone=%s "
             "address=%s slots=%u cold_ms=%" G_GINT64_FORMAT ".",
@@ -273,14 +278,7 @@
 edp_t *
 edp_set_by_hash (edp_set_t *set, uint64_t hash)
 {
-  list_for_each (node, &set->list)
-    {
-      edp_t *edp = list_entry (node, edp_t, node);
-
-      if (edp->hash == hash)
-        return edp;
-    }
-  return NULL;
+  return g_hash_table_lookup (set->by_hash, &hash);
 }
 
 guint
@@ -303,6 +301,8 @@
 
   if (now >= edp->cold_until)
     return true;
+  if (per_s <= 0.)
+    return false;
   edp->cold_room = MIN (edp->cold_room + gained, COLD_BURST);
   edp->cold_filled = now;
   return edp->cold_room >= 1.;
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -33,7 +33,8 @@
   bool withdrawn;           /* its availability zone is out of service */
   cfd_time_t missing_since; /* CFD_TIME_NEVER while it is listed */
   cfd_time_t cold_until;
-  double cold_room; /* requests that it bears at this moment */
+  double cold_room;   /* requests that it bears at this moment */
+  unsigned cold_rank; /* of this router among those that share its rate */
   cfd_time_t cold_filled;
 
   unsigned active;      /* requests of this router that run there */
@@ -42,6 +43,7 @@
   unsigned peer_active; /* the same of the other routers */
   double peer_unread;
   double peer_context;
+  bool peers_counted; /* the sums of the other routers' figures stand */
 
   bool changed; /* the figures of this router, since others were told */
   cfd_time_t suspect_until; /* gets nothing new until then */
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -42,6 +42,7 @@
   uint64_t incarnation;
   uint64_t number;
   GArray *addresses; /* addr_t */
+  GPtrArray *listed; /* names of the other routers; NULL: not read yet */
   GHashTable *peers; /* name to pal_peer_t */
   edp_set_t *endpoints;
   use_t *use;
@@ -53,8 +54,10 @@
   uint64_t news_told;      /* number of the newest */
 };
 
-/* pal-take.c: adds up what the other routers have under way at each endpoint.
- */
-void pal_add_up (pal_t *pal);
+/* pal-take.c: the sums of what the other routers have under way, of endpoints
+   that were listed since the last call.  */
+void pal_count_new (pal_t *pal);
+/* Takes PEER's figures off these sums.  */
+void pal_uncount (pal_t *pal, pal_peer_t *peer);
 
 #endif
--- a/libcoltsfootdrum/relay/pal-take.c
+++ b/libcoltsfootdrum/relay/pal-take.c
@@ -121,7 +121,15 @@
 }
 
 static void
-add_up_one (pal_t *pal, edp_t *edp)
+add_load (edp_t *edp, const pal_load_t *load, int sign)
+{
+  edp->peer_active += (unsigned)sign * load->active;
+  edp->peer_unread += sign * load->unread;
+  edp->peer_context += sign * load->context;
+}
+
+static void
+count_endpoint (pal_t *pal, edp_t *edp)
 {
   GHashTableIter each;
   void *peer;
@@ -129,51 +137,81 @@
   edp->peer_active = 0;
   edp->peer_unread = 0.;
   edp->peer_context = 0.;
+  edp->peers_counted = true;
   g_hash_table_iter_init (&each, pal->peers);
   while (g_hash_table_iter_next (&each, NULL, &peer))
     {
       const pal_load_t *load
           = g_hash_table_lookup (((pal_peer_t *)peer)->loads, &edp->hash);
 
-      if (load == NULL)
-        continue;
-      edp->peer_active += load->active;
-      edp->peer_unread += load->unread;
-      edp->peer_context += load->context;
+      if (load != NULL)
+        add_load (edp, load, 1);
     }
 }
 
+/* Sums are kept by differences: adding up all endpoints of all routers at each
+   datagram takes the time of the fleet's square.  */
+static void
+count_load (pal_t *pal, const pal_load_t *load, int sign)
+{
+  edp_t *edp = edp_set_by_hash (pal->endpoints, load->endpoint);
+
+  if (edp == NULL)
+    return;
+  if (!edp->peers_counted)
+    count_endpoint (pal, edp);
+  add_load (edp, load, sign);
+}
+
 void
-pal_add_up (pal_t *pal)
+pal_count_new (pal_t *pal)
 {
   list_for_each (node, edp_set_list (pal->endpoints))
     {
-      add_up_one (pal, list_entry (node, edp_t, node));
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      if (!edp->peers_counted)
+        count_endpoint (pal, edp);
     }
 }
 
+void
+pal_uncount (pal_t *pal, pal_peer_t *peer)
+{
+  GHashTableIter each;
+  void *load;
+
+  g_hash_table_iter_init (&each, peer->loads);
+  while (g_hash_table_iter_next (&each, NULL, &load))
+    count_load (pal, load, -1);
+  g_hash_table_remove_all (peer->loads);
+}
+
+static void
+take_load (pal_t *pal, pal_peer_t *peer, const msgpack_object *row)
+{
+  pal_load_t *load = g_new0 (pal_load_t, 1);
+  const pal_load_t *old;
+
+  load->endpoint = row[0].via.u64;
+  load->active = (unsigned)row[1].via.u64;
+  load->unread = (double)row[2].via.u64 * UNREAD_UNIT;
+  load->context = (double)row[3].via.u64 * CONTEXT_UNIT;
+  old = g_hash_table_lookup (peer->loads, &load->endpoint);
+  if (old != NULL)
+    count_load (pal, old, -1);
+  count_load (pal, load, 1);
+  g_hash_table_replace (peer->loads, &load->endpoint, load);
+}
+
 static void
 take_loads (pal_t *pal, pal_peer_t *peer, const msgpack_object_array *rows,
             bool whole)
 {
   if (whole)
-    g_hash_table_remove_all (peer->loads);
+    pal_uncount (pal, peer);
   for (unsigned i = 0; i + 3 < rows->size; i += 4)
-    {
-      pal_load_t *load = g_new0 (pal_load_t, 1);
-      edp_t *edp;
-
-      load->endpoint = rows->ptr[i].via.u64;
-      load->active = (unsigned)rows->ptr[i + 1].via.u64;
-      load->unread = (double)rows->ptr[i + 2].via.u64 * UNREAD_UNIT;
-      load->context = (double)rows->ptr[i + 3].via.u64 * CONTEXT_UNIT;
-      g_hash_table_replace (peer->loads, &load->endpoint, load);
-      edp = whole ? NULL : edp_set_by_hash (pal->endpoints, load->endpoint);
-      if (edp != NULL)
-        add_up_one (pal, edp);
-    }
-  if (whole)
-    pal_add_up (pal);
+    take_load (pal, peer, &rows->ptr[i]);
 }
 
 static void
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -155,6 +155,7 @@
       if (now - peer->heard <= SILENT_MS)
         continue;
       log_info ("peers", "A router fell silent: router=%s.", peer->name);
+      pal_uncount (pal, peer);
       use_forget (pal->use, peer->name);
       g_hash_table_iter_remove (&each);
     }
@@ -259,7 +260,7 @@
 pal_tick (pal_t *pal, cfd_time_t now)
 {
   forget_silent (pal, now);
-  pal_add_up (pal);
+  pal_count_new (pal);
   if (now - pal->told < whole_pause (pal))
     {
       tell_changes (pal, now);
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -1,6 +1,7 @@
 /* What routers tell each other: figures add up, late words change nothing, a
    silent router counts for nothing, and stray bytes are passed over.  */
 
+#include "relay/cold.h"
 #include "relay/pal.h"
 
 #include <string.h>
@@ -17,18 +18,25 @@
   pal_t *pal;
 } side_t;
 
-static side_t
-side_new (const char *name)
+static edp_report_t *
+report_of (const char *id)
 {
-  side_t side = { .loop = ev_loop_new (EVFLAG_AUTO) };
   edp_report_t *report = g_new0 (edp_report_t, 1);
-  GPtrArray *reports = g_ptr_array_new ();
 
-  report->id = g_strdup ("e1");
+  report->id = g_strdup (id);
   report->service = g_strdup ("app");
   report->address = g_strdup ("127.0.0.1:9");
   report->zone = g_strdup ("z");
-  g_ptr_array_add (reports, report);
+  return report;
+}
+
+static side_t
+side_new (const char *name)
+{
+  side_t side = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  GPtrArray *reports = g_ptr_array_new ();
+
+  g_ptr_array_add (reports, report_of ("e1"));
   side.endpoints = edp_set_new (side.loop);
   edp_set_update (side.endpoints, NOW, reports, true, COLD_MS);
   side.use = use_new (4000);
@@ -139,6 +147,81 @@
   side_free (&one);
 }
 
+static void
+list_two (side_t *side)
+{
+  GPtrArray *reports = g_ptr_array_new ();
+
+  g_ptr_array_add (reports, report_of ("e1"));
+  g_ptr_array_add (reports, report_of ("e2"));
+  edp_set_update (side->endpoints, NOW, reports, true, COLD_MS);
+}
+
+/* Another router has requests at an endpoint before this one has read of it:
+   the sums are right from the first tick that lists it, and stay right through
+   changes and the other router's silence.  */
+static void
+test_listed_late (void)
+{
+  side_t here = side_new ("here");
+  side_t one = side_new ("one");
+  edp_t *there;
+  edp_t *edp;
+
+  list_two (&one);
+  there = edp_set_find (one.endpoints, "e2");
+  there->active = 5;
+  there->unread = 300.;
+  tell (&one, &here, NOW, true);
+  list_two (&here);
+  edp = edp_set_find (here.endpoints, "e2");
+  pal_tick (here.pal, NOW);
+  g_assert_cmpuint (edp->peer_active, ==, 5);
+  g_assert_cmpfloat (edp->peer_unread, ==, 300.);
+  there->active = 2;
+  there->unread = 0.;
+  there->changed = true;
+  tell (&one, &here, NOW, false);
+  g_assert_cmpuint (edp->peer_active, ==, 2);
+  g_assert_cmpfloat (edp->peer_unread, ==, 0.);
+  pal_tick (here.pal, NOW + 5000);
+  g_assert_cmpuint (edp->peer_active, ==, 0);
+  side_free (&here);
+  side_free (&one);
+}
+
+/* A router that hears less than half of the listed ones may itself be cut off:
+   it takes all of them for working, and the warm-up rate for shared.  */
+static void
+test_cut_off (void)
+{
+  static const pal_listed_t listed[] = { { "one", "127.0.0.1:9" },
+                                         { "two", "127.0.0.1:9" },
+                                         { "three", "not an address" } };
+  side_t here = side_new ("here");
+  side_t one = side_new ("one");
+  side_t two = side_new ("two");
+  edp_t *edp = endpoint_of (&here);
+
+  edp->cold_until = NOW + 3000;
+  pal_rank_cold (here.pal, NOW);
+  g_assert_cmpuint (edp->cold_rank, ==, COLD_RANK_UNKNOWN);
+  pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
+  pal_rank_cold (here.pal, NOW);
+  g_assert_cmpuint (edp->cold_rank, <=, 3);
+  g_assert_cmpuint (pal_routers (here.pal), ==, 4);
+  g_assert_cmpuint (pal_heard (here.pal), ==, 1);
+  tell (&one, &here, NOW, true);
+  g_assert_cmpuint (pal_routers (here.pal), ==, 4);
+  tell (&two, &here, NOW, true);
+  g_assert_cmpuint (pal_routers (here.pal), ==, 3);
+  pal_rank_cold (here.pal, NOW);
+  g_assert_cmpuint (edp->cold_rank, <=, 2);
+  side_free (&here);
+  side_free (&one);
+  side_free (&two);
+}
+
 /* A router is killed: nobody says so, its requests end with it, and its
    figures would keep room from others for ever.  */
 static void
@@ -253,6 +336,8 @@
                         test_adds_up);
   g_test_add_func ("/pal/unnamed", test_unnamed);
   g_test_add_func ("/pal/overtaken", test_overtaken);
+  g_test_add_func ("/pal/listed-late", test_listed_late);
+  g_test_add_func ("/pal/cut-off", test_cut_off);
   g_test_add_func ("/pal/silent", test_silent);
   g_test_add_func ("/pal/prompts", test_prompts);
   g_test_add_func ("/pal/steady", test_steady);
