Endpoints: few routers share the warm-up rate of a cold endpoint

Cause: each router kept its part of the rate, and each might send one request at once. A router that heard nobody took the whole rate for itself. Ruled out: fractions of a request a router (they add up all the same as soon as each is full). Change: relay/cold.h; for each endpoint some routers, a quarter of its rate and four at least, chosen by rendezvous hashing over the routers that work, share 0.8 of it, the others send nothing while it is cold. A router that hears less than half of the listed ones counts all of them; before it has read who there are it sends nothing. edp/cold-fleet: 1 to 300 routers, all hearing each other or four in ten cut off. With each router's own burst 30 routers sent 38 in a second (bound 23); after: 12; 300 routers with a cut, rate 23: 32 (bound 39.5); 0.7 of the rate is used.

--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -4,6 +4,7 @@
 
 #include "base/err.h"
 #include "base/log.h"
+#include "relay/cold.h"
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -117,30 +118,80 @@
   ev_prepare_stop (pal->loop, &pal->teller);
   close (pal->reader.fd);
   g_array_unref (pal->addresses);
+  g_clear_pointer (&pal->listed, g_ptr_array_unref);
   g_hash_table_unref (pal->peers);
   g_free (pal->name);
   g_free (pal);
 }
 
 void
-pal_set_peers (pal_t *pal, const char *const *addresses)
+pal_set_peers (pal_t *pal, const pal_listed_t *peers, guint count)
 {
   g_array_set_size (pal->addresses, 0);
-  for (; *addresses != NULL; addresses++)
+  g_clear_pointer (&pal->listed, g_ptr_array_unref);
+  pal->listed = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < count; i++)
     {
       addr_t addr;
 
-      if (addr_parse (*addresses, &addr, NULL))
+      g_ptr_array_add (pal->listed, g_strdup (peers[i].name));
+      if (addr_parse (peers[i].address, &addr, NULL))
         g_array_append_val (pal->addresses, addr);
     }
 }
 
+/* This router hears so few of the others that the cut may be on its side.  */
+static bool
+may_be_cut_off (const pal_t *pal)
+{
+  return pal->listed != NULL
+         && g_hash_table_size (pal->peers) * 2 < pal->listed->len;
+}
+
 unsigned
-pal_routers (const pal_t *pal)
+pal_heard (const pal_t *pal)
 {
   return g_hash_table_size (pal->peers) + 1;
 }
 
+unsigned
+pal_routers (const pal_t *pal)
+{
+  if (may_be_cut_off (pal))
+    return pal->listed->len + 1;
+  return pal_heard (pal);
+}
+
+static unsigned
+rank_at (const pal_t *pal, uint64_t endpoint)
+{
+  bool all = may_be_cut_off (pal);
+  unsigned rank = 0;
+
+  for (guint i = 0; i < pal->listed->len; i++)
+    {
+      const char *name = g_ptr_array_index (pal->listed, i);
+
+      if (!all && !g_hash_table_contains (pal->peers, name))
+        continue;
+      rank += cold_goes_before (name, pal->name, endpoint);
+    }
+  return rank;
+}
+
+void
+pal_rank_cold (pal_t *pal, cfd_time_t now)
+{
+  list_for_each (node, edp_set_list (pal->endpoints))
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      if (now < edp->cold_until)
+        edp->cold_rank = pal->listed != NULL ? rank_at (pal, edp->hash)
+                                             : COLD_RANK_UNKNOWN;
+    }
+}
+
 static void
 forget_silent (pal_t *pal, cfd_time_t now)
 {
@@ -267,5 +318,6 @@
       return;
     }
   pal->told = now;
+  pal_rank_cold (pal, now);
   send_figures (pal, now, true);
 }
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -19,11 +19,26 @@
                 edp_set_t *endpoints, use_t *use, pfx_t *pfx, GError **error);
 void pal_free (pal_t *pal);
 
-/* The other routers' addresses, as the platform's store lists them.  */
-void pal_set_peers (pal_t *pal, const char *const *addresses);
+/* One of the other routers, as the platform's store lists it.  */
+typedef struct
+{
+  const char *name;
+  const char *address; /* IP:PORT */
+} pal_listed_t;
+
+/* The other routers; all is copied.  One without a good address counts, and is
+   sent nothing.  */
+void pal_set_peers (pal_t *pal, const pal_listed_t *peers, guint count);
 
 /* Routers heard lately, this one included.  */
+unsigned pal_heard (const pal_t *pal);
+/* Routers that work now, this one included: those heard lately.  A router that
+   hears less than half of the listed ones may itself be cut off, and counts
+   all of them.  */
 unsigned pal_routers (const pal_t *pal);
+/* Sets the rank of this router at each cold endpoint (relay/cold.h).  To be
+   called when endpoints were listed, before the next request is placed.  */
+void pal_rank_cold (pal_t *pal, cfd_time_t now);
 
 /* How long the platform's list of endpoints has been read well here, and the
    longest such time of any other router; -1: not at all.  */
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -3,6 +3,8 @@
 
 #include "relay/rly-private.h"
 
+#include "relay/cold.h"
+
 #include <math.h>
 #include <xxhash.h>
 
@@ -24,13 +26,15 @@
 #define FAR_MS_A_KB 1.5
 /* A generated token is so many bytes of an event stream.  */
 #define BYTES_A_TOKEN 8.
+/* A copy may take so much longer than the prefill that it saves: the prefill
+   would delay all other requests at the endpoint.  */
+#define COPY_WORTH 3.
 /* From the order to copy a cached prefix until its first byte.  */
 #define TRANSFER_SETUP_MS 3.
+/* Of all routers, to an endpoint whose service names no warm-up rate.  */
+#define COLD_USUAL_PER_S 4.
 /* Slots of an endpoint that doesn't tell.  */
 #define USUAL_SLOTS 8
-/* Of what a cold endpoint bears a second, so much is used: routers' clocks and
-   the way make bursts.  */
-#define COLD_SAFETY 0.8
 
 static unsigned
 slots_of (const edp_t *edp, const rte_service_t *terms)
@@ -40,12 +44,15 @@
   return terms != NULL && terms->slots > 0 ? terms->slots : USUAL_SLOTS;
 }
 
+/* Requests a second that EDP takes from this router while it is cold.  */
 static double
-cold_part (const rly_t *rly, const rte_service_t *terms)
+cold_rate_of (const rly_round_t *round, const edp_t *edp)
 {
-  double per_s = terms != NULL ? terms->cold_per_s : 0.;
+  double per_s = round->terms != NULL ? round->terms->cold_per_s : 0.;
 
-  return per_s > 0. ? per_s * COLD_SAFETY / rly->routers : 1.;
+  if (per_s <= 0.)
+    per_s = COLD_USUAL_PER_S;
+  return cold_rate (per_s, round->rly->routers, edp->cold_rank);
 }
 
 static bool
@@ -66,7 +73,7 @@
                              .context = edp->context + edp->peer_context,
                              .far = is_far (round, edp) };
 
-  if (edp_bears (edp, round->now, round->cold_per_s))
+  if (edp_bears (edp, round->now, cold_rate_of (round, edp)))
     figures.slots = slots_of (edp, round->terms);
   if (round->terms != NULL)
     figures.memory = (double)round->terms->memory_tokens;
@@ -83,7 +90,6 @@
   round->now = now;
   round->base_ms = fit_base (&service->first_token);
   round->ms_per_work = fit_slope (&service->first_token);
-  round->cold_per_s = cold_part (rly, round->terms);
   round->count = 0;
   round->has_room = false;
   list_for_each (node, edp_set_list (rly->endpoints))
@@ -152,7 +158,7 @@
 }
 
 /* The prefill work of PROMPT at endpoint I, or what is left of it after a copy
-   of the cached prefix from another endpoint, where that is faster.  */
+   of the cached prefix from another endpoint, where that is worth its time. */
 static void
 add_work (rly_round_t *round, const pfx_prompt_t *prompt, guint i)
 {
@@ -164,7 +170,8 @@
 
   figures->own = plc_reading (prompt->tokens, cached);
   figures->fetch_ms = 0.;
-  if (copy_ms <= 0. || copy_ms >= round->ms_per_work * (figures->own - left))
+  if (copy_ms <= 0.
+      || copy_ms >= round->ms_per_work * (figures->own - left) * COPY_WORTH)
     return;
   figures->own = left;
   figures->fetch_ms = copy_ms;
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -143,8 +143,7 @@
   cfd_time_t now;
   double base_ms; /* the service's first tokens */
   double ms_per_work;
-  double cold_per_s; /* this router's part of what a cold endpoint bears */
-  bool has_room;     /* some endpoint has a free slot */
+  bool has_room; /* some endpoint has a free slot */
   guint count;
   edp_t *edps[RLY_ENDPOINTS_MOST];
   plc_endpoint_t figures[RLY_ENDPOINTS_MOST];
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -1,5 +1,6 @@
 /* The set of endpoints: what the platform's list says, and what follows.  */
 
+#include "relay/cold.h"
 #include "relay/edp.h"
 
 #define NOW 1000000
@@ -170,6 +171,112 @@
   ev_loop_destroy (loop);
 }
 
+/* Routers press an endpoint that turned cold, each with a request for every
+   millisecond.  */
+typedef struct
+{
+  const char *name;
+  unsigned routers;
+  double per_s;
+  /* Of ten routers so many hear no other one and count all ten; the rest hear
+     each other, and take the cut-off ones for dead.  */
+  unsigned cut_off_in_ten;
+} cold_case_t;
+
+static const cold_case_t cold_cases[] = {
+  { "one", 1, 12., 0 },        { "10", 10, 12., 0 },
+  { "30", 30, 12., 0 },        { "100", 100, 12., 0 },
+  { "300", 300, 12., 0 },      { "300-slow", 300, 4., 0 },
+  { "300-fast", 300, 46., 0 }, { "10-cut", 10, 12., 4 },
+  { "100-cut", 100, 12., 4 },  { "300-cut", 300, 23., 4 },
+};
+
+/* The rules' bound on one second, of all routers together: half above the
+   rate, and five requests.  */
+#define COLD_MULTIPLIER 1.5
+#define COLD_SLACK 5.
+
+static bool
+is_cut_off (const cold_case_t *one, unsigned router)
+{
+  return router % 10 < one->cut_off_in_ten;
+}
+
+/* What ROUTER knows of the others: how many it counts, and its rank.  */
+static double
+rate_of (const cold_case_t *one, unsigned router, uint64_t endpoint)
+{
+  g_autofree char *own = g_strdup_printf ("router-%u", router);
+  bool all = is_cut_off (one, router);
+  unsigned count = 1;
+  unsigned rank = 0;
+
+  for (unsigned i = 0; i < one->routers; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("router-%u", i);
+
+      if (i == router || (!all && is_cut_off (one, i)))
+        continue;
+      count++;
+      rank += cold_goes_before (name, own, endpoint);
+    }
+  return cold_rate (one->per_s, count, rank);
+}
+
+static edp_t *
+cold_endpoint (edp_set_t *set, uint64_t *hash)
+{
+  edp_t *edp;
+
+  update (set, NOW, report ("e1", 1, COLD_MS), true);
+  edp = edp_set_find (set, "e1");
+  *hash = edp->hash;
+  return edp;
+}
+
+/* However many routers there are, and whoever hears whom, the cold endpoint
+   gets no more in any second than it bears, and most of that when all hear
+   each other: a limit that each router keeps by itself would add up.  */
+static void
+test_cold_fleet (const void *data)
+{
+  const cold_case_t *one = data;
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  unsigned sent[COLD_MS] = { 0 };
+  unsigned most = 0;
+  unsigned all = 0;
+
+  for (unsigned router = 0; router < one->routers; router++)
+    {
+      edp_set_t *set = edp_set_new (loop);
+      uint64_t hash;
+      edp_t *edp = cold_endpoint (set, &hash);
+      double rate = rate_of (one, router, hash);
+
+      for (unsigned ms = 0; ms < COLD_MS; ms++)
+        if (edp_bears (edp, NOW + ms, rate))
+          {
+            edp_burden (edp, NOW + ms);
+            sent[ms]++;
+          }
+      edp_set_free (set);
+    }
+  for (unsigned ms = 0; ms < COLD_MS; ms++)
+    {
+      unsigned sum = 0;
+
+      for (unsigned i = ms; i < MIN (ms + 1000, COLD_MS); i++)
+        sum += sent[i];
+      most = MAX (most, sum);
+      all += sent[ms];
+    }
+  g_test_message ("most in a second %u, in all %u", most, all);
+  g_assert_cmpfloat (most, <=, one->per_s * COLD_MULTIPLIER + COLD_SLACK);
+  if (one->cut_off_in_ten == 0)
+    g_assert_cmpfloat (all, >=, one->per_s * COLD_MS / 1000. * 0.7);
+  ev_loop_destroy (loop);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -177,6 +284,13 @@
   g_test_add_func ("/edp/missing", test_missing);
   g_test_add_func ("/edp/born-again", test_born_again);
   g_test_add_func ("/edp/cold", test_cold);
+  for (unsigned i = 0; i < G_N_ELEMENTS (cold_cases); i++)
+    {
+      g_autofree char *path
+          = g_strdup_printf ("/edp/cold-fleet/%s", cold_cases[i].name);
+
+      g_test_add_data_func (path, &cold_cases[i], test_cold_fleet);
+    }
   g_test_add_func ("/edp/zone-out", test_zone_out);
   g_test_add_func ("/edp/failures", test_failures);
   g_test_add_func ("/edp/gives-back", test_gives_back);
