Store: two routers read each list for all the others

Each start of a router made the others read three lists again, for its first picture counted as a change. Left: retries of all routers while the store is away, and four lists at each start.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -287,6 +287,17 @@
   return g_hash_table_size (set->by_id);
 }
 
+bool
+edp_set_has_missing (const edp_set_t *set)
+{
+  list_for_each (node, &set->list)
+    {
+      if (list_entry (node, edp_t, node)->missing_since != CFD_TIME_NEVER)
+        return true;
+    }
+  return false;
+}
+
 bool
 edp_is_open (const edp_t *edp, cfd_time_t now)
 {
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -76,6 +76,8 @@
 edp_t *edp_set_find (edp_set_t *set, const char *id);
 edp_t *edp_set_by_hash (edp_set_t *set, uint64_t hash);
 guint edp_set_count (const edp_set_t *set);
+/* Some endpoint is used though the platform's list lacks it.  */
+bool edp_set_has_missing (const edp_set_t *set);
 
 /* New work may go to it now, as far as its state says.  */
 bool edp_is_open (const edp_t *edp, cfd_time_t now);
--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -120,9 +120,13 @@
 {
   unsigned count = whole ? PAL_LISTS : 0;
 
-  msgpack_pack_array (packer, count);
+  msgpack_pack_array (packer, count * 2);
   for (unsigned i = 0; i < count; i++)
-    msgpack_pack_uint64 (packer, (uint64_t)pal->seen[i]);
+    {
+      msgpack_pack_uint64 (packer, (uint64_t)pal->seen[i]);
+      /* 0: not known.  */
+      msgpack_pack_uint64 (packer, (uint64_t)(pal->ages[i] + 1));
+    }
 }
 
 GByteArray *
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -22,6 +22,8 @@
   cfd_time_t heard;
   int64_t steady_ms;
   int64_t seen[PAL_LISTS];
+  int64_t ages[PAL_LISTS]; /* when it told them; -1: not known */
+  cfd_time_t ages_told;
   GHashTable *loads; /* endpoint's hash to pal_load_t */
 } pal_peer_t;
 
@@ -50,6 +52,7 @@
   ret_t *ret;
   int64_t steady_ms;
   int64_t seen[PAL_LISTS];
+  int64_t ages[PAL_LISTS];
   cfd_time_t told_changes; /* when changes were sent */
   cfd_time_t told;         /* when all figures were sent */
   uint64_t news_told;      /* number of the newest */
--- a/libcoltsfootdrum/relay/pal-take.c
+++ b/libcoltsfootdrum/relay/pal-take.c
@@ -6,6 +6,9 @@
 #include <msgpack.h>
 #include <string.h>
 
+/* An older list counts for nothing.  */
+#define AGE_MOST_MS UINT64_C (3600000)
+
 static bool
 is_text (const msgpack_object *object)
 {
@@ -66,7 +69,8 @@
          && is_numbers (&items[7], 2)
          && (is_number (&items[8])
              || items[8].type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
-         && is_numbers (&items[9], PAL_LISTS) && is_numbers (&items[10], 2);
+         && is_numbers (&items[9], PAL_LISTS * 2)
+         && is_numbers (&items[10], 2);
 }
 
 static guint
@@ -92,6 +96,8 @@
   peer->name = g_strdup (name);
   peer->loads
       = g_hash_table_new_full (hash_endpoint, equal_endpoint, NULL, g_free);
+  for (unsigned i = 0; i < PAL_LISTS; i++)
+    peer->ages[i] = -1;
   g_hash_table_insert (pal->peers, peer->name, peer);
   log_info ("peers", "Another router is heard: router=%s.", name);
   return peer;
@@ -248,10 +254,18 @@
 }
 
 static void
-take_seen (pal_peer_t *peer, const msgpack_object_array *revisions)
+take_seen (pal_peer_t *peer, cfd_time_t now, const msgpack_object_array *pairs)
 {
-  for (unsigned i = 0; i < MIN (revisions->size, PAL_LISTS); i++)
-    peer->seen[i] = revisions->ptr[i].via.i64;
+  if (pairs->size < PAL_LISTS * 2)
+    return;
+  peer->ages_told = now;
+  for (unsigned i = 0; i < PAL_LISTS; i++)
+    {
+      uint64_t age = MIN (pairs->ptr[2 * i + 1].via.u64, AGE_MOST_MS);
+
+      peer->seen[i] = pairs->ptr[2 * i].via.i64;
+      peer->ages[i] = (int64_t)age - 1;
+    }
 }
 
 bool
@@ -287,7 +301,7 @@
   take_use (pal, peer, now, &items[6].via.array);
   take_news (pal, now, &items[7].via.array);
   peer->steady_ms = items[8].via.i64;
-  take_seen (peer, &items[9].via.array);
+  take_seen (peer, now, &items[9].via.array);
   take_refusals (pal, now, &items[10].via.array);
 out:
   msgpack_unpacked_destroy (&unpacked);
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -102,6 +102,8 @@
   pal->pfx = pfx;
   pal->ret = ret;
   pal->steady_ms = -1;
+  for (unsigned i = 0; i < PAL_LISTS; i++)
+    pal->ages[i] = -1;
   ev_io_init (&pal->reader, on_readable, fd, EV_READ);
   pal->reader.data = pal;
   ev_io_start (loop, &pal->reader);
@@ -302,6 +304,61 @@
   return newest;
 }
 
+void
+pal_set_age (pal_t *pal, unsigned list, int64_t age_ms)
+{
+  g_return_if_fail (list < PAL_LISTS);
+  pal->ages[list] = age_ms;
+}
+
+/* -1: not known.  */
+static int64_t
+age_at (const pal_peer_t *peer, cfd_time_t now, unsigned list)
+{
+  return peer->ages[list] < 0 ? -1
+                              : peer->ages[list] + (now - peer->ages_told);
+}
+
+int64_t
+pal_peers_age (const pal_t *pal, cfd_time_t now, unsigned list)
+{
+  GHashTableIter each;
+  void *peer;
+  int64_t least = -1;
+
+  g_return_val_if_fail (list < PAL_LISTS, -1);
+  g_hash_table_iter_init (&each, pal->peers);
+  while (g_hash_table_iter_next (&each, NULL, &peer))
+    {
+      int64_t age = age_at (peer, now, list);
+
+      if (age >= 0 && (least < 0 || age < least))
+        least = age;
+    }
+  return least;
+}
+
+unsigned
+pal_reader_rank (const pal_t *pal, cfd_time_t now, unsigned list,
+                 int64_t most_ms)
+{
+  GHashTableIter each;
+  void *data;
+  unsigned rank = 0;
+
+  g_return_val_if_fail (list < PAL_LISTS, 0);
+  g_hash_table_iter_init (&each, pal->peers);
+  while (g_hash_table_iter_next (&each, NULL, &data))
+    {
+      const pal_peer_t *peer = data;
+      int64_t age = age_at (peer, now, list);
+
+      if (age >= 0 && age <= most_ms)
+        rank += cold_goes_before (peer->name, pal->name, list);
+    }
+  return rank;
+}
+
 static int64_t
 whole_pause (const pal_t *pal)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -55,6 +55,17 @@
 void pal_set_seen (pal_t *pal, unsigned list, int64_t revision);
 int64_t pal_peers_seen (const pal_t *pal, cfd_time_t now, unsigned list);
 
+/* How long ago LIST was last confirmed here, and the shortest such time of any
+   other router, in milliseconds; -1: not known.  */
+void pal_set_age (pal_t *pal, unsigned list, int64_t age_ms);
+int64_t pal_peers_age (const pal_t *pal, cfd_time_t now, unsigned list);
+
+/* How many of the other routers go before this one in the order in which
+   routers read LIST; those that confirmed it longer than MOST_MS ago don't
+   count.  */
+unsigned pal_reader_rank (const pal_t *pal, cfd_time_t now, unsigned list,
+                          int64_t most_ms);
+
 /* Sends this router's figures and adds up the others'.  */
 void pal_tick (pal_t *pal, cfd_time_t now);
 
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -321,6 +321,33 @@
   side_free (&two);
 }
 
+/* The routers that read a list for the others: one order for all of them, in
+   which one that has not confirmed the list lately doesn't count.  */
+static void
+test_readers (void)
+{
+  side_t here = side_new ("here");
+  side_t one = side_new ("one");
+
+  g_assert_cmpint (pal_peers_age (here.pal, NOW, 1), ==, -1);
+  tell (&one, &here, NOW, true);
+  tell (&here, &one, NOW, true);
+  g_assert_cmpint (pal_peers_age (here.pal, NOW, 1), ==, -1);
+  g_assert_cmpuint (pal_reader_rank (here.pal, NOW, 1, 1000), ==, 0);
+  pal_set_age (one.pal, 1, 300);
+  pal_set_age (here.pal, 1, 300);
+  tell (&one, &here, NOW, true);
+  tell (&here, &one, NOW, true);
+  g_assert_cmpint (pal_peers_age (here.pal, NOW + 200, 1), ==, 500);
+  g_assert_cmpuint (pal_reader_rank (here.pal, NOW, 1, 1000)
+                        + pal_reader_rank (one.pal, NOW, 1, 1000),
+                    ==, 1);
+  g_assert_cmpuint (pal_reader_rank (here.pal, NOW + 900, 1, 1000), ==, 0);
+  g_assert_cmpuint (pal_reader_rank (one.pal, NOW + 900, 1, 1000), ==, 0);
+  side_free (&here);
+  side_free (&one);
+}
+
 /* Each datagram cut at each length, and with each byte changed: nothing but a
    refusal or other figures may come of it.  */
 static void
@@ -364,6 +391,7 @@
   g_test_add_func ("/pal/prompts", test_prompts);
   g_test_add_func ("/pal/refusals", test_refusals);
   g_test_add_func ("/pal/steady", test_steady);
+  g_test_add_func ("/pal/readers", test_readers);
   g_test_add_func ("/pal/seen", test_seen);
   g_test_add_func ("/pal/stray", test_stray);
   return g_test_run ();
