--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -28,8 +28,9 @@
    routers each change makes N datagrams, and small machines would spend all
    their time on them.  */
 #define TELL_MS_A_ROUTER 1
-/* Datagrams read at one wake.  */
-#define READS_A_WAKE 64
+/* Datagrams read at one wake: more than a socket holds, so that none waits
+   there for a later turn of a loop that is behind.  */
+#define READS_A_WAKE 1024
 
 static void
 peer_free (void *data)
