Entry: connections don't wait until they are given up, and readiness tells it

Cause: a thin router accepts 32 connections in a turn of its loop, some 200 a second, out of a queue of 1,024 in order of arrival; callers wait for a second.

Ruled out: descriptors, datagrams (9 of 160 ms).

--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -20,8 +20,12 @@
 /* Idle connections: while no bound is known, and the least one.  */
 #define IDLE_USUAL_MS 60000.
 #define IDLE_LEAST_MS 300.
-/* Connections taken on at one wake, so that a crowd of new ones doesn't hold
-   up those that are served.  */
+/* Connections that wait to be accepted.  The queue is in order of arrival: at
+   a slow instance a long one holds callers alone who have given up meanwhile.
+ */
+#define BACKLOG 128
+/* Accepted at one wake, so that a crowd of new ones doesn't hold up those that
+   are served.  */
 #define ACCEPTS_A_WAKE 32
 /* Bytes kept of a next request that came before the answer to this one.  */
 #define AHEAD_MOST 65536
@@ -37,8 +41,11 @@
   ent_ops_t ops;
   void *user;
   ent_limits_t limits;
+  lag_t *lag;          /* not owned; may be NULL */
   list_node_t callers; /* ent_call_t */
   unsigned count;
+  unsigned accepted; /* since the start */
+  bool left_waiting; /* since the last question */
   bool draining;
 };
 
@@ -192,12 +199,15 @@
 on_bytes (void *user, const char *bytes, size_t length)
 {
   ent_call_t *call = user;
+  lag_t *lag = call->ent->lag;
+  lag_kind_t before = lag_enter (lag, LAG_CALLERS);
 
   call->taking = true;
   take_bytes (call, bytes, length);
   call->taking = false;
   if (call->doomed)
     call_free (call);
+  lag_leave (lag, before, 1);
 }
 
 static void
@@ -226,17 +236,20 @@
   list_init (&call->node);
   list_append (&ent->callers, &call->node);
   ent->count++;
+  ent->accepted++;
   call->con = con_new_accepted (ent->loop, fd, &wire, call);
 }
 
-static void
-on_accept (struct ev_loop *loop, ev_io *watcher, int events)
+/* Takes on what waits; the number of connections.  */
+static unsigned
+accept_some (ent_t *ent)
 {
-  ent_t *ent = watcher->data;
+  unsigned accepted = 0;
 
-  for (int i = 0; i < ACCEPTS_A_WAKE; i++)
+  while (accepted < ACCEPTS_A_WAKE)
     {
-      int fd = accept4 (watcher->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      int fd = accept4 (ent->listener.fd, NULL, NULL,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC);
 
       if (fd < 0)
         {
@@ -245,10 +258,22 @@
                       "A caller was not accepted: problem=%s; raise the limit "
                       "of open files if they have run out.",
                       g_strerror (errno));
-          return;
+          break;
         }
       add_caller (ent, fd);
+      accepted++;
     }
+  ent->left_waiting |= accepted == ACCEPTS_A_WAKE;
+  return accepted;
+}
+
+static void
+on_accept (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  ent_t *ent = watcher->data;
+  lag_kind_t before = lag_enter (ent->lag, LAG_ACCEPT);
+
+  lag_leave (ent->lag, before, accept_some (ent));
 }
 
 ent_t *
@@ -260,6 +285,7 @@
 
   if (fd < 0)
     return NULL;
+  listen (fd, BACKLOG);
   ent = g_new0 (ent_t, 1);
   ent->loop = loop;
   ent->ops = *ops;
@@ -296,6 +322,21 @@
   g_free (ent);
 }
 
+bool
+ent_left_waiting (ent_t *ent)
+{
+  bool left = ent->left_waiting;
+
+  ent->left_waiting = false;
+  return left;
+}
+
+void
+ent_set_lag (ent_t *ent, lag_t *lag)
+{
+  ent->lag = lag;
+}
+
 unsigned
 ent_port (const ent_t *ent)
 {
@@ -407,6 +448,12 @@
   return ent->count;
 }
 
+unsigned
+ent_accepted (const ent_t *ent)
+{
+  return ent->accepted;
+}
+
 rd_head_t *
 ent_head (ent_call_t *call)
 {
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -5,6 +5,7 @@
 #define RELAY_ENT_H
 
 #include "base/clock.h"
+#include "relay/lag.h"
 #include "relay/rd.h"
 #include <ev.h>
 
@@ -34,6 +35,12 @@
                 const ent_ops_t *ops, void *user, GError **error);
 void ent_free (ent_t *ent);
 
+/* Since the last call more connections waited than were accepted.  */
+bool ent_left_waiting (ent_t *ent);
+
+/* Its time is counted in LAG, which is not owned.  */
+void ent_set_lag (ent_t *ent, lag_t *lag);
+
 /* The port that it listens on.  */
 unsigned ent_port (const ent_t *ent);
 
@@ -48,6 +55,8 @@
 /* To be called some times a second: closes what took too long.  */
 void ent_tick (ent_t *ent, cfd_time_t now);
 unsigned ent_connections (const ent_t *ent);
+/* Connections accepted since the start.  */
+unsigned ent_accepted (const ent_t *ent);
 
 rd_head_t *ent_head (ent_call_t *call);
 const GByteArray *ent_body (const ent_call_t *call);
--- a/libcoltsfootdrum/relay/mech.c
+++ b/libcoltsfootdrum/relay/mech.c
@@ -26,6 +26,8 @@
     "endpoints of the own availability zone are preferred" },
   { "reject-pause", MECH_REJECT_PAUSE,
     "an endpoint that rejects requests gets a short pause" },
+  { "load-readiness", MECH_LOAD_READINESS,
+    "a router that can't accept all connections says that it isn't ready" },
 };
 
 static const mech_row_t *
--- a/libcoltsfootdrum/relay/mech.h
+++ b/libcoltsfootdrum/relay/mech.h
@@ -15,7 +15,8 @@
   MECH_THROTTLE = 1u << 3,
   MECH_LATE_LAST = 1u << 4,
   MECH_ZONE_COST = 1u << 5,
-  MECH_REJECT_PAUSE = 1u << 6
+  MECH_REJECT_PAUSE = 1u << 6,
+  MECH_LOAD_READINESS = 1u << 8
 } mech_t;
 
 /* The bits of NAMES, separated by commas; NULL names none.  False with
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -50,6 +50,7 @@
   use_t *use;
   pfx_t *pfx;
   ret_t *ret;
+  lag_t *lag; /* not owned; may be NULL */
   int64_t steady_ms;
   int64_t seen[PAL_LISTS];
   int64_t ages[PAL_LISTS];
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -42,21 +42,33 @@
   g_free (peer);
 }
 
-static void
-on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+/* The number of datagrams read.  */
+static unsigned
+read_some (pal_t *pal)
 {
-  pal_t *pal = watcher->data;
   char buffer[DATAGRAM_MOST];
+  unsigned read = 0;
 
-  for (int i = 0; i < READS_A_WAKE; i++)
+  while (read < READS_A_WAKE)
     {
-      ssize_t n = recv (watcher->fd, buffer, sizeof buffer, 0);
+      ssize_t n = recv (pal->reader.fd, buffer, sizeof buffer, 0);
 
       if (n < 0)
-        return;
+        break;
+      read++;
       if (!pal_take (pal, clock_now (), buffer, (size_t)n))
         log_warn ("peers", "A datagram was passed over: bytes=%zd.", n);
     }
+  return read;
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  pal_t *pal = watcher->data;
+  lag_kind_t before = lag_enter (pal->lag, LAG_DATAGRAMS);
+
+  lag_leave (pal->lag, before, read_some (pal));
 }
 
 static void on_turn (struct ev_loop *loop, ev_prepare *watcher, int events);
@@ -129,6 +141,12 @@
   g_free (pal);
 }
 
+void
+pal_set_lag (pal_t *pal, lag_t *lag)
+{
+  pal->lag = lag;
+}
+
 void
 pal_set_peers (pal_t *pal, const pal_listed_t *peers, guint count)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -9,6 +9,7 @@
 #define RELAY_PAL_H
 
 #include "relay/edp.h"
+#include "relay/lag.h"
 #include "relay/pfx.h"
 #include "relay/ret.h"
 #include "relay/use.h"
@@ -21,6 +22,9 @@
                 GError **error);
 void pal_free (pal_t *pal);
 
+/* Its time is counted in LAG, which is not owned.  */
+void pal_set_lag (pal_t *pal, lag_t *lag);
+
 /* One of the other routers, as the platform's store lists it.  */
 typedef struct
 {
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -50,6 +50,7 @@
   use_t *use;
   pfx_t *pfx; /* not owned */
   ret_t *ret; /* not owned */
+  lag_t *lag; /* not owned; may be NULL */
   rte_table_t *table;
   list_node_t services; /* rly_service_t */
   list_node_t running;  /* rly_request_t */
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -102,8 +102,11 @@
 on_head (void *user, rd_head_t *head)
 {
   rly_request_t *request = user;
+  lag_t *lag = request->rly->lag;
+  lag_kind_t before = lag_enter (lag, LAG_ENDPOINTS);
 
   rly_take_head (request, head);
+  lag_leave (lag, before, 0);
 }
 
 /* Anything else says nothing of how fast prompts are read.  */
@@ -114,10 +117,9 @@
 }
 
 static void
-on_body (void *user, const char *bytes, size_t length)
+take_body (rly_request_t *request, cfd_time_t now, const char *bytes,
+           size_t length)
 {
-  rly_request_t *request = user;
-  cfd_time_t now = clock_now ();
   bool first = request->unread > 0.;
 
   request->edp->heard = now;
@@ -137,13 +139,27 @@
     rly_pump_later (request->service);
 }
 
+static void
+on_body (void *user, const char *bytes, size_t length)
+{
+  rly_request_t *request = user;
+  lag_t *lag = request->rly->lag;
+  lag_kind_t before = lag_enter (lag, LAG_ENDPOINTS);
+
+  take_body (request, clock_now (), bytes, length);
+  lag_leave (lag, before, 1);
+}
+
 static void
 on_ended (void *user, ups_end_t end)
 {
   rly_request_t *request = user;
+  lag_t *lag = request->rly->lag;
+  lag_kind_t before = lag_enter (lag, LAG_ENDPOINTS);
 
   request->exchange = NULL;
   rly_take_end (request, end, clock_now ());
+  lag_leave (lag, before, 0);
 }
 
 static const ups_ops_t exchange_ops
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -45,8 +45,11 @@
 static void
 pump_all (rly_t *rly, cfd_time_t now, bool all)
 {
+  lag_kind_t before;
+
   if (rly->table == NULL)
     return;
+  before = lag_enter (rly->lag, LAG_PLACEMENT);
   list_for_each (node, &rly->services)
     {
       rly_service_t *service = list_entry (node, rly_service_t, node);
@@ -56,6 +59,7 @@
       if (all || service->due)
         rly_pump (rly, service, now);
     }
+  lag_leave (rly->lag, before, 1);
 }
 
 /* Once for all that happened in a turn: a round over all that wait is dear,
@@ -137,6 +141,12 @@
   g_free (rly);
 }
 
+void
+rly_set_lag (rly_t *rly, lag_t *lag)
+{
+  rly->lag = lag;
+}
+
 rly_service_t *
 rly_service (rly_t *rly, const char *name)
 {
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -64,6 +64,9 @@
                 pfx_t *pfx, ret_t *ret);
 void rly_free (rly_t *rly);
 
+/* Its time is counted in LAG, which is not owned.  */
+void rly_set_lag (rly_t *rly, lag_t *lag);
+
 /* Callbacks for the callers' side; USER is the relay.  */
 void rly_on_request (void *user, ent_call_t *call);
 void rly_on_gone (void *user, ent_call_t *call);
