Relay: sums of accounts by differences, and no search where nothing has room

Cause: each round of placement added up every waiting account's figures over all routers, three times, with an exponential each: 60 accounts x 67 routers a round, 40 rounds a second; and each request that waited looked up its prefix at every endpoint although all were full.

Change: the sum over the other routers is kept by differences (all figures decay at one rate); a round first asks whether any endpoint has room at all; a tick marks services as due instead of placing a second time in the same turn.

Ruled out: other decisions. The order and the choices are the same but for the second round of a tick's turn.

Tests: use/differences, plc/all-full, and each row of the placement table asks both.

--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -230,7 +230,7 @@
         continue;
       log_info ("peers", "A router fell silent: router=%s.", peer->name);
       pal_uncount (pal, peer);
-      use_forget (pal->use, peer->name);
+      use_forget (pal->use, now, peer->name);
       g_hash_table_iter_remove (&each);
     }
 }
--- a/libcoltsfootdrum/relay/plc.c
+++ b/libcoltsfootdrum/relay/plc.c
@@ -40,11 +40,17 @@
          + request->ms_per_work * (endpoint->unread + endpoint->own);
 }
 
+static double
+others_ms (const plc_endpoint_t *endpoint, const plc_request_t *request)
+{
+  return request->ms_per_work * endpoint->unread;
+}
+
 static bool
 is_in_time (const plc_endpoint_t *endpoint, const plc_request_t *request)
 {
   double first = plc_first_token (endpoint, request);
-  double others = request->ms_per_work * endpoint->unread;
+  double others = others_ms (endpoint, request);
 
   if (others > request->bear_ms)
     return false;
@@ -69,14 +75,31 @@
   double slots = endpoint->slots * request->room;
   double memory = endpoint->memory * MEMORY_SHARE * request->room;
 
-  if (endpoint->slots == 0 || endpoint->active >= slots
-      || (endpoint->missing > request->missing_most
-          && fullness (endpoint) > SPARE))
+  if (endpoint->slots == 0 || endpoint->active >= slots)
     return false;
   return endpoint->memory <= 0. || endpoint->active == 0
          || endpoint->context + request->size <= memory;
 }
 
+/* Too much of a shared prefix would be prefilled there again.  */
+static bool
+lacks_prefix (const plc_endpoint_t *endpoint, const plc_request_t *request)
+{
+  return endpoint->missing > request->missing_most
+         && fullness (endpoint) > SPARE;
+}
+
+bool
+plc_may_place (const plc_endpoint_t *endpoints, guint count,
+               const plc_request_t *request)
+{
+  for (guint i = 0; i < count; i++)
+    if (has_room (&endpoints[i], request)
+        && others_ms (&endpoints[i], request) <= request->bear_ms)
+      return true;
+  return false;
+}
+
 static double
 cost_of (const plc_endpoint_t *endpoint, const plc_request_t *request)
 {
@@ -100,6 +123,7 @@
       double cost;
 
       if (!has_room (&endpoints[i], request)
+          || lacks_prefix (&endpoints[i], request)
           || !is_in_time (&endpoints[i], request))
         continue;
       cost = cost_of (&endpoints[i], request);
--- a/libcoltsfootdrum/relay/plc.h
+++ b/libcoltsfootdrum/relay/plc.h
@@ -48,6 +48,11 @@
 double plc_first_token (const plc_endpoint_t *endpoint,
                         const plc_request_t *request);
 
+/* Whether some of COUNT endpoints may have room for REQUEST, whatever they
+   cache: false says that plc_choose would find none.  */
+bool plc_may_place (const plc_endpoint_t *endpoints, guint count,
+                    const plc_request_t *request);
+
 /* Index of the chosen one of COUNT endpoints; -1 when it has to wait.  */
 int plc_choose (const plc_endpoint_t *endpoints, guint count,
                 const plc_request_t *request);
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -280,6 +280,10 @@
   if (!round->has_room)
     return false;
   wish = wish_of (round, request);
+  /* At high load most requests find all endpoints full: nothing is looked up
+     for these.  */
+  if (!plc_may_place (round->figures, round->count, &wish))
+    return false;
   if (request->prompt != NULL && add_prompt (round, request))
     wish.missing_most = missing_most (request);
   chosen = choose (round, request, &wish);
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -40,34 +40,45 @@
   service->due = true;
 }
 
-/* Services whose requests may have found room; ALL: every one, and what waited
-   too long is refused.  */
+/* Services whose requests may have found room.  */
 static void
-pump_all (rly_t *rly, cfd_time_t now, bool all)
+pump_due (rly_t *rly, cfd_time_t now)
 {
-  lag_kind_t before;
+  lag_kind_t before = lag_enter (rly->lag, LAG_PLACEMENT);
 
-  if (rly->table == NULL)
-    return;
-  before = lag_enter (rly->lag, LAG_PLACEMENT);
   list_for_each (node, &rly->services)
     {
       rly_service_t *service = list_entry (node, rly_service_t, node);
 
-      if (all)
-        rly_expire (service, now);
-      if (all || service->due)
+      if (service->due)
         rly_pump (rly, service, now);
     }
   lag_leave (rly->lag, before, 1);
 }
 
+/* What waited too long is refused; for the others time alone may have made
+   room, or what other routers told.  */
+static void
+tick_waiting (rly_t *rly, cfd_time_t now)
+{
+  list_for_each (node, &rly->services)
+    {
+      rly_service_t *service = list_entry (node, rly_service_t, node);
+
+      rly_expire (service, now);
+      rly_pump_later (service);
+    }
+}
+
 /* Once for all that happened in a turn: a round over all that wait is dear,
    and under high load a turn brings many events.  */
 static void
 on_turn (struct ev_loop *loop, ev_prepare *watcher, int events)
 {
-  pump_all (watcher->data, clock_now (), false);
+  rly_t *rly = watcher->data;
+
+  if (rly->table != NULL)
+    pump_due (rly, clock_now ());
 }
 
 rly_t *
@@ -297,11 +308,13 @@
   return request->prompt->tokens + OUTPUT_WEIGHT * request->output;
 }
 
+/* RETRY_MS, for 503 alone, tells the caller when to come back.  */
 static void
 answer_plainly (rly_t *rly, ent_call_t *call, unsigned status,
-                const char *reason)
+                const char *reason, int64_t retry_ms)
 {
   const char *id = hdr_get (&ent_head (call)->fields, rly->names.request_id);
+  char retry[G_ASCII_DTOSTR_BUF_SIZE];
   g_autofree char *fields = NULL;
 
   log_info ("relay",
@@ -309,8 +322,10 @@
             id != NULL ? id : "", status, reason);
   rly->counts.refused++;
   if (status == 503)
-    fields
-        = g_strdup_printf ("Retry-After: %.3f\r\n", NO_TABLE_RETRY_MS / 1000.);
+    {
+      g_ascii_formatd (retry, sizeof retry, "%.3f", (double)retry_ms / 1000.);
+      fields = g_strdup_printf ("Retry-After: %s\r\n", retry);
+    }
   ent_answer (call, status, fields, NULL, 0);
 }
 
@@ -373,20 +388,21 @@
   if (rly->table == NULL || rly->closed)
     {
       answer_plainly (rly, call, 503,
-                      rly->closed ? "shutdown" : "no-configuration");
+                      rly->closed ? "shutdown" : "no-configuration",
+                      NO_TABLE_RETRY_MS);
       return;
     }
   route = host != NULL ? rte_find (rly->table, host, head->target) : NULL;
   if (route == NULL)
     {
-      answer_plainly (rly, call, 404, "no-route");
+      answer_plainly (rly, call, 404, "no-route", 0);
       return;
     }
   if (key != NULL)
     account = rte_account (rly->table, key);
   if (account == NULL && !route->open && rte_table_has_accounts (rly->table))
     {
-      answer_plainly (rly, call, 401, "unknown-key");
+      answer_plainly (rly, call, 401, "unknown-key", 0);
       return;
     }
   request = request_new (rly, call, route, account);
@@ -432,7 +448,8 @@
       use_level (rly->use, now);
     }
   tick_running (rly, now);
-  pump_all (rly, now, true);
+  if (rly->table != NULL)
+    tick_waiting (rly, now);
   if (now - rly->swept < SWEEP_MS)
     return;
   rly->swept = now;
--- a/libcoltsfootdrum/relay/test-plc.c
+++ b/libcoltsfootdrum/relay/test-plc.c
@@ -187,6 +187,8 @@
 
   g_assert_cmpint (plc_choose (one->endpoints, one->count, &one->request), ==,
                    one->chosen);
+  if (one->chosen != WAITS)
+    g_assert_true (plc_may_place (one->endpoints, one->count, &one->request));
 }
 
 /* Routers that know the same choose among equal endpoints at random, so that a
@@ -218,6 +220,21 @@
                      2. * plc_reading (1000., 0.));
 }
 
+/* Full slots, full memory and work before its own are seen without a look at
+   what endpoints cache.  */
+static void
+test_all_full (void)
+{
+  plc_request_t request = WISH (300., 150.);
+  plc_endpoint_t endpoints[3] = { { .slots = 4, .active = 4 },
+                                  { FREE, .active = 1, .context = 399000. },
+                                  { FREE, .unread = 15001. } };
+
+  g_assert_false (plc_may_place (endpoints, 3, &request));
+  endpoints[2].unread = 15000.;
+  g_assert_true (plc_may_place (endpoints, 3, &request));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -230,5 +247,6 @@
     }
   g_test_add_func ("/plc/ties", test_ties);
   g_test_add_func ("/plc/reading", test_reading);
+  g_test_add_func ("/plc/all-full", test_all_full);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-use.c
+++ b/libcoltsfootdrum/relay/test-use.c
@@ -85,10 +85,45 @@
   use_hear (use, NOW, "r1", "a", &(use_sum_t){ .asked = 60., .got = 30. });
   use_hear (use, NOW, "r2", "a", &(use_sum_t){ .asked = 5., .got = 5. });
   g_assert_cmpfloat (use_all (use, NOW, "a").got, ==, 45.);
-  use_forget (use, "r1");
+  use_forget (use, NOW, "r1");
   g_assert_cmpfloat (use_all (use, NOW, "a").got, ==, 15.);
 }
 
+/* Sums kept by differences stay equal to the sums added up anew, however often
+   routers speak, fall silent and speak again.  */
+static void
+test_differences (void)
+{
+  enum
+  {
+    ROUTERS = 40,
+    ROUNDS = 2000
+  };
+  g_autoptr (use_t) use = use_new (WINDOW_MS);
+  double last[ROUTERS] = { 0. };
+  cfd_time_t at[ROUTERS] = { 0 };
+  cfd_time_t now = NOW;
+  double sum = 0.;
+
+  for (unsigned i = 0; i < ROUNDS; i++)
+    {
+      unsigned r = (i * 7) % ROUTERS;
+      g_autofree char *name = g_strdup_printf ("r%u", r);
+
+      now += i % 90;
+      last[r] = i % 11 == 0 ? 0. : (double)(i * 37 % 5000);
+      at[r] = now;
+      if (i % 11 == 0)
+        use_forget (use, now, name);
+      else
+        use_hear (use, now, name, "a",
+                  &(use_sum_t){ .asked = last[r], .got = last[r] });
+    }
+  for (unsigned r = 0; r < ROUTERS; r++)
+    sum += last[r] * exp (-(double)(now - at[r]) / WINDOW_MS);
+  g_assert_cmpfloat_with_epsilon (use_all (use, now, "a").got, sum, 1e-6);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -101,5 +136,6 @@
     }
   g_test_add_func ("/use/fades", test_fades);
   g_test_add_func ("/use/hears", test_hears);
+  g_test_add_func ("/use/differences", test_differences);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/use.c
+++ b/libcoltsfootdrum/relay/use.c
@@ -21,7 +21,8 @@
 typedef struct
 {
   use_figure_t own;
-  GHashTable *peers; /* router to use_figure_t */
+  use_figure_t others; /* the sum over PEERS, kept by differences */
+  GHashTable *peers;   /* router to use_figure_t */
 } use_account_t;
 
 struct use
@@ -84,15 +85,31 @@
                       .got = figure->sum.got * keep };
 }
 
+static void
+add_to (const use_t *use, use_figure_t *figure, cfd_time_t now, double asked,
+        double got)
+{
+  use_sum_t sum = faded (use, figure, now);
+
+  figure->sum.asked = MAX (sum.asked + asked, 0.);
+  figure->sum.got = MAX (sum.got + got, 0.);
+  figure->at = now;
+}
+
 static void
 add (use_t *use, cfd_time_t now, const char *name, double asked, double got)
 {
-  use_account_t *account = account_of (use, name);
-  use_sum_t sum = faded (use, &account->own, now);
+  add_to (use, &account_of (use, name)->own, now, asked, got);
+}
 
-  account->own.sum.asked = MAX (sum.asked + asked, 0.);
-  account->own.sum.got = MAX (sum.got + got, 0.);
-  account->own.at = now;
+/* All figures decay at one rate, so that their sum does too.  */
+static void
+take_off (const use_t *use, use_account_t *account, const use_figure_t *figure,
+          cfd_time_t now)
+{
+  use_sum_t old = faded (use, figure, now);
+
+  add_to (use, &account->others, now, -old.asked, -old.got);
 }
 
 void
@@ -119,26 +136,20 @@
       figure = g_new0 (use_figure_t, 1);
       g_hash_table_insert (account->peers, g_strdup (router), figure);
     }
+  take_off (use, account, figure, now);
   figure->sum = *own;
   figure->at = now;
+  add_to (use, &account->others, now, own->asked, own->got);
 }
 
 static use_sum_t
 sum_of (const use_t *use, const use_account_t *account, cfd_time_t now)
 {
-  use_sum_t all = faded (use, &account->own, now);
-  GHashTableIter each;
-  void *figure;
+  use_sum_t own = faded (use, &account->own, now);
+  use_sum_t others = faded (use, &account->others, now);
 
-  g_hash_table_iter_init (&each, account->peers);
-  while (g_hash_table_iter_next (&each, NULL, &figure))
-    {
-      use_sum_t one = faded (use, figure, now);
-
-      all.asked += one.asked;
-      all.got += one.got;
-    }
-  return all;
+  return (use_sum_t){ .asked = own.asked + others.asked,
+                      .got = own.got + others.got };
 }
 
 use_sum_t
@@ -170,14 +181,23 @@
 }
 
 void
-use_forget (use_t *use, const char *router)
+use_forget (use_t *use, cfd_time_t now, const char *router)
 {
   GHashTableIter each;
-  void *account;
+  void *data;
 
   g_hash_table_iter_init (&each, use->accounts);
-  while (g_hash_table_iter_next (&each, NULL, &account))
-    g_hash_table_remove (((use_account_t *)account)->peers, router);
+  while (g_hash_table_iter_next (&each, NULL, &data))
+    {
+      use_account_t *account = data;
+      const use_figure_t *figure
+          = g_hash_table_lookup (account->peers, router);
+
+      if (figure == NULL)
+        continue;
+      take_off (use, account, figure, now);
+      g_hash_table_remove (account->peers, router);
+    }
 }
 
 static int
--- a/libcoltsfootdrum/relay/use.h
+++ b/libcoltsfootdrum/relay/use.h
@@ -41,7 +41,7 @@
                                  const use_sum_t *own),
                    void *user);
 /* Forgets ROUTER's figures.  */
-void use_forget (use_t *use, const char *router);
+void use_forget (use_t *use, cfd_time_t now, const char *router);
 
 /* Computes the level anew.  Max-min fairness: the level is such that all
    accounts together got what they would if each had got what it asked for, but
