Queues: late callers are told at once, and so are those behind a long queue

Change 1: a late request doesn't wait. It takes spare capacity (an endpoint filled to less than 0.4), if there is any, or its caller is told at once. Tests: late-told-at-once takes the place of late-goes-last, which asked for less (that the new caller goes first; now the late one has its answer before), and late-takes-spare.

Change 2: a request that finds at least four of its account before it, whose work takes more than twice the time that it may wait, at the rate at which the account was served here in the last two seconds, is refused on arrival. Test: early-reject.

--- a/libcoltsfootdrum/relay/mech.c
+++ b/libcoltsfootdrum/relay/mech.c
@@ -22,6 +22,9 @@
     "accounts above the fair level leave a part of the capacity" },
   { "late-last", MECH_LATE_LAST,
     "requests past their latency objective go last" },
+  { "early-reject", MECH_EARLY_REJECT,
+    "what can't be in time behind its account's queue is rejected on "
+    "arrival" },
   { "zone-cost", MECH_ZONE_COST,
     "endpoints of the own availability zone are preferred" },
   { "reject-pause", MECH_REJECT_PAUSE,
--- a/libcoltsfootdrum/relay/mech.h
+++ b/libcoltsfootdrum/relay/mech.h
@@ -16,6 +16,7 @@
   MECH_LATE_LAST = 1u << 4,
   MECH_ZONE_COST = 1u << 5,
   MECH_REJECT_PAUSE = 1u << 6,
+  MECH_EARLY_REJECT = 1u << 7,
   MECH_LOAD_READINESS = 1u << 8
 } mech_t;
 
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -17,6 +17,9 @@
    held back wholly: a slot that gets free is taken at once, by whoever waits.
  */
 #define OVER_RESERVE 0.3
+/* Of slots and memory, for requests that are past their latency objective: an
+   endpoint below this is as fast for the others as one that is idle.  */
+#define LATE_ROOM 0.4
 /* An endpoint keeps a beginning when no more than this share is missing.  */
 #define MISSING_SHARE 0.1
 /* Bytes between availability zones are paid for, and links between them are
@@ -238,6 +241,8 @@
     return wish;
   wish.bear_ms = (double)request->aim_ms * BEAR * allowed;
   wish.room = 1. - OVER_RESERVE * (1. - allowed);
+  if (request->late)
+    wish.room = LATE_ROOM;
   wish.base_ms = round->base_ms;
   wish.ms_per_work = round->ms_per_work;
   wish.size = request->prompt->tokens + request->output;
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -127,6 +127,9 @@
 
 /* rly-queue.c: waiting.  */
 void rly_wait (rly_request_t *request);
+/* REQUEST, which just came, can't be in time behind those of its account that
+   wait: it is refused now, and true is returned.  */
+bool rly_refuse_early (rly_request_t *request, cfd_time_t now);
 void rly_unwait (rly_request_t *request);
 /* Places what finds room.  */
 void rly_pump (rly_t *rly, rly_service_t *service, cfd_time_t now);
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -10,6 +10,7 @@
 #include "relay/rly-private.h"
 
 #include "base/log.h"
+#include <math.h>
 
 /* Accounts that got the first part of the fair level begin to be held back,
    and are down to the least allowance at the second.  */
@@ -18,10 +19,14 @@
 #define OVER_ALLOWANCE 0.2
 /* An account that got less than this part of what it is due is behind.  */
 #define BEHIND 0.7
-/* Of the usual capacity, for requests past their latency objective; and of the
-   time that they have left, how long they wait for it.  */
+/* Of the usual work before their own, for requests past their latency
+   objective.  */
 #define LATE_ALLOWANCE 0.1
-#define LATE_PATIENCE 0.15
+/* A request is refused on arrival when at least so many of its account wait
+   before it, for longer by this factor than it may wait: the rate at which an
+   account is served changes within seconds.  */
+#define EARLY_QUEUE 4
+#define EARLY_MARGIN 2.
 /* Without an aim.  */
 #define USUAL_AIM_MS 1000
 /* Lines looked at in one round when their requests find no room.  */
@@ -76,18 +81,18 @@
 }
 
 /* How long REQUEST may wait at its first time here.  One that can still be in
-   time waits as long as that holds.  One that came again too late waits for
-   room that nobody else can use.  */
+   time waits as long as that holds.  One that came again too late doesn't
+   wait: it takes spare capacity, if there is any, or its caller is told at
+   once.  */
 static void
 set_patience (rly_request_t *request, cfd_time_t end)
 {
   cfd_time_t latest = request->asked + rly_longest_wait (request);
-  double left = (double)(end - request->since);
 
   request->late
       = latest <= request->since && rly_has (request->rly, MECH_LATE_LAST);
   if (request->late)
-    latest = request->since + (int64_t)(left * LATE_PATIENCE);
+    latest = request->since;
   request->until = MIN (latest, end);
 }
 
@@ -131,11 +136,11 @@
 }
 
 static void
-give_up (rly_request_t *request, cfd_time_t now)
+give_up (rly_request_t *request, cfd_time_t now, const char *reason)
 {
   double share = g_random_double_range (RETRY_LEAST, RETRY_MOST);
 
-  rly_refuse (request, now, "no-room",
+  rly_refuse (request, now, reason,
               (int64_t)(share * (double)request->aim_ms));
 }
 
@@ -153,13 +158,51 @@
 
           if (now < request->until)
             continue;
-          give_up (request, now);
+          give_up (request, now, "no-room");
           return true;
         }
     }
   return false;
 }
 
+/* How long REQUEST waits for those of its account that go before it, at the
+   rate at which the account was served here lately.  */
+static double
+queue_delay_ms (const rly_request_t *request, cfd_time_t now)
+{
+  const rly_t *rly = request->rly;
+  double rate = use_own_rate (rly->use, now, rly_account_name (request));
+  double cost = 0.;
+  unsigned count = 0;
+
+  list_for_each (node, &request->line->requests)
+    {
+      const rly_request_t *other = list_entry (node, rly_request_t, node);
+
+      if (other == request)
+        break;
+      cost += other->cost;
+      count++;
+    }
+  if (count < EARLY_QUEUE)
+    return 0.;
+  return rate > 0. ? cost / rate : HUGE_VAL;
+}
+
+bool
+rly_refuse_early (rly_request_t *request, cfd_time_t now)
+{
+  double delay_ms;
+
+  if (request->prompt == NULL || !rly_has (request->rly, MECH_EARLY_REJECT))
+    return false;
+  delay_ms = queue_delay_ms (request, now);
+  if (delay_ms <= EARLY_MARGIN * (double)(request->until - now))
+    return false;
+  give_up (request, now, "queue");
+  return true;
+}
+
 static rly_line_t *
 least_served (rly_service_t *service)
 {
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -412,7 +412,8 @@
   bud_request (&request->service->repeats, now);
   use_ask (rly->use, now, rly_account_name (request), request->cost);
   rly_wait (request);
-  rly_pump_later (request->service);
+  if (!rly_refuse_early (request, now))
+    rly_pump_later (request->service);
 }
 
 void
--- a/libcoltsfootdrum/relay/test-rly-share.c
+++ b/libcoltsfootdrum/relay/test-rly-share.c
@@ -16,6 +16,8 @@
 
 /* Tokens that others get, far more than all requests of a test.  */
 #define MUCH 1e8
+/* A request in time waits here for seconds.  */
+#define AT_ONCE_MS 1500
 
 static bool
 has_one (void *user)
@@ -42,9 +44,9 @@
 }
 
 static bool
-has_two_waiting (void *user)
+has_four_waiting (void *user)
 {
-  return rly_counts (((scene_t *)user)->rly)->waiting > 1;
+  return rly_counts (((scene_t *)user)->rly)->waiting >= 4;
 }
 
 /* Endpoints give back what they get.  The caller sees refusals, and its
@@ -127,27 +129,47 @@
   scene_free (scene);
 }
 
-/* A caller who was refused comes back past its latency objective while a new
-   one waits too.  The slot that gets free goes to the new one, whose answer
-   can still be in time, though the other asked first.  */
+static bool
+is_refused (void *user)
+{
+  const scene_caller_t *caller = user;
+
+  return g_str_has_prefix (caller->text->str, "HTTP/1.1 503 ")
+         && strstr (caller->text->str, "Retry-After: ") != NULL;
+}
+
+/* The caller of this call was refused elsewhere, and is past its latency
+   objective by now.  */
+static void
+note_refused (scene_t *scene, const char *prompt)
+{
+  cfd_time_t now = clock_now ();
+
+  ret_refused (scene->ret, now, ret_key ("mill", prompt, "", 0), now - 15000);
+}
+
+/* A caller who was refused comes back past its latency objective, with no free
+   slot.  It is told at once; the slot that gets free goes to a new caller,
+   whose answer can still be in time.  */
 static void
-test_late_goes_last (void)
+test_late_told_at_once (void)
 {
   static const scene_reply_t replies[]
       = { { NULL, SCENE_STAYS }, { NULL, SCENE_STAYS } };
   scene_t *scene = scene_new (replies, 2, 1);
   scene_caller_t *callers[3];
-  cfd_time_t now = clock_now ();
+  cfd_time_t now;
 
   scene_list (scene, 1, false, 1);
   callers[0] = scene_call (scene, CALL ("/slow/", "1", "a:20,b:10"));
   scene_run (scene, has_one, scene);
-  ret_refused (scene->ret, now, ret_key ("mill", "c:20,d:10", "", 0),
-               now - 15000);
+  now = clock_now ();
+  note_refused (scene, "c:20,d:10");
   callers[1] = scene_call (scene, CALL ("/slow/", "2", "c:20,d:10"));
-  scene_run (scene, has_waiting, scene);
   callers[2] = scene_call (scene, CALL ("/slow/", "3", "e:20,f:10"));
-  scene_run (scene, has_two_waiting, scene);
+  scene_run (scene, is_refused, callers[1]);
+  g_assert_cmpint (clock_now () - now, <, AT_ONCE_MS);
+  g_assert_cmpuint (scene->arrived, ==, 1);
   scene_caller_free (callers[0]);
   scene_run (scene, has_two, scene);
   g_assert_nonnull (strstr (scene->last->str, "|X-Id=3|"));
@@ -156,13 +178,62 @@
   scene_free (scene);
 }
 
+/* With capacity to spare a late caller is served: a late answer is better than
+   none.  */
+static void
+test_late_takes_spare (void)
+{
+  static const scene_reply_t replies[] = { { NULL, SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller;
+
+  note_refused (scene, "c:20,d:10");
+  caller = scene_call (scene, CALL ("/slow/", "2", "c:20,d:10"));
+  scene_run (scene, has_one, scene);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* An account floods the router: the queue before its next request is longer
+   than that may wait, at the rate at which the account is served.  Its caller
+   is told on arrival, while those before it still wait.  */
+static void
+test_early_reject (void)
+{
+  static const scene_reply_t replies[] = { { NULL, SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 1, 1);
+  scene_caller_t *callers[8];
+  guint count = 0;
+
+  scene_list (scene, 1, false, 1);
+  for (; count < 6; count++)
+    {
+      g_autofree char *call = g_strdup_printf (
+          CALL ("/slow/", "%u", "a%u:2000,b:10"), count + 1, count);
+
+      callers[count] = scene_call (scene, call);
+      if (count == 0)
+        scene_run (scene, has_one, scene);
+    }
+  scene_run (scene, has_four_waiting, scene);
+  /* What it got so far would take this queue a minute.  */
+  callers[count] = scene_call (scene, CALL ("/slow/", "9", "c:2000,d:10"));
+  scene_run (scene, is_refused, callers[count]);
+  g_assert_cmpuint (rly_counts (scene->rly)->waiting, >=, 4);
+  for (guint i = 0; i <= count; i++)
+    scene_caller_free (callers[i]);
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/rly-share/given-back", test_given_back);
   g_test_add_func ("/rly-share/behind", test_behind);
-  g_test_add_func ("/rly-share/late-goes-last", test_late_goes_last);
+  g_test_add_func ("/rly-share/late-told-at-once", test_late_told_at_once);
+  g_test_add_func ("/rly-share/late-takes-spare", test_late_takes_spare);
+  g_test_add_func ("/rly-share/early-reject", test_early_reject);
   g_test_add_func ("/rly-share/prefix-fetched", test_prefix_fetched);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/use.c
+++ b/libcoltsfootdrum/relay/use.c
@@ -160,6 +160,15 @@
   return account != NULL ? sum_of (use, account, now) : (use_sum_t){ 0 };
 }
 
+double
+use_own_rate (const use_t *use, cfd_time_t now, const char *name)
+{
+  const use_account_t *account = g_hash_table_lookup (use->accounts, name);
+
+  return account != NULL ? faded (use, &account->own, now).got / use->window_ms
+                         : 0.;
+}
+
 void
 use_each_own (use_t *use, cfd_time_t now,
               void (*back) (void *user, const char *account,
--- a/libcoltsfootdrum/relay/use.h
+++ b/libcoltsfootdrum/relay/use.h
@@ -32,6 +32,9 @@
 void use_hear (use_t *use, cfd_time_t now, const char *router,
                const char *account, const use_sum_t *own);
 
+/* Cost a millisecond that ACCOUNT got here lately.  */
+double use_own_rate (const use_t *use, cfd_time_t now, const char *account);
+
 /* Over the whole fleet.  */
 use_sum_t use_all (const use_t *use, cfd_time_t now, const char *account);
 
