Store: the router that reads a change passes it on

Two routers read each list, but each change that they told of was then read by all 68.

Change: the reader sends the changes from its last revision to the new one in a datagram (pal-update.c); who has the picture as of the first revision or later takes them, and anyone else reads the list 300 ms after hearing of the change, as before.

Ruled out: serializable reads (no bound on their age).

--- a/libcoltsfootdrum/relay/mech.c
+++ b/libcoltsfootdrum/relay/mech.c
@@ -31,6 +31,8 @@
     "an endpoint that rejects requests gets a short pause" },
   { "load-readiness", MECH_LOAD_READINESS,
     "a router that can't accept all connections says that it isn't ready" },
+  { "peer-updates", MECH_PEER_UPDATES,
+    "changes of the store's lists are taken from the router that read them" },
 };
 
 static const mech_row_t *
--- a/libcoltsfootdrum/relay/mech.h
+++ b/libcoltsfootdrum/relay/mech.h
@@ -17,7 +17,8 @@
   MECH_ZONE_COST = 1u << 5,
   MECH_REJECT_PAUSE = 1u << 6,
   MECH_EARLY_REJECT = 1u << 7,
-  MECH_LOAD_READINESS = 1u << 8
+  MECH_LOAD_READINESS = 1u << 8,
+  MECH_PEER_UPDATES = 1u << 9
 } mech_t;
 
 /* The bits of NAMES, separated by commas; NULL names none.  False with
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -1,5 +1,6 @@
 /* State that the files of the routers' datagrams share: pal.c (sockets, times,
-   silence), pal-pack.c (what is told), pal-take.c (what is heard).  */
+   silence), pal-pack.c (what is told), pal-take.c (what is heard),
+   pal-update.c (changes of the platform's lists).  */
 
 #ifndef RELAY_PAL_PRIVATE_H
 #define RELAY_PAL_PRIVATE_H
@@ -9,6 +10,8 @@
 /* First item of each datagram, so that stray ones and other versions' are
    passed over.  */
 #define FORMAT 0xcfd7
+/* The same of updates.  */
+#define UPDATE_FORMAT 0xcfe1
 /* Units of reading work and of memory in datagrams, in tokens: small numbers
    are short, and nothing is decided by less.  */
 #define UNREAD_UNIT 10.
@@ -58,8 +61,18 @@
   cfd_time_t told;         /* when all figures were sent */
   uint64_t news_told;      /* number of the newest */
   uint64_t refusals_told;  /* the same of refusals */
+  void (*on_update) (void *user, unsigned list, int64_t from, int64_t to,
+                     const char *events); /* NULL: nobody asks */
+  void *update_user;
 };
 
+/* pal-update.c: one update, and false when BYTES is none.  */
+GByteArray *pal_pack_update (unsigned list, int64_t from, int64_t to,
+                             const char *events);
+bool pal_take_update (pal_t *pal, const void *bytes, size_t length);
+/* pal.c: to all other routers.  */
+void pal_send_all (const pal_t *pal, const void *bytes, size_t length);
+
 /* pal-take.c: the sums of what the other routers have under way, of endpoints
    that were listed since the last call.  */
 void pal_count_new (pal_t *pal);
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -14,9 +14,8 @@
    or its requests end by its silence.  Three whole figures in the largest
    fleet, so that two may be lost.  */
 #define SILENT_MS 1000
-/* The largest datagram; the loopback and usual links carry it whole or in
-   few parts.  */
-#define DATAGRAM_MOST 16384
+/* The largest datagram that UDP carries.  */
+#define DATAGRAM_MOST 65536
 /* A peer's word on the platform's list counts for so long.  */
 #define STEADY_MS 500
 /* All figures are sent so often, for changes that were lost; with many routers
@@ -56,7 +55,8 @@
       if (n < 0)
         break;
       read++;
-      if (!pal_take (pal, clock_now (), buffer, (size_t)n))
+      if (!pal_take (pal, clock_now (), buffer, (size_t)n)
+          && !pal_take_update (pal, buffer, (size_t)n))
         log_warn ("peers", "A datagram was passed over: bytes=%zd.", n);
     }
   return read;
@@ -235,20 +235,26 @@
     }
 }
 
-static void
-send_figures (pal_t *pal, cfd_time_t now, bool whole)
+void
+pal_send_all (const pal_t *pal, const void *bytes, size_t length)
 {
-  g_autoptr (GByteArray) bytes = pal_pack (pal, now, whole);
-
   for (guint i = 0; i < pal->addresses->len; i++)
     {
       const addr_t *addr = &g_array_index (pal->addresses, addr_t, i);
 
-      sendto (pal->reader.fd, bytes->data, bytes->len, MSG_NOSIGNAL,
+      sendto (pal->reader.fd, bytes, length, MSG_NOSIGNAL,
               (const struct sockaddr *)&addr->storage, addr->length);
     }
 }
 
+static void
+send_figures (pal_t *pal, cfd_time_t now, bool whole)
+{
+  g_autoptr (GByteArray) bytes = pal_pack (pal, now, whole);
+
+  pal_send_all (pal, bytes->data, bytes->len);
+}
+
 static void
 tell_changes (pal_t *pal, cfd_time_t now)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -70,6 +70,17 @@
 unsigned pal_reader_rank (const pal_t *pal, cfd_time_t now, unsigned list,
                           int64_t most_ms);
 
+/* Changes of LIST from revision FROM to TO, for the others: they needn't read
+   these from the platform.  A lost or too large one does no harm, for those
+   who miss it read the list.  */
+void pal_send_update (pal_t *pal, unsigned list, int64_t from, int64_t to,
+                      const char *events);
+/* Calls BACK for each update that comes.  */
+void pal_on_update (pal_t *pal,
+                    void (*back) (void *user, unsigned list, int64_t from,
+                                  int64_t to, const char *events),
+                    void *user);
+
 /* Sends this router's figures and adds up the others'.  */
 void pal_tick (pal_t *pal, cfd_time_t now);
 
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -2,7 +2,7 @@
    silent router counts for nothing, and stray bytes are passed over.  */
 
 #include "relay/cold.h"
-#include "relay/pal.h"
+#include "relay/pal-private.h"
 
 #include <string.h>
 
@@ -376,6 +376,57 @@
   side_free (&one);
 }
 
+typedef struct
+{
+  unsigned count;
+  unsigned list;
+  int64_t from;
+  int64_t to;
+  char *events;
+} update_t;
+
+static void
+on_update (void *user, unsigned list, int64_t from, int64_t to,
+           const char *events)
+{
+  update_t *seen = user;
+
+  seen->count++;
+  seen->list = list;
+  seen->from = from;
+  seen->to = to;
+  g_free (seen->events);
+  seen->events = g_strdup (events);
+}
+
+/* An update comes as it was sent; a truncated one, one of an unknown list or
+   one that goes back is none, and is no figures either.  */
+static void
+test_update (void)
+{
+  side_t here = side_new ("here");
+  g_autoptr (GByteArray) bytes = pal_pack_update (2, 40, 45, "{}");
+  g_autoptr (GByteArray) unknown = pal_pack_update (PAL_LISTS, 40, 45, "{}");
+  g_autoptr (GByteArray) back = pal_pack_update (2, 45, 45, "{}");
+  update_t seen = { 0 };
+
+  pal_on_update (here.pal, on_update, &seen);
+  g_assert_false (pal_take (here.pal, NOW, bytes->data, bytes->len));
+  for (guint i = 0; i < bytes->len; i++)
+    g_assert_false (pal_take_update (here.pal, bytes->data, i));
+  g_assert_false (pal_take_update (here.pal, unknown->data, unknown->len));
+  g_assert_false (pal_take_update (here.pal, back->data, back->len));
+  g_assert_cmpuint (seen.count, ==, 0);
+  g_assert_true (pal_take_update (here.pal, bytes->data, bytes->len));
+  g_assert_cmpuint (seen.count, ==, 1);
+  g_assert_cmpuint (seen.list, ==, 2);
+  g_assert_cmpint (seen.from, ==, 40);
+  g_assert_cmpint (seen.to, ==, 45);
+  g_assert_cmpstr (seen.events, ==, "{}");
+  g_free (seen.events);
+  side_free (&here);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -394,5 +445,6 @@
   g_test_add_func ("/pal/readers", test_readers);
   g_test_add_func ("/pal/seen", test_seen);
   g_test_add_func ("/pal/stray", test_stray);
+  g_test_add_func ("/pal/update", test_update);
   return g_test_run ();
 }
