Queues: a returning caller is one that was told to come, and wasn't served meanwhile

Two callers of one account who ask the same were taken for one, and the second, who had just come, was treated as late. A full table dropped the newest refusals, which are those that come back.

Change: one refusal stands for one return, not before the time of its Retry-After (told to the other routers too), and not after a request of that key was served here. The oldest refusals are dropped; sweeping looks at those alone.

Tests: parts/served-meanwhile, parts/many-refused, pal/refusals with an early caller.

--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -81,7 +81,8 @@
     }
 }
 
-/* Refused callers: key, and milliseconds since the first try.  */
+/* Refused callers: key, milliseconds since the first try, and until they were
+   told to come back.  */
 static void
 pack_refusals (pal_t *pal, msgpack_packer *packer, cfd_time_t now, bool whole)
 {
@@ -92,13 +93,14 @@
          && g_array_index (news, ret_news_t, first).number
                 <= pal->refusals_told)
     first++;
-  msgpack_pack_array (packer, (size_t)(news->len - first) * 2);
+  msgpack_pack_array (packer, (size_t)(news->len - first) * 3);
   for (guint i = first; i < news->len; i++)
     {
       const ret_news_t *one = &g_array_index (news, ret_news_t, i);
 
       msgpack_pack_uint64 (packer, one->key);
       msgpack_pack_uint64 (packer, (uint64_t)MAX (now - one->asked, 0));
+      msgpack_pack_uint64 (packer, (uint64_t)MAX (one->back_at - now, 0));
       pal->refusals_told = one->number;
     }
 }
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -9,7 +9,7 @@
 
 /* First item of each datagram, so that stray ones and other versions' are
    passed over.  */
-#define FORMAT 0xcfd7
+#define FORMAT 0xcfd8
 /* The same of updates.  */
 #define UPDATE_FORMAT 0xcfe1
 /* Units of reading work and of memory in datagrams, in tokens: small numbers
--- a/libcoltsfootdrum/relay/pal-take.c
+++ b/libcoltsfootdrum/relay/pal-take.c
@@ -70,7 +70,7 @@
          && (is_number (&items[8])
              || items[8].type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
          && is_numbers (&items[9], PAL_LISTS * 2)
-         && is_numbers (&items[10], 2);
+         && is_numbers (&items[10], 3);
 }
 
 static guint
@@ -242,14 +242,15 @@
 }
 
 static void
-take_refusals (pal_t *pal, cfd_time_t now, const msgpack_object_array *pairs)
+take_refusals (pal_t *pal, cfd_time_t now, const msgpack_object_array *rows)
 {
-  for (unsigned i = 0; i + 1 < pairs->size; i += 2)
+  for (unsigned i = 0; i + 2 < rows->size; i += 3)
     {
-      uint64_t ago = MIN (pairs->ptr[i + 1].via.u64, (uint64_t)now);
+      uint64_t ago = MIN (rows->ptr[i + 1].via.u64, (uint64_t)now);
+      uint64_t back = MIN (rows->ptr[i + 2].via.u64, AGE_MOST_MS);
 
-      ret_received (pal->ret, now, pairs->ptr[i].via.u64,
-                    now - (cfd_time_t)ago);
+      ret_received (pal->ret, now, rows->ptr[i].via.u64, now - (cfd_time_t)ago,
+                    now + (cfd_time_t)back);
     }
 }
 
--- a/libcoltsfootdrum/relay/ret.c
+++ b/libcoltsfootdrum/relay/ret.c
@@ -2,6 +2,7 @@
 
 #include "relay/ret.h"
 
+#include "base/list.h"
 #include <string.h>
 #include <xxhash.h>
 
@@ -13,27 +14,44 @@
  */
 #define KEY_MASK UINT64_C (0xffffffffff)
 
+/* Clocks of routers and the way back differ by less; and a caller may come a
+   little before its time.  */
+#define EARLY_SLACK_MS 20
+
 typedef struct
 {
+  list_node_t node;
   uint64_t key;
   cfd_time_t asked;
   cfd_time_t refused;
+  cfd_time_t back_at;
 } ret_caller_t;
 
 struct ret
 {
   GHashTable *callers; /* key to ret_caller_t */
+  list_node_t order;   /* the same, who was refused first comes first */
   GArray *news;        /* ret_news_t, the oldest first */
   uint64_t numbers;    /* given to news */
 };
 
+static void
+caller_free (void *data)
+{
+  ret_caller_t *caller = data;
+
+  list_remove (&caller->node);
+  g_free (caller);
+}
+
 ret_t *
 ret_new (void)
 {
   ret_t *ret = g_new0 (ret_t, 1);
 
   ret->callers
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, caller_free);
+  list_init (&ret->order);
   ret->news = g_array_new (FALSE, FALSE, sizeof (ret_news_t));
   return ret;
 }
@@ -58,27 +76,48 @@
   return XXH3_64bits_withSeed (body, length, key) & KEY_MASK;
 }
 
+static ret_caller_t *
+oldest (const ret_t *ret)
+{
+  return list_is_empty (&ret->order)
+             ? NULL
+             : list_entry (ret->order.next, ret_caller_t, node);
+}
+
+static void
+forget (ret_t *ret, const ret_caller_t *caller)
+{
+  g_hash_table_remove (ret->callers, &caller->key);
+}
+
 void
-ret_received (ret_t *ret, cfd_time_t now, uint64_t key, cfd_time_t asked)
+ret_received (ret_t *ret, cfd_time_t now, uint64_t key, cfd_time_t asked,
+              cfd_time_t back_at)
 {
-  ret_caller_t *caller;
+  ret_caller_t *caller = g_new0 (ret_caller_t, 1);
 
   if (g_hash_table_size (ret->callers) >= CALLERS_MOST)
-    return;
-  caller = g_new0 (ret_caller_t, 1);
+    forget (ret, oldest (ret));
   caller->key = key;
   caller->asked = asked;
   caller->refused = now;
+  caller->back_at = back_at;
+  list_init (&caller->node);
   g_hash_table_replace (ret->callers, &caller->key, caller);
+  list_append (&ret->order, &caller->node);
 }
 
 void
-ret_refused (ret_t *ret, cfd_time_t now, uint64_t key, cfd_time_t asked)
+ret_refused (ret_t *ret, cfd_time_t now, uint64_t key, cfd_time_t asked,
+             cfd_time_t back_at)
 {
-  ret_news_t news
-      = { .key = key, .asked = asked, .number = ++ret->numbers, .at = now };
+  ret_news_t news = { .key = key,
+                      .asked = asked,
+                      .back_at = back_at,
+                      .number = ++ret->numbers,
+                      .at = now };
 
-  ret_received (ret, now, key, asked);
+  ret_received (ret, now, key, asked, back_at);
   g_array_append_val (ret->news, news);
 }
 
@@ -88,14 +127,20 @@
   const ret_caller_t *caller = g_hash_table_lookup (ret->callers, &key);
   cfd_time_t asked = now;
 
-  if (caller == NULL)
+  if (caller == NULL || now < caller->back_at - EARLY_SLACK_MS)
     return now;
   if (now - caller->refused <= RETURN_MS)
     asked = MIN (caller->asked, now);
-  g_hash_table_remove (ret->callers, &key);
+  forget (ret, caller);
   return asked;
 }
 
+void
+ret_served (ret_t *ret, uint64_t key)
+{
+  g_hash_table_remove (ret->callers, &key);
+}
+
 const GArray *
 ret_news (ret_t *ret, cfd_time_t since)
 {
@@ -109,17 +154,14 @@
   return ret->news;
 }
 
-static gboolean
-is_old (gpointer key, gpointer value, gpointer user)
-{
-  const ret_caller_t *caller = value;
-  const cfd_time_t *now = user;
-
-  return *now - caller->refused > RETURN_MS;
-}
-
 void
 ret_sweep (ret_t *ret, cfd_time_t now)
 {
-  g_hash_table_foreach_remove (ret->callers, is_old, &now);
+  const ret_caller_t *caller = oldest (ret);
+
+  while (caller != NULL && now - caller->refused > RETURN_MS)
+    {
+      forget (ret, caller);
+      caller = oldest (ret);
+    }
 }
--- a/libcoltsfootdrum/relay/ret.h
+++ b/libcoltsfootdrum/relay/ret.h
@@ -25,25 +25,35 @@
 uint64_t ret_key (const char *account, const char *prompt, const void *body,
                   size_t length);
 
-/* The caller of KEY, who first asked at ASKED, was refused.  */
-void ret_refused (ret_t *ret, cfd_time_t now, uint64_t key, cfd_time_t asked);
-
-/* When the caller of KEY, who asks now, first asked.  */
+/* The caller of KEY, who first asked at ASKED, was refused and told to come
+   back at BACK_AT.  */
+void ret_refused (ret_t *ret, cfd_time_t now, uint64_t key, cfd_time_t asked,
+                  cfd_time_t back_at);
+
+/* When the caller of KEY, who asks now, first asked.  One refusal stands for
+   one return, and a caller who asks before it was told to is another one with
+   the same request.  */
 cfd_time_t ret_first_asked (ret_t *ret, cfd_time_t now, uint64_t key);
 
+/* A caller of KEY is being served: who asks the same later has not come back
+   from a refusal before that.  */
+void ret_served (ret_t *ret, uint64_t key);
+
 /* A refusal that the other routers are to be told of.  */
 typedef struct
 {
   uint64_t key;
   cfd_time_t asked;
+  cfd_time_t back_at;
   uint64_t number; /* counts up */
   cfd_time_t at;
 } ret_news_t;
 
 /* Refusals since SINCE; valid until the next call.  */
 const GArray *ret_news (ret_t *ret, cfd_time_t since);
-/* Another router refused the caller of KEY, who first asked at ASKED.  */
-void ret_received (ret_t *ret, cfd_time_t now, uint64_t key, cfd_time_t asked);
+/* Another router refused the caller of KEY.  */
+void ret_received (ret_t *ret, cfd_time_t now, uint64_t key, cfd_time_t asked,
+                   cfd_time_t back_at);
 
 /* Forgets callers who didn't come back.  */
 void ret_sweep (ret_t *ret, cfd_time_t now);
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -73,7 +73,8 @@
             now - request->since, request->service->waiting, retry_ms);
   request->rly->counts.refused++;
   if (request->key != 0)
-    ret_refused (request->rly->ret, now, request->key, request->asked);
+    ret_refused (request->rly->ret, now, request->key, request->asked,
+                 now + retry_ms);
   g_ascii_formatd (retry, sizeof retry, "%.3f", (double)retry_ms / 1000.);
   fields = g_strdup_printf ("Retry-After: %s\r\n", retry);
   rly_request_free (request);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -126,6 +126,8 @@
   if (!request->ran && is_success (&request->answer))
     {
       request->ran = true;
+      if (request->key != 0)
+        ret_served (request->rly->ret, request->key);
       prom_hist_add (&request->service->first_byte, now - request->since);
     }
   if (first && is_success (&request->answer))
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -271,8 +271,10 @@
   uint64_t key = ret_key ("mill", "a:1,b:2", "text", 4);
 
   tell (&one, &here, NOW, true);
-  ret_refused (one.ret, NOW, key, NOW - 250);
+  ret_refused (one.ret, NOW, key, NOW - 250, NOW + 100);
   tell (&one, &here, NOW + 10, false);
+  /* Whoever asks the same before that time just came.  */
+  g_assert_cmpint (ret_first_asked (here.ret, NOW + 50, key), ==, NOW + 50);
   g_assert_cmpint (ret_first_asked (here.ret, NOW + 300, key), ==, NOW - 250);
   /* It came: the next one like it is another request.  */
   g_assert_cmpint (ret_first_asked (here.ret, NOW + 400, key), ==, NOW + 400);
--- a/libcoltsfootdrum/relay/test-parts.c
+++ b/libcoltsfootdrum/relay/test-parts.c
@@ -179,17 +179,45 @@
   g_assert_cmpuint (key, !=, ret_key ("mill", "a:1,b:3", "text", 4));
   g_assert_cmpuint (key, !=, ret_key ("mill", "a:1,b:2", "test", 4));
   g_assert_cmpint (ret_first_asked (ret, NOW, key), ==, NOW);
-  ret_refused (ret, NOW + 300, key, NOW);
+  ret_refused (ret, NOW + 300, key, NOW, NOW + 400);
   g_assert_cmpuint (ret_news (ret, NOW)->len, ==, 1);
   g_assert_cmpint (ret_first_asked (ret, NOW + 500, key), ==, NOW);
   g_assert_cmpint (ret_first_asked (ret, NOW + 600, key), ==, NOW + 600);
   /* A caller who doesn't come back is forgotten.  */
-  ret_refused (ret, NOW + 300, key, NOW);
+  ret_refused (ret, NOW + 300, key, NOW, NOW + 400);
   ret_sweep (ret, NOW + 60000);
   g_assert_cmpint (ret_first_asked (ret, NOW + 60000, key), ==, NOW + 60000);
   g_assert_cmpuint (ret_news (ret, NOW + 60000)->len, ==, 0);
 }
 
+/* Two callers of one account ask the same.  One was refused, and one is being
+   served: who asks it next has not come back.  */
+static void
+test_served_meanwhile (void)
+{
+  g_autoptr (ret_t) ret = ret_new ();
+  uint64_t key = ret_key ("mill", "a:1,b:2", "text", 4);
+
+  ret_refused (ret, NOW, key, NOW, NOW + 100);
+  ret_served (ret, key);
+  g_assert_cmpint (ret_first_asked (ret, NOW + 500, key), ==, NOW + 500);
+}
+
+/* In a flood of refusals those are forgotten who were refused first: they have
+   come back already, or won't.  */
+static void
+test_many_refused (void)
+{
+  g_autoptr (ret_t) ret = ret_new ();
+
+  for (uint64_t key = 1; key <= 20000; key++)
+    ret_refused (ret, NOW + (cfd_time_t)key / 10, key, NOW, NOW);
+  g_assert_cmpint (ret_first_asked (ret, NOW + 2000, 1), ==, NOW + 2000);
+  g_assert_cmpint (ret_first_asked (ret, NOW + 2000, 20000), ==, NOW);
+  ret_sweep (ret, NOW + 60000);
+  g_assert_cmpint (ret_first_asked (ret, NOW + 2000, 19000), ==, NOW + 2000);
+}
+
 static void
 test_line (void)
 {
@@ -257,6 +285,8 @@
   g_test_add_func ("/pfx/news", test_news);
   g_test_add_func ("/bud/storm", test_budget);
   g_test_add_func ("/ret/returns", test_returns);
+  g_test_add_func ("/parts/served-meanwhile", test_served_meanwhile);
+  g_test_add_func ("/parts/many-refused", test_many_refused);
   g_test_add_func ("/fit/line", test_line);
   g_test_add_func ("/mech/names", test_mechanisms);
   g_test_add_func ("/hdr/hop", test_hop_fields);
--- a/libcoltsfootdrum/relay/test-rly-share.c
+++ b/libcoltsfootdrum/relay/test-rly-share.c
@@ -145,7 +145,8 @@
 {
   cfd_time_t now = clock_now ();
 
-  ret_refused (scene->ret, now, ret_key ("mill", prompt, "", 0), now - 15000);
+  ret_refused (scene->ret, now, ret_key ("mill", prompt, "", 0), now - 15000,
+               now);
 }
 
 /* A caller who was refused comes back past its latency objective, with no free
