Usage: the field's terms in use.c

demand, served, exponential decay, ratio to the fair level and to the demand, received, callback: as the users' vocabulary has them. No change of behaviour.

--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -57,8 +57,8 @@
   msgpack_packer *packer = user;
 
   pack_text (packer, account);
-  msgpack_pack_uint64 (packer, (uint64_t)own->asked);
-  msgpack_pack_uint64 (packer, (uint64_t)own->got);
+  msgpack_pack_uint64 (packer, (uint64_t)own->demand);
+  msgpack_pack_uint64 (packer, (uint64_t)own->served);
 }
 
 static void
--- a/libcoltsfootdrum/relay/pal-take.c
+++ b/libcoltsfootdrum/relay/pal-take.c
@@ -227,10 +227,10 @@
   for (unsigned i = 0; i + 2 < rows->size; i += 3)
     {
       g_autofree char *account = text_of (&rows->ptr[i]);
-      use_sum_t own = { .asked = (double)rows->ptr[i + 1].via.u64,
-                        .got = (double)rows->ptr[i + 2].via.u64 };
+      use_sum_t own = { .demand = (double)rows->ptr[i + 1].via.u64,
+                        .served = (double)rows->ptr[i + 2].via.u64 };
 
-      use_hear (pal->use, now, peer->name, account, &own);
+      use_received (pal->use, now, peer->name, account, &own);
     }
 }
 
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -225,7 +225,7 @@
 static double
 allowance (const use_t *use, cfd_time_t now, const char *account)
 {
-  double over = use_over (use, now, account);
+  double over = use_to_level (use, now, account);
   double part = (over - OVER_FIRST) / (OVER_LAST - OVER_FIRST);
 
   return 1. - (1. - OVER_ALLOWANCE) * CLAMP (part, 0., 1.);
@@ -239,11 +239,11 @@
       rly_line_t *line = list_entry (node, rly_line_t, node);
 
       line->passed = false;
-      line->use = use_all (rly->use, now, line->account).got;
+      line->use = use_all (rly->use, now, line->account).served;
       line->allowed = rly_has (rly, MECH_THROTTLE)
                           ? allowance (rly->use, now, line->account)
                           : 1.;
-      line->behind = use_of_due (rly->use, now, line->account) < BEHIND;
+      line->behind = use_to_demand (rly->use, now, line->account) < BEHIND;
       line->late_allowed = MIN (line->allowed, LATE_ALLOWANCE);
     }
 }
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -191,7 +191,7 @@
   if (request->prompt != NULL)
     pfx_note (rly->pfx, now, edp->hash, request->prompt);
   if (!request->charged)
-    use_get (rly->use, now, rly_account_name (request), request->cost);
+    use_add_served (rly->use, now, rly_account_name (request), request->cost);
   request->charged = true;
 }
 
@@ -246,7 +246,8 @@
 {
   if (!request->charged || request->ran)
     return;
-  use_get (request->rly->use, now, rly_account_name (request), -request->cost);
+  use_add_served (request->rly->use, now, rly_account_name (request),
+                  -request->cost);
   request->charged = false;
 }
 
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -410,7 +410,7 @@
   request->service
       = rly_service (rly, rte_route_service (route, g_random_double ()));
   bud_request (&request->service->repeats, now);
-  use_ask (rly->use, now, rly_account_name (request), request->cost);
+  use_add_demand (rly->use, now, rly_account_name (request), request->cost);
   rly_wait (request);
   if (!rly_refuse_early (request, now))
     rly_pump_later (request->service);
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -234,13 +234,13 @@
   side_t one = side_new ("one");
 
   set_load (&one, 9, 900.);
-  use_get (one.use, NOW, "mill", 5000.);
+  use_add_served (one.use, NOW, "mill", 5000.);
   tell (&one, &here, NOW, true);
-  g_assert_cmpfloat (use_all (here.use, NOW, "mill").got, ==, 5000.);
+  g_assert_cmpfloat (use_all (here.use, NOW, "mill").served, ==, 5000.);
   pal_tick (here.pal, NOW + 5000);
   g_assert_cmpuint (endpoint_of (&here)->peer_active, ==, 0);
   g_assert_cmpuint (pal_routers (here.pal), ==, 1);
-  g_assert_cmpfloat (use_all (here.use, NOW, "mill").got, ==, 0.);
+  g_assert_cmpfloat (use_all (here.use, NOW, "mill").served, ==, 0.);
   side_free (&here);
   side_free (&one);
 }
@@ -360,7 +360,7 @@
   g_autoptr (GByteArray) bytes = NULL;
 
   set_load (&one, 3, 500.);
-  use_get (one.use, NOW, "mill", 5000.);
+  use_add_served (one.use, NOW, "mill", 5000.);
   bytes = pal_pack (one.pal, NOW, true);
   for (guint i = 0; i < bytes->len; i++)
     {
--- a/libcoltsfootdrum/relay/test-rly-share.c
+++ b/libcoltsfootdrum/relay/test-rly-share.c
@@ -65,8 +65,8 @@
   scene_wait_for (scene, caller, "\r\n\r\n");
   g_assert_true (g_str_has_prefix (caller->text->str, "HTTP/1.1 503 "));
   sum = use_all (scene->use, clock_now (), "mill");
-  g_assert_cmpfloat (sum.asked, >, 0.);
-  g_assert_cmpfloat (sum.got, ==, 0.);
+  g_assert_cmpfloat (sum.demand, >, 0.);
+  g_assert_cmpfloat (sum.served, ==, 0.);
   scene_caller_free (caller);
   scene_free (scene);
 }
@@ -92,9 +92,9 @@
   scene_run (scene, has_waiting, scene);
   g_assert_cmpuint (scene->arrived, ==, 2);
   now = clock_now ();
-  use_ask (scene->use, now, "mill", 2. * MUCH);
-  use_ask (scene->use, now, "press", 2. * MUCH);
-  use_get (scene->use, now, "press", MUCH);
+  use_add_demand (scene->use, now, "mill", 2. * MUCH);
+  use_add_demand (scene->use, now, "press", 2. * MUCH);
+  use_add_served (scene->use, now, "press", MUCH);
   scene_run (scene, has_three, scene);
   g_assert_nonnull (strstr (scene->last->str, "|X-Id=3|"));
   for (guint i = 0; i < G_N_ELEMENTS (callers); i++)
--- a/libcoltsfootdrum/relay/test-use.c
+++ b/libcoltsfootdrum/relay/test-use.c
@@ -13,8 +13,8 @@
   struct
   {
     const char *account;
-    double asked;
-    double got;
+    double demand;
+    double served;
     double over; /* parts of the level */
     double of_due;
   } rows[5];
@@ -48,17 +48,17 @@
 
   for (unsigned i = 0; one->rows[i].account != NULL; i++)
     {
-      use_ask (use, NOW, one->rows[i].account, one->rows[i].asked);
-      use_get (use, NOW, one->rows[i].account, one->rows[i].got);
+      use_add_demand (use, NOW, one->rows[i].account, one->rows[i].demand);
+      use_add_served (use, NOW, one->rows[i].account, one->rows[i].served);
     }
   use_level (use, NOW);
   for (unsigned i = 0; one->rows[i].account != NULL; i++)
     {
       const char *account = one->rows[i].account;
 
-      g_assert_cmpfloat_with_epsilon (use_over (use, NOW, account),
+      g_assert_cmpfloat_with_epsilon (use_to_level (use, NOW, account),
                                       one->rows[i].over, 1e-6);
-      g_assert_cmpfloat_with_epsilon (use_of_due (use, NOW, account),
+      g_assert_cmpfloat_with_epsilon (use_to_demand (use, NOW, account),
                                       one->rows[i].of_due, 1e-6);
     }
 }
@@ -68,8 +68,8 @@
 {
   g_autoptr (use_t) use = use_new (WINDOW_MS);
 
-  use_get (use, NOW, "a", 100.);
-  g_assert_cmpfloat_with_epsilon (use_all (use, NOW + WINDOW_MS, "a").got,
+  use_add_served (use, NOW, "a", 100.);
+  g_assert_cmpfloat_with_epsilon (use_all (use, NOW + WINDOW_MS, "a").served,
                                   100. / G_E, 1e-6);
 }
 
@@ -80,13 +80,16 @@
 {
   g_autoptr (use_t) use = use_new (WINDOW_MS);
 
-  use_get (use, NOW, "a", 10.);
-  use_hear (use, NOW, "r1", "a", &(use_sum_t){ .asked = 50., .got = 20. });
-  use_hear (use, NOW, "r1", "a", &(use_sum_t){ .asked = 60., .got = 30. });
-  use_hear (use, NOW, "r2", "a", &(use_sum_t){ .asked = 5., .got = 5. });
-  g_assert_cmpfloat (use_all (use, NOW, "a").got, ==, 45.);
+  use_add_served (use, NOW, "a", 10.);
+  use_received (use, NOW, "r1", "a",
+                &(use_sum_t){ .demand = 50., .served = 20. });
+  use_received (use, NOW, "r1", "a",
+                &(use_sum_t){ .demand = 60., .served = 30. });
+  use_received (use, NOW, "r2", "a",
+                &(use_sum_t){ .demand = 5., .served = 5. });
+  g_assert_cmpfloat (use_all (use, NOW, "a").served, ==, 45.);
   use_forget (use, NOW, "r1");
-  g_assert_cmpfloat (use_all (use, NOW, "a").got, ==, 15.);
+  g_assert_cmpfloat (use_all (use, NOW, "a").served, ==, 15.);
 }
 
 /* Sums kept by differences stay equal to the sums added up anew, however often
@@ -116,12 +119,12 @@
       if (i % 11 == 0)
         use_forget (use, now, name);
       else
-        use_hear (use, now, name, "a",
-                  &(use_sum_t){ .asked = last[r], .got = last[r] });
+        use_received (use, now, name, "a",
+                      &(use_sum_t){ .demand = last[r], .served = last[r] });
     }
   for (unsigned r = 0; r < ROUTERS; r++)
     sum += last[r] * exp (-(double)(now - at[r]) / WINDOW_MS);
-  g_assert_cmpfloat_with_epsilon (use_all (use, now, "a").got, sum, 1e-6);
+  g_assert_cmpfloat_with_epsilon (use_all (use, now, "a").served, sum, 1e-6);
 }
 
 int
--- a/libcoltsfootdrum/relay/use.c
+++ b/libcoltsfootdrum/relay/use.c
@@ -1,35 +1,36 @@
-/* Accounts' shares.  */
+/* Usage of client accounts: sums with exponential decay, and the fair level.
+ */
 
 #include "relay/use.h"
 
 #include <math.h>
 #include <stdlib.h>
 
-/* Below this an account's sums are taken for nothing, in tokens.  */
-#define NOTHING 1.
-/* Accounts that together asked for this little more than they got are served
-   in full: what waits right now is asked for and not got yet.  */
+/* Smaller sums of an account count as none.  */
+#define EMPTY_SUM_TOKENS 1.
+/* With this share of all demand served nobody is held back: what waits right
+   now is demanded and not served yet.  */
 #define ALL_SERVED 0.95
 
-/* Sums that fade out: after the window they are down to 1/e.  */
+/* A sum as of a moment; after the window it is down to 1/e.  */
 typedef struct
 {
   use_sum_t sum;
   cfd_time_t at;
-} use_figure_t;
+} use_decayed_t;
 
 typedef struct
 {
-  use_figure_t own;
-  use_figure_t others; /* the sum over PEERS, kept by differences */
-  GHashTable *peers;   /* router to use_figure_t */
+  use_decayed_t own;
+  use_decayed_t others; /* the sum over PEERS, kept by differences */
+  GHashTable *peers;    /* router to use_decayed_t */
 } use_account_t;
 
 struct use
 {
   double window_ms;
   GHashTable *accounts; /* name to use_account_t */
-  double level;         /* INFINITY while all get what they ask for */
+  double level;         /* INFINITY while all demand is served */
 };
 
 static void
@@ -77,79 +78,80 @@
 }
 
 static use_sum_t
-faded (const use_t *use, const use_figure_t *figure, cfd_time_t now)
+decayed (const use_t *use, const use_decayed_t *figure, cfd_time_t now)
 {
   double keep = exp (-(double)MAX (now - figure->at, 0) / use->window_ms);
 
-  return (use_sum_t){ .asked = figure->sum.asked * keep,
-                      .got = figure->sum.got * keep };
+  return (use_sum_t){ .demand = figure->sum.demand * keep,
+                      .served = figure->sum.served * keep };
 }
 
 static void
-add_to (const use_t *use, use_figure_t *figure, cfd_time_t now, double asked,
-        double got)
+add_to (const use_t *use, use_decayed_t *figure, cfd_time_t now, double demand,
+        double served)
 {
-  use_sum_t sum = faded (use, figure, now);
+  use_sum_t sum = decayed (use, figure, now);
 
-  figure->sum.asked = MAX (sum.asked + asked, 0.);
-  figure->sum.got = MAX (sum.got + got, 0.);
+  figure->sum.demand = MAX (sum.demand + demand, 0.);
+  figure->sum.served = MAX (sum.served + served, 0.);
   figure->at = now;
 }
 
 static void
-add (use_t *use, cfd_time_t now, const char *name, double asked, double got)
+add (use_t *use, cfd_time_t now, const char *name, double demand,
+     double served)
 {
-  add_to (use, &account_of (use, name)->own, now, asked, got);
+  add_to (use, &account_of (use, name)->own, now, demand, served);
 }
 
 /* All figures decay at one rate, so that their sum does too.  */
 static void
-take_off (const use_t *use, use_account_t *account, const use_figure_t *figure,
-          cfd_time_t now)
+take_off (const use_t *use, use_account_t *account,
+          const use_decayed_t *figure, cfd_time_t now)
 {
-  use_sum_t old = faded (use, figure, now);
+  use_sum_t old = decayed (use, figure, now);
 
-  add_to (use, &account->others, now, -old.asked, -old.got);
+  add_to (use, &account->others, now, -old.demand, -old.served);
 }
 
 void
-use_ask (use_t *use, cfd_time_t now, const char *account, double cost)
+use_add_demand (use_t *use, cfd_time_t now, const char *account, double cost)
 {
   add (use, now, account, cost, 0.);
 }
 
 void
-use_get (use_t *use, cfd_time_t now, const char *account, double cost)
+use_add_served (use_t *use, cfd_time_t now, const char *account, double cost)
 {
   add (use, now, account, 0., cost);
 }
 
 void
-use_hear (use_t *use, cfd_time_t now, const char *router, const char *name,
-          const use_sum_t *own)
+use_received (use_t *use, cfd_time_t now, const char *router, const char *name,
+              const use_sum_t *own)
 {
   use_account_t *account = account_of (use, name);
-  use_figure_t *figure = g_hash_table_lookup (account->peers, router);
+  use_decayed_t *figure = g_hash_table_lookup (account->peers, router);
 
   if (figure == NULL)
     {
-      figure = g_new0 (use_figure_t, 1);
+      figure = g_new0 (use_decayed_t, 1);
       g_hash_table_insert (account->peers, g_strdup (router), figure);
     }
   take_off (use, account, figure, now);
   figure->sum = *own;
   figure->at = now;
-  add_to (use, &account->others, now, own->asked, own->got);
+  add_to (use, &account->others, now, own->demand, own->served);
 }
 
 static use_sum_t
 sum_of (const use_t *use, const use_account_t *account, cfd_time_t now)
 {
-  use_sum_t own = faded (use, &account->own, now);
-  use_sum_t others = faded (use, &account->others, now);
+  use_sum_t own = decayed (use, &account->own, now);
+  use_sum_t others = decayed (use, &account->others, now);
 
-  return (use_sum_t){ .asked = own.asked + others.asked,
-                      .got = own.got + others.got };
+  return (use_sum_t){ .demand = own.demand + others.demand,
+                      .served = own.served + others.served };
 }
 
 use_sum_t
@@ -165,14 +167,15 @@
 {
   const use_account_t *account = g_hash_table_lookup (use->accounts, name);
 
-  return account != NULL ? faded (use, &account->own, now).got / use->window_ms
-                         : 0.;
+  return account != NULL
+             ? decayed (use, &account->own, now).served / use->window_ms
+             : 0.;
 }
 
 void
 use_each_own (use_t *use, cfd_time_t now,
-              void (*back) (void *user, const char *account,
-                            const use_sum_t *own),
+              void (*callback) (void *user, const char *account,
+                                const use_sum_t *own),
               void *user)
 {
   GHashTableIter each;
@@ -182,10 +185,10 @@
   g_hash_table_iter_init (&each, use->accounts);
   while (g_hash_table_iter_next (&each, &name, &account))
     {
-      use_sum_t own = faded (use, &((use_account_t *)account)->own, now);
+      use_sum_t own = decayed (use, &((use_account_t *)account)->own, now);
 
-      if (own.asked >= NOTHING || own.got >= NOTHING)
-        back (user, name, &own);
+      if (own.demand >= EMPTY_SUM_TOKENS || own.served >= EMPTY_SUM_TOKENS)
+        callback (user, name, &own);
     }
 }
 
@@ -199,7 +202,7 @@
   while (g_hash_table_iter_next (&each, NULL, &data))
     {
       use_account_t *account = data;
-      const use_figure_t *figure
+      const use_decayed_t *figure
           = g_hash_table_lookup (account->peers, router);
 
       if (figure == NULL)
@@ -218,18 +221,18 @@
   return (x > y) - (x < y);
 }
 
-/* The level at which the COUNT accounts that asked for ASKED, least first,
-   take WHOLE together.  */
+/* The level at which COUNT accounts with these DEMANDs, least first, take
+   WHOLE together.  */
 static double
-fill (const double *asked, guint count, double whole)
+fill (const double *demand, guint count, double whole)
 {
   for (guint i = 0; i < count; i++)
     {
       double even = whole / (count - i);
 
-      if (asked[i] >= even)
+      if (demand[i] >= even)
         return even;
-      whole -= asked[i];
+      whole -= demand[i];
     }
   return INFINITY;
 }
@@ -237,9 +240,9 @@
 void
 use_level (use_t *use, cfd_time_t now)
 {
-  g_autoptr (GArray) asked = g_array_new (FALSE, FALSE, sizeof (double));
-  double all_asked = 0.;
-  double all_got = 0.;
+  g_autoptr (GArray) demand = g_array_new (FALSE, FALSE, sizeof (double));
+  double all_demand = 0.;
+  double all_served = 0.;
   GHashTableIter each;
   void *account;
 
@@ -248,37 +251,37 @@
     {
       use_sum_t sum = sum_of (use, account, now);
 
-      if (sum.asked < NOTHING && sum.got < NOTHING)
+      if (sum.demand < EMPTY_SUM_TOKENS && sum.served < EMPTY_SUM_TOKENS)
         {
           g_hash_table_iter_remove (&each);
           continue;
         }
-      all_asked += sum.asked;
-      all_got += sum.got;
-      g_array_append_val (asked, sum.asked);
+      all_demand += sum.demand;
+      all_served += sum.served;
+      g_array_append_val (demand, sum.demand);
     }
   use->level = INFINITY;
-  if (all_got >= all_asked * ALL_SERVED)
+  if (all_served >= all_demand * ALL_SERVED)
     return;
-  qsort (asked->data, asked->len, sizeof (double), compare);
-  use->level = fill ((const double *)asked->data, asked->len, all_got);
+  qsort (demand->data, demand->len, sizeof (double), compare);
+  use->level = fill ((const double *)demand->data, demand->len, all_served);
 }
 
 double
-use_over (const use_t *use, cfd_time_t now, const char *account)
+use_to_level (const use_t *use, cfd_time_t now, const char *account)
 {
   if (isinf (use->level) || use->level <= 0.)
     return 0.;
-  return use_all (use, now, account).got / use->level;
+  return use_all (use, now, account).served / use->level;
 }
 
 double
-use_of_due (const use_t *use, cfd_time_t now, const char *account)
+use_to_demand (const use_t *use, cfd_time_t now, const char *account)
 {
   use_sum_t all = use_all (use, now, account);
-  double due = MIN (all.asked, use->level);
+  double due = MIN (all.demand, use->level);
 
-  if (isinf (use->level) || due < NOTHING)
+  if (isinf (use->level) || due < EMPTY_SUM_TOKENS)
     return 1.;
-  return all.got / due;
+  return all.served / due;
 }
