--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -5,8 +5,9 @@
 #include <msgpack.h>
 #include <string.h>
 
-/* News of prompts is told in all datagrams of this time, for some are lost. */
-#define NEWS_MS 150
+/* Prefixes and refusals are told in all datagrams of this time, for some are
+   lost.  */
+#define UPDATES_MS 150
 
 static void
 pack_text (msgpack_packer *packer, const char *text)
@@ -62,22 +63,23 @@
 }
 
 static void
-pack_news (pal_t *pal, msgpack_packer *packer, cfd_time_t now, bool whole)
+pack_prefixes (pal_t *pal, msgpack_packer *packer, cfd_time_t now, bool whole)
 {
-  const GArray *news = pfx_news (pal->pfx, now - NEWS_MS);
+  const GArray *updates = pfx_updates (pal->pfx, now - UPDATES_MS);
   guint first = 0;
 
-  while (!whole && first < news->len
-         && g_array_index (news, pfx_news_t, first).number <= pal->news_told)
+  while (!whole && first < updates->len
+         && g_array_index (updates, pfx_update_t, first).number
+                <= pal->prefixes_told)
     first++;
-  msgpack_pack_array (packer, (size_t)(news->len - first) * 2);
-  for (guint i = first; i < news->len; i++)
+  msgpack_pack_array (packer, (size_t)(updates->len - first) * 2);
+  for (guint i = first; i < updates->len; i++)
     {
-      const pfx_news_t *one = &g_array_index (news, pfx_news_t, i);
+      const pfx_update_t *one = &g_array_index (updates, pfx_update_t, i);
 
       msgpack_pack_uint64 (packer, one->endpoint);
       msgpack_pack_uint64 (packer, one->part);
-      pal->news_told = one->number;
+      pal->prefixes_told = one->number;
     }
 }
 
@@ -86,17 +88,17 @@
 static void
 pack_refusals (pal_t *pal, msgpack_packer *packer, cfd_time_t now, bool whole)
 {
-  const GArray *news = ret_news (pal->ret, now - NEWS_MS);
+  const GArray *updates = ret_updates (pal->ret, now - UPDATES_MS);
   guint first = 0;
 
-  while (!whole && first < news->len
-         && g_array_index (news, ret_news_t, first).number
+  while (!whole && first < updates->len
+         && g_array_index (updates, ret_update_t, first).number
                 <= pal->refusals_told)
     first++;
-  msgpack_pack_array (packer, (size_t)(news->len - first) * 3);
-  for (guint i = first; i < news->len; i++)
+  msgpack_pack_array (packer, (size_t)(updates->len - first) * 3);
+  for (guint i = first; i < updates->len; i++)
     {
-      const ret_news_t *one = &g_array_index (news, ret_news_t, i);
+      const ret_update_t *one = &g_array_index (updates, ret_update_t, i);
 
       msgpack_pack_uint64 (packer, one->key);
       msgpack_pack_uint64 (packer, (uint64_t)MAX (now - one->asked, 0));
@@ -148,7 +150,7 @@
   msgpack_pack_uint8 (&packer, whole);
   pack_loads (pal, &packer, whole);
   pack_uses (pal, &packer, now, whole);
-  pack_news (pal, &packer, now, whole);
+  pack_prefixes (pal, &packer, now, whole);
   msgpack_pack_int64 (&packer, pal->steady_ms);
   pack_seen (pal, &packer, whole);
   pack_refusals (pal, &packer, now, whole);
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -59,7 +59,7 @@
   int64_t ages[PAL_LISTS];
   cfd_time_t told_changes; /* when changes were sent */
   cfd_time_t told;         /* when all figures were sent */
-  uint64_t news_told;      /* number of the newest */
+  uint64_t prefixes_told;  /* number of the newest */
   uint64_t refusals_told;  /* the same of refusals */
   void (*on_update) (void *user, unsigned list, int64_t from, int64_t to,
                      const char *events); /* NULL: nobody asks */
--- a/libcoltsfootdrum/relay/pal-take.c
+++ b/libcoltsfootdrum/relay/pal-take.c
@@ -235,10 +235,11 @@
 }
 
 static void
-take_news (pal_t *pal, cfd_time_t now, const msgpack_object_array *pairs)
+take_prefixes (pal_t *pal, cfd_time_t now, const msgpack_object_array *pairs)
 {
   for (unsigned i = 0; i + 1 < pairs->size; i += 2)
-    pfx_hear (pal->pfx, now, pairs->ptr[i].via.u64, pairs->ptr[i + 1].via.u64);
+    pfx_received (pal->pfx, now, pairs->ptr[i].via.u64,
+                  pairs->ptr[i + 1].via.u64);
 }
 
 static void
@@ -300,7 +301,7 @@
   peer->heard = now;
   take_loads (pal, peer, &items[5].via.array, items[4].via.u64 != 0);
   take_use (pal, peer, now, &items[6].via.array);
-  take_news (pal, now, &items[7].via.array);
+  take_prefixes (pal, now, &items[7].via.array);
   peer->steady_ms = items[8].via.i64;
   take_seen (peer, now, &items[9].via.array);
   take_refusals (pal, now, &items[10].via.array);
--- a/libcoltsfootdrum/relay/pfx.c
+++ b/libcoltsfootdrum/relay/pfx.c
@@ -6,8 +6,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* A part that was not used for so long is taken for evicted.  */
-#define KEPT_MS 8000
+/* A part that was not used for this time counts as evicted.  */
+#define CACHED_MS 8000
 
 /* Half of a hash: some thousand parts hardly meet in it, and routers tell each
    other of parts by the thousand.  */
@@ -16,8 +16,8 @@
 struct pfx
 {
   GHashTable *uses; /* uint64_t of part and endpoint to pfx_use_t */
-  GArray *news;     /* pfx_news_t, the oldest first */
-  uint64_t numbers; /* given to news */
+  GArray *updates;  /* pfx_update_t, the oldest first */
+  uint64_t numbers; /* given to updates */
 };
 
 typedef struct
@@ -111,7 +111,7 @@
   pfx_t *pfx = g_new0 (pfx_t, 1);
 
   pfx->uses = g_hash_table_new_full (use_hash, use_equal, g_free, NULL);
-  pfx->news = g_array_new (FALSE, FALSE, sizeof (pfx_news_t));
+  pfx->updates = g_array_new (FALSE, FALSE, sizeof (pfx_update_t));
   return pfx;
 }
 
@@ -121,7 +121,7 @@
   if (pfx == NULL)
     return;
   g_hash_table_unref (pfx->uses);
-  g_array_unref (pfx->news);
+  g_array_unref (pfx->updates);
   g_free (pfx);
 }
 
@@ -157,55 +157,55 @@
 pfx_note (pfx_t *pfx, cfd_time_t now, uint64_t endpoint,
           const pfx_prompt_t *prompt)
 {
-  pfx_news_t news = { .endpoint = endpoint,
-                      .part = pfx_prompt_shared (prompt),
-                      .number = ++pfx->numbers,
-                      .at = now };
+  pfx_update_t updates = { .endpoint = endpoint,
+                           .part = pfx_prompt_shared (prompt),
+                           .number = ++pfx->numbers,
+                           .at = now };
 
   for (guint i = 0; i + 1 < prompt->parts->len; i++)
     note_part (pfx, now, endpoint, part_at (prompt, i)->id);
-  if (news.part != 0)
-    g_array_append_val (pfx->news, news);
+  if (updates.part != 0)
+    g_array_append_val (pfx->updates, updates);
 }
 
 const GArray *
-pfx_news (pfx_t *pfx, cfd_time_t since)
+pfx_updates (pfx_t *pfx, cfd_time_t since)
 {
   guint old = 0;
 
-  while (old < pfx->news->len
-         && g_array_index (pfx->news, pfx_news_t, old).at < since)
+  while (old < pfx->updates->len
+         && g_array_index (pfx->updates, pfx_update_t, old).at < since)
     old++;
   if (old > 0)
-    g_array_remove_range (pfx->news, 0, old);
-  return pfx->news;
+    g_array_remove_range (pfx->updates, 0, old);
+  return pfx->updates;
 }
 
 void
-pfx_hear (pfx_t *pfx, cfd_time_t now, uint64_t endpoint, uint64_t part)
+pfx_received (pfx_t *pfx, cfd_time_t now, uint64_t endpoint, uint64_t part)
 {
   note_part (pfx, now, endpoint, part);
 }
 
 static bool
-keeps (const pfx_t *pfx, cfd_time_t now, uint64_t endpoint, uint64_t part)
+caches (const pfx_t *pfx, cfd_time_t now, uint64_t endpoint, uint64_t part)
 {
   uint64_t key = key_of (endpoint, part);
   const pfx_use_t *use = g_hash_table_lookup (pfx->uses, &key);
 
-  return use != NULL && now - use->last <= KEPT_MS;
+  return use != NULL && now - use->last <= CACHED_MS;
 }
 
-/* The longest chain of parts counts: it is kept together with all before.  */
+/* A part is cached together with all before it.  */
 unsigned
-pfx_kept (const pfx_t *pfx, cfd_time_t now, uint64_t endpoint,
-          const pfx_prompt_t *prompt)
+pfx_cached (const pfx_t *pfx, cfd_time_t now, uint64_t endpoint,
+            const pfx_prompt_t *prompt)
 {
   unsigned tokens = pfx_prompt_shared_tokens (prompt);
 
   for (guint i = prompt->parts->len - 1; i-- > 0;)
     {
-      if (keeps (pfx, now, endpoint, part_at (prompt, i)->id))
+      if (caches (pfx, now, endpoint, part_at (prompt, i)->id))
         return tokens;
       tokens -= part_at (prompt, i)->tokens;
     }
@@ -218,7 +218,7 @@
   const pfx_use_t *use = value;
   const cfd_time_t *now = user;
 
-  return *now - use->last > KEPT_MS;
+  return *now - use->last > CACHED_MS;
 }
 
 void
--- a/libcoltsfootdrum/relay/pfx.h
+++ b/libcoltsfootdrum/relay/pfx.h
@@ -1,5 +1,5 @@
-/* Which parts of prompts an endpoint probably keeps in its cache: what routers
-   sent there lately.  A guess; a wrong one costs time alone.  */
+/* Prompt prefixes that endpoints probably cache: what routers sent there
+   lately. A wrong guess costs time alone.  */
 
 #ifndef RELAY_PFX_H
 #define RELAY_PFX_H
@@ -14,8 +14,8 @@
 /* One part of a prompt, in order.  */
 typedef struct
 {
-  uint64_t id; /* with that of all parts before it: a part is kept only
-                  together with these */
+  uint64_t id; /* with that of all parts before it: a part is cached
+                  together with these alone */
   unsigned tokens;
 } pfx_part_t;
 
@@ -30,8 +30,8 @@
 void pfx_prompt_free (pfx_prompt_t *prompt);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (pfx_prompt_t, pfx_prompt_free)
 
-/* The part by which requests that share a prompt's beginning are known: the
-   last one but the request's own.  0 when there is none.  */
+/* The part that names the shared prefix: the last one but the request's own. 0
+   when there is none.  */
 uint64_t pfx_prompt_shared (const pfx_prompt_t *prompt);
 
 pfx_t *pfx_new (void);
@@ -42,26 +42,27 @@
 void pfx_note (pfx_t *pfx, cfd_time_t now, uint64_t endpoint,
                const pfx_prompt_t *prompt);
 
-/* What other routers are to be told: the last shared part of a prompt that was
-   noted here lately.  */
+/* What other routers are to be told: the prefix of a prompt that was noted
+   here lately.  */
 typedef struct
 {
   uint64_t endpoint;
   uint64_t part;
   uint64_t number; /* counts up */
   cfd_time_t at;
-} pfx_news_t;
+} pfx_update_t;
 
-/* News since SINCE; valid until the next call.  */
-const GArray *pfx_news (pfx_t *pfx, cfd_time_t since);
-/* Another router sent a prompt that ends in PART, but for its own part.  */
-void pfx_hear (pfx_t *pfx, cfd_time_t now, uint64_t endpoint, uint64_t part);
+/* Updates since SINCE; valid until the next call.  */
+const GArray *pfx_updates (pfx_t *pfx, cfd_time_t since);
+/* Another router sent a prompt with the prefix that ends in PART.  */
+void pfx_received (pfx_t *pfx, cfd_time_t now, uint64_t endpoint,
+                   uint64_t part);
 
 /* Tokens of all parts of PROMPT but its own.  */
 unsigned pfx_prompt_shared_tokens (const pfx_prompt_t *prompt);
-/* Tokens at the front of PROMPT that ENDPOINT keeps, probably.  */
-unsigned pfx_kept (const pfx_t *pfx, cfd_time_t now, uint64_t endpoint,
-                   const pfx_prompt_t *prompt);
+/* Tokens of the longest prefix of PROMPT that ENDPOINT caches, probably.  */
+unsigned pfx_cached (const pfx_t *pfx, cfd_time_t now, uint64_t endpoint,
+                     const pfx_prompt_t *prompt);
 /* Forgets what is old.  */
 void pfx_sweep (pfx_t *pfx, cfd_time_t now);
 
--- a/libcoltsfootdrum/relay/ret.c
+++ b/libcoltsfootdrum/relay/ret.c
@@ -31,8 +31,8 @@
 {
   GHashTable *callers; /* key to ret_caller_t */
   list_node_t order;   /* the same, who was refused first comes first */
-  GArray *news;        /* ret_news_t, the oldest first */
-  uint64_t numbers;    /* given to news */
+  GArray *updates;     /* ret_update_t, the oldest first */
+  uint64_t numbers;    /* given to updates */
 };
 
 static void
@@ -52,7 +52,7 @@
   ret->callers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, caller_free);
   list_init (&ret->order);
-  ret->news = g_array_new (FALSE, FALSE, sizeof (ret_news_t));
+  ret->updates = g_array_new (FALSE, FALSE, sizeof (ret_update_t));
   return ret;
 }
 
@@ -62,7 +62,7 @@
   if (ret == NULL)
     return;
   g_hash_table_unref (ret->callers);
-  g_array_unref (ret->news);
+  g_array_unref (ret->updates);
   g_free (ret);
 }
 
@@ -111,14 +111,14 @@
 ret_refused (ret_t *ret, cfd_time_t now, uint64_t key, cfd_time_t asked,
              cfd_time_t back_at)
 {
-  ret_news_t news = { .key = key,
-                      .asked = asked,
-                      .back_at = back_at,
-                      .number = ++ret->numbers,
-                      .at = now };
+  ret_update_t updates = { .key = key,
+                           .asked = asked,
+                           .back_at = back_at,
+                           .number = ++ret->numbers,
+                           .at = now };
 
   ret_received (ret, now, key, asked, back_at);
-  g_array_append_val (ret->news, news);
+  g_array_append_val (ret->updates, updates);
 }
 
 cfd_time_t
@@ -142,16 +142,16 @@
 }
 
 const GArray *
-ret_news (ret_t *ret, cfd_time_t since)
+ret_updates (ret_t *ret, cfd_time_t since)
 {
   guint old = 0;
 
-  while (old < ret->news->len
-         && g_array_index (ret->news, ret_news_t, old).at < since)
+  while (old < ret->updates->len
+         && g_array_index (ret->updates, ret_update_t, old).at < since)
     old++;
   if (old > 0)
-    g_array_remove_range (ret->news, 0, old);
-  return ret->news;
+    g_array_remove_range (ret->updates, 0, old);
+  return ret->updates;
 }
 
 void
--- a/libcoltsfootdrum/relay/ret.h
+++ b/libcoltsfootdrum/relay/ret.h
@@ -47,10 +47,10 @@
   cfd_time_t back_at;
   uint64_t number; /* counts up */
   cfd_time_t at;
-} ret_news_t;
+} ret_update_t;
 
 /* Refusals since SINCE; valid until the next call.  */
-const GArray *ret_news (ret_t *ret, cfd_time_t since);
+const GArray *ret_updates (ret_t *ret, cfd_time_t since);
 /* Another router refused the caller of KEY.  */
 void ret_received (ret_t *ret, cfd_time_t now, uint64_t key, cfd_time_t asked,
                    cfd_time_t back_at);
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -193,8 +193,8 @@
   round->source = 0;
   for (guint i = 0; i < round->count; i++)
     {
-      round->cached[i] = pfx_kept (round->rly->pfx, round->now,
-                                   round->edps[i]->hash, prompt);
+      round->cached[i] = pfx_cached (round->rly->pfx, round->now,
+                                     round->edps[i]->hash, prompt);
       if (round->cached[i] > round->cached[round->source])
         round->source = i;
     }
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -256,7 +256,7 @@
   tell (&one, &here, NOW, true);
   pfx_note (one.pfx, NOW, endpoint_of (&one)->hash, prompt);
   tell (&one, &here, NOW, false);
-  g_assert_cmpuint (pfx_kept (here.pfx, NOW, endpoint, prompt), ==, 150);
+  g_assert_cmpuint (pfx_cached (here.pfx, NOW, endpoint, prompt), ==, 150);
   side_free (&here);
   side_free (&one);
 }
--- a/libcoltsfootdrum/relay/test-parts.c
+++ b/libcoltsfootdrum/relay/test-parts.c
@@ -120,11 +120,11 @@
   g_autoptr (pfx_prompt_t) moved = pfx_prompt_parse ("z:1,b:50,d:9");
 
   pfx_note (pfx, NOW, 1, first);
-  g_assert_cmpuint (pfx_kept (pfx, NOW, 1, same), ==, 150);
-  g_assert_cmpuint (pfx_kept (pfx, NOW, 1, begins), ==, 100);
-  g_assert_cmpuint (pfx_kept (pfx, NOW, 1, moved), ==, 0);
-  g_assert_cmpuint (pfx_kept (pfx, NOW, 2, same), ==, 0);
-  g_assert_cmpuint (pfx_kept (pfx, NOW + 3600000, 1, same), ==, 0);
+  g_assert_cmpuint (pfx_cached (pfx, NOW, 1, same), ==, 150);
+  g_assert_cmpuint (pfx_cached (pfx, NOW, 1, begins), ==, 100);
+  g_assert_cmpuint (pfx_cached (pfx, NOW, 1, moved), ==, 0);
+  g_assert_cmpuint (pfx_cached (pfx, NOW, 2, same), ==, 0);
+  g_assert_cmpuint (pfx_cached (pfx, NOW + 3600000, 1, same), ==, 0);
 }
 
 /* Another router's word: the last shared part alone, which stands for all
@@ -138,12 +138,12 @@
   const GArray *news;
 
   pfx_note (here, NOW, 1, prompt);
-  news = pfx_news (here, NOW);
+  news = pfx_updates (here, NOW);
   g_assert_cmpuint (news->len, ==, 1);
-  pfx_hear (there, NOW, g_array_index (news, pfx_news_t, 0).endpoint,
-            g_array_index (news, pfx_news_t, 0).part);
-  g_assert_cmpuint (pfx_kept (there, NOW, 1, prompt), ==, 150);
-  g_assert_cmpuint (pfx_news (here, NOW + 1)->len, ==, 0);
+  pfx_received (there, NOW, g_array_index (news, pfx_update_t, 0).endpoint,
+                g_array_index (news, pfx_update_t, 0).part);
+  g_assert_cmpuint (pfx_cached (there, NOW, 1, prompt), ==, 150);
+  g_assert_cmpuint (pfx_updates (here, NOW + 1)->len, ==, 0);
 }
 
 /* Load pattern: every request fails.  Of 1,000 in a window a fifth and the
@@ -180,14 +180,14 @@
   g_assert_cmpuint (key, !=, ret_key ("mill", "a:1,b:2", "test", 4));
   g_assert_cmpint (ret_first_asked (ret, NOW, key), ==, NOW);
   ret_refused (ret, NOW + 300, key, NOW, NOW + 400);
-  g_assert_cmpuint (ret_news (ret, NOW)->len, ==, 1);
+  g_assert_cmpuint (ret_updates (ret, NOW)->len, ==, 1);
   g_assert_cmpint (ret_first_asked (ret, NOW + 500, key), ==, NOW);
   g_assert_cmpint (ret_first_asked (ret, NOW + 600, key), ==, NOW + 600);
   /* A caller who doesn't come back is forgotten.  */
   ret_refused (ret, NOW + 300, key, NOW, NOW + 400);
   ret_sweep (ret, NOW + 60000);
   g_assert_cmpint (ret_first_asked (ret, NOW + 60000, key), ==, NOW + 60000);
-  g_assert_cmpuint (ret_news (ret, NOW + 60000)->len, ==, 0);
+  g_assert_cmpuint (ret_updates (ret, NOW + 60000)->len, ==, 0);
 }
 
 /* Two callers of one account ask the same.  One was refused, and one is being
