Queues: only a queue that was passed over counts for an early reject

Change: what has waited for no round of placement yet doesn't count.

Test: rly-share/burst-of-idle-account, red without it.

--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -25,6 +25,7 @@
   list_node_t lines;      /* rly_line_t with requests that wait */
   unsigned waiting;
   bool due; /* something may have found room in this turn of the loop */
+  cfd_time_t placed_at; /* the last round of placement */
 } rly_service_t;
 
 /* The waiting requests of one account at one service.  */
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -166,7 +166,8 @@
 }
 
 /* How long REQUEST waits for those of its account that go before it, at the
-   rate at which the account was served here lately.  */
+   rate at which the account was served here lately.  Those that no round of
+   placement has passed over yet may find room at once.  */
 static double
 queue_delay_ms (const rly_request_t *request, cfd_time_t now)
 {
@@ -181,6 +182,8 @@
 
       if (other == request)
         break;
+      if (other->since >= request->service->placed_at)
+        continue;
       cost += other->cost;
       count++;
     }
@@ -308,6 +311,7 @@
   rly_round_t round;
 
   service->due = false;
+  service->placed_at = now;
   if (service->waiting == 0)
     return;
   rly_round_begin (&round, rly, service, now);
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -308,13 +308,11 @@
   return request->prompt->tokens + OUTPUT_WEIGHT * request->output;
 }
 
-/* RETRY_MS, for 503 alone, tells the caller when to come back.  */
 static void
 answer_plainly (rly_t *rly, ent_call_t *call, unsigned status,
-                const char *reason, int64_t retry_ms)
+                const char *reason)
 {
   const char *id = hdr_get (&ent_head (call)->fields, rly->names.request_id);
-  char retry[G_ASCII_DTOSTR_BUF_SIZE];
   g_autofree char *fields = NULL;
 
   log_info ("relay",
@@ -322,10 +320,8 @@
             id != NULL ? id : "", status, reason);
   rly->counts.refused++;
   if (status == 503)
-    {
-      g_ascii_formatd (retry, sizeof retry, "%.3f", (double)retry_ms / 1000.);
-      fields = g_strdup_printf ("Retry-After: %s\r\n", retry);
-    }
+    fields
+        = g_strdup_printf ("Retry-After: %.3f\r\n", NO_TABLE_RETRY_MS / 1000.);
   ent_answer (call, status, fields, NULL, 0);
 }
 
@@ -388,21 +384,20 @@
   if (rly->table == NULL || rly->closed)
     {
       answer_plainly (rly, call, 503,
-                      rly->closed ? "shutdown" : "no-configuration",
-                      NO_TABLE_RETRY_MS);
+                      rly->closed ? "shutdown" : "no-configuration");
       return;
     }
   route = host != NULL ? rte_find (rly->table, host, head->target) : NULL;
   if (route == NULL)
     {
-      answer_plainly (rly, call, 404, "no-route", 0);
+      answer_plainly (rly, call, 404, "no-route");
       return;
     }
   if (key != NULL)
     account = rte_account (rly->table, key);
   if (account == NULL && !route->open && rte_table_has_accounts (rly->table))
     {
-      answer_plainly (rly, call, 401, "unknown-key", 0);
+      answer_plainly (rly, call, 401, "unknown-key");
       return;
     }
   request = request_new (rly, call, route, account);
--- a/libcoltsfootdrum/relay/test-rly-share.c
+++ b/libcoltsfootdrum/relay/test-rly-share.c
@@ -37,6 +37,18 @@
   return ((scene_t *)user)->arrived >= 3;
 }
 
+static bool
+is_later (void *user)
+{
+  return clock_now () > *(const cfd_time_t *)user;
+}
+
+static bool
+has_twelve (void *user)
+{
+  return ((scene_t *)user)->arrived >= 12;
+}
+
 static bool
 has_waiting (void *user)
 {
@@ -205,6 +217,7 @@
   scene_t *scene = scene_new (replies, 1, 1);
   scene_caller_t *callers[8];
   guint count = 0;
+  cfd_time_t later;
 
   scene_list (scene, 1, false, 1);
   for (; count < 6; count++)
@@ -217,6 +230,9 @@
         scene_run (scene, has_one, scene);
     }
   scene_run (scene, has_four_waiting, scene);
+  /* A round of placement has passed over them.  */
+  later = clock_now () + 2 * RLY_TICK_MS;
+  scene_run (scene, is_later, &later);
   /* What it got so far would take this queue a minute.  */
   callers[count] = scene_call (scene, CALL ("/slow/", "9", "c:2000,d:10"));
   scene_run (scene, is_refused, callers[count]);
@@ -226,6 +242,29 @@
   scene_free (scene);
 }
 
+/* An account that was idle sends many requests in one turn of the loop.  They
+   have not been passed over yet, and all are placed: none is rejected for a
+   queue that is none.  */
+static void
+test_burst_of_idle_account (void)
+{
+  static const scene_reply_t replies[] = { { NULL, SCENE_STAYS } };
+  scene_t *scene = scene_new (replies, 1, 16);
+  scene_caller_t *callers[12];
+
+  for (guint i = 0; i < G_N_ELEMENTS (callers); i++)
+    {
+      g_autofree char *call
+          = g_strdup_printf (CALL ("/slow/", "%u", "a%u:20,b:10"), i + 1, i);
+
+      callers[i] = scene_call (scene, call);
+    }
+  scene_run (scene, has_twelve, scene);
+  for (guint i = 0; i < G_N_ELEMENTS (callers); i++)
+    scene_caller_free (callers[i]);
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -235,6 +274,8 @@
   g_test_add_func ("/rly-share/late-told-at-once", test_late_told_at_once);
   g_test_add_func ("/rly-share/late-takes-spare", test_late_takes_spare);
   g_test_add_func ("/rly-share/early-reject", test_early_reject);
+  g_test_add_func ("/rly-share/burst-of-idle-account",
+                   test_burst_of_idle_account);
   g_test_add_func ("/rly-share/prefix-fetched", test_prefix_fetched);
   return g_test_run ();
 }
