Queues: nothing is refused before a round of placement has tried it

A late request that is read in the same turn of the loop as a tick was refused by the tick, before the round at the turn's end: on a router whose turns are long, nearly always.

Change: rounds are counted, and a request is refused, or counts for an early reject, only after one has passed it over. This takes the place of comparing times in milliseconds.

--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -24,8 +24,8 @@
   prom_hist_t whole;      /* until a success was whole */
   list_node_t lines;      /* rly_line_t with requests that wait */
   unsigned waiting;
-  bool due; /* something may have found room in this turn of the loop */
-  cfd_time_t placed_at; /* the last round of placement */
+  bool due;        /* something may have found room in this turn of the loop */
+  unsigned rounds; /* of placement, since the start */
 } rly_service_t;
 
 /* The waiting requests of one account at one service.  */
@@ -101,6 +101,7 @@
   int64_t aim_ms;      /* an answer that begins later is late */
   cfd_time_t until;    /* it is refused when it still waits then */
   bool late;           /* its caller came again, too late for the aim */
+  unsigned queued;     /* rounds of placement before it began to wait */
   unsigned tries;      /* sends, and connections that failed */
   unsigned attempts;   /* endpoints that may have got it */
   char *last_failed;   /* id of the endpoint that failed it last */
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -115,6 +115,7 @@
     before = before->prev;
   list_prepend (before, &request->node);
   request->line = line;
+  request->queued = request->service->rounds;
   request->service->waiting++;
   request->rly->counts.waiting++;
 }
@@ -144,7 +145,15 @@
               (int64_t)(share * (double)request->aim_ms));
 }
 
-/* Refuses one request that waited too long; false when there is none.  */
+/* A round of placement has passed REQUEST over.  */
+static bool
+was_tried (const rly_request_t *request)
+{
+  return request->queued != request->service->rounds;
+}
+
+/* Refuses one request that waited too long; false when there is none.  What no
+   round has tried yet may find room, also when its time is over.  */
 static bool
 expire_one (rly_service_t *service, cfd_time_t now)
 {
@@ -156,7 +165,7 @@
         {
           rly_request_t *request = list_entry (inner, rly_request_t, node);
 
-          if (now < request->until)
+          if (now < request->until || !was_tried (request))
             continue;
           give_up (request, now, "no-room");
           return true;
@@ -182,7 +191,7 @@
 
       if (other == request)
         break;
-      if (other->since >= request->service->placed_at)
+      if (!was_tried (other))
         continue;
       cost += other->cost;
       count++;
@@ -311,7 +320,7 @@
   rly_round_t round;
 
   service->due = false;
-  service->placed_at = now;
+  service->rounds++;
   if (service->waiting == 0)
     return;
   rly_round_begin (&round, rly, service, now);
