Placement, cold endpoints, datagrams: the field's terms

capacity share, placement constraints, longest queueing, token bucket, datagrams received, as the users' vocabulary has them; comments without private words. No change of behaviour; the tests of the relay are green.

--- a/libcoltsfootdrum/relay/cold.c
+++ b/libcoltsfootdrum/relay/cold.c
@@ -8,7 +8,7 @@
 #include <xxhash.h>
 
 /* Part of the rate that is used: clocks and ways differ, and routers that
-   don't hear each other may both count themselves in.  */
+   don't receive each other's datagrams may both count themselves in.  */
 #define RATE_SHARE 0.8
 /* Routers that share an endpoint, per request a second of its rate, and at
    least.  */
--- a/libcoltsfootdrum/relay/cold.h
+++ b/libcoltsfootdrum/relay/cold.h
@@ -19,7 +19,7 @@
 bool cold_goes_before (const char *router, const char *other,
                        uint64_t endpoint);
 
-/* Requests a second of one router to an endpoint that bears PER_S of all
+/* Requests a second of one router to an endpoint that takes PER_S of all
    ROUTERS; RANK: how many go before it.  */
 double cold_rate (double per_s, unsigned routers, unsigned rank);
 
--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -139,7 +139,7 @@
   edp->hash = XXH3_64bits_withSeed (report->id, strlen (report->id),
                                     (uint64_t)report->born_ms)
               & HASH_MASK;
-  edp->cold_room = COLD_BURST;
+  edp->cold_tokens = COLD_BURST;
   edp->ups = ups_new (set->loop, &addr);
   edp->missing_since = CFD_TIME_NEVER;
   edp->withdrawn = is_out (set, report->zone);
@@ -314,9 +314,9 @@
     return true;
   if (per_s <= 0.)
     return false;
-  edp->cold_room = MIN (edp->cold_room + gained, COLD_BURST);
+  edp->cold_tokens = MIN (edp->cold_tokens + gained, COLD_BURST);
   edp->cold_filled = now;
-  return edp->cold_room >= 1.;
+  return edp->cold_tokens >= 1.;
 }
 
 void
@@ -324,8 +324,8 @@
 {
   if (now >= edp->cold_until)
     return;
-  edp->cold_room -= 1.;
-  INVARIANT ("cold-within-rate", edp->cold_room >= 0., edp->report->id);
+  edp->cold_tokens -= 1.;
+  INVARIANT ("cold-within-rate", edp->cold_tokens >= 0., edp->report->id);
 }
 
 void
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -33,7 +33,7 @@
   bool withdrawn;           /* its availability zone is out of service */
   cfd_time_t missing_since; /* CFD_TIME_NEVER while it is listed */
   cfd_time_t cold_until;
-  double cold_room;   /* requests that it bears at this moment */
+  double cold_tokens; /* token bucket of the warm-up rate limit */
   unsigned cold_rank; /* of this router among those that share its rate */
   cfd_time_t cold_filled;
 
@@ -82,8 +82,8 @@
 /* New work may go to it now, as far as its state says.  */
 bool edp_is_open (const edp_t *edp, cfd_time_t now);
 
-/* A cold endpoint bears few requests a second, of all routers together, and
-   crashes well above.  PER_S is this router's part.  True when it bears one
+/* A cold endpoint takes few requests a second, of all routers together, and
+   crashes well above.  PER_S is this router's part.  True when it takes one
    now; always when it is warm.  */
 bool edp_bears (edp_t *edp, cfd_time_t now, double per_s);
 /* One was sent.  */
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -1,5 +1,5 @@
 /* State that the files of the routers' datagrams share: pal.c (sockets, times,
-   silence), pal-pack.c (what is told), pal-take.c (what is heard),
+   silence), pal-pack.c (what is told), pal-take.c (what is received),
    pal-update.c (changes of the platform's lists).  */
 
 #ifndef RELAY_PAL_PRIVATE_H
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -10,7 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* A router that was not heard for so long has nothing under way: it is dead,
+/* A router that was silent for this time has nothing under way: it is dead,
    or its requests end by its silence.  Three whole figures in the largest
    fleet, so that two may be lost.  */
 #define SILENT_MS 1000
@@ -163,7 +163,8 @@
     }
 }
 
-/* This router hears so few of the others that the cut may be on its side.  */
+/* This router receives datagrams of less than half of the others: the cut may
+   be on its side.  */
 static bool
 may_be_cut_off (const pal_t *pal)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -36,11 +36,11 @@
    sent nothing.  */
 void pal_set_peers (pal_t *pal, const pal_listed_t *peers, guint count);
 
-/* Routers heard lately, this one included.  */
+/* Routers whose datagrams came lately, this one included.  */
 unsigned pal_heard (const pal_t *pal);
-/* Routers that work now, this one included: those heard lately.  A router that
-   hears less than half of the listed ones may itself be cut off, and counts
-   all of them.  */
+/* Routers that work now, this one included: those whose datagrams came
+   lately.  A router that receives less than half of the listed ones' datagrams
+   may itself be cut off, and counts all of them.  */
 unsigned pal_routers (const pal_t *pal);
 /* Sets the rank of this router at each cold endpoint (relay/cold.h).  To be
    called when endpoints were listed, before the next request is placed.  */
--- a/libcoltsfootdrum/relay/plc.c
+++ b/libcoltsfootdrum/relay/plc.c
@@ -52,7 +52,7 @@
   double first = plc_first_token (endpoint, request);
   double others = others_ms (endpoint, request);
 
-  if (others > request->bear_ms)
+  if (others > request->max_queueing_ms)
     return false;
   return first <= request->left_ms
          || (first - others > request->left_ms
@@ -72,8 +72,8 @@
 static bool
 has_room (const plc_endpoint_t *endpoint, const plc_request_t *request)
 {
-  double slots = endpoint->slots * request->room;
-  double memory = endpoint->memory * MEMORY_SHARE * request->room;
+  double slots = endpoint->slots * request->capacity_share;
+  double memory = endpoint->memory * MEMORY_SHARE * request->capacity_share;
 
   if (endpoint->slots == 0 || endpoint->active >= slots)
     return false;
@@ -95,7 +95,7 @@
 {
   for (guint i = 0; i < count; i++)
     if (has_room (&endpoints[i], request)
-        && others_ms (&endpoints[i], request) <= request->bear_ms)
+        && others_ms (&endpoints[i], request) <= request->max_queueing_ms)
       return true;
   return false;
 }
--- a/libcoltsfootdrum/relay/plc.h
+++ b/libcoltsfootdrum/relay/plc.h
@@ -29,11 +29,12 @@
 
 typedef struct
 {
-  double base_ms;      /* until the first token with nothing to be read */
-  double ms_per_work;  /* and for each unit of reading work */
-  double left_ms;      /* until the first token is late */
-  double bear_ms;      /* of others' reading before its own */
-  double room;         /* part of slots and memory that it may fill */
+  double base_ms;         /* until the first token with nothing to be read */
+  double ms_per_work;     /* and for each unit of reading work */
+  double left_ms;         /* until the first token is late */
+  double max_queueing_ms; /* of others' reading before its own */
+  double
+      capacity_share;  /* of slots and memory, up to which it may fill them */
   double size;         /* tokens that it will hold in memory */
   double missing_most; /* of the shared beginning, where it may go */
   double far_ms;       /* what another availability zone is as bad as */
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -10,16 +10,16 @@
 
 /* The aim is the caller's; the rest goes on the way and in estimates.  */
 #define AIM_SHARE 0.8
-/* So much of it may pass behind prompts that an engine reads before.  What it
-   has to read more than that can wait here, where the order is ours.  */
-#define BEAR 0.5
-/* Of an endpoint's slots and memory so much is kept from accounts that are
+/* Share of the latency objective that may pass behind others' prefill.  What
+   would wait longer waits here, where the order is ours.  */
+#define MAX_QUEUEING_SHARE 0.5
+/* Share of an endpoint's slots and memory that is kept from accounts that are
    held back wholly: a slot that gets free is taken at once, by whoever waits.
  */
 #define OVER_RESERVE 0.3
 /* Of slots and memory, for requests that are past their latency objective: an
    endpoint below this is as fast for the others as one that is idle.  */
-#define LATE_ROOM 0.4
+#define LATE_CAPACITY_SHARE 0.4
 /* An endpoint keeps a beginning when no more than this share is missing.  */
 #define MISSING_SHARE 0.1
 /* Bytes between availability zones are paid for, and links between them are
@@ -27,9 +27,9 @@
    than reading some hundred tokens again.  With 4 ms more is read again than
    crossings save.  */
 #define FAR_MS_A_KB 1.5
-/* A generated token is so many bytes of an event stream.  */
+/* Of an event stream.  */
 #define BYTES_A_TOKEN 8.
-/* A copy may take so much longer than the prefill that it saves: the prefill
+/* Longest copy, in times of the prefill that it saves: the prefill
    would delay all other requests at the endpoint.  */
 #define COPY_WORTH 3.
 /* From the order to copy a cached prefix until its first byte.  */
@@ -222,38 +222,39 @@
 }
 
 static plc_request_t
-wish_of (const rly_round_t *round, const rly_request_t *request)
+constraints_of (const rly_round_t *round, const rly_request_t *request)
 {
   /* What is late already goes where one that came just now would.  */
   bool anew = request->tries > 0 || request->late;
   int64_t waited = anew ? 0 : round->now - request->asked;
   double allowed
       = request->late ? request->line->late_allowed : request->line->allowed;
-  plc_request_t wish
+  plc_request_t constraints
       = { .left_ms = (double)request->aim_ms * AIM_SHARE - (double)waited,
-          .bear_ms = HUGE_VAL,
+          .max_queueing_ms = HUGE_VAL,
           .missing_most = HUGE_VAL,
-          .room = 1.,
+          .capacity_share = 1.,
           .far_ms = far_ms (request),
           .draw = g_random_double () };
 
   if (request->prompt == NULL)
-    return wish;
-  wish.bear_ms = (double)request->aim_ms * BEAR * allowed;
-  wish.room = 1. - OVER_RESERVE * (1. - allowed);
+    return constraints;
+  constraints.max_queueing_ms
+      = (double)request->aim_ms * MAX_QUEUEING_SHARE * allowed;
+  constraints.capacity_share = 1. - OVER_RESERVE * (1. - allowed);
   if (request->late)
-    wish.room = LATE_ROOM;
-  wish.base_ms = round->base_ms;
-  wish.ms_per_work = round->ms_per_work;
-  wish.size = request->prompt->tokens + request->output;
-  return wish;
+    constraints.capacity_share = LATE_CAPACITY_SHARE;
+  constraints.base_ms = round->base_ms;
+  constraints.ms_per_work = round->ms_per_work;
+  constraints.size = request->prompt->tokens + request->output;
+  return constraints;
 }
 
 /* Where REQUEST failed last it isn't sent again, as long as there is another
    endpoint.  */
 static int
 choose (rly_round_t *round, const rly_request_t *request,
-        const plc_request_t *wish)
+        const plc_request_t *constraints)
 {
   unsigned slots = 0;
   guint failed = round->count;
@@ -267,7 +268,7 @@
       slots = round->figures[failed].slots;
       round->figures[failed].slots = 0;
     }
-  chosen = plc_choose (round->figures, round->count, wish);
+  chosen = plc_choose (round->figures, round->count, constraints);
   if (failed < round->count && round->count > 1)
     round->figures[failed].slots = slots;
   return chosen;
@@ -276,7 +277,7 @@
 bool
 rly_round_place (rly_round_t *round, rly_request_t *request)
 {
-  plc_request_t wish;
+  plc_request_t constraints;
   plc_endpoint_t *figures;
   const edp_t *source = NULL;
   edp_t *edp;
@@ -284,14 +285,14 @@
 
   if (!round->has_room)
     return false;
-  wish = wish_of (round, request);
+  constraints = constraints_of (round, request);
   /* At high load most requests find all endpoints full: nothing is looked up
      for these.  */
-  if (!plc_may_place (round->figures, round->count, &wish))
+  if (!plc_may_place (round->figures, round->count, &constraints))
     return false;
   if (request->prompt != NULL && add_prompt (round, request))
-    wish.missing_most = missing_most (request);
-  chosen = choose (round, request, &wish);
+    constraints.missing_most = missing_most (request);
+  chosen = choose (round, request, &constraints);
   /* A process that is behind reads a request, and the end of its connection a
      turn later: by then an endpoint would work for a caller who left.  */
   if (chosen < 0 || !ent_is_there (request->call))
@@ -300,7 +301,7 @@
   figures = &round->figures[chosen];
   request->ahead = figures->unread + figures->own;
   request->unread = request->prompt != NULL ? figures->own : 0.;
-  request->context = wish.size;
+  request->context = constraints.size;
   request->fetch_ms = request->prompt != NULL ? figures->fetch_ms : 0.;
   if (request->fetch_ms > 0.)
     source = round->edps[round->source];
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -22,9 +22,9 @@
 /* Of the usual work before their own, for requests past their latency
    objective.  */
 #define LATE_ALLOWANCE 0.1
-/* A request is refused on arrival when at least so many of its account wait
-   before it, for longer by this factor than it may wait: the rate at which an
-   account is served changes within seconds.  */
+/* A request is refused on arrival when at least this number of its account
+   wait before it, for longer by this factor than it may wait: the rate at
+   which an account is served changes within seconds.  */
 #define EARLY_QUEUE 4
 #define EARLY_MARGIN 2.
 /* Without an aim.  */
--- a/libcoltsfootdrum/relay/rte.h
+++ b/libcoltsfootdrum/relay/rte.h
@@ -43,7 +43,7 @@
   char *name;
   unsigned connections; /* that an endpoint accepts from all its callers */
   int64_t cold_ms;      /* how long an endpoint is cold after its start */
-  double cold_per_s;    /* requests a second that it bears meanwhile */
+  double cold_per_s;    /* warm-up rate limit, requests a second */
   bool is_engine;
   unsigned slots;        /* engines: requests that run at once */
   int64_t memory_tokens; /* engines: for running requests and cached parts */
--- a/libcoltsfootdrum/relay/test-plc.c
+++ b/libcoltsfootdrum/relay/test-plc.c
@@ -18,8 +18,9 @@
 /* 50 ms to the first token, 100 tokens read a millisecond.  */
 #define WISH(left, bear)                                                      \
   {                                                                           \
-    .base_ms = 50., .ms_per_work = 0.01, .left_ms = left, .bear_ms = bear,    \
-    .room = 1., .size = 2000., .far_ms = 20., .missing_most = HUGE_VAL        \
+    .base_ms = 50., .ms_per_work = 0.01, .left_ms = left,                     \
+    .max_queueing_ms = bear, .capacity_share = 1., .size = 2000.,             \
+    .far_ms = 20., .missing_most = HUGE_VAL                                   \
   }
 
 #define FREE .slots = 64, .memory = 400000.
@@ -99,8 +100,8 @@
     { .base_ms = 50.,
       .ms_per_work = 0.01,
       .left_ms = 600.,
-      .bear_ms = 300.,
-      .room = 1.,
+      .max_queueing_ms = 300.,
+      .capacity_share = 1.,
       .size = 900000. },
     { { FREE, .own = 800. } },
     1,
@@ -118,14 +119,14 @@
     1,
     WAITS },
   { "plain-least-active",
-    { .left_ms = 150., .bear_ms = HUGE_VAL, .room = 1. },
+    { .left_ms = 150., .max_queueing_ms = HUGE_VAL, .capacity_share = 1. },
     { { .active = 3, .slots = 6 },
       { .active = 1, .slots = 6 },
       { .active = 2, .slots = 6 } },
     3,
     1 },
   { "plain-full",
-    { .left_ms = 150., .bear_ms = HUGE_VAL, .room = 1. },
+    { .left_ms = 150., .max_queueing_ms = HUGE_VAL, .capacity_share = 1. },
     { { .active = 6, .slots = 6 } },
     1,
     WAITS },
@@ -134,8 +135,8 @@
     { .base_ms = 50.,
       .ms_per_work = 0.01,
       .left_ms = 300.,
-      .bear_ms = 30.,
-      .room = 0.75,
+      .max_queueing_ms = 30.,
+      .capacity_share = 0.75,
       .size = 2000. },
     { { FREE, .own = 800., .active = 50 },
       { FREE, .own = 800., .active = 40, .unread = 2000. } },
@@ -145,8 +146,8 @@
     { .base_ms = 50.,
       .ms_per_work = 0.01,
       .left_ms = 300.,
-      .bear_ms = 30.,
-      .room = 0.75,
+      .max_queueing_ms = 30.,
+      .capacity_share = 0.75,
       .size = 2000. },
     { { FREE, .own = 800., .active = 40, .unread = 4000. } },
     1,
@@ -157,8 +158,8 @@
     { .base_ms = 50.,
       .ms_per_work = 0.01,
       .left_ms = 600.,
-      .bear_ms = 300.,
-      .room = 1.,
+      .max_queueing_ms = 300.,
+      .capacity_share = 1.,
       .size = 2000.,
       .missing_most = 500. },
     { { FREE, .own = 7000., .active = 64 },
@@ -169,8 +170,8 @@
     { .base_ms = 50.,
       .ms_per_work = 0.01,
       .left_ms = 600.,
-      .bear_ms = 300.,
-      .room = 1.,
+      .max_queueing_ms = 300.,
+      .capacity_share = 1.,
       .size = 2000.,
       .missing_most = 500. },
     { { FREE, .own = 7000., .active = 64 },
