Datagrams: decode within limits, with seeded incarnations in tests

Cause: pal_receive and pal_receive_update handed each datagram to the tree parser of msgpack-c, which allocates the count that an array declares before it has seen an item: five bytes ask for 64 GB. /pal/stray changes each byte of a datagram; when the byte before the random incarnation was changed, bytes of the incarnation were read as such a count. The verdict depended on a random number that no seed repeated.

Change: the bounded decoder of TCP frames moves to wire/msg-tree.c and serves datagrams too. Bytes after a datagram's end make it invalid. The incarnation is an argument of pal_new; tests draw it from a seed, and /pal/stray runs over 256 of them.

Ruled out: a larger limit of the allocator; it only hides the allocation.

--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -7,6 +7,7 @@
 #define RELAY_PAL_PRIVATE_H
 
 #include "relay/pal.h"
+#include <msgpack/zone.h>
 
 /* First item of each state datagram, by which foreign datagrams and those of
    other versions are recognized and ignored.  */
@@ -18,6 +19,14 @@
 #define PREFILL_TOKENS_PER_UNIT 10.
 #define CONTEXT_TOKENS_PER_UNIT 100.
 
+/* Limits of what is read from one datagram: its nodes, and the rows of each
+   list.  A datagram holds fewer of each row that this router sends.  */
+#define MAX_NODES 65536u
+#define MAX_LOAD_ROWS 8192u
+#define MAX_USAGE_ROWS 8192u
+#define MAX_PREFIX_ROWS 16384u
+#define MAX_REFUSAL_ROWS 8192u
+
 typedef struct
 {
   char *name;
@@ -61,6 +70,7 @@
   int64_t ages[PAL_LIST_COUNT];
   cfd_time_t changes_sent_at;
   cfd_time_t full_sent_at;
+  uint64_t invalid_datagrams; /* received */
   uint64_t last_prefix_sent;  /* pfx_update_t.number */
   uint64_t last_refusal_sent; /* ret_update_t.number */
   void (*on_update) (void *user, unsigned list, int64_t from, int64_t to,
@@ -68,11 +78,18 @@
   void *update_user;
 };
 
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (msgpack_zone, msgpack_zone_free)
+/* pal-receive.c: returns an arena for the nodes of one datagram.  */
+msgpack_zone *pal_arena_new (void);
+
 /* pal-update.c: encode and apply one update.  pal_receive_update returns false
    when BYTES is not a valid update.  */
 GByteArray *pal_pack_update (unsigned list, int64_t from, int64_t to,
                              const char *events);
 bool pal_receive_update (pal_t *pal, const void *bytes, size_t length);
+/* pal.c: applies a datagram of any kind; counts and logs an invalid one.  */
+void pal_receive_any (pal_t *pal, cfd_time_t now, const void *bytes,
+                      size_t length);
 /* pal.c: sends a datagram to all other routers.  */
 void pal_send_all (const pal_t *pal, const void *bytes, size_t length);
 
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -3,76 +3,87 @@
 #include "relay/pal-private.h"
 
 #include "base/log.h"
-#include <msgpack.h>
+#include "wire/msg-tree.h"
 #include <string.h>
 
 /* Received ages of lists and retry delays are capped at this: an older list is
    of no use.  */
 #define MAX_AGE_MS UINT64_C (3600000)
 
+/* Most datagrams are decoded without a second chunk.  */
+#define ARENA_CHUNK_BYTES 4096u
+
+msgpack_zone *
+pal_arena_new (void)
+{
+  msgpack_zone *arena = msgpack_zone_new (ARENA_CHUNK_BYTES);
+
+  g_assert (arena != NULL);
+  return arena;
+}
+
 static bool
-is_text (const msgpack_object *object)
+is_text (const msg_node_t *node)
 {
-  return object->type == MSGPACK_OBJECT_STR;
+  return node->type == MSG_NODE_STRING;
 }
 
 static bool
-is_number (const msgpack_object *object)
+is_number (const msg_node_t *node)
 {
-  return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+  return node->type == MSG_NODE_UINT;
 }
 
 static char *
-copy_text (const msgpack_object *object)
+copy_text (const msg_node_t *node)
 {
-  return g_strndup (object->via.str.ptr, object->via.str.size);
+  return g_strndup (node->u.bytes, node->length);
 }
 
-/* Returns whether OBJECT is an array of rows, each a string and NUMBERS
-   numbers.  */
+/* Returns whether NODE is an array of at most MAX_ROWS rows of COLUMNS numbers
+   each.  */
 static bool
-is_text_rows (const msgpack_object *object, unsigned numbers)
+is_number_rows (const msg_node_t *node, uint32_t columns, uint32_t max_rows)
 {
-  const msgpack_object_array *array = &object->via.array;
-
-  if (object->type != MSGPACK_OBJECT_ARRAY || array->size % (numbers + 1) != 0)
+  if (node->type != MSG_NODE_ARRAY || node->length % columns != 0
+      || node->length / columns > max_rows)
     return false;
-  for (unsigned i = 0; i < array->size; i++)
-    if (i % (numbers + 1) == 0 ? !is_text (&array->ptr[i])
-                               : !is_number (&array->ptr[i]))
+  for (uint32_t i = 0; i < node->length; i++)
+    if (!is_number (&node->u.items[i]))
       return false;
   return true;
 }
 
-/* Returns whether OBJECT is an array of numbers, in rows of COUNT.  */
+/* Returns whether NODE is an array of at most MAX_USAGE_ROWS rows, each an
+   account's name, its demand and what it was served.  */
 static bool
-is_number_rows (const msgpack_object *object, unsigned count)
+is_usage (const msg_node_t *node)
 {
-  const msgpack_object_array *array = &object->via.array;
-
-  if (object->type != MSGPACK_OBJECT_ARRAY || array->size % count != 0)
+  if (node->type != MSG_NODE_ARRAY || node->length % 3 != 0
+      || node->length / 3 > MAX_USAGE_ROWS)
     return false;
-  for (unsigned i = 0; i < array->size; i++)
-    if (!is_number (&array->ptr[i]))
+  for (uint32_t i = 0; i < node->length; i += 3)
+    if (!is_text (&node->u.items[i]) || !is_number (&node->u.items[i + 1])
+        || !is_number (&node->u.items[i + 2]))
       return false;
   return true;
 }
 
 static bool
-is_state (const msgpack_object *object)
+is_state (const msg_node_t *node)
 {
-  const msgpack_object *items = object->via.array.ptr;
+  const msg_node_t *items = node->u.items;
 
-  return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size == 11
-         && is_number (&items[0]) && items[0].via.u64 == STATE_FORMAT
+  return node->type == MSG_NODE_ARRAY && node->length == 11
+         && is_number (&items[0]) && items[0].u.number == STATE_FORMAT
          && is_text (&items[1]) && is_number (&items[2])
          && is_number (&items[3]) && is_number (&items[4])
-         && is_number_rows (&items[5], 4) && is_text_rows (&items[6], 2)
-         && is_number_rows (&items[7], 2)
-         && (is_number (&items[8])
-             || items[8].type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
-         && is_number_rows (&items[9], PAL_LIST_COUNT * 2)
-         && is_number_rows (&items[10], 3);
+         && is_number_rows (&items[5], 4, MAX_LOAD_ROWS)
+         && is_usage (&items[6])
+         && is_number_rows (&items[7], 2, MAX_PREFIX_ROWS)
+         && (is_number (&items[8]) || items[8].type == MSG_NODE_NEGATIVE)
+         && is_number_rows (&items[9], PAL_LIST_COUNT * 2, 1)
+         && is_number_rows (&items[10], 3, MAX_REFUSAL_ROWS);
 }
 
 static guint
@@ -197,15 +208,15 @@
 }
 
 static void
-receive_load (pal_t *pal, pal_peer_t *peer, const msgpack_object *row)
+receive_load (pal_t *pal, pal_peer_t *peer, const msg_node_t *row)
 {
   pal_load_t *load = g_new0 (pal_load_t, 1);
   const pal_load_t *old;
 
-  load->endpoint = row[0].via.u64;
-  load->active = (unsigned)row[1].via.u64;
-  load->pending_prefill = (double)row[2].via.u64 * PREFILL_TOKENS_PER_UNIT;
-  load->context_tokens = (double)row[3].via.u64 * CONTEXT_TOKENS_PER_UNIT;
+  load->endpoint = row[0].u.number;
+  load->active = (unsigned)row[1].u.number;
+  load->pending_prefill = (double)row[2].u.number * PREFILL_TOKENS_PER_UNIT;
+  load->context_tokens = (double)row[3].u.number * CONTEXT_TOKENS_PER_UNIT;
   old = g_hash_table_lookup (peer->loads, &load->endpoint);
   if (old != NULL)
     apply_load (pal, old, -1);
@@ -214,104 +225,110 @@
 }
 
 static void
-receive_loads (pal_t *pal, pal_peer_t *peer, const msgpack_object_array *rows,
-               bool full)
+receive_loads (pal_t *pal, pal_peer_t *peer, const msg_node_t *rows, bool full)
 {
   if (full)
     pal_subtract_peer (pal, peer);
-  for (unsigned i = 0; i + 3 < rows->size; i += 4)
-    receive_load (pal, peer, &rows->ptr[i]);
+  for (unsigned i = 0; i + 3 < rows->length; i += 4)
+    receive_load (pal, peer, &rows->u.items[i]);
 }
 
 static void
 receive_usage (pal_t *pal, const pal_peer_t *peer, cfd_time_t now,
-               const msgpack_object_array *rows)
+               const msg_node_t *rows)
 {
-  for (unsigned i = 0; i + 2 < rows->size; i += 3)
+  for (unsigned i = 0; i + 2 < rows->length; i += 3)
     {
-      g_autofree char *account = copy_text (&rows->ptr[i]);
-      use_sum_t own = { .demand = (double)rows->ptr[i + 1].via.u64,
-                        .served = (double)rows->ptr[i + 2].via.u64 };
+      g_autofree char *account = copy_text (&rows->u.items[i]);
+      use_sum_t own = { .demand = (double)rows->u.items[i + 1].u.number,
+                        .served = (double)rows->u.items[i + 2].u.number };
 
       use_update_peer (pal->use, now, peer->name, account, &own);
     }
 }
 
 static void
-receive_prefixes (pal_t *pal, cfd_time_t now,
-                  const msgpack_object_array *pairs)
+receive_prefixes (pal_t *pal, cfd_time_t now, const msg_node_t *pairs)
 {
-  for (unsigned i = 0; i + 1 < pairs->size; i += 2)
-    pfx_apply_update (pal->pfx, now, pairs->ptr[i].via.u64,
-                      pairs->ptr[i + 1].via.u64);
+  for (unsigned i = 0; i + 1 < pairs->length; i += 2)
+    pfx_apply_update (pal->pfx, now, pairs->u.items[i].u.number,
+                      pairs->u.items[i + 1].u.number);
 }
 
 static void
-receive_refusals (pal_t *pal, cfd_time_t now, const msgpack_object_array *rows)
+receive_refusals (pal_t *pal, cfd_time_t now, const msg_node_t *rows)
 {
-  for (unsigned i = 0; i + 2 < rows->size; i += 3)
+  for (unsigned i = 0; i + 2 < rows->length; i += 3)
     {
-      uint64_t age_ms = MIN (rows->ptr[i + 1].via.u64, (uint64_t)now);
-      uint64_t back_ms = MIN (rows->ptr[i + 2].via.u64, MAX_AGE_MS);
+      uint64_t age_ms = MIN (rows->u.items[i + 1].u.number, (uint64_t)now);
+      uint64_t back_ms = MIN (rows->u.items[i + 2].u.number, MAX_AGE_MS);
 
-      ret_add_peer_refusal (pal->ret, now, rows->ptr[i].via.u64,
+      ret_add_peer_refusal (pal->ret, now, rows->u.items[i].u.number,
                             now - (cfd_time_t)age_ms,
                             now + (cfd_time_t)back_ms);
     }
 }
 
 static void
-receive_list_states (pal_peer_t *peer, cfd_time_t now,
-                     const msgpack_object_array *pairs)
+receive_list_states (pal_peer_t *peer, cfd_time_t now, const msg_node_t *pairs)
 {
-  if (pairs->size < PAL_LIST_COUNT * 2)
+  if (pairs->length < PAL_LIST_COUNT * 2)
     return;
   peer->ages_received_at = now;
   for (unsigned i = 0; i < PAL_LIST_COUNT; i++)
     {
-      uint64_t age = MIN (pairs->ptr[2 * i + 1].via.u64, MAX_AGE_MS);
+      uint64_t age = MIN (pairs->u.items[2 * i + 1].u.number, MAX_AGE_MS);
 
-      peer->revisions[i] = pairs->ptr[2 * i].via.i64;
+      peer->revisions[i]
+          = (int64_t)MIN (pairs->u.items[2 * i].u.number, INT64_MAX);
       peer->ages[i] = (int64_t)age - 1;
     }
 }
 
-bool
-pal_receive (pal_t *pal, cfd_time_t now, const void *bytes, size_t length)
+static int64_t
+decode_stable_ms (const msg_node_t *node)
+{
+  return node->type == MSG_NODE_NEGATIVE
+             ? node->u.negative
+             : (int64_t)MIN (node->u.number, (uint64_t)INT64_MAX);
+}
+
+static void
+apply_state (pal_t *pal, cfd_time_t now, const msg_node_t *items)
 {
-  msgpack_unpacked unpacked;
-  const msgpack_object *items;
+  g_autofree char *name = copy_text (&items[1]);
+  uint64_t incarnation = items[2].u.number;
+  uint64_t number = items[3].u.number;
+  bool full = items[4].u.number != 0;
   pal_peer_t *peer;
-  g_autofree char *name = NULL;
-  bool valid;
-
-  msgpack_unpacked_init (&unpacked);
-  valid = msgpack_unpack_next (&unpacked, bytes, length, NULL)
-              == MSGPACK_UNPACK_SUCCESS
-          && is_state (&unpacked.data);
-  if (!valid)
-    goto out;
-  items = unpacked.data.via.array.ptr;
-  name = copy_text (&items[1]);
+
   if (g_str_equal (name, pal->name))
-    goto out;
-  peer = find_sender (pal, name, items[2].via.u64);
-  if (peer == NULL)
-    goto out;
+    return;
+  peer = find_sender (pal, name, incarnation);
   /* Ignores a duplicate or reordered datagram of the same process.  */
-  if (peer->incarnation == items[2].via.u64
-      && peer->number >= items[3].via.u64)
-    goto out;
-  peer->incarnation = items[2].via.u64;
-  peer->number = items[3].via.u64;
+  if (peer == NULL
+      || (peer->incarnation == incarnation && peer->number >= number))
+    return;
+  peer->incarnation = incarnation;
+  peer->number = number;
   peer->last_received_at = now;
-  receive_loads (pal, peer, &items[5].via.array, items[4].via.u64 != 0);
-  receive_usage (pal, peer, now, &items[6].via.array);
-  receive_prefixes (pal, now, &items[7].via.array);
-  peer->stable_ms = items[8].via.i64;
-  receive_list_states (peer, now, &items[9].via.array);
-  receive_refusals (pal, now, &items[10].via.array);
-out:
-  msgpack_unpacked_destroy (&unpacked);
-  return valid;
+  receive_loads (pal, peer, &items[5], full);
+  receive_usage (pal, peer, now, &items[6]);
+  receive_prefixes (pal, now, &items[7]);
+  peer->stable_ms = decode_stable_ms (&items[8]);
+  receive_list_states (peer, now, &items[9]);
+  receive_refusals (pal, now, &items[10]);
+}
+
+bool
+pal_receive (pal_t *pal, cfd_time_t now, const void *bytes, size_t length)
+{
+  g_autoptr (msgpack_zone) arena = pal_arena_new ();
+  msg_tree_t tree;
+
+  if (!msg_tree_parse (arena, bytes, length, MAX_NODES, &tree)
+      || !is_state (&tree.root))
+    return false;
+  apply_state (pal, now, tree.root.u.items);
+  return true;
 }
--- a/libcoltsfootdrum/relay/pal-update.c
+++ b/libcoltsfootdrum/relay/pal-update.c
@@ -2,6 +2,7 @@
 
 #include "relay/pal-private.h"
 
+#include "wire/msg-tree.h"
 #include <msgpack.h>
 #include <string.h>
 
@@ -55,40 +56,39 @@
 }
 
 static bool
-is_update (const msgpack_object *object)
+is_update (const msg_node_t *node)
 {
-  const msgpack_object *items = object->via.array.ptr;
+  const msg_node_t *items = node->u.items;
 
-  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size != 5)
+  if (node->type != MSG_NODE_ARRAY || node->length != 5)
     return false;
   for (unsigned i = 0; i < 4; i++)
-    if (items[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+    if (items[i].type != MSG_NODE_UINT)
       return false;
-  return items[0].via.u64 == UPDATE_FORMAT && items[1].via.u64 < PAL_LIST_COUNT
-         && items[2].via.u64 < items[3].via.u64
-         && items[3].via.u64 <= INT64_MAX
-         && items[4].type == MSGPACK_OBJECT_STR;
+  return items[0].u.number == UPDATE_FORMAT
+         && items[1].u.number < PAL_LIST_COUNT
+         && items[2].u.number < items[3].u.number
+         && items[3].u.number <= INT64_MAX && items[4].type == MSG_NODE_STRING
+         && items[4].length <= MAX_UPDATE_BYTES;
 }
 
 bool
 pal_receive_update (pal_t *pal, const void *bytes, size_t length)
 {
-  msgpack_unpacked unpacked;
-  bool valid;
+  g_autoptr (msgpack_zone) arena = pal_arena_new ();
+  g_autofree char *events = NULL;
+  const msg_node_t *items;
+  msg_tree_t tree;
 
-  msgpack_unpacked_init (&unpacked);
-  valid = msgpack_unpack_next (&unpacked, bytes, length, NULL)
-              == MSGPACK_UNPACK_SUCCESS
-          && is_update (&unpacked.data);
-  if (valid && pal->on_update != NULL)
-    {
-      const msgpack_object *items = unpacked.data.via.array.ptr;
-      g_autofree char *events
-          = g_strndup (items[4].via.str.ptr, items[4].via.str.size);
-
-      pal->on_update (pal->update_user, (unsigned)items[1].via.u64,
-                      items[2].via.i64, items[3].via.i64, events);
-    }
-  msgpack_unpacked_destroy (&unpacked);
-  return valid;
+  if (!msg_tree_parse (arena, bytes, length, MAX_NODES, &tree)
+      || !is_update (&tree.root))
+    return false;
+  if (pal->on_update == NULL)
+    return true;
+  items = tree.root.u.items;
+  events = g_strndup (items[4].u.bytes, items[4].length);
+  pal->on_update (pal->update_user, (unsigned)items[1].u.number,
+                  (int64_t)items[2].u.number, (int64_t)items[3].u.number,
+                  events);
+  return true;
 }
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -42,6 +42,22 @@
   g_free (peer);
 }
 
+void
+pal_receive_any (pal_t *pal, cfd_time_t now, const void *bytes, size_t length)
+{
+  if (pal_receive (pal, now, bytes, length)
+      || pal_receive_update (pal, bytes, length))
+    return;
+  pal->invalid_datagrams++;
+  log_warn ("peers", "An invalid datagram was ignored: bytes=%zu.", length);
+}
+
+uint64_t
+pal_count_invalid (const pal_t *pal)
+{
+  return pal->invalid_datagrams;
+}
+
 /* Returns the number of datagrams read.  */
 static unsigned
 read_datagrams (pal_t *pal)
@@ -56,9 +72,7 @@
       if (n < 0)
         break;
       read++;
-      if (!pal_receive (pal, clock_now (), buffer, (size_t)n)
-          && !pal_receive_update (pal, buffer, (size_t)n))
-        log_warn ("peers", "An invalid datagram was ignored: bytes=%zd.", n);
+      pal_receive_any (pal, clock_now (), buffer, (size_t)n);
     }
   return read;
 }
@@ -95,9 +109,9 @@
 }
 
 pal_t *
-pal_new (struct ev_loop *loop, const char *name, const char *address,
-         edp_set_t *endpoints, use_t *use, pfx_t *pfx, ret_t *ret,
-         GError **error)
+pal_new (struct ev_loop *loop, const char *name, uint64_t incarnation,
+         const char *address, edp_set_t *endpoints, use_t *use, pfx_t *pfx,
+         ret_t *ret, GError **error)
 {
   int fd = bind_udp_socket (address, error);
   pal_t *pal;
@@ -107,7 +121,7 @@
   pal = g_new0 (pal_t, 1);
   pal->loop = loop;
   pal->name = g_strdup (name);
-  pal->incarnation = ((uint64_t)g_random_int () << 32) | g_random_int ();
+  pal->incarnation = incarnation;
   pal->addresses = g_array_new (FALSE, FALSE, sizeof (addr_t));
   pal->peers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -18,11 +18,12 @@
 
 typedef struct pal pal_t;
 
-/* Binds a UDP socket to ADDRESS (IP:PORT).  Returns NULL with
-   CFD_ERROR_ADDRESS when that fails.  */
-pal_t *pal_new (struct ev_loop *loop, const char *name, const char *address,
-                edp_set_t *endpoints, use_t *use, pfx_t *pfx, ret_t *ret,
-                GError **error);
+/* Binds a UDP socket to ADDRESS (IP:PORT).  INCARNATION is a number by which
+   peers tell this process from earlier ones of the router NAME.  Returns NULL
+   with CFD_ERROR_ADDRESS when the socket can't be bound.  */
+pal_t *pal_new (struct ev_loop *loop, const char *name, uint64_t incarnation,
+                const char *address, edp_set_t *endpoints, use_t *use,
+                pfx_t *pfx, ret_t *ret, GError **error);
 void pal_free (pal_t *pal);
 
 /* Accounts the time spent on reading datagrams to LAG, which is not owned.  */
@@ -103,5 +104,8 @@
    valid state datagram.  */
 bool pal_receive (pal_t *pal, cfd_time_t now, const void *bytes,
                   size_t length);
+/* Returns the number of datagrams received that were of no known kind or
+   malformed.  */
+uint64_t pal_count_invalid (const pal_t *pal);
 
 #endif
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -8,6 +8,8 @@
 
 #define NOW 1000000
 #define COLD_MS 0
+/* Incarnations that the bytes of a datagram are changed for.  */
+#define STRAY_SEEDS 256
 
 typedef struct
 {
@@ -31,8 +33,17 @@
   return report;
 }
 
+static uint64_t
+draw_incarnation (guint32 seed)
+{
+  g_autoptr (GRand) random = g_rand_new_with_seed (seed);
+  uint64_t high = g_rand_int (random);
+
+  return high << 32 | g_rand_int (random);
+}
+
 static router_t
-router_new (const char *name)
+router_new_seeded (const char *name, guint32 seed)
 {
   router_t router = { .loop = ev_loop_new (EVFLAG_AUTO) };
   GPtrArray *reports = g_ptr_array_new ();
@@ -43,12 +54,19 @@
   router.use = use_new (4000);
   router.pfx = pfx_new ();
   router.ret = ret_new ();
-  router.pal = pal_new (router.loop, name, "127.0.0.1:0", router.endpoints,
-                        router.use, router.pfx, router.ret, NULL);
+  router.pal
+      = pal_new (router.loop, name, draw_incarnation (seed), "127.0.0.1:0",
+                 router.endpoints, router.use, router.pfx, router.ret, NULL);
   g_assert_nonnull (router.pal);
   return router;
 }
 
+static router_t
+router_new (const char *name)
+{
+  return router_new_seeded (name, g_str_hash (name));
+}
+
 static void
 router_free (router_t *router)
 {
@@ -356,13 +374,11 @@
   router_free (&one);
 }
 
-/* A datagram truncated at each length, and with each byte changed, is rejected
-   or read as other values; nothing else may happen.  */
 static void
-test_stray (void)
+receive_stray (guint32 seed)
 {
   router_t here = router_new ("here");
-  router_t one = router_new ("one");
+  router_t one = router_new_seeded ("one", seed);
   g_autoptr (GByteArray) bytes = NULL;
 
   set_load (&one, 3, 500.);
@@ -377,13 +393,117 @@
   for (guint i = 0; i < bytes->len; i++)
     {
       bytes->data[i] ^= 0xff;
-      pal_receive (here.pal, NOW, bytes->data, bytes->len);
+      pal_receive_any (here.pal, NOW, bytes->data, bytes->len);
       bytes->data[i] ^= 0xff;
     }
   router_free (&here);
   router_free (&one);
 }
 
+/* A datagram truncated at each length, and with each byte changed, is rejected
+   or read as other values; nothing else may happen.  The incarnation's bytes
+   decide what is read after a changed byte.  */
+static void
+test_stray (void)
+{
+  for (guint32 seed = 0; seed < STRAY_SEEDS; seed++)
+    receive_stray (seed);
+}
+
+/* Valid bytes followed by one more, and what is neither a state nor an update,
+   are counted as invalid.  */
+static void
+test_invalid (void)
+{
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  g_autoptr (GByteArray) state = pal_pack (one.pal, NOW, true);
+  g_autoptr (GByteArray) update = pal_pack_update (2, 40, 45, "{}");
+  const guint8 byte = 1;
+
+  pal_receive_any (here.pal, NOW, state->data, state->len);
+  pal_receive_any (here.pal, NOW, update->data, update->len);
+  g_assert_cmpuint (pal_count_invalid (here.pal), ==, 0);
+  g_byte_array_append (state, &byte, 1);
+  g_byte_array_append (update, &byte, 1);
+  pal_receive_any (here.pal, NOW, state->data, state->len);
+  pal_receive_any (here.pal, NOW, update->data, update->len);
+  pal_receive_any (here.pal, NOW, &byte, 1);
+  pal_receive_any (here.pal, NOW, &byte, 0);
+  g_assert_cmpuint (pal_count_invalid (here.pal), ==, 4);
+  router_free (&here);
+  router_free (&one);
+}
+
+/* Appends the header of a list of COUNT items.  */
+static void
+append_array (GByteArray *bytes, uint32_t count)
+{
+  const guint8 header[] = { 0xdd, (guint8)(count >> 24), (guint8)(count >> 16),
+                            (guint8)(count >> 8), (guint8)count };
+
+  g_byte_array_append (bytes, header, sizeof header);
+}
+
+/* Returns a state datagram whose list number LIST (5 to 10) has COUNT items,
+   all of them 0, and whose other lists are empty.  */
+static GByteArray *
+pack_long_list (unsigned list, uint32_t count)
+{
+  static const guint8 start[]
+      = { 0x9b, 0xcd, 0xcf, 0xd8, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
+  static const guint8 zero = 0;
+  static const guint8 empty = 0x90;
+  GByteArray *bytes = g_byte_array_new ();
+
+  g_byte_array_append (bytes, start, sizeof start);
+  for (unsigned item = 5; item < 11; item++)
+    {
+      bool is_number = item == 8;
+
+      if (item != list)
+        {
+          g_byte_array_append (bytes, is_number ? &zero : &empty, 1);
+          continue;
+        }
+      append_array (bytes, count);
+      for (uint32_t i = 0; i < count; i++)
+        g_byte_array_append (bytes, &zero, 1);
+    }
+  return bytes;
+}
+
+/* A datagram with more rows than any router sends makes the receiver work
+   through all of them.  */
+static void
+test_list_limits (void)
+{
+  static const struct
+  {
+    unsigned list;
+    uint32_t columns;
+    uint32_t max_rows;
+  } cases[] = {
+    { 5, 4, MAX_LOAD_ROWS },
+    { 7, 2, MAX_PREFIX_ROWS },
+    { 9, PAL_LIST_COUNT * 2, 1 },
+    { 10, 3, MAX_REFUSAL_ROWS },
+  };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      router_t here = router_new ("here");
+      g_autoptr (GByteArray) most = pack_long_list (
+          cases[i].list, cases[i].columns * cases[i].max_rows);
+      g_autoptr (GByteArray) more = pack_long_list (
+          cases[i].list, cases[i].columns * (cases[i].max_rows + 1));
+
+      g_assert_false (pal_receive (here.pal, NOW, more->data, more->len));
+      g_assert_true (pal_receive (here.pal, NOW, most->data, most->len));
+      router_free (&here);
+    }
+}
+
 typedef struct
 {
   unsigned count;
@@ -455,6 +575,8 @@
   g_test_add_func ("/pal/readers", test_readers);
   g_test_add_func ("/pal/seen", test_seen);
   g_test_add_func ("/pal/stray", test_stray);
+  g_test_add_func ("/pal/invalid", test_invalid);
+  g_test_add_func ("/pal/list-limits", test_list_limits);
   g_test_add_func ("/pal/update", test_update);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/wire/msg-unpack.c
+++ b/libcoltsfootdrum/wire/msg-unpack.c
@@ -1,139 +1,15 @@
-/* Decoding of frames.  The tree parser of msgpack-c allocates the number of
-   objects in an array's header before it has seen them, so that five hostile
-   bytes make it ask for 64 GB.  Its parser template is used instead, with
-   callbacks that build a limited number of nodes and reject types that no
-   field has.  */
+/* Decoding of frames: from the nodes of a message tree to structs.  */
 
 #include "wire/msg-fields.h"
 
+#include "wire/msg-tree.h"
 #include <math.h>
-#include <msgpack/unpack.h>
-#include <msgpack/unpack_define.h>
-#include <msgpack/zone.h>
 #include <string.h>
 
 /* Limit of all nodes of one frame: the most structs, with spare fields.  */
 #define NODES_MAX (MSG_ENTRIES_MAX * 16u)
 #define ARENA_CHUNK_BYTES 2048u
 
-typedef enum
-{
-  NODE_UINT,
-  NODE_DOUBLE,
-  NODE_BOOL,
-  NODE_STRING,
-  NODE_BYTES,
-  NODE_ARRAY
-} node_type_t;
-
-typedef struct node
-{
-  node_type_t type;
-  uint32_t length; /* of a string, bytes or an array */
-  union
-  {
-    uint64_t number;
-    double real;
-    const char *bytes;
-    struct node *items;
-  } u;
-} node_t;
-
-typedef struct
-{
-  msgpack_zone *arena;
-  uint32_t nodes_left;
-} reader_t;
-
-static int
-build_uint (reader_t *reader, uint64_t value, node_t *node)
-{
-  *node = (node_t){ .type = NODE_UINT, .u.number = value };
-  return 0;
-}
-
-static int
-build_double (reader_t *reader, double value, node_t *node)
-{
-  *node = (node_t){ .type = NODE_DOUBLE, .u.real = value };
-  return 0;
-}
-
-static int
-build_bool (reader_t *reader, bool value, node_t *node)
-{
-  *node = (node_t){ .type = NODE_BOOL, .u.number = value };
-  return 0;
-}
-
-static int
-build_bytes (node_type_t type, const char *bytes, uint32_t length,
-             node_t *node)
-{
-  /* The template passes no pointer for an empty string.  */
-  *node = (node_t){ .type = type,
-                    .length = length,
-                    .u.bytes = length > 0 ? bytes : "" };
-  return 0;
-}
-
-static int
-build_array (reader_t *reader, uint32_t count, node_t *node)
-{
-  if (count > reader->nodes_left)
-    return -1;
-  reader->nodes_left -= count;
-  *node = (node_t){ .type = NODE_ARRAY };
-  if (count == 0)
-    return 0;
-  node->u.items = msgpack_zone_malloc (reader->arena, count * sizeof *node);
-  return node->u.items != NULL ? 0 : -1;
-}
-
-static int
-append_item (reader_t *reader, node_t *array, node_t item)
-{
-  array->u.items[array->length++] = item;
-  return 0;
-}
-
-static int
-reject (void)
-{
-  return -1;
-}
-
-#define msgpack_unpack_struct(name) struct reader##name
-#define msgpack_unpack_func(type, name) static type reader##name
-#define msgpack_unpack_callback(name) reader_callback##name
-#define msgpack_unpack_object node_t
-#define msgpack_unpack_user reader_t
-#define reader_callback_root(r) ((node_t){ 0 })
-#define reader_callback_uint8 build_uint
-#define reader_callback_uint16 build_uint
-#define reader_callback_uint32 build_uint
-#define reader_callback_uint64 build_uint
-#define reader_callback_int8(r, v, n) reject ()
-#define reader_callback_int16(r, v, n) reject ()
-#define reader_callback_int32(r, v, n) reject ()
-#define reader_callback_int64(r, v, n) reject ()
-#define reader_callback_float build_double
-#define reader_callback_double build_double
-#define reader_callback_nil(r, n) reject ()
-#define reader_callback_true(r, n) build_bool (r, true, n)
-#define reader_callback_false(r, n) build_bool (r, false, n)
-#define reader_callback_array build_array
-#define reader_callback_array_item append_item
-#define reader_callback_map(r, c, n) reject ()
-#define reader_callback_map_item(r, m, k, v) reject ()
-#define reader_callback_str(r, base, p, l, n)                                 \
-  build_bytes (NODE_STRING, p, l, n)
-#define reader_callback_bin(r, base, p, l, n) build_bytes (NODE_BYTES, p, l, n)
-#define reader_callback_ext(r, base, p, l, n) reject ()
-#include <msgpack/unpack_template.h>
-
-/* ---- from nodes to structs ---- */
-
 typedef struct
 {
   msgpack_zone *arena;
@@ -152,14 +28,16 @@
 }
 
 static bool
-decode_uint (const node_t *node, uint64_t min, uint64_t limit, uint64_t *value)
+decode_uint (const msg_node_t *node, uint64_t min, uint64_t limit,
+             uint64_t *value)
 {
   *value = node->u.number;
-  return node->type == NODE_UINT && *value >= min && *value <= limit;
+  return node->type == MSG_NODE_UINT && *value >= min && *value <= limit;
 }
 
 static bool
-decode_u32 (const node_t *node, uint32_t min, uint32_t limit, uint32_t *dest)
+decode_u32 (const msg_node_t *node, uint32_t min, uint32_t limit,
+            uint32_t *dest)
 {
   uint64_t value;
 
@@ -170,7 +48,7 @@
 }
 
 static bool
-decode_incarnation (const decoder_t *decoder, const node_t *node,
+decode_incarnation (const decoder_t *decoder, const msg_node_t *node,
                     uint64_t *dest)
 {
   if (!decode_uint (node, 0, UINT64_MAX, dest))
@@ -181,11 +59,11 @@
 }
 
 static bool
-decode_double (const node_t *node, bool must_be_finite, double *dest)
+decode_double (const msg_node_t *node, bool must_be_finite, double *dest)
 {
-  if (node->type == NODE_UINT)
+  if (node->type == MSG_NODE_UINT)
     *dest = (double)node->u.number;
-  else if (node->type == NODE_DOUBLE)
+  else if (node->type == MSG_NODE_DOUBLE)
     *dest = node->u.real;
   else
     return false;
@@ -193,19 +71,19 @@
 }
 
 static bool
-decode_bool (const node_t *node, bool *dest)
+decode_bool (const msg_node_t *node, bool *dest)
 {
   *dest = node->u.number != 0;
-  return node->type == NODE_BOOL;
+  return node->type == MSG_NODE_BOOL;
 }
 
 static bool
-decode_string (const decoder_t *decoder, const node_t *node, size_t limit,
+decode_string (const decoder_t *decoder, const msg_node_t *node, size_t limit,
                const char **dest)
 {
   char *copy;
 
-  if (node->type != NODE_STRING || node->length > limit
+  if (node->type != MSG_NODE_STRING || node->length > limit
       || memchr (node->u.bytes, 0, node->length) != NULL)
     return false;
   copy = msgpack_zone_malloc_no_align (decoder->arena, node->length + 1);
@@ -232,12 +110,12 @@
 /* The name is copied, because a later field of the frame may assign its number
    to another name.  */
 static bool
-decode_name (const decoder_t *decoder, const node_t *node, size_t limit,
+decode_name (const decoder_t *decoder, const msg_node_t *node, size_t limit,
              const char **dest)
 {
   const char *known;
 
-  if (node->type == NODE_UINT && decoder->state != NULL)
+  if (node->type == MSG_NODE_UINT && decoder->state != NULL)
     {
       known = msg_state_get_name (decoder->state, node->u.number);
       return known != NULL && copy_name (decoder, known, dest);
@@ -250,18 +128,18 @@
 }
 
 static bool
-decode_bytes (const node_t *node, size_t limit, msg_bytes_t *dest)
+decode_bytes (const msg_node_t *node, size_t limit, msg_bytes_t *dest)
 {
   dest->data = (const uint8_t *)node->u.bytes;
   dest->length = node->length;
-  return node->type == NODE_BYTES && node->length <= limit;
+  return node->type == MSG_NODE_BYTES && node->length <= limit;
 }
 
 static bool
-decode_strings (const decoder_t *decoder, const node_t *node,
+decode_strings (const decoder_t *decoder, const msg_node_t *node,
                 const msg_field_t *field, const char ***dest, uint32_t *count)
 {
-  if (node->type != NODE_ARRAY || node->length > field->max_count)
+  if (node->type != MSG_NODE_ARRAY || node->length > field->max_count)
     return false;
   *dest = msgpack_zone_malloc (decoder->arena,
                                (node->length + 1) * sizeof **dest);
@@ -276,26 +154,26 @@
 }
 
 static bool decode_fields (const decoder_t *decoder,
-                           const msg_layout_t *layout, const node_t *nodes,
+                           const msg_layout_t *layout, const msg_node_t *nodes,
                            uint32_t count, uint8_t *dest, GError **error);
 
 static bool
-decode_struct (const decoder_t *decoder, const node_t *node,
+decode_struct (const decoder_t *decoder, const msg_node_t *node,
                const msg_layout_t *layout, uint8_t *dest, GError **error)
 {
-  return node->type == NODE_ARRAY
+  return node->type == MSG_NODE_ARRAY
          && decode_fields (decoder, layout, node->u.items, node->length, dest,
                            error);
 }
 
 static bool
-decode_structs (const decoder_t *decoder, const node_t *node,
+decode_structs (const decoder_t *decoder, const msg_node_t *node,
                 const msg_field_t *field, uint8_t **dest, uint32_t *count,
                 GError **error)
 {
   size_t size = field->layout->size;
 
-  if (node->type != NODE_ARRAY || node->length > field->max_count)
+  if (node->type != MSG_NODE_ARRAY || node->length > field->max_count)
     return false;
   *dest = msgpack_zone_malloc (decoder->arena, node->length * size + 1);
   if (*dest == NULL)
@@ -311,7 +189,7 @@
 
 static bool
 decode_field (const decoder_t *decoder, const msg_field_t *field,
-              const node_t *node, uint8_t *base, GError **error)
+              const msg_node_t *node, uint8_t *base, GError **error)
 {
   void *dest = base + field->offset;
   void *count = base + field->count_offset;
@@ -352,7 +230,7 @@
 /* Decodes the fields of LAYOUT from COUNT nodes into DEST, which is zeroed. */
 static bool
 decode_fields (const decoder_t *decoder, const msg_layout_t *layout,
-               const node_t *nodes, uint32_t count, uint8_t *dest,
+               const msg_node_t *nodes, uint32_t count, uint8_t *dest,
                GError **error)
 {
   for (uint32_t i = 0; i < layout->count; i++)
@@ -384,14 +262,14 @@
 }
 
 static bool
-decode_message (const decoder_t *decoder, const node_t *frame, msg_t *message,
-                GError **error)
+decode_message (const decoder_t *decoder, const msg_node_t *frame,
+                msg_t *message, GError **error)
 {
-  const node_t *nodes = frame->u.items;
+  const msg_node_t *nodes = frame->u.items;
   const msg_layout_t *layout = NULL;
   uint32_t kind = 0;
 
-  if (frame->type == NODE_ARRAY && frame->length >= MSG_PREFIX_FIELDS
+  if (frame->type == MSG_NODE_ARRAY && frame->length >= MSG_PREFIX_FIELDS
       && decode_u32 (&nodes[0], 1, MSG_KIND_COUNT - 1, &kind))
     layout = msg_get_layout (kind);
   if (layout == NULL
@@ -411,21 +289,6 @@
                         (uint8_t *)&message->u, error);
 }
 
-static bool
-parse_nodes (msgpack_zone *arena, const uint8_t *payload, size_t length,
-             node_t *root)
-{
-  struct reader_context context;
-  size_t used = 0;
-  int status;
-
-  reader_init (&context);
-  context.user = (reader_t){ .arena = arena, .nodes_left = NODES_MAX };
-  status = reader_execute (&context, (const char *)payload, length, &used);
-  *root = reader_data (&context);
-  return status > 0 && used == length;
-}
-
 /* First bytes of msgpack's unsigned integers.  */
 #define UINT_FIX_MAX 0x7f
 #define UINT_8 0xcc
@@ -465,7 +328,7 @@
 {
   msgpack_zone *arena;
   msg_t *message;
-  node_t root;
+  msg_tree_t tree;
 
   arena = msgpack_zone_new (ARENA_CHUNK_BYTES);
   g_assert (arena != NULL);
@@ -473,7 +336,8 @@
   g_assert (message != NULL);
   memset (message, 0, sizeof *message);
   message->arena = arena;
-  if (length > MSG_FRAME_MAX || !parse_nodes (arena, payload, length, &root))
+  if (length > MSG_FRAME_MAX
+      || !msg_tree_parse (arena, payload, length, NODES_MAX, &tree))
     {
       g_set_error (error, CFD_ERROR, CFD_ERROR_FRAME,
                    "Frame of %zu bytes is malformed or too large; check that "
@@ -481,7 +345,8 @@
                    length);
       goto fail;
     }
-  if (!decode_message (&(decoder_t){ arena, state }, &root, message, error))
+  if (!decode_message (&(decoder_t){ arena, state }, &tree.root, message,
+                       error))
     goto fail;
   return message;
 
