Rollouts: read orders and versions, contain a bad version

Cause: the operator can order a rollout (rollouts/SERVICE), but the list was never read and the version of an endpoint not decoded, so that a bad new version got its full share of the traffic from its first listing.

Change: relay/rol.h follows the orders. An endpoint of an unknown version gets nothing until the orders are known as of its listing; the list's readers read them at once and pass the revision on. Counts of answers by version and route go with the datagrams; a router that finds the target bad, or hears so, stops at once. One router writes the status, under the order's revision. A 421 counts as a failure of the endpoint and no longer takes one of the request's attempts. Where exposure_share isn't set, nothing is read or held back.

Completion of good versions is not built.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -47,9 +47,29 @@
   g_free (report->service);
   g_free (report->address);
   g_free (report->zone);
+  g_free (report->version);
   g_free (report);
 }
 
+const char *
+edp_standing_name (edp_standing_t standing)
+{
+  switch (standing)
+    {
+    case EDP_CURRENT:
+      return "current";
+    case EDP_CANARY:
+      return "canary";
+    case EDP_UNVERIFIED:
+      return "unverified";
+    case EDP_REJECTED:
+      return "rejected";
+    case EDP_REPLACED:
+      return "replaced";
+    }
+  return "?";
+}
+
 static void
 edp_free (edp_t *edp)
 {
@@ -111,11 +131,13 @@
          && g_strv_contains ((const char *const *)set->zones_out, zone);
 }
 
-/* Returns whether the endpoint was restarted or moved to another address.  */
+/* Returns whether the endpoint was restarted, moved to another address or
+   changed its software.  */
 static bool
 is_different_process (const edp_report_t *a, const edp_report_t *b)
 {
   return strcmp (a->address, b->address) != 0
+         || g_strcmp0 (a->version, b->version) != 0
          || (a->started_ms != 0 && b->started_ms != 0
              && a->started_ms != b->started_ms);
 }
@@ -144,6 +166,7 @@
   edp->cold_tokens = COLD_BURST;
   edp->ups = ups_new (set->loop, &addr);
   edp->unlisted_since = CFD_TIME_NEVER;
+  edp->listed_revision = report->revision;
   edp->withdrawn = is_zone_out (set, report->zone);
   edp->last_answer_at = now;
   list_init (&edp->node);
@@ -152,9 +175,10 @@
   g_hash_table_replace (set->by_hash, &edp->hash, edp);
   log_info ("endpoints",
             "An endpoint is listed: endpoint=%s service=%s zone=%s "
-            "address=%s slots=%u cold_ms=%" G_GINT64_FORMAT ".",
+            "address=%s version=%s slots=%u cold_ms=%" G_GINT64_FORMAT ".",
             report->id, report->service, report->zone, report->address,
-            report->slots, report->cold_ms);
+            report->version != NULL ? report->version : "", report->slots,
+            report->cold_ms);
   return edp;
 }
 
@@ -304,8 +328,10 @@
 bool
 edp_is_open (const edp_t *edp, cfd_time_t now)
 {
-  return !edp->report->leaving && !edp->withdrawn && now >= edp->backoff_until
-         && now >= edp->full_until;
+  bool is_usable = edp->standing == EDP_CURRENT || edp->standing == EDP_CANARY;
+
+  return is_usable && !edp->report->leaving && !edp->withdrawn
+         && now >= edp->backoff_until && now >= edp->full_until;
 }
 
 bool
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -16,6 +16,8 @@
   char *service;
   char *address; /* IP:PORT */
   char *zone;
+  char *version;      /* of its software; NULL: not reported */
+  int64_t revision;   /* of the store, at the report's last change */
   unsigned slots;     /* concurrent requests; 0: not reported */
   bool leaving;       /* accepts no new requests */
   int64_t started_ms; /* wall time of its start; 0: not reported */
@@ -24,13 +26,29 @@
 
 void edp_report_free (edp_report_t *report);
 
+/* Whether rollouts (relay/rol.h) let an endpoint get requests.  */
+typedef enum
+{
+  EDP_CURRENT,    /* like any other */
+  EDP_CANARY,     /* of a version on trial: a small share of the requests */
+  EDP_UNVERIFIED, /* it may be of a version on trial: none */
+  EDP_REJECTED,   /* of a version that was rolled back: none */
+  EDP_REPLACED    /* of the version before a completed rollout: none */
+} edp_standing_t;
+
+/* Returns a word for logs.  */
+const char *edp_standing_name (edp_standing_t standing);
+
 typedef struct
 {
   list_node_t node;
   edp_report_t *report;
   uint64_t hash; /* of its id and start time */
   ups_t *ups;
-  bool withdrawn;            /* its availability zone is out of service */
+  bool withdrawn; /* its availability zone is out of service */
+  edp_standing_t standing;
+  int64_t listed_revision; /* of the store, at its first listing */
+  bool is_verified;        /* no order named its version when it was listed */
   cfd_time_t unlisted_since; /* CFD_TIME_NEVER while it is listed */
   cfd_time_t cold_until;
   double cold_tokens; /* token bucket of the warm-up rate limit */
@@ -82,8 +100,8 @@
 /* Returns whether an endpoint is in use that the platform no longer lists.  */
 bool edp_set_has_unlisted (const edp_set_t *set);
 
-/* Returns whether new requests may be sent to EDP, apart from its load and
-   the warm-up rate limit.  */
+/* Returns whether new requests may be sent to EDP, apart from its load, the
+   warm-up rate limit and the share of canaries.  */
 bool edp_is_open (const edp_t *edp, cfd_time_t now);
 
 /* Returns whether the warm-up rate limit allows another request to EDP now;
--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -136,6 +136,37 @@
     }
 }
 
+static void
+count_evidence (void *user, const rol_evidence_t *evidence)
+{
+  ++*(guint *)user;
+}
+
+static void
+pack_evidence_row (void *user, const rol_evidence_t *evidence)
+{
+  msgpack_packer *packer = user;
+
+  msgpack_pack_uint64 (packer, evidence->rollout);
+  msgpack_pack_uint64 (packer, evidence->route);
+  msgpack_pack_uint8 (packer, (uint8_t)evidence->subject);
+  msgpack_pack_uint64 (packer, evidence->answers);
+  msgpack_pack_uint64 (packer, evidence->bad);
+}
+
+static void
+pack_evidence (const pal_t *pal, msgpack_packer *packer, bool full)
+{
+  guint rows = 0;
+
+  full &= pal->rol != NULL;
+  if (full)
+    rol_foreach_own (pal->rol, count_evidence, &rows);
+  msgpack_pack_array (packer, (size_t)rows * 5);
+  if (full)
+    rol_foreach_own (pal->rol, pack_evidence_row, packer);
+}
+
 GByteArray *
 pal_pack (pal_t *pal, cfd_time_t now, bool full)
 {
@@ -145,7 +176,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 11);
+  msgpack_pack_array (&packer, 12);
   msgpack_pack_uint32 (&packer, STATE_FORMAT);
   pack_text (&packer, full ? pal->name : "");
   msgpack_pack_uint64 (&packer, pal->incarnation);
@@ -157,6 +188,7 @@
   msgpack_pack_int64 (&packer, pal->stable_ms);
   pack_list_states (pal, &packer, full);
   pack_refusals (pal, &packer, now, full);
+  pack_evidence (pal, &packer, full);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -11,7 +11,7 @@
 
 /* First item of each state datagram, by which foreign datagrams and those of
    other versions are recognized and ignored.  */
-#define STATE_FORMAT 0xcfd8
+#define STATE_FORMAT 0xcfd9
 /* First item of each update datagram.  */
 #define UPDATE_FORMAT 0xcfe1
 /* Units of pending_prefill and of context_tokens in datagrams.  Small numbers
@@ -26,6 +26,7 @@
 #define MAX_USAGE_ROWS 8192u
 #define MAX_PREFIX_ROWS 16384u
 #define MAX_REFUSAL_ROWS 8192u
+#define MAX_EVIDENCE_ROWS 4096u
 
 typedef struct
 {
@@ -64,6 +65,7 @@
   use_t *use;
   pfx_t *pfx;
   ret_t *ret;
+  rol_t *rol; /* not owned; may be NULL */
   lag_t *lag; /* not owned; may be NULL */
   int64_t stable_ms;
   int64_t revisions[PAL_LIST_COUNT];
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -74,7 +74,7 @@
 {
   const msg_node_t *items = node->u.items;
 
-  return node->type == MSG_NODE_ARRAY && node->length == 11
+  return node->type == MSG_NODE_ARRAY && node->length == 12
          && is_number (&items[0]) && items[0].u.number == STATE_FORMAT
          && is_text (&items[1]) && is_number (&items[2])
          && is_number (&items[3]) && is_number (&items[4])
@@ -83,7 +83,8 @@
          && is_number_rows (&items[7], 2, MAX_PREFIX_ROWS)
          && (is_number (&items[8]) || items[8].type == MSG_NODE_NEGATIVE)
          && is_number_rows (&items[9], PAL_LIST_COUNT * 2, 1)
-         && is_number_rows (&items[10], 3, MAX_REFUSAL_ROWS);
+         && is_number_rows (&items[10], 3, MAX_REFUSAL_ROWS)
+         && is_number_rows (&items[11], 5, MAX_EVIDENCE_ROWS);
 }
 
 static guint
@@ -285,6 +286,25 @@
     }
 }
 
+static void
+receive_evidence (pal_t *pal, uint64_t incarnation, const msg_node_t *rows)
+{
+  if (pal->rol == NULL)
+    return;
+  for (unsigned i = 0; i + 4 < rows->length; i += 5)
+    {
+      const msg_node_t *row = &rows->u.items[i];
+      rol_evidence_t evidence = { .rollout = row[0].u.number,
+                                  .route = row[1].u.number,
+                                  .subject = (rol_subject_t)row[2].u.number,
+                                  .answers = row[3].u.number,
+                                  .bad = row[4].u.number };
+
+      if (row[2].u.number <= ROL_VERDICT)
+        rol_receive (pal->rol, incarnation, &evidence);
+    }
+}
+
 static int64_t
 decode_stable_ms (const msg_node_t *node)
 {
@@ -318,6 +338,7 @@
   peer->stable_ms = decode_stable_ms (&items[8]);
   receive_list_states (peer, now, &items[9]);
   receive_refusals (pal, now, &items[10]);
+  receive_evidence (pal, incarnation, &items[11]);
 }
 
 bool
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -162,6 +162,12 @@
   pal->lag = lag;
 }
 
+void
+pal_set_rollouts (pal_t *pal, rol_t *rol)
+{
+  pal->rol = rol;
+}
+
 void
 pal_set_peers (pal_t *pal, const pal_member_t *peers, guint count)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -1,6 +1,7 @@
 /* Peers.  Exchanges state between routers over UDP: the load that each router
    puts on each endpoint, the usage of accounts, cached prompt prefixes,
-   refused requests and the progress of reading the platform's lists.
+   refused requests, answers by version during a rollout, and the progress of
+   reading the platform's lists.
 
    Datagrams are encoded with msgpack-c and hold absolute values, so that a
    lost, duplicated or reordered one does no harm.  The load of an endpoint is
@@ -14,6 +15,7 @@
 #include "relay/lag.h"
 #include "relay/pfx.h"
 #include "relay/ret.h"
+#include "relay/rol.h"
 #include "relay/use.h"
 
 typedef struct pal pal_t;
@@ -29,6 +31,9 @@
 /* Accounts the time spent on reading datagrams to LAG, which is not owned.  */
 void pal_set_lag (pal_t *pal, lag_t *lag);
 
+/* Exchanges the evidence of ROL, which is not owned.  */
+void pal_set_rollouts (pal_t *pal, rol_t *rol);
+
 /* Another router, as listed in the platform's store.  */
 typedef struct
 {
@@ -60,7 +65,7 @@
 int64_t pal_get_max_peer_stable_ms (const pal_t *pal, cfd_time_t now);
 
 /* Number of the platform's lists whose revision and age routers exchange.  */
-#define PAL_LIST_COUNT 4
+#define PAL_LIST_COUNT 5
 
 /* Sets the platform's revision of the last change of LIST (below
    PAL_LIST_COUNT) that this router has read, and returns the newest such
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -18,6 +18,8 @@
 /* Retry-After of a request that its endpoint rejected: about the time until
    the endpoint has a free slot.  */
 #define REJECTED_RETRY_MS 150
+/* Another endpoint than the one that was named has the address.  */
+#define STATUS_MISDIRECTED 421
 
 void
 rly_answer_reset (rly_answer_t *answer)
@@ -110,7 +112,8 @@
 static bool
 implies_not_run (unsigned status)
 {
-  return status == 408 || status == 421 || status == 429 || status == 503;
+  return status == 408 || status == STATUS_MISDIRECTED || status == 429
+         || status == 503;
 }
 
 static void
@@ -147,8 +150,8 @@
   answer->status = head->status;
   answer->framed = head->framed;
   answer->is_valid = is_valid_head (request, head);
-  answer->not_run
-      = head->status == 421 || hdr_get (&head->fields, names->not_run) != NULL;
+  answer->not_run = head->status == STATUS_MISDIRECTED
+                    || hdr_get (&head->fields, names->not_run) != NULL;
   answer->is_stream = answer->is_valid && head->status == 200
                       && request->route->kind == RTE_STREAM;
   if (!request->head_sent)
@@ -238,12 +241,43 @@
   return true;
 }
 
+/* Returns whether the endpoint of REQUEST rejected it although no more than
+   half of its slots were taken, by what this router knows.  */
+static bool
+is_rejected_while_idle (const rly_request_t *request)
+{
+  const edp_t *edp = request->edp;
+
+  return (edp->active + edp->peer_active) * 2 <= edp->report->slots;
+}
+
+/* Another endpoint has the address: the one that was meant is gone.  That is
+   no attempt of the caller's request.  */
+static void
+handle_misdirected (rly_request_t *request, cfd_time_t now)
+{
+  log_info ("relay",
+            "An address belongs to another endpoint: request=%s endpoint=%s "
+            "address=%s.",
+            request->id, request->edp->report->id,
+            request->edp->report->address);
+  edp_record_failure (request->edp, now);
+  request->attempts--;
+}
+
 /* Handles an answer that says that the request was not run.  */
 static void
 handle_not_run (rly_request_t *request, cfd_time_t now)
 {
-  if (rly_is_enabled (request->rly, MECH_REJECT_PAUSE))
-    edp_record_rejection (request->edp, now);
+  if (request->answer.status == STATUS_MISDIRECTED)
+    handle_misdirected (request, now);
+  else
+    {
+      rly_count_rollout_answer (request, now,
+                                is_rejected_while_idle (request));
+      if (rly_is_enabled (request->rly, MECH_REJECT_PAUSE))
+        edp_record_rejection (request->edp, now);
+    }
   if (consume_retry (request, now))
     {
       retry (request, now, "not-run");
@@ -264,6 +298,7 @@
 handle_unknown_outcome (rly_request_t *request, cfd_time_t now,
                         const char *reason)
 {
+  rly_count_rollout_answer (request, now, true);
   edp_record_failure (request->edp, now);
   request->may_have_run = true;
   if (rte_may_retry (request->route) && consume_retry (request, now))
@@ -279,6 +314,7 @@
 static void
 handle_unreached (rly_request_t *request, cfd_time_t now)
 {
+  rly_count_rollout_answer (request, now, true);
   edp_record_failure (request->edp, now);
   /* Nothing was sent, so this is no attempt.  */
   request->attempts--;
@@ -341,6 +377,7 @@
       handle_unknown_outcome (request, now, "unsound");
       return;
     }
+  rly_count_rollout_answer (request, now, answer->status >= 500);
   edp_record_success (request->edp, now);
   if (answer->status / 100 == 2)
     prom_hist_observe (&request->service->total_ms, now - request->arrived_at);
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -88,6 +88,36 @@
   return load;
 }
 
+static void
+add_endpoint (rly_round_t *round, edp_t *edp)
+{
+  guint i = round->count + round->canary_count;
+
+  round->endpoints[i] = edp;
+  round->loads[i] = collect_load (round, edp);
+  round->has_free_slot |= round->loads[i].active < round->loads[i].slots;
+}
+
+/* Adds the endpoints of STANDING that are open.  */
+static void
+add_endpoints (rly_round_t *round, edp_standing_t standing)
+{
+  guint *count = standing == EDP_CANARY ? &round->canary_count : &round->count;
+
+  list_for_each (node, edp_set_endpoints (round->rly->endpoints))
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      if (round->count + round->canary_count == RLY_MAX_ENDPOINTS)
+        break;
+      if (edp->standing != standing || !edp_is_open (edp, round->now)
+          || !g_str_equal (edp->report->service, round->service->name))
+        continue;
+      add_endpoint (round, edp);
+      ++*count;
+    }
+}
+
 void
 rly_begin_round (rly_round_t *round, rly_t *rly, rly_service_t *service,
                  cfd_time_t now)
@@ -98,21 +128,13 @@
   round->now = now;
   round->base_ms = fit_base (&service->first_token_fit);
   round->ms_per_token = fit_slope (&service->first_token_fit);
-  round->count = 0;
   round->has_free_slot = false;
-  list_for_each (node, edp_set_endpoints (rly->endpoints))
-    {
-      edp_t *edp = list_entry (node, edp_t, node);
-
-      if (round->count == RLY_MAX_ENDPOINTS || !edp_is_open (edp, now)
-          || !g_str_equal (edp->report->service, service->name))
-        continue;
-      round->endpoints[round->count] = edp;
-      round->loads[round->count] = collect_load (round, edp);
-      round->has_free_slot |= round->loads[round->count].active
-                              < round->loads[round->count].slots;
-      round->count++;
-    }
+  round->rollout = rol_find (rly->rol, service->name);
+  round->count = 0;
+  round->canary_count = 0;
+  add_endpoints (round, EDP_CURRENT);
+  if (round->rollout != NULL)
+    add_endpoints (round, EDP_CANARY);
 }
 
 /* Returns the cost of sending REQUEST and its answer between availability
@@ -198,16 +220,19 @@
   const edp_t *preferred
       = affinity ? find_preferred_endpoint (round, prompt) : NULL;
   double shared = pfx_prompt_count_shared_tokens (prompt);
+  guint count = round->count + round->canary_count;
 
   round->source = 0;
-  for (guint i = 0; i < round->count; i++)
+  for (guint i = 0; i < count; i++)
     {
       round->cached_tokens[i] = pfx_count_cached_tokens (
           round->rly->pfx, round->now, round->endpoints[i]->hash, prompt);
-      if (round->cached_tokens[i] > round->cached_tokens[round->source])
+      /* A copy from a canary would count as its request.  */
+      if (i < round->count
+          && round->cached_tokens[i] > round->cached_tokens[round->source])
         round->source = i;
     }
-  for (guint i = 0; i < round->count; i++)
+  for (guint i = 0; i < count; i++)
     {
       set_prefill_work (round, prompt, i);
       round->loads[i].missing_tokens
@@ -288,13 +313,53 @@
   return chosen;
 }
 
+/* Chooses a canary for REQUEST, which need not cache its prefix: the share of
+   canaries would otherwise go to few prompts.  Returns -1 when REQUEST may not
+   be sent to one, or none has capacity.  */
+static int
+choose_canary (rly_round_t *round, const rly_request_t *request,
+               const plc_request_t *constraints)
+{
+  plc_request_t relaxed = *constraints;
+  int chosen;
+
+  if (!rly_allows_canary (round, request))
+    return -1;
+  relaxed.max_missing_tokens = HUGE_VAL;
+  chosen = plc_choose_endpoint (round->loads + round->count,
+                                round->canary_count, &relaxed);
+  return chosen < 0 ? -1 : (int)round->count + chosen;
+}
+
+/* Sends REQUEST to the endpoint at index CHOSEN.  Returns false when no
+   connection can be opened.  */
+static bool
+send_to (rly_round_t *round, rly_request_t *request, guint chosen,
+         double needed_tokens)
+{
+  plc_endpoint_t *load = &round->loads[chosen];
+  edp_t *edp = round->endpoints[chosen];
+  const edp_t *source = NULL;
+
+  request->prefill_ahead = load->pending_prefill + load->own_prefill;
+  request->pending_prefill = request->prompt != NULL ? load->own_prefill : 0.;
+  request->context_tokens = needed_tokens;
+  request->fetch_ms = request->prompt != NULL ? load->fetch_ms : 0.;
+  if (request->fetch_ms > 0.)
+    source = round->endpoints[round->source];
+  if (!rly_send (request, edp, source, round->now))
+    {
+      load->slots = 0;
+      return false;
+    }
+  *load = collect_load (round, edp);
+  return true;
+}
+
 bool
 rly_place (rly_round_t *round, rly_request_t *request)
 {
   plc_request_t constraints;
-  plc_endpoint_t *load;
-  const edp_t *source = NULL;
-  edp_t *edp;
   int chosen;
 
   if (!round->has_free_slot)
@@ -302,31 +367,20 @@
   constraints = make_constraints (round, request);
   /* At high load all endpoints are full for most requests.  For these the
      lookup of cached prefixes is skipped.  */
-  if (!plc_has_candidate (round->loads, round->count, &constraints))
+  if (!plc_has_candidate (round->loads, round->count + round->canary_count,
+                          &constraints))
     return false;
   if (request->prompt != NULL && set_prompt_work (round, request))
     constraints.max_missing_tokens = compute_max_missing_tokens (request);
-  chosen = choose_endpoint (round, request, &constraints);
+  chosen = choose_canary (round, request, &constraints);
+  if (chosen < 0)
+    chosen = choose_endpoint (round, request, &constraints);
   /* A busy router reads a request and, an iteration later, the end of its
      connection.  Without this check, an endpoint would already work for a
      caller who has disconnected.  */
   if (chosen < 0 || !ent_is_client_connected (request->call))
     return false;
-  edp = round->endpoints[chosen];
-  load = &round->loads[chosen];
-  request->prefill_ahead = load->pending_prefill + load->own_prefill;
-  request->pending_prefill = request->prompt != NULL ? load->own_prefill : 0.;
-  request->context_tokens = constraints.needed_tokens;
-  request->fetch_ms = request->prompt != NULL ? load->fetch_ms : 0.;
-  if (request->fetch_ms > 0.)
-    source = round->endpoints[round->source];
-  if (!rly_send (request, edp, source, round->now))
-    {
-      load->slots = 0;
-      return false;
-    }
-  *load = collect_load (round, edp);
-  return true;
+  return send_to (round, request, (guint)chosen, constraints.needed_tokens);
 }
 
 int64_t
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -11,6 +11,7 @@
 #include "relay/pfx.h"
 #include "relay/plc.h"
 #include "relay/rly.h"
+#include "relay/rol.h"
 #include "relay/evs.h"
 
 typedef struct
@@ -52,6 +53,7 @@
   pfx_t *pfx; /* not owned */
   ret_t *ret; /* not owned */
   lag_t *lag; /* not owned; may be NULL */
+  rol_t *rol; /* not owned; may be NULL */
   rte_table_t *table;
   list_node_t services; /* rly_service_t */
   list_node_t running;  /* rly_request_t */
@@ -113,9 +115,13 @@
   double pending_prefill; /* its own part of it; 0 after the first byte */
   double context_tokens;  /* KV cache that it uses */
   double fetch_ms;        /* time to copy a cached prefix to the endpoint */
-  bool head_sent;         /* the answer's head was sent to the caller */
-  bool may_have_run;      /* sent to an endpoint that did not reject it */
-  bool read_paused;       /* the caller reads too slowly */
+  bool is_canary;         /* the endpoint is of a version on trial */
+  bool is_warming_up;     /* the endpoint was cold when it was sent */
+  double expected_ms;     /* time to the first byte, at the time of sending */
+  cfd_time_t first_byte_at; /* of this exchange; 0: none yet */
+  bool head_sent;           /* the answer's head was sent to the caller */
+  bool may_have_run;        /* sent to an endpoint that did not reject it */
+  bool read_paused;         /* the caller reads too slowly */
   rly_answer_t answer;
 } rly_request_t;
 
@@ -152,8 +158,10 @@
   cfd_time_t now;
   double base_ms; /* time to first token without prefill */
   double ms_per_token;
-  bool has_free_slot; /* at any endpoint */
-  guint count;
+  bool has_free_slot;     /* at any endpoint */
+  rol_rollout_t *rollout; /* in progress; NULL: none */
+  guint count;            /* of endpoints without canaries, which come first */
+  guint canary_count;
   edp_t *endpoints[RLY_MAX_ENDPOINTS];
   plc_endpoint_t loads[RLY_MAX_ENDPOINTS];
   double cached_tokens[RLY_MAX_ENDPOINTS]; /* of the current prompt */
@@ -180,6 +188,19 @@
    iteration.  */
 void rly_schedule_dispatch (rly_service_t *service);
 
+/* rly-rollout.c: what rollouts need to know of requests.  */
+/* Returns the rollout in progress for the service of REQUEST, or NULL.  */
+rol_rollout_t *rly_find_rollout (const rly_request_t *request);
+/* Returns whether REQUEST may be sent to a canary.  */
+bool rly_allows_canary (const rly_round_t *round,
+                        const rly_request_t *request);
+/* Counts the send of REQUEST to its endpoint.  */
+void rly_count_rollout_send (rly_request_t *request, cfd_time_t now);
+/* Counts the end of the exchange of REQUEST; FAILED unless its answer is
+   sound.  */
+void rly_count_rollout_answer (rly_request_t *request, cfd_time_t now,
+                               bool failed);
+
 /* rly-send.c: one exchange with an endpoint.  */
 /* Sends REQUEST to EDP, which copies a cached prefix from SOURCE unless that
    is NULL.  Returns false when no connection can be opened.  */
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -99,6 +99,8 @@
 static void
 record_first_token (rly_request_t *request, cfd_time_t now)
 {
+  if (request->is_canary)
+    return;
   fit_add (&request->service->first_token_fit, request->prefill_ahead,
            (double)(now - request->sent_at) - request->fetch_ms);
 }
@@ -128,6 +130,8 @@
 {
   bool first = request->pending_prefill > 0.;
 
+  if (request->first_byte_at == 0)
+    request->first_byte_at = now;
   request->edp->last_answer_at = now;
   if (!request->started && is_success (&request->answer))
     {
@@ -195,6 +199,7 @@
   edp->context_tokens += request->context_tokens;
   edp_count_cold_request (edp, now);
   edp->changed = true;
+  rly_count_rollout_send (request, now);
   if (request->prompt != NULL)
     pfx_record (rly->pfx, now, edp->hash, request->prompt);
   if (!request->is_charged)
@@ -233,17 +238,19 @@
       return false;
     }
   start_exchange (request, edp, now);
+  request->expected_ms
+      = request->prompt != NULL ? estimate_first_byte_ms (request) : 1.;
   prom_hist_observe (&request->service->wait_ms, now - request->arrived_at);
   log_info (
       "relay",
       "A request was sent: request=%s account=%s endpoint=%s active=%u "
       "peers=%u ahead=%.0f own=%.0f expect_ms=%.0f waited_ms=%" G_GINT64_FORMAT
-      " source=%s fetch_ms=%.0f.",
+      " source=%s fetch_ms=%.0f canary=%d.",
       request->id, rly_get_account_name (request), edp->report->id,
       edp->active, edp->peer_active, request->prefill_ahead,
       request->pending_prefill, estimate_first_byte_ms (request),
       now - request->arrived_at, source != NULL ? source->report->id : "",
-      request->fetch_ms);
+      request->fetch_ms, request->is_canary);
   return true;
 }
 
@@ -307,6 +314,7 @@
 
   if (now >= MIN (request->deadline, request->route_deadline))
     {
+      rly_count_rollout_answer (request, now, true);
       rly_fail (request, 504, "timeout");
       return;
     }
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -162,6 +162,12 @@
   rly->lag = lag;
 }
 
+void
+rly_set_rollouts (rly_t *rly, rol_t *rol)
+{
+  rly->rol = rol;
+}
+
 rly_service_t *
 rly_find_or_add_service (rly_t *rly, const char *name)
 {
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -12,6 +12,7 @@
 #include "relay/ent.h"
 #include "relay/pfx.h"
 #include "relay/ret.h"
+#include "relay/rol.h"
 #include "relay/rte.h"
 #include "relay/use.h"
 
@@ -71,6 +72,9 @@
 /* Counts the relay's time in LAG, which is not owned.  */
 void rly_set_lag (rly_t *rly, lag_t *lag);
 
+/* Follows the rollouts of ROL, which is not owned.  */
+void rly_set_rollouts (rly_t *rly, rol_t *rol);
+
 /* Callbacks for ent_ops_t; USER is the relay.  */
 void rly_on_request (void *user, ent_call_t *call);
 void rly_on_disconnect (void *user, ent_call_t *call);
--- /dev/null
+++ b/libcoltsfootdrum/relay/rol-private.h
@@ -0,0 +1,72 @@
+/* Definitions shared by the files of this module: rol.c (orders, standing of
+   endpoints, exposure), rol-evidence.c (counts of answers, verdict, metrics).
+   Read rol.c first.  */
+
+#ifndef RELAY_ROL_PRIVATE_H
+#define RELAY_ROL_PRIVATE_H
+
+#include "relay/rol.h"
+#include "relay/vdt.h"
+
+#define ROL_VERSIONS 2 /* ROL_BASELINE, ROL_TARGET */
+
+/* Mean of a duration at the baseline, over its last answers.  */
+typedef struct
+{
+  double mean;
+  unsigned samples;
+} rol_mean_t;
+
+typedef struct
+{
+  uint64_t id; /* hash of the route's name */
+  char *name;  /* NULL while only other routers had requests of it */
+  uint64_t sent;
+  uint64_t canary_sent;
+  vdt_counts_t own[ROL_VERSIONS];
+  vdt_counts_t total[ROL_VERSIONS]; /* of all routers */
+  rol_mean_t first_ratio;
+  rol_mean_t event_ms;
+  vdt_t verdict;
+} rol_route_t;
+
+struct rol_rollout
+{
+  rol_order_t *order;
+  uint64_t key; /* hash of the service and target version */
+  cfd_time_t seen_at;
+  bool is_bad;        /* verdict of this router, or heard from another one */
+  bool is_withdrawn;  /* the order was removed before its end */
+  bool has_endpoints; /* the service has any */
+  bool had_baseline;  /* endpoints of another version were listed */
+  double credit;      /* requests that may be sent to canaries now */
+  uint64_t sent;      /* first sends of this router since the order */
+  uint64_t canary_sent;
+  GHashTable *routes; /* id to rol_route_t */
+  GHashTable *peers;  /* rol_peer_counts_t, a set */
+  vdt_t verdict;      /* over all routes */
+};
+
+struct rol
+{
+  rol_settings_t settings;
+  edp_set_t *endpoints;
+  GHashTable *rollouts;      /* service to rol_rollout_t */
+  int64_t revision;          /* as of which the orders are known; 0: not yet */
+  int64_t required_revision; /* see rol_get_required_revision */
+};
+
+/* rol-evidence.c */
+rol_rollout_t *rol_rollout_new (cfd_time_t now, rol_order_t *order);
+void rol_rollout_free (void *data);
+/* Returns NULL when there are too many routes.  */
+rol_route_t *rol_get_route (rol_rollout_t *rollout, const rte_route_t *route);
+/* Returns whether the evidence shows that the target is bad.  */
+bool rol_weigh_evidence (rol_rollout_t *rollout, cfd_time_t now);
+
+/* rol.c: returns whether canaries may be used, apart from their share.  */
+bool rol_is_open (const rol_rollout_t *rollout);
+/* rol.c: stops the use of the target version; SOURCE is for the log.  */
+void rol_condemn (rol_t *rol, rol_rollout_t *rollout, const char *source);
+
+#endif
--- /dev/null
+++ b/libcoltsfootdrum/relay/rol.c
@@ -0,0 +1,478 @@
+/* Rollouts: orders, the standing of endpoints, and the share of canaries.  */
+
+#include "relay/rol-private.h"
+
+#include "base/log.h"
+#include <string.h>
+
+/* Part of the allowed exposure that canaries get.  The rest is for requests
+   that count differently at the operator: sent twice, or sent before the order
+   was known here.  */
+#define CANARY_SHARE_FACTOR 0.7
+/* Requests that may follow each other to canaries after these could take
+   none.  */
+#define MAX_CREDIT 4.0
+
+const char *
+rol_state_name (rol_state_t state)
+{
+  switch (state)
+    {
+    case ROL_ORDERED:
+      return "ordered";
+    case ROL_IN_PROGRESS:
+      return "in-progress";
+    case ROL_COMPLETED:
+      return "completed";
+    case ROL_ROLLED_BACK:
+      return "rolled-back";
+    }
+  return "?";
+}
+
+void
+rol_order_free (rol_order_t *order)
+{
+  if (order == NULL)
+    return;
+  g_free (order->service);
+  g_free (order->target);
+  g_free (order);
+}
+
+rol_t *
+rol_new (const rol_settings_t *settings, edp_set_t *endpoints)
+{
+  rol_t *rol = g_new0 (rol_t, 1);
+
+  rol->settings = *settings;
+  rol->endpoints = endpoints;
+  rol->rollouts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                         rol_rollout_free);
+  return rol;
+}
+
+void
+rol_free (rol_t *rol)
+{
+  if (rol == NULL)
+    return;
+  g_hash_table_unref (rol->rollouts);
+  g_free (rol);
+}
+
+static bool
+is_final (rol_state_t state)
+{
+  return state == ROL_COMPLETED || state == ROL_ROLLED_BACK;
+}
+
+bool
+rol_is_open (const rol_rollout_t *rollout)
+{
+  return !is_final (rollout->order->state) && !rollout->is_bad
+         && !rollout->is_withdrawn;
+}
+
+/* ---- standing of endpoints ---- */
+
+/* The listed endpoints of one service.  */
+typedef struct
+{
+  const rol_rollout_t *rollout; /* NULL: no order */
+  bool has_baseline;            /* any of another version than the target's */
+  bool has_verified;
+  GHashTable *verified;    /* set of versions; owned by the endpoints */
+  int64_t oldest_revision; /* of the endpoint listed first */
+  const char *oldest_version;
+} group_t;
+
+static void
+group_free (void *data)
+{
+  group_t *group = data;
+
+  g_hash_table_unref (group->verified);
+  g_free (group);
+}
+
+static const char *
+get_version (const edp_t *edp)
+{
+  return edp->report->version != NULL ? edp->report->version : "";
+}
+
+static bool
+is_target (const rol_rollout_t *rollout, const edp_t *edp)
+{
+  return rollout != NULL
+         && g_str_equal (get_version (edp), rollout->order->target);
+}
+
+static group_t *
+get_or_add_group (const rol_t *rol, GHashTable *groups, const char *service)
+{
+  group_t *group = g_hash_table_lookup (groups, service);
+
+  if (group != NULL)
+    return group;
+  group = g_new0 (group_t, 1);
+  group->rollout = g_hash_table_lookup (rol->rollouts, service);
+  group->verified = g_hash_table_new (g_str_hash, g_str_equal);
+  group->oldest_revision = G_MAXINT64;
+  g_hash_table_insert (groups, (void *)service, group);
+  return group;
+}
+
+/* An endpoint is verified once the orders are known as of its first listing:
+   none of them names its version then.  */
+static void
+add_to_group (const rol_t *rol, group_t *group, edp_t *edp)
+{
+  edp->is_verified
+      |= rol->revision > 0 && rol->revision >= edp->listed_revision;
+  group->has_baseline |= !is_target (group->rollout, edp);
+  if (edp->is_verified)
+    {
+      group->has_verified = true;
+      g_hash_table_add (group->verified, (void *)get_version (edp));
+    }
+  if (edp->listed_revision >= group->oldest_revision)
+    return;
+  group->oldest_revision = edp->listed_revision;
+  group->oldest_version = get_version (edp);
+}
+
+/* Returns the standing of an endpoint whose version no order names.  While the
+   orders are not known, the version that was listed first is used: the others
+   may be targets.  */
+static edp_standing_t
+choose_unordered (const group_t *group, const edp_t *edp)
+{
+  if (edp->is_verified
+      || g_hash_table_contains (group->verified, get_version (edp)))
+    return EDP_CURRENT;
+  if (!group->has_verified
+      && g_str_equal (get_version (edp), group->oldest_version))
+    return EDP_CURRENT;
+  return EDP_UNVERIFIED;
+}
+
+/* Returns the standing of an endpoint of the target version.  An order for the
+   only version in use moves nothing.  */
+static edp_standing_t
+choose_target (const group_t *group, const edp_t *edp)
+{
+  const rol_rollout_t *rollout = group->rollout;
+  bool is_only_version = !group->has_baseline;
+
+  if (rol_is_open (rollout))
+    return is_only_version && !rollout->had_baseline ? EDP_CURRENT
+                                                     : EDP_CANARY;
+  if (rollout->order->state == ROL_COMPLETED)
+    return EDP_CURRENT;
+  /* Listed after the end of the rollout, and the only version: a release.  */
+  return is_only_version && edp->listed_revision > rollout->order->revision
+             ? EDP_CURRENT
+             : EDP_REJECTED;
+}
+
+static edp_standing_t
+choose_standing (const group_t *group, const edp_t *edp)
+{
+  if (is_target (group->rollout, edp))
+    return choose_target (group, edp);
+  if (group->rollout != NULL && group->rollout->order->state == ROL_COMPLETED
+      && edp->listed_revision <= group->rollout->order->revision)
+    return EDP_REPLACED;
+  return choose_unordered (group, edp);
+}
+
+static void
+set_standing (edp_t *edp, edp_standing_t standing)
+{
+  if (edp->standing == standing)
+    return;
+  log_info ("rollout",
+            "An endpoint's standing changed: endpoint=%s service=%s "
+            "version=%s from=%s to=%s.",
+            edp->report->id, edp->report->service, get_version (edp),
+            edp_standing_name (edp->standing), edp_standing_name (standing));
+  edp->standing = standing;
+}
+
+static void
+note_groups (const rol_t *rol, GHashTable *groups)
+{
+  GHashTableIter each;
+  void *service;
+  void *data;
+
+  g_hash_table_iter_init (&each, rol->rollouts);
+  while (g_hash_table_iter_next (&each, &service, &data))
+    {
+      const group_t *group = g_hash_table_lookup (groups, service);
+      rol_rollout_t *rollout = data;
+
+      rollout->has_endpoints = group != NULL;
+      rollout->had_baseline |= group != NULL && group->has_baseline;
+    }
+}
+
+void
+rol_update_endpoints (rol_t *rol)
+{
+  g_autoptr (GHashTable) groups
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, group_free);
+
+  rol->required_revision = 0;
+  if (rol->settings.exposure_share <= 0.)
+    return;
+  list_for_each (node, edp_set_endpoints (rol->endpoints))
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      add_to_group (rol, get_or_add_group (rol, groups, edp->report->service),
+                    edp);
+    }
+  note_groups (rol, groups);
+  list_for_each (node, edp_set_endpoints (rol->endpoints))
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+      const group_t *group
+          = g_hash_table_lookup (groups, edp->report->service);
+
+      set_standing (edp, choose_standing (group, edp));
+      if (edp->standing == EDP_UNVERIFIED)
+        rol->required_revision
+            = MAX (rol->required_revision, edp->listed_revision);
+    }
+}
+
+int64_t
+rol_get_required_revision (const rol_t *rol)
+{
+  return rol->required_revision;
+}
+
+/* ---- orders ---- */
+
+static void
+log_order (const rol_rollout_t *rollout, const char *event)
+{
+  const rol_order_t *order = rollout->order;
+
+  log_info ("rollout",
+            "A rollout %s: service=%s target=%s state=%s "
+            "duration_ms=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT
+            " bad=%d sent=%" G_GUINT64_FORMAT " canary_sent=%" G_GUINT64_FORMAT
+            ".",
+            event, order->service, order->target,
+            rol_state_name (order->state), order->duration_ms, order->revision,
+            rollout->is_bad, rollout->sent, rollout->canary_sent);
+}
+
+/* Replaces the order of a known rollout.  A final state stays, since the
+   target has been stopped or is in use already.  */
+static void
+update_rollout (rol_rollout_t *rollout, rol_order_t *order)
+{
+  bool has_changed
+      = rollout->order->state != order->state || rollout->is_withdrawn;
+
+  rol_order_free (rollout->order);
+  rollout->order = order;
+  rollout->is_withdrawn = false;
+  if (has_changed)
+    log_order (rollout, "changed");
+}
+
+static void
+apply_order (rol_t *rol, cfd_time_t now, rol_order_t *order)
+{
+  rol_rollout_t *rollout = g_hash_table_lookup (rol->rollouts, order->service);
+  bool is_same
+      = rollout != NULL && g_str_equal (rollout->order->target, order->target);
+
+  /* A new order for a target that was rolled back before.  */
+  if (is_same && is_final (rollout->order->state) && !is_final (order->state))
+    is_same = false;
+  if (is_same)
+    {
+      /* The key of the table is the order's.  */
+      g_hash_table_steal (rol->rollouts, order->service);
+      update_rollout (rollout, order);
+    }
+  else
+    {
+      rollout = rol_rollout_new (now, order);
+      log_order (rollout, "was ordered");
+    }
+  g_hash_table_replace (rol->rollouts, rollout->order->service, rollout);
+}
+
+/* An order that is removed before its end leaves a target that nobody has
+   found good: its endpoints get nothing more.  */
+static void
+remove_unlisted (rol_t *rol, GHashTable *listed)
+{
+  GHashTableIter each;
+  void *service;
+  void *data;
+
+  g_hash_table_iter_init (&each, rol->rollouts);
+  while (g_hash_table_iter_next (&each, &service, &data))
+    {
+      rol_rollout_t *rollout = data;
+
+      if (g_hash_table_contains (listed, service) || rollout->is_withdrawn)
+        continue;
+      log_order (rollout, "was removed");
+      if (is_final (rollout->order->state))
+        g_hash_table_iter_remove (&each);
+      else
+        rollout->is_withdrawn = true;
+    }
+}
+
+void
+rol_set_orders (rol_t *rol, cfd_time_t now, GPtrArray *orders,
+                int64_t revision)
+{
+  g_autoptr (GHashTable) listed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+
+  for (guint i = 0; i < orders->len; i++)
+    {
+      rol_order_t *order = g_ptr_array_index (orders, i);
+
+      g_hash_table_add (listed, g_strdup (order->service));
+      apply_order (rol, now, order);
+    }
+  g_ptr_array_set_free_func (orders, NULL);
+  g_ptr_array_unref (orders);
+  remove_unlisted (rol, listed);
+  rol->revision = MAX (rol->revision, revision);
+  rol_update_endpoints (rol);
+}
+
+void
+rol_note_revision (rol_t *rol, int64_t revision)
+{
+  if (revision <= rol->revision)
+    return;
+  rol->revision = revision;
+  if (rol->required_revision > 0)
+    rol_update_endpoints (rol);
+}
+
+rol_rollout_t *
+rol_find (const rol_t *rol, const char *service)
+{
+  rol_rollout_t *rollout;
+
+  if (rol == NULL || g_hash_table_size (rol->rollouts) == 0)
+    return NULL;
+  rollout = g_hash_table_lookup (rol->rollouts, service);
+  return rollout != NULL && rol_is_open (rollout) ? rollout : NULL;
+}
+
+void
+rol_condemn (rol_t *rol, rol_rollout_t *rollout, const char *source)
+{
+  if (rollout->is_bad)
+    return;
+  rollout->is_bad = true;
+  log_warn ("rollout",
+            "The target version is bad, no more requests are sent to it: "
+            "service=%s target=%s source=%s sent=%" G_GUINT64_FORMAT
+            " canary_sent=%" G_GUINT64_FORMAT ".",
+            rollout->order->service, rollout->order->target, source,
+            rollout->sent, rollout->canary_sent);
+  rol_update_endpoints (rol);
+}
+
+void
+rol_tick (rol_t *rol, cfd_time_t now)
+{
+  GHashTableIter each;
+  void *data;
+
+  g_hash_table_iter_init (&each, rol->rollouts);
+  while (g_hash_table_iter_next (&each, NULL, &data))
+    if (rol_is_open (data) && rol_weigh_evidence (data, now))
+      rol_condemn (rol, data, "evidence");
+}
+
+/* Returns the state that the store should have for an order.  An order for a
+   service that has no endpoints is left as it is.  */
+static rol_state_t
+get_wanted_state (const rol_rollout_t *rollout)
+{
+  if (is_final (rollout->order->state) || rollout->is_withdrawn
+      || !rollout->has_endpoints)
+    return rollout->order->state;
+  return rollout->is_bad ? ROL_ROLLED_BACK : ROL_IN_PROGRESS;
+}
+
+void
+rol_foreach_write (const rol_t *rol,
+                   void (*callback) (void *user, const rol_order_t *order,
+                                     rol_state_t wanted),
+                   void *user)
+{
+  GHashTableIter each;
+  void *data;
+
+  g_hash_table_iter_init (&each, rol->rollouts);
+  while (g_hash_table_iter_next (&each, NULL, &data))
+    {
+      const rol_rollout_t *rollout = data;
+      rol_state_t wanted = get_wanted_state (rollout);
+
+      if (wanted != rollout->order->state)
+        callback (user, rollout->order, wanted);
+    }
+}
+
+/* ---- share of canaries ---- */
+
+static double
+get_canary_share (const rol_t *rol)
+{
+  return rol->settings.exposure_share * CANARY_SHARE_FACTOR;
+}
+
+/* Each route may have its own part of the share and one request more, so that
+   a busy route doesn't take those of the others.  */
+bool
+rol_allows_canary (const rol_t *rol, rol_rollout_t *rollout,
+                   const rte_route_t *route)
+{
+  const rol_route_t *counts = rol_get_route (rollout, route);
+
+  return counts != NULL && rollout->credit >= 1.
+         && (double)counts->canary_sent
+                <= (double)counts->sent * get_canary_share (rol);
+}
+
+void
+rol_count_send (const rol_t *rol, rol_rollout_t *rollout,
+                const rte_route_t *route, bool is_canary)
+{
+  rol_route_t *counts = rol_get_route (rollout, route);
+
+  rollout->sent++;
+  rollout->canary_sent += is_canary;
+  rollout->credit = MIN (rollout->credit + get_canary_share (rol), MAX_CREDIT)
+                    - (is_canary ? 1. : 0.);
+  if (counts != NULL)
+    {
+      counts->sent++;
+      counts->canary_sent += is_canary;
+    }
+  INVARIANT ("canary-share",
+             (double)rollout->canary_sent
+                 <= (double)rollout->sent * rol->settings.exposure_share,
+             rollout->order->service);
+}
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -445,19 +445,19 @@
   g_byte_array_append (bytes, header, sizeof header);
 }
 
-/* Returns a state datagram whose list number LIST (5 to 10) has COUNT items,
+/* Returns a state datagram whose list number LIST (5 to 11) has COUNT items,
    all of them 0, and whose other lists are empty.  */
 static GByteArray *
 pack_long_list (unsigned list, uint32_t count)
 {
   static const guint8 start[]
-      = { 0x9b, 0xcd, 0xcf, 0xd8, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
+      = { 0x9c, 0xcd, 0xcf, 0xd9, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
   static const guint8 zero = 0;
   static const guint8 empty = 0x90;
   GByteArray *bytes = g_byte_array_new ();
 
   g_byte_array_append (bytes, start, sizeof start);
-  for (unsigned item = 5; item < 11; item++)
+  for (unsigned item = 5; item < 12; item++)
     {
       bool is_number = item == 8;
 
@@ -484,10 +484,9 @@
     uint32_t columns;
     uint32_t max_rows;
   } cases[] = {
-    { 5, 4, MAX_LOAD_ROWS },
-    { 7, 2, MAX_PREFIX_ROWS },
-    { 9, PAL_LIST_COUNT * 2, 1 },
-    { 10, 3, MAX_REFUSAL_ROWS },
+    { 5, 4, MAX_LOAD_ROWS },      { 7, 2, MAX_PREFIX_ROWS },
+    { 9, PAL_LIST_COUNT * 2, 1 }, { 10, 3, MAX_REFUSAL_ROWS },
+    { 11, 5, MAX_EVIDENCE_ROWS },
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
--- a/libcoltsfootdrum/relay/test-rly.c
+++ b/libcoltsfootdrum/relay/test-rly.c
@@ -14,6 +14,7 @@
 #define NOT_RUN                                                               \
   "HTTP/1.1 503 Busy\r\nX-Id: %I\r\nX-Not-Run: 1\r\nContent-Length: "         \
   "0\r\n\r\n"
+#define MISDIRECTED "HTTP/1.1 421 No\r\nX-Id: %I\r\nContent-Length: 0\r\n\r\n"
 #define EVENTS                                                                \
   "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\nTransfer-Encoding: "          \
   "chunked\r\n\r\n"
@@ -66,6 +67,16 @@
     "Retry-After: 0.",
     1,
     false },
+  /* Another endpoint has taken over the address.  The request was not run, so
+     that it keeps its only attempt.  */
+  { "misdirected-once",
+    CALL ("/once/", "1"),
+    { { MISDIRECTED, SCENE_KEEP_OPEN }, { OK ("1", "x"), SCENE_KEEP_OPEN } },
+    2,
+    "HTTP/1.1 200 OK\r\n",
+    "\r\n\r\nx",
+    2,
+    false },
   /* Closed without an answer: the request may have run, and must not be sent
      again on an at-most-once route.  */
   { "broken-once",
@@ -542,6 +553,32 @@
   scene_free (scene);
 }
 
+/* Another endpoint has taken over the address while a connection was kept
+   open.  Each send names the endpoint that is meant.  */
+static void
+test_misdirected_kept (void)
+{
+  static const scene_reply_t replies[]
+      = { { OK ("1", "x"), SCENE_KEEP_OPEN },
+          { MISDIRECTED, SCENE_KEEP_OPEN },
+          { OK ("1", "y"), SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, G_N_ELEMENTS (replies), 4);
+  scene_caller_t *first;
+  scene_caller_t *second;
+
+  scene_list_endpoints (scene, 1, false, 4);
+  first = scene_send_request (scene, CALL ("/once/", "1"));
+  scene_wait_for (scene, first, "\r\n\r\nx");
+  second = scene_send_request (scene, CALL ("/once/", "2"));
+  scene_wait_for (scene, second, "\r\n\r\ny");
+  g_assert_true (g_str_has_prefix (second->text->str, "HTTP/1.1 200 "));
+  g_assert_nonnull (strstr (scene->last_request->str, "|X-Expect=e1"));
+  g_assert_cmpuint (scene->requests_received, ==, 3);
+  scene_caller_free (first);
+  scene_caller_free (second);
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -564,5 +601,6 @@
   g_test_add_func ("/rly/pipelined", test_pipelined);
   g_test_add_func ("/rly/closed", test_closed);
   g_test_add_func ("/rly/table-never-older", test_table_never_older);
+  g_test_add_func ("/rly/misdirected-kept", test_misdirected_kept);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/wire/test-msg-tree.c
+++ b/libcoltsfootdrum/wire/test-msg-tree.c
@@ -31,8 +31,9 @@
   for (guint length = 0; length <= bytes->len; length++)
     {
       size_t allocated;
+      bool valid = parse (bytes->data, length, &allocated);
 
-      g_assert_false (parse (bytes->data, length, &allocated));
+      g_assert_false (valid);
       g_assert_cmpuint (allocated, <=, length * sizeof (msg_node_t));
     }
 }
@@ -127,11 +128,13 @@
     {
       g_autoptr (GByteArray) bytes = g_byte_array_new ();
       size_t allocated;
+      bool valid;
 
       for (unsigned depth = 0; depth < 10000; depth++)
         g_byte_array_append (bytes, levels[i].bytes, levels[i].length);
       g_byte_array_append (bytes, (const guint8 *)"", 1);
-      g_assert_false (parse (bytes->data, bytes->len, &allocated));
+      valid = parse (bytes->data, bytes->len, &allocated);
+      g_assert_false (valid);
       g_assert_cmpuint (allocated, <=,
                         MSG_TREE_MAX_DEPTH * sizeof (msg_node_t));
     }
@@ -143,17 +146,20 @@
   g_autoptr (GByteArray) bytes = g_byte_array_new ();
   static const guint8 type = 0xdd;
   size_t allocated;
+  bool valid;
 
   g_byte_array_append (bytes, &type, 1);
   append_big_endian (bytes, MAX_NODES, 4);
   g_byte_array_set_size (bytes, 5 + MAX_NODES);
   memset (bytes->data + 5, 0, MAX_NODES);
-  g_assert_true (parse (bytes->data, bytes->len, &allocated));
+  valid = parse (bytes->data, bytes->len, &allocated);
+  g_assert_true (valid);
   g_assert_cmpuint (allocated, ==, MAX_NODES * sizeof (msg_node_t));
   bytes->data[4] = 1;
   g_byte_array_append (bytes, &type, 1);
   bytes->data[bytes->len - 1] = 0;
-  g_assert_false (parse (bytes->data, bytes->len, &allocated));
+  valid = parse (bytes->data, bytes->len, &allocated);
+  g_assert_false (valid);
   g_assert_cmpuint (allocated, ==, 0);
 }
 
