--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -4,6 +4,7 @@
 
 #include "base/list.h"
 #include "base/log.h"
+#include "relay/cel.h"
 #include <string.h>
 #include <xxhash.h>
 
@@ -31,13 +32,39 @@
 struct edp_set
 {
   struct ev_loop *loop;
-  list_node_t list;    /* edp_t in use */
-  list_node_t retired; /* edp_t no longer in use, until their requests end */
-  GHashTable *by_id;   /* id to edp_t in use */
-  GHashTable *by_hash; /* hash to edp_t in use */
-  GStrv zones_out;     /* availability zones out of service */
+  list_node_t list;   /* edp_t in use: of this router's cell, or used lately */
+  list_node_t others; /* edp_t of other cells */
+  list_node_t retired;  /* edp_t no longer in use, until their requests end */
+  GHashTable *by_id;    /* id to edp_t, without retired ones */
+  GHashTable *by_hash;  /* hash to edp_t, without retired ones */
+  GHashTable *services; /* name to service_t */
+  unsigned list_number; /* of the list that is being applied */
+  guint unlisted;       /* number of endpoints that the last list lacked */
+  unsigned cell;
+  unsigned cells;
+  bool must_divide; /* endpoints came or went, or the cell changed */
+  GStrv zones_out;  /* availability zones out of service */
 };
 
+/* The endpoints of one service.  */
+typedef struct
+{
+  char *name;
+  GPtrArray *all;
+  GPtrArray *near; /* of this router's cell */
+} service_t;
+
+static void
+service_free (void *data)
+{
+  service_t *service = data;
+
+  g_free (service->name);
+  g_ptr_array_unref (service->all);
+  g_ptr_array_unref (service->near);
+  g_free (service);
+}
+
 void
 edp_report_free (edp_report_t *report)
 {
@@ -86,7 +113,11 @@
 
   set->loop = loop;
   list_init (&set->list);
+  list_init (&set->others);
   list_init (&set->retired);
+  set->cells = 1;
+  set->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   set->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   set->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
   return set;
@@ -107,9 +138,11 @@
   if (set == NULL)
     return;
   free_endpoints (&set->list);
+  free_endpoints (&set->others);
   free_endpoints (&set->retired);
   g_hash_table_unref (set->by_id);
   g_hash_table_unref (set->by_hash);
+  g_hash_table_unref (set->services);
   g_strfreev (set->zones_out);
   g_free (set);
 }
@@ -120,6 +153,7 @@
   g_hash_table_remove (set->by_id, edp->report->id);
   g_hash_table_remove (set->by_hash, &edp->hash);
   edp->report->leaving = true;
+  set->must_divide = true;
   list_remove (&edp->node);
   list_append (&set->retired, &edp->node);
 }
@@ -169,6 +203,10 @@
   edp->listed_revision = report->revision;
   edp->withdrawn = is_zone_out (set, report->zone);
   edp->last_answer_at = now;
+  edp->is_near = true;
+  edp->is_in_use = true;
+  edp->cell_count = 1;
+  set->must_divide = true;
   list_init (&edp->node);
   list_append (&set->list, &edp->node);
   g_hash_table_insert (set->by_id, report->id, edp);
@@ -214,19 +252,22 @@
     edp = add_endpoint (set, now, report);
   else
     update_report (set, edp, report);
-  if (edp != NULL && cold > 0 && now + cold > edp->cold_until)
+  if (edp == NULL)
+    return;
+  edp->listed_in = set->list_number;
+  if (cold > 0 && now + cold > edp->cold_until)
     edp->cold_until = now + cold;
 }
 
 static void
-handle_unlisted (edp_set_t *set, cfd_time_t now, GHashTable *listed,
+handle_unlisted (edp_set_t *set, list_node_t *list, cfd_time_t now,
                  bool settled)
 {
-  list_for_each_safe (node, &set->list)
+  list_for_each_safe (node, list)
     {
       edp_t *edp = list_entry (node, edp_t, node);
 
-      if (g_hash_table_contains (listed, edp->report->id))
+      if (edp->listed_in == set->list_number)
         continue;
       if (edp->unlisted_since == CFD_TIME_NEVER)
         {
@@ -238,35 +279,158 @@
         }
       if (settled)
         retire (set, edp);
+      else
+        set->unlisted++;
     }
 }
 
+bool
+edp_set_keep (edp_set_t *set, const char *id, int64_t revision)
+{
+  edp_t *edp = g_hash_table_lookup (set->by_id, id);
+
+  if (edp == NULL || revision <= 0 || edp->report->revision != revision
+      || edp->unlisted_since != CFD_TIME_NEVER)
+    return false;
+  edp->listed_in = set->list_number;
+  return true;
+}
+
+/* ---- cells ---- */
+
+static service_t *
+get_or_add_service (edp_set_t *set, const char *name)
+{
+  service_t *service = g_hash_table_lookup (set->services, name);
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (service_t, 1);
+  service->name = g_strdup (name);
+  service->all = g_ptr_array_new ();
+  service->near = g_ptr_array_new ();
+  g_hash_table_insert (set->services, service->name, service);
+  return service;
+}
+
+static void
+add_items (GArray *items, list_node_t *list)
+{
+  list_for_each (node, list)
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+      cel_item_t item = { .service = edp->report->service,
+                          .zone = edp->report->zone,
+                          .hash = edp->hash,
+                          .item = edp };
+
+      g_array_append_val (items, item);
+    }
+}
+
+/* Moves EDP into the list of used endpoints, or out of it.  */
+static void
+move_to_list (edp_set_t *set, edp_t *edp, bool is_in_use)
+{
+  if (edp->is_in_use == is_in_use)
+    return;
+  edp->is_in_use = is_in_use;
+  edp->has_peer_totals = false;
+  list_remove (&edp->node);
+  list_append (is_in_use ? &set->list : &set->others, &edp->node);
+}
+
+static bool
+has_connections (const edp_t *edp)
+{
+  return edp->active > 0 || ups_count_connections (edp->ups) > 0;
+}
+
+static void
+place_item (edp_set_t *set, const cel_item_t *item)
+{
+  edp_t *edp = item->item;
+  service_t *service = get_or_add_service (set, edp->report->service);
+
+  edp->is_near = cel_contains (item, set->cell);
+  edp->cell_count = item->count;
+  g_ptr_array_add (service->all, edp);
+  if (edp->is_near)
+    g_ptr_array_add (service->near, edp);
+  move_to_list (set, edp, edp->is_near || has_connections (edp));
+}
+
+static void
+divide (edp_set_t *set)
+{
+  g_autoptr (GArray) items = g_array_new (FALSE, FALSE, sizeof (cel_item_t));
+
+  if (!set->must_divide)
+    return;
+  set->must_divide = false;
+  g_hash_table_remove_all (set->services);
+  add_items (items, &set->list);
+  add_items (items, &set->others);
+  cel_divide (items, set->cells);
+  for (guint i = 0; i < items->len; i++)
+    place_item (set, &g_array_index (items, cel_item_t, i));
+}
+
+void
+edp_set_choose_cell (edp_set_t *set, unsigned cell, unsigned cells)
+{
+  if (set->cell == cell && set->cells == cells)
+    return;
+  set->cell = cell;
+  set->cells = cells;
+  set->must_divide = true;
+  divide (set);
+}
+
+const GPtrArray *
+edp_set_get_near (const edp_set_t *set, const char *service)
+{
+  const service_t *found = g_hash_table_lookup (set->services, service);
+
+  return found != NULL ? found->near : NULL;
+}
+
+const GPtrArray *
+edp_set_get_all (const edp_set_t *set, const char *service)
+{
+  const service_t *found = g_hash_table_lookup (set->services, service);
+
+  return found != NULL ? found->all : NULL;
+}
+
+void
+edp_set_note_used (edp_set_t *set, edp_t *edp)
+{
+  move_to_list (set, edp, true);
+}
+
 void
 edp_set_update (edp_set_t *set, cfd_time_t now, GPtrArray *reports,
                 bool settled, int64_t cold_ms)
 {
-  g_autoptr (GHashTable) listed
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  bool is_first_list = list_is_empty (&set->list);
+  bool is_first_list = g_hash_table_size (set->by_id) == 0;
 
   for (guint i = 0; i < reports->len; i++)
-    {
-      edp_report_t *report = g_ptr_array_index (reports, i);
-
-      g_hash_table_add (listed, g_strdup (report->id));
-      apply_report (set, now, report, cold_ms, is_first_list);
-    }
+    apply_report (set, now, g_ptr_array_index (reports, i), cold_ms,
+                  is_first_list);
   g_ptr_array_set_free_func (reports, NULL);
   g_ptr_array_unref (reports);
-  handle_unlisted (set, now, listed, settled);
+  set->unlisted = 0;
+  handle_unlisted (set, &set->list, now, settled);
+  handle_unlisted (set, &set->others, now, settled);
+  set->list_number++;
+  divide (set);
 }
 
-void
-edp_set_withdraw_zones (edp_set_t *set, const char *const *zones)
+static void
+withdraw_zones (const edp_set_t *set, list_node_t *list)
 {
-  g_strfreev (set->zones_out);
-  set->zones_out = g_strdupv ((char **)zones);
-  list_for_each (node, &set->list)
+  list_for_each (node, list)
     {
       edp_t *edp = list_entry (node, edp_t, node);
 
@@ -274,12 +438,25 @@
     }
 }
 
+void
+edp_set_withdraw_zones (edp_set_t *set, const char *const *zones)
+{
+  g_strfreev (set->zones_out);
+  set->zones_out = g_strdupv ((char **)zones);
+  withdraw_zones (set, &set->list);
+  withdraw_zones (set, &set->others);
+}
+
 void
 edp_set_sweep (edp_set_t *set, cfd_time_t now)
 {
-  list_for_each (node, &set->list)
+  list_for_each_safe (node, &set->list)
     {
-      ups_close_expired (list_entry (node, edp_t, node)->ups, now);
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      ups_close_expired (edp->ups, now);
+      if (!edp->is_near && !has_connections (edp))
+        move_to_list (set, edp, false);
     }
   list_for_each_safe (node, &set->retired)
     {
@@ -308,6 +485,12 @@
   return g_hash_table_lookup (set->by_hash, &hash);
 }
 
+list_node_t *
+edp_set_others (edp_set_t *set)
+{
+  return &set->others;
+}
+
 guint
 edp_set_count (const edp_set_t *set)
 {
@@ -317,12 +500,7 @@
 bool
 edp_set_has_unlisted (const edp_set_t *set)
 {
-  list_for_each (node, &set->list)
-    {
-      if (list_entry (node, edp_t, node)->unlisted_since != CFD_TIME_NEVER)
-        return true;
-    }
-  return false;
+  return set->unlisted > 0;
 }
 
 bool
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -47,6 +47,10 @@
   ups_t *ups;
   bool withdrawn; /* its availability zone is out of service */
   edp_standing_t standing;
+  bool is_near;            /* of this router's cell, see relay/cel.h */
+  bool is_in_use;          /* in the list of edp_set_endpoints */
+  unsigned cell_count;     /* cells that share it */
+  unsigned listed_in;      /* number of the last list that had it */
   int64_t listed_revision; /* of the store, at its first listing */
   bool is_verified;        /* no order named its version when it was listed */
   cfd_time_t unlisted_since; /* CFD_TIME_NEVER while it is listed */
@@ -85,6 +89,21 @@
    endpoints take some time to report again.  */
 void edp_set_update (edp_set_t *set, cfd_time_t now, GPtrArray *reports,
                      bool settled, int64_t cold_ms);
+/* Returns whether the endpoint ID is known as of REVISION of its report, above
+   0.  If so, it counts as listed in the next edp_set_update and needs no
+   report.  */
+bool edp_set_keep (edp_set_t *set, const char *id, int64_t revision);
+
+/* Sets this router's cell, of CELLS (relay/cel.h).  */
+void edp_set_choose_cell (edp_set_t *set, unsigned cell, unsigned cells);
+/* Returns the endpoints of SERVICE that this router uses: those of its cell.
+   Returns NULL when there are none.  The array of edp_t is valid until the
+   next list.  */
+const GPtrArray *edp_set_get_near (const edp_set_t *set, const char *service);
+/* Returns all endpoints of SERVICE likewise.  */
+const GPtrArray *edp_set_get_all (const edp_set_t *set, const char *service);
+/* Records that a request is sent to EDP, which may be of another cell.  */
+void edp_set_note_used (edp_set_t *set, edp_t *edp);
 
 /* Sets the availability zones that are out of service.  ZONES is copied.  */
 void edp_set_withdraw_zones (edp_set_t *set, const char *const *zones);
@@ -93,7 +112,11 @@
    from a callback of an exchange.  */
 void edp_set_sweep (edp_set_t *set, cfd_time_t now);
 
+/* Returns the endpoints that this router uses: those of its cell, and others
+   that it sent requests to lately.  */
 list_node_t *edp_set_endpoints (edp_set_t *set);
+/* Returns all other endpoints.  */
+list_node_t *edp_set_others (edp_set_t *set);
 edp_t *edp_set_find (edp_set_t *set, const char *id);
 edp_t *edp_set_find_by_hash (edp_set_t *set, uint64_t hash);
 guint edp_set_count (const edp_set_t *set);
--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -17,26 +17,35 @@
 }
 
 static bool
-is_included (const edp_t *edp, bool full)
+is_included (const edp_t *edp, pal_content_t content)
 {
-  return full ? edp->active > 0 : edp->changed;
+  switch (content)
+    {
+    case PAL_CHANGES:
+      return edp->changed;
+    case PAL_FULL:
+      return edp->active > 0;
+    case PAL_SUMMARY:
+      break;
+    }
+  return false;
 }
 
 static void
-pack_loads (pal_t *pal, msgpack_packer *packer, bool full)
+pack_loads (pal_t *pal, msgpack_packer *packer, pal_content_t content)
 {
   guint count = 0;
 
   list_for_each (node, edp_set_endpoints (pal->endpoints))
     {
-      count += is_included (list_entry (node, edp_t, node), full);
+      count += is_included (list_entry (node, edp_t, node), content);
     }
   msgpack_pack_array (packer, (size_t)count * 4);
   list_for_each (node, edp_set_endpoints (pal->endpoints))
     {
       edp_t *edp = list_entry (node, edp_t, node);
 
-      if (!is_included (edp, full))
+      if (!is_included (edp, content))
         continue;
       msgpack_pack_uint64 (packer, edp->hash);
       msgpack_pack_uint32 (packer, edp->active);
@@ -65,12 +74,18 @@
 }
 
 static void
-pack_prefixes (pal_t *pal, msgpack_packer *packer, cfd_time_t now, bool full)
+pack_prefixes (pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+               pal_content_t content)
 {
   const GArray *updates = pfx_get_updates (pal->pfx, now - RESEND_MS);
   guint first = 0;
 
-  while (!full && first < updates->len
+  if (content == PAL_SUMMARY)
+    {
+      msgpack_pack_array (packer, 0);
+      return;
+    }
+  while (content == PAL_CHANGES && first < updates->len
          && g_array_index (updates, pfx_update_t, first).number
                 <= pal->last_prefix_sent)
     first++;
@@ -88,12 +103,18 @@
 /* Packs key, milliseconds since the first attempt and milliseconds until the
    announced time to retry of each refused request.  */
 static void
-pack_refusals (pal_t *pal, msgpack_packer *packer, cfd_time_t now, bool full)
+pack_refusals (pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+               pal_content_t content)
 {
   const GArray *updates = ret_updates (pal->ret, now - RESEND_MS);
   guint first = 0;
 
-  while (!full && first < updates->len
+  if (content == PAL_SUMMARY)
+    {
+      msgpack_pack_array (packer, 0);
+      return;
+    }
+  while (content == PAL_CHANGES && first < updates->len
          && g_array_index (updates, ret_update_t, first).number
                 <= pal->last_refusal_sent)
     first++;
@@ -111,21 +132,23 @@
 }
 
 static void
-pack_usage (pal_t *pal, msgpack_packer *packer, cfd_time_t now, bool full)
+pack_usage (pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+            pal_content_t content)
 {
   guint accounts = 0;
 
-  if (full)
+  if (content == PAL_FULL)
     use_foreach_own (pal->use, now, count_account, &accounts);
   msgpack_pack_array (packer, (size_t)accounts * 3);
-  if (full)
+  if (content == PAL_FULL)
     use_foreach_own (pal->use, now, pack_account, packer);
 }
 
 static void
-pack_list_states (const pal_t *pal, msgpack_packer *packer, bool full)
+pack_list_states (const pal_t *pal, msgpack_packer *packer,
+                  pal_content_t content)
 {
-  unsigned count = full ? PAL_LIST_COUNT : 0;
+  unsigned count = content != PAL_CHANGES ? PAL_LIST_COUNT : 0;
 
   msgpack_pack_array (packer, count * 2);
   for (unsigned i = 0; i < count; i++)
@@ -155,20 +178,20 @@
 }
 
 static void
-pack_evidence (const pal_t *pal, msgpack_packer *packer, bool full)
+pack_evidence (const pal_t *pal, msgpack_packer *packer, pal_content_t content)
 {
+  bool is_sent = content != PAL_CHANGES && pal->rol != NULL;
   guint rows = 0;
 
-  full &= pal->rol != NULL;
-  if (full)
+  if (is_sent)
     rol_foreach_own (pal->rol, count_evidence, &rows);
   msgpack_pack_array (packer, (size_t)rows * 5);
-  if (full)
+  if (is_sent)
     rol_foreach_own (pal->rol, pack_evidence_row, packer);
 }
 
 GByteArray *
-pal_pack (pal_t *pal, cfd_time_t now, bool full)
+pal_pack (pal_t *pal, cfd_time_t now, pal_content_t content)
 {
   msgpack_sbuffer buffer;
   msgpack_packer packer;
@@ -178,17 +201,17 @@
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
   msgpack_pack_array (&packer, 12);
   msgpack_pack_uint32 (&packer, STATE_FORMAT);
-  pack_text (&packer, full ? pal->name : "");
+  pack_text (&packer, content != PAL_CHANGES ? pal->name : "");
   msgpack_pack_uint64 (&packer, pal->incarnation);
   msgpack_pack_uint64 (&packer, ++pal->number);
-  msgpack_pack_uint8 (&packer, full);
-  pack_loads (pal, &packer, full);
-  pack_usage (pal, &packer, now, full);
-  pack_prefixes (pal, &packer, now, full);
+  msgpack_pack_uint8 (&packer, (uint8_t)content);
+  pack_loads (pal, &packer, content);
+  pack_usage (pal, &packer, now, content);
+  pack_prefixes (pal, &packer, now, content);
   msgpack_pack_int64 (&packer, pal->stable_ms);
-  pack_list_states (pal, &packer, full);
-  pack_refusals (pal, &packer, now, full);
-  pack_evidence (pal, &packer, full);
+  pack_list_states (pal, &packer, content);
+  pack_refusals (pal, &packer, now, content);
+  pack_evidence (pal, &packer, content);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -1,7 +1,7 @@
 /* Definitions shared by the files of this module: pal.c (socket, timing,
-   timeout of peers), pal-pack.c (encoding of the state), pal-receive.c
-   (decoding and applying it), pal-update.c (changes of the platform's
-   lists).  */
+   timeout of peers), pal-inbox.c (datagrams that wait), pal-pack.c (encoding
+   of the state), pal-receive.c (decoding and applying it), pal-update.c
+   (changes of the platform's lists).  */
 
 #ifndef RELAY_PAL_PRIVATE_H
 #define RELAY_PAL_PRIVATE_H
@@ -38,7 +38,10 @@
   int64_t revisions[PAL_LIST_COUNT];
   int64_t ages[PAL_LIST_COUNT]; /* at ages_received_at; -1: not known */
   cfd_time_t ages_received_at;
-  GHashTable *loads; /* hash of the endpoint to pal_load_t */
+  /* Whether it precedes this router as a reader of each list.  */
+  bool precedes[PAL_LIST_COUNT];
+  bool sends_summaries; /* its cell is another one */
+  GHashTable *loads;    /* hash of the endpoint to pal_load_t */
 } pal_peer_t;
 
 /* Load that one peer puts on one endpoint.  */
@@ -50,6 +53,20 @@
   double context_tokens;  /* tokens */
 } pal_load_t;
 
+typedef struct
+{
+  guint offset; /* in the inbox's bytes */
+  guint length;
+  bool is_update;
+} pal_inbox_item_t;
+
+/* Datagrams that were read and wait to be decoded.  */
+typedef struct
+{
+  GByteArray *bytes;
+  GArray *items; /* pal_inbox_item_t, in the order of arrival */
+} pal_inbox_t;
+
 struct pal
 {
   struct ev_loop *loop;
@@ -57,10 +74,14 @@
   ev_prepare sender; /* sends changes at the end of each loop iteration */
   char *name;
   uint64_t incarnation;
-  uint64_t number;         /* sequence number of the last datagram sent */
-  GArray *addresses;       /* addr_t */
-  GPtrArray *member_names; /* of the other routers; NULL: not known */
-  GHashTable *peers;       /* name to pal_peer_t */
+  uint64_t number;            /* sequence number of the last datagram sent */
+  GArray *near_addresses;     /* addr_t, of the other routers of the cell */
+  GArray *far_addresses;      /* addr_t, of all others */
+  GPtrArray *member_names;    /* of the other routers; NULL: not known */
+  GPtrArray *near_names;      /* of those of the cell; NULL: not known */
+  bool is_reader;             /* see pal_set_reader */
+  GHashTable *peers;          /* name to pal_peer_t */
+  GHashTable *by_incarnation; /* incarnation to pal_peer_t */
   edp_set_t *endpoints;
   use_t *use;
   pfx_t *pfx;
@@ -72,7 +93,10 @@
   int64_t ages[PAL_LIST_COUNT];
   cfd_time_t changes_sent_at;
   cfd_time_t full_sent_at;
+  cfd_time_t summary_sent_at;
+  pal_inbox_t inbox;
   uint64_t invalid_datagrams; /* received */
+  uint64_t dropped_datagrams; /* not decoded, for lack of time */
   uint64_t last_prefix_sent;  /* pfx_update_t.number */
   uint64_t last_refusal_sent; /* ret_update_t.number */
   void (*on_update) (void *user, unsigned list, int64_t from, int64_t to,
@@ -89,6 +113,19 @@
 GByteArray *pal_pack_update (unsigned list, int64_t from, int64_t to,
                              const char *events);
 bool pal_receive_update (pal_t *pal, const void *bytes, size_t length);
+/* pal-inbox.c */
+void pal_inbox_init (pal_inbox_t *inbox);
+void pal_inbox_clear (pal_inbox_t *inbox);
+void pal_inbox_add (pal_inbox_t *inbox, const void *bytes, size_t length);
+void pal_inbox_empty (pal_inbox_t *inbox);
+/* Returns the indices of the items in the order in which they are to be
+   decoded: updates first, whose loss would cost a call to the store.  */
+GArray *pal_inbox_order (const pal_inbox_t *inbox);
+
+/* pal.c: decodes the inbox and empties it.  From DEADLINE_US on, the rest is
+   dropped; GET_TIME_US returns the present time.  */
+void pal_decode_inbox (pal_t *pal, cfd_time_t now, int64_t deadline_us,
+                       int64_t (*get_time_us) (void));
 /* pal.c: applies a datagram of any kind; counts and logs an invalid one.  */
 void pal_receive_any (pal_t *pal, cfd_time_t now, const void *bytes,
                       size_t length);
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -3,6 +3,7 @@
 #include "relay/pal-private.h"
 
 #include "base/log.h"
+#include "relay/cold.h"
 #include "wire/msg-tree.h"
 #include <string.h>
 
@@ -111,32 +112,22 @@
   peer->loads
       = g_hash_table_new_full (hash_endpoint, equal_endpoint, NULL, g_free);
   for (unsigned i = 0; i < PAL_LIST_COUNT; i++)
-    peer->ages[i] = -1;
+    {
+      peer->ages[i] = -1;
+      peer->precedes[i] = cold_ranks_before (name, pal->name, i);
+    }
   g_hash_table_insert (pal->peers, peer->name, peer);
   log_info ("peers", "A peer was discovered: router=%s.", name);
   return peer;
 }
 
-static pal_peer_t *
-find_peer_by_incarnation (const pal_t *pal, uint64_t incarnation)
-{
-  GHashTableIter each;
-  void *peer;
-
-  g_hash_table_iter_init (&each, pal->peers);
-  while (g_hash_table_iter_next (&each, NULL, &peer))
-    if (((pal_peer_t *)peer)->incarnation == incarnation)
-      return peer;
-  return NULL;
-}
-
 /* Returns the peer that sent a datagram.  The name is sent with the full state
    only: NULL for changes of a router that is not known yet.  */
 static pal_peer_t *
 find_sender (pal_t *pal, const char *name, uint64_t incarnation)
 {
   if (*name == '\0')
-    return find_peer_by_incarnation (pal, incarnation);
+    return g_hash_table_lookup (pal->by_incarnation, &incarnation);
   return get_or_add_peer (pal, name);
 }
 
@@ -319,7 +310,7 @@
   g_autofree char *name = copy_text (&items[1]);
   uint64_t incarnation = items[2].u.number;
   uint64_t number = items[3].u.number;
-  bool full = items[4].u.number != 0;
+  uint64_t content = items[4].u.number;
   pal_peer_t *peer;
 
   if (g_str_equal (name, pal->name))
@@ -329,10 +320,14 @@
   if (peer == NULL
       || (peer->incarnation == incarnation && peer->number >= number))
     return;
+  g_hash_table_remove (pal->by_incarnation, &peer->incarnation);
   peer->incarnation = incarnation;
+  g_hash_table_insert (pal->by_incarnation, &peer->incarnation, peer);
   peer->number = number;
+  if (content != PAL_CHANGES)
+    peer->sends_summaries = content == PAL_SUMMARY;
   peer->last_received_at = now;
-  receive_loads (pal, peer, &items[5], full);
+  receive_loads (pal, peer, &items[5], content != PAL_CHANGES);
   receive_usage (pal, peer, now, &items[6]);
   receive_prefixes (pal, now, &items[7]);
   peer->stable_ms = decode_stable_ms (&items[8]);
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -24,6 +24,13 @@
 #define MIN_FULL_INTERVAL_MS 100
 #define FULL_INTERVAL_MS_PER_ROUTER 15
 #define MAX_FULL_INTERVAL_MS 300
+/* Interval of summaries, by the number of routers that they are sent to, so
+   that each router receives no more than a few hundred a second.  */
+#define MIN_SUMMARY_INTERVAL_MS 300
+#define SUMMARY_INTERVAL_MS_PER_ROUTER 4
+/* Summaries that may be lost before a router of another cell counts as
+   silent.  */
+#define LOST_SUMMARIES 3
 /* Minimum interval between datagrams with changes, for each router that they
    are sent to.  With N routers each change takes N datagrams, and small
    machines would spend all their time on them.  */
@@ -31,6 +38,9 @@
 /* Datagrams read per wakeup: more than the socket's buffer holds, so that none
    waits for a later iteration of an event loop that is behind.  */
 #define MAX_READS_PER_WAKEUP 1024
+#define MAX_INBOX_BYTES 1048576u
+/* Time for decoding them.  Callers wait meanwhile.  */
+#define MAX_DECODE_US 4000
 
 static void
 peer_free (void *data)
@@ -58,6 +68,40 @@
   return pal->invalid_datagrams;
 }
 
+uint64_t
+pal_count_dropped (const pal_t *pal)
+{
+  return pal->dropped_datagrams;
+}
+
+void
+pal_decode_inbox (pal_t *pal, cfd_time_t now, int64_t deadline_us,
+                  int64_t (*get_time_us) (void))
+{
+  pal_inbox_t *inbox = &pal->inbox;
+  g_autoptr (GArray) order = pal_inbox_order (inbox);
+
+  for (guint i = 0; i < order->len; i++)
+    {
+      guint index = g_array_index (order, guint, i);
+      const pal_inbox_item_t *item
+          = &g_array_index (inbox->items, pal_inbox_item_t, index);
+
+      if (get_time_us () >= deadline_us)
+        {
+          pal->dropped_datagrams += order->len - i;
+          log_info ("peers",
+                    "Datagrams were dropped, the loop has no time for them: "
+                    "dropped=%u decoded=%u.",
+                    order->len - i, i);
+          break;
+        }
+      pal_receive_any (pal, now, inbox->bytes->data + item->offset,
+                       item->length);
+    }
+  pal_inbox_empty (inbox);
+}
+
 /* Returns the number of datagrams read.  */
 static unsigned
 read_datagrams (pal_t *pal)
@@ -65,15 +109,18 @@
   char buffer[MAX_DATAGRAM_BYTES];
   unsigned read = 0;
 
-  while (read < MAX_READS_PER_WAKEUP)
+  while (read < MAX_READS_PER_WAKEUP
+         && pal->inbox.bytes->len < MAX_INBOX_BYTES)
     {
       ssize_t n = recv (pal->reader.fd, buffer, sizeof buffer, 0);
 
       if (n < 0)
         break;
       read++;
-      pal_receive_any (pal, clock_now (), buffer, (size_t)n);
+      pal_inbox_add (&pal->inbox, buffer, (size_t)n);
     }
+  pal_decode_inbox (pal, clock_now (), clock_now_us () + MAX_DECODE_US,
+                    clock_now_us);
   return read;
 }
 
@@ -122,9 +169,12 @@
   pal->loop = loop;
   pal->name = g_strdup (name);
   pal->incarnation = incarnation;
-  pal->addresses = g_array_new (FALSE, FALSE, sizeof (addr_t));
+  pal->near_addresses = g_array_new (FALSE, FALSE, sizeof (addr_t));
+  pal->far_addresses = g_array_new (FALSE, FALSE, sizeof (addr_t));
+  pal->by_incarnation = g_hash_table_new (g_int64_hash, g_int64_equal);
   pal->peers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
+  pal_inbox_init (&pal->inbox);
   pal->endpoints = endpoints;
   pal->use = use;
   pal->pfx = pfx;
@@ -134,6 +184,8 @@
     pal->ages[i] = -1;
   ev_io_init (&pal->reader, on_readable, fd, EV_READ);
   pal->reader.data = pal;
+  /* Callers and endpoints go first.  */
+  ev_set_priority (&pal->reader, EV_MINPRI);
   ev_io_start (loop, &pal->reader);
   ev_prepare_init (&pal->sender, on_prepare);
   pal->sender.data = pal;
@@ -149,8 +201,12 @@
   ev_io_stop (pal->loop, &pal->reader);
   ev_prepare_stop (pal->loop, &pal->sender);
   close (pal->reader.fd);
-  g_array_unref (pal->addresses);
+  g_array_unref (pal->near_addresses);
+  g_array_unref (pal->far_addresses);
   g_clear_pointer (&pal->member_names, g_ptr_array_unref);
+  g_clear_pointer (&pal->near_names, g_ptr_array_unref);
+  g_hash_table_unref (pal->by_incarnation);
+  pal_inbox_clear (&pal->inbox);
   g_hash_table_unref (pal->peers);
   g_free (pal->name);
   g_free (pal);
@@ -168,19 +224,32 @@
   pal->rol = rol;
 }
 
+void
+pal_set_reader (pal_t *pal, bool is_reader)
+{
+  pal->is_reader = is_reader;
+}
+
 void
 pal_set_peers (pal_t *pal, const pal_member_t *peers, guint count)
 {
-  g_array_set_size (pal->addresses, 0);
+  g_array_set_size (pal->near_addresses, 0);
+  g_array_set_size (pal->far_addresses, 0);
   g_clear_pointer (&pal->member_names, g_ptr_array_unref);
+  g_clear_pointer (&pal->near_names, g_ptr_array_unref);
   pal->member_names = g_ptr_array_new_with_free_func (g_free);
+  pal->near_names = g_ptr_array_new_with_free_func (g_free);
   for (guint i = 0; i < count; i++)
     {
+      GArray *addresses
+          = peers[i].is_near ? pal->near_addresses : pal->far_addresses;
       addr_t addr;
 
       g_ptr_array_add (pal->member_names, g_strdup (peers[i].name));
+      if (peers[i].is_near)
+        g_ptr_array_add (pal->near_names, g_strdup (peers[i].name));
       if (addr_parse (peers[i].address, &addr, NULL))
-        g_array_append_val (pal->addresses, addr);
+        g_array_append_val (addresses, addr);
     }
 }
 
@@ -207,19 +276,23 @@
   return pal_count_alive (pal);
 }
 
+/* Returns this router's rank among those that share EDP: the routers of its
+   cell, or all where several cells share it.  */
 static unsigned
-compute_cold_rank (const pal_t *pal, uint64_t endpoint)
+compute_cold_rank (const pal_t *pal, const edp_t *edp)
 {
+  const GPtrArray *names
+      = edp->cell_count > 1 ? pal->member_names : pal->near_names;
   bool all = may_be_partitioned (pal);
   unsigned rank = 0;
 
-  for (guint i = 0; i < pal->member_names->len; i++)
+  for (guint i = 0; i < names->len; i++)
     {
-      const char *name = g_ptr_array_index (pal->member_names, i);
+      const char *name = g_ptr_array_index (names, i);
 
       if (!all && !g_hash_table_contains (pal->peers, name))
         continue;
-      rank += cold_ranks_before (name, pal->name, endpoint);
+      rank += cold_ranks_before (name, pal->name, edp->hash);
     }
   return rank;
 }
@@ -233,11 +306,28 @@
 
       if (now < edp->cold_until)
         edp->cold_rank = pal->member_names != NULL
-                             ? compute_cold_rank (pal, edp->hash)
+                             ? compute_cold_rank (pal, edp)
                              : COLD_RANK_UNKNOWN;
     }
 }
 
+static int64_t
+get_summary_interval_ms (const pal_t *pal)
+{
+  return MAX ((int64_t)pal->far_addresses->len
+                  * SUMMARY_INTERVAL_MS_PER_ROUTER,
+              MIN_SUMMARY_INTERVAL_MS);
+}
+
+static int64_t
+get_timeout_ms (const pal_t *pal, const pal_peer_t *peer)
+{
+  if (!peer->sends_summaries)
+    return PEER_TIMEOUT_MS;
+  return MAX (get_summary_interval_ms (pal) * (LOST_SUMMARIES + 1),
+              PEER_TIMEOUT_MS);
+}
+
 static void
 remove_silent_peers (pal_t *pal, cfd_time_t now)
 {
@@ -249,40 +339,63 @@
     {
       pal_peer_t *peer = data;
 
-      if (now - peer->last_received_at <= PEER_TIMEOUT_MS)
+      if (now - peer->last_received_at <= get_timeout_ms (pal, peer))
         continue;
       log_info ("peers", "A peer timed out: router=%s.", peer->name);
+      g_hash_table_remove (pal->by_incarnation, &peer->incarnation);
       pal_subtract_peer (pal, peer);
       use_remove_peer (pal->use, now, peer->name);
       g_hash_table_iter_remove (&each);
     }
 }
 
-void
-pal_send_all (const pal_t *pal, const void *bytes, size_t length)
+static void
+send_to (const pal_t *pal, const GArray *addresses, const void *bytes,
+         size_t length)
 {
-  for (guint i = 0; i < pal->addresses->len; i++)
+  for (guint i = 0; i < addresses->len; i++)
     {
-      const addr_t *addr = &g_array_index (pal->addresses, addr_t, i);
+      const addr_t *addr = &g_array_index (addresses, addr_t, i);
 
       sendto (pal->reader.fd, bytes, length, MSG_NOSIGNAL,
               (const struct sockaddr *)&addr->storage, addr->length);
     }
 }
 
+void
+pal_send_all (const pal_t *pal, const void *bytes, size_t length)
+{
+  send_to (pal, pal->near_addresses, bytes, length);
+  send_to (pal, pal->far_addresses, bytes, length);
+}
+
 static void
-send_state (pal_t *pal, cfd_time_t now, bool full)
+send_state (pal_t *pal, cfd_time_t now, pal_content_t content)
 {
-  g_autoptr (GByteArray) bytes = pal_pack (pal, now, full);
+  g_autoptr (GByteArray) bytes = pal_pack (pal, now, content);
+
+  send_to (pal,
+           content == PAL_SUMMARY ? pal->far_addresses : pal->near_addresses,
+           bytes->data, bytes->len);
+}
 
-  pal_send_all (pal, bytes->data, bytes->len);
+static void
+send_summary (pal_t *pal, cfd_time_t now)
+{
+  int64_t interval_ms = pal->is_reader ? MIN_SUMMARY_INTERVAL_MS
+                                       : get_summary_interval_ms (pal);
+
+  if (pal->far_addresses->len == 0 || now - pal->summary_sent_at < interval_ms)
+    return;
+  pal->summary_sent_at = now;
+  send_state (pal, now, PAL_SUMMARY);
 }
 
 static void
 send_changes (pal_t *pal, cfd_time_t now)
 {
   int64_t interval_ms
-      = (int64_t)pal->addresses->len * CHANGES_INTERVAL_MS_PER_ROUTER;
+      = (int64_t)pal->near_addresses->len * CHANGES_INTERVAL_MS_PER_ROUTER;
 
   if (now - pal->changes_sent_at < interval_ms)
     return;
@@ -291,7 +404,7 @@
       if (!list_entry (node, edp_t, node)->changed)
         continue;
       pal->changes_sent_at = now;
-      send_state (pal, now, false);
+      send_state (pal, now, PAL_CHANGES);
       return;
     }
 }
@@ -404,7 +517,7 @@
       int64_t age = get_age_ms (peer, now, list);
 
       if (age >= 0 && age <= max_age_ms)
-        rank += cold_ranks_before (peer->name, pal->name, list);
+        rank += peer->precedes[list];
     }
   return rank;
 }
@@ -412,7 +525,8 @@
 static int64_t
 get_full_interval_ms (const pal_t *pal)
 {
-  return CLAMP ((int64_t)pal->addresses->len * FULL_INTERVAL_MS_PER_ROUTER,
+  return CLAMP ((int64_t)pal->near_addresses->len
+                    * FULL_INTERVAL_MS_PER_ROUTER,
                 MIN_FULL_INTERVAL_MS, MAX_FULL_INTERVAL_MS);
 }
 
@@ -421,6 +535,7 @@
 {
   remove_silent_peers (pal, now);
   pal_sum_new_endpoints (pal);
+  send_summary (pal, now);
   if (now - pal->full_sent_at < get_full_interval_ms (pal))
     {
       send_changes (pal, now);
@@ -428,5 +543,5 @@
     }
   pal->full_sent_at = now;
   pal_update_cold_ranks (pal, now);
-  send_state (pal, now, true);
+  send_state (pal, now, PAL_FULL);
 }
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -4,9 +4,10 @@
    reading the platform's lists.
 
    Datagrams are encoded with msgpack-c and hold absolute values, so that a
-   lost, duplicated or reordered one does no harm.  The load of an endpoint is
-   sent as soon as it changes, and the full state periodically.  The state of a
-   router that sends nothing for a while is discarded.  */
+   lost, duplicated or reordered one does no harm.  Routers of the same cell
+   (relay/cel.h) get the load of an endpoint as soon as it changes, and the
+   full state periodically; the others get a summary at a longer interval.  The
+   state of a router that sends nothing for a while is discarded.  */
 
 #ifndef RELAY_PAL_H
 #define RELAY_PAL_H
@@ -39,8 +40,13 @@
 {
   const char *name;
   const char *address; /* IP:PORT */
+  bool is_near;        /* of this router's cell (relay/cel.h) */
 } pal_member_t;
 
+/* Sets whether this router reads one of the platform's lists for all others,
+   which then need its summaries sooner.  */
+void pal_set_reader (pal_t *pal, bool is_reader);
+
 /* Replaces the list of the other routers; PEERS is copied.  A router without a
    valid address counts as part of the fleet, but is sent nothing.  */
 void pal_set_peers (pal_t *pal, const pal_member_t *peers, guint count);
@@ -103,8 +109,16 @@
    and sends the full state when it is due, or else the changes.  */
 void pal_tick (pal_t *pal, cfd_time_t now);
 
-/* Encodes one datagram with the FULL state, or with the changes only.  */
-GByteArray *pal_pack (pal_t *pal, cfd_time_t now, bool full);
+/* Content of a state datagram.  */
+typedef enum
+{
+  PAL_CHANGES, /* since the last datagram */
+  PAL_FULL,
+  PAL_SUMMARY /* what routers of other cells need */
+} pal_content_t;
+
+/* Encodes one datagram.  */
+GByteArray *pal_pack (pal_t *pal, cfd_time_t now, pal_content_t content);
 /* Applies a datagram from another router.  Returns false when BYTES is not a
    valid state datagram.  */
 bool pal_receive (pal_t *pal, cfd_time_t now, const void *bytes,
@@ -112,5 +126,8 @@
 /* Returns the number of datagrams received that were of no known kind or
    malformed.  */
 uint64_t pal_count_invalid (const pal_t *pal);
+/* Returns the number of datagrams that were dropped because the router had no
+   time for them.  */
+uint64_t pal_count_dropped (const pal_t *pal);
 
 #endif
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -39,6 +39,10 @@
     {
       count += edp_is_open (list_entry (node, edp_t, node), now);
     }
+  list_for_each (node, edp_set_others (rly->endpoints))
+    {
+      count += edp_is_open (list_entry (node, edp_t, node), now);
+    }
   return count;
 }
 
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -39,6 +39,8 @@
 #define TRANSFER_SETUP_MS 3.
 /* Warm-up rate of services that set none, for all routers together.  */
 #define DEFAULT_COLD_PER_S 4.
+/* Endpoints of other cells that a placement round considers.  */
+#define SPILLOVER_ENDPOINTS 8
 /* Slots of an endpoint when neither its report nor its service gives them.  */
 #define DEFAULT_SLOTS 8
 
@@ -75,10 +77,15 @@
 static plc_endpoint_t
 collect_load (const rly_round_t *round, edp_t *edp)
 {
+  /* Routers of other cells send no details, but put about as much load on an
+     endpoint that they share as those of this cell.  */
+  unsigned cells = edp->cell_count;
   plc_endpoint_t load
-      = { .active = edp->active + edp->peer_active,
-          .pending_prefill = edp->pending_prefill + edp->peer_pending_prefill,
-          .context_tokens = edp->context_tokens + edp->peer_context_tokens,
+      = { .active = (edp->active + edp->peer_active) * cells,
+          .pending_prefill
+          = (edp->pending_prefill + edp->peer_pending_prefill) * cells,
+          .context_tokens
+          = (edp->context_tokens + edp->peer_context_tokens) * cells,
           .in_other_zone = is_in_other_zone (round, edp) };
 
   if (edp_allows_request (edp, round->now, compute_cold_rate (round, edp)))
@@ -98,30 +105,54 @@
   round->has_free_slot |= round->loads[i].active < round->loads[i].slots;
 }
 
-/* Adds the endpoints of STANDING that are open.  */
+/* Adds those of ENDPOINTS that are of STANDING and open.  */
 static void
-add_endpoints (rly_round_t *round, edp_standing_t standing)
+add_endpoints (rly_round_t *round, const GPtrArray *endpoints,
+               edp_standing_t standing)
 {
   guint *count = standing == EDP_CANARY ? &round->canary_count : &round->count;
 
-  list_for_each (node, edp_set_endpoints (round->rly->endpoints))
+  for (guint i = 0; endpoints != NULL && i < endpoints->len; i++)
     {
-      edp_t *edp = list_entry (node, edp_t, node);
+      edp_t *edp = g_ptr_array_index (endpoints, i);
 
       if (round->count + round->canary_count == RLY_MAX_ENDPOINTS)
-        break;
-      if (edp->standing != standing || !edp_is_open (edp, round->now)
-          || !g_str_equal (edp->report->service, round->service->name))
+        return;
+      if (edp->standing != standing || !edp_is_open (edp, round->now))
         continue;
       add_endpoint (round, edp);
       ++*count;
     }
 }
 
+/* Adds a few endpoints of other cells, drawn at random: those of the own cell
+   are all down or full.  */
+static void
+add_spillover (rly_round_t *round, const GPtrArray *endpoints)
+{
+  guint first;
+
+  if (endpoints == NULL || endpoints->len == 0)
+    return;
+  first = (guint)g_random_int_range (0, (gint32)endpoints->len);
+  for (guint i = 0; i < endpoints->len && round->count < SPILLOVER_ENDPOINTS;
+       i++)
+    {
+      edp_t *edp = g_ptr_array_index (endpoints, (first + i) % endpoints->len);
+
+      if (edp->standing != EDP_CURRENT || !edp_is_open (edp, round->now))
+        continue;
+      add_endpoint (round, edp);
+      round->count++;
+    }
+}
+
 void
 rly_begin_round (rly_round_t *round, rly_t *rly, rly_service_t *service,
                  cfd_time_t now)
 {
+  const GPtrArray *near = edp_set_get_near (rly->endpoints, service->name);
+
   round->rly = rly;
   round->service = service;
   round->config = rte_find_service (rly->table, service->name);
@@ -132,9 +163,11 @@
   round->rollout = rol_find (rly->rol, service->name);
   round->count = 0;
   round->canary_count = 0;
-  add_endpoints (round, EDP_CURRENT);
+  add_endpoints (round, near, EDP_CURRENT);
+  if (round->count == 0)
+    add_spillover (round, edp_set_get_all (rly->endpoints, service->name));
   if (round->rollout != NULL)
-    add_endpoints (round, EDP_CANARY);
+    add_endpoints (round, near, EDP_CANARY);
 }
 
 /* Returns the cost of sending REQUEST and its answer between availability
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -147,7 +147,7 @@
 void rly_refuse_expired (rly_service_t *service, cfd_time_t now);
 
 /* rly-place.c: placement of one request.  */
-#define RLY_MAX_ENDPOINTS 256
+#define RLY_MAX_ENDPOINTS 512
 
 /* State of a placement round of one service.  */
 typedef struct
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -190,6 +190,7 @@
   rly_dequeue (request);
   list_append (&rly->running, &request->node);
   rly->counts.running++;
+  edp_set_note_used (rly->endpoints, edp);
   request->edp = edp;
   request->sent_at = now;
   request->tries++;
--- a/libcoltsfootdrum/relay/rol.c
+++ b/libcoltsfootdrum/relay/rol.c
@@ -219,24 +219,22 @@
     }
 }
 
-void
-rol_update_endpoints (rol_t *rol)
+static void
+add_list (const rol_t *rol, GHashTable *groups, list_node_t *list)
 {
-  g_autoptr (GHashTable) groups
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, group_free);
-
-  rol->required_revision = 0;
-  if (rol->settings.exposure_share <= 0.)
-    return;
-  list_for_each (node, edp_set_endpoints (rol->endpoints))
+  list_for_each (node, list)
     {
       edp_t *edp = list_entry (node, edp_t, node);
 
       add_to_group (rol, get_or_add_group (rol, groups, edp->report->service),
                     edp);
     }
-  note_groups (rol, groups);
-  list_for_each (node, edp_set_endpoints (rol->endpoints))
+}
+
+static void
+set_standings (rol_t *rol, GHashTable *groups, list_node_t *list)
+{
+  list_for_each (node, list)
     {
       edp_t *edp = list_entry (node, edp_t, node);
       const group_t *group
@@ -249,6 +247,22 @@
     }
 }
 
+void
+rol_update_endpoints (rol_t *rol)
+{
+  g_autoptr (GHashTable) groups
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, group_free);
+
+  rol->required_revision = 0;
+  if (rol->settings.exposure_share <= 0.)
+    return;
+  add_list (rol, groups, edp_set_endpoints (rol->endpoints));
+  add_list (rol, groups, edp_set_others (rol->endpoints));
+  note_groups (rol, groups);
+  set_standings (rol, groups, edp_set_endpoints (rol->endpoints));
+  set_standings (rol, groups, edp_set_others (rol->endpoints));
+}
+
 int64_t
 rol_get_required_revision (const rol_t *rol)
 {
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -285,6 +285,99 @@
   ev_loop_destroy (loop);
 }
 
+/* An endpoint whose entry has not changed is listed without a report.  */
+static void
+test_kept (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  edp_set_t *set = edp_set_new (loop);
+  edp_report_t *one = report ("e1", 1, 0);
+
+  one->revision = 7;
+  update (set, NOW, one, true);
+  g_assert_false (edp_set_keep (set, "e1", 8));
+  g_assert_false (edp_set_keep (set, "e2", 7));
+  g_assert_true (edp_set_keep (set, "e1", 7));
+  update (set, NOW + 100, NULL, true);
+  g_assert_nonnull (edp_set_find (set, "e1"));
+  /* Kept for one list only.  */
+  update (set, NOW + 200, NULL, false);
+  g_assert_true (edp_set_has_unlisted (set));
+  /* An entry that expired and is listed again has to be read.  */
+  g_assert_false (edp_set_keep (set, "e1", 7));
+  update (set, NOW + 300, NULL, true);
+  g_assert_null (edp_set_find (set, "e1"));
+  edp_set_free (set);
+  ev_loop_destroy (loop);
+}
+
+static unsigned
+count_list (list_node_t *list)
+{
+  unsigned count = 0;
+
+  list_for_each (node, list)
+    {
+      count++;
+    }
+  return count;
+}
+
+static void
+update_many (edp_set_t *set, unsigned count)
+{
+  GPtrArray *reports = g_ptr_array_new ();
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("e%u", i);
+
+      g_ptr_array_add (reports, report (id, 1, 0));
+    }
+  edp_set_update (set, NOW, reports, true, COLD_MS);
+}
+
+/* A router uses the endpoints of its cell.  One of another cell that gets a
+   request is used until its connections are closed.  */
+static void
+test_cells (void)
+{
+  enum
+  {
+    ENDPOINTS = 400,
+    CELLS = 4
+  };
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  edp_set_t *set = edp_set_new (loop);
+  unsigned total = 0;
+  edp_t *other;
+
+  update_many (set, ENDPOINTS);
+  g_assert_cmpuint (edp_set_get_near (set, "app")->len, ==, ENDPOINTS);
+  for (unsigned cell = 0; cell < CELLS; cell++)
+    {
+      edp_set_choose_cell (set, cell, CELLS);
+      total += edp_set_get_near (set, "app")->len;
+      g_assert_cmpuint (edp_set_get_near (set, "app")->len, ==,
+                        ENDPOINTS / CELLS);
+      g_assert_cmpuint (count_list (edp_set_endpoints (set)), ==,
+                        ENDPOINTS / CELLS);
+      g_assert_cmpuint (edp_set_get_all (set, "app")->len, ==, ENDPOINTS);
+    }
+  g_assert_cmpuint (total, ==, ENDPOINTS);
+  other = list_entry (edp_set_others (set)->next, edp_t, node);
+  edp_set_note_used (set, other);
+  other->active = 1;
+  edp_set_sweep (set, NOW);
+  g_assert_true (other->is_in_use);
+  other->active = 0;
+  edp_set_sweep (set, NOW);
+  g_assert_false (other->is_in_use);
+  g_assert_null (edp_set_get_near (set, "none"));
+  edp_set_free (set);
+  ev_loop_destroy (loop);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -302,5 +395,7 @@
   g_test_add_func ("/edp/zone-out", test_zone_out);
   g_test_add_func ("/edp/failures", test_failures);
   g_test_add_func ("/edp/gives-back", test_rejections);
+  g_test_add_func ("/edp/kept", test_kept);
+  g_test_add_func ("/edp/cells", test_cells);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -96,9 +96,9 @@
 }
 
 static void
-deliver (router_t *from, router_t *to, cfd_time_t now, bool full)
+deliver (router_t *from, router_t *to, cfd_time_t now, pal_content_t content)
 {
-  g_autoptr (GByteArray) bytes = pal_pack (from->pal, now, full);
+  g_autoptr (GByteArray) bytes = pal_pack (from->pal, now, content);
   bool accepted = pal_receive (to->pal, now, bytes->data, bytes->len);
 
   g_assert_true (accepted);
@@ -107,25 +107,25 @@
 static void
 test_adds_up (gconstpointer data)
 {
-  bool full = GPOINTER_TO_INT (data);
+  pal_content_t content = GPOINTER_TO_INT (data);
   router_t here = router_new ("here");
   router_t one = router_new ("one");
   router_t two = router_new ("two");
 
   /* The full state comes first: it has the router's name.  */
-  deliver (&one, &here, NOW, true);
-  deliver (&two, &here, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
+  deliver (&two, &here, NOW, PAL_FULL);
   set_load (&one, 3, 500.);
   set_load (&two, 4, 700.);
-  deliver (&one, &here, NOW, full);
-  deliver (&two, &here, NOW, full);
+  deliver (&one, &here, NOW, content);
+  deliver (&two, &here, NOW, content);
   g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 7);
   g_assert_cmpfloat (get_endpoint (&here)->peer_pending_prefill, ==, 1200.);
   g_assert_cmpfloat (get_endpoint (&here)->peer_context_tokens, ==, 2400.);
   g_assert_cmpuint (pal_estimate_fleet_size (here.pal), ==, 3);
   /* Values are absolute: the newer datagram replaces the older one's.  */
   set_load (&one, 1, 0.);
-  deliver (&one, &here, NOW, full);
+  deliver (&one, &here, NOW, content);
   g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 5);
   router_free (&here);
   router_free (&one);
@@ -141,10 +141,10 @@
   router_t one = router_new ("one");
 
   set_load (&one, 3, 500.);
-  deliver (&one, &here, NOW, false);
+  deliver (&one, &here, NOW, PAL_CHANGES);
   g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 0);
   g_assert_cmpuint (pal_estimate_fleet_size (here.pal), ==, 1);
-  deliver (&one, &here, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
   g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 3);
   router_free (&here);
   router_free (&one);
@@ -159,9 +159,9 @@
   g_autoptr (GByteArray) old = NULL;
 
   set_load (&one, 9, 900.);
-  old = pal_pack (one.pal, NOW, true);
+  old = pal_pack (one.pal, NOW, PAL_FULL);
   set_load (&one, 2, 100.);
-  deliver (&one, &here, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
   pal_receive (here.pal, NOW, old->data, old->len);
   g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 2);
   router_free (&here);
@@ -193,7 +193,7 @@
   there = edp_set_find (one.endpoints, "e2");
   there->active = 5;
   there->pending_prefill = 300.;
-  deliver (&one, &here, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
   list_second_endpoint (&here);
   edp = edp_set_find (here.endpoints, "e2");
   pal_tick (here.pal, NOW);
@@ -202,7 +202,7 @@
   there->active = 2;
   there->pending_prefill = 0.;
   there->changed = true;
-  deliver (&one, &here, NOW, false);
+  deliver (&one, &here, NOW, PAL_CHANGES);
   g_assert_cmpuint (edp->peer_active, ==, 2);
   g_assert_cmpfloat (edp->peer_pending_prefill, ==, 0.);
   pal_tick (here.pal, NOW + 5000);
@@ -217,9 +217,9 @@
 static void
 test_cut_off (void)
 {
-  static const pal_member_t listed[] = { { "one", "127.0.0.1:9" },
-                                         { "two", "127.0.0.1:9" },
-                                         { "three", "not an address" } };
+  static const pal_member_t listed[] = { { "one", "127.0.0.1:9", true },
+                                         { "two", "127.0.0.1:9", true },
+                                         { "three", "not an address", true } };
   router_t here = router_new ("here");
   router_t one = router_new ("one");
   router_t two = router_new ("two");
@@ -233,9 +233,9 @@
   g_assert_cmpuint (edp->cold_rank, <=, 3);
   g_assert_cmpuint (pal_estimate_fleet_size (here.pal), ==, 4);
   g_assert_cmpuint (pal_count_alive (here.pal), ==, 1);
-  deliver (&one, &here, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
   g_assert_cmpuint (pal_estimate_fleet_size (here.pal), ==, 4);
-  deliver (&two, &here, NOW, true);
+  deliver (&two, &here, NOW, PAL_FULL);
   g_assert_cmpuint (pal_estimate_fleet_size (here.pal), ==, 3);
   pal_update_cold_ranks (here.pal, NOW);
   g_assert_cmpuint (edp->cold_rank, <=, 2);
@@ -244,6 +244,181 @@
   router_free (&two);
 }
 
+/* A router of another cell sends summaries: its loads, accounts and prefixes
+   don't matter here, its lists do.  It is silent only after several summaries
+   are missing.  */
+static void
+test_summary (void)
+{
+  enum
+  {
+    FAR = 300
+  };
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  g_autoptr (GArray) listed = g_array_new (FALSE, TRUE, sizeof (pal_member_t));
+
+  g_array_set_size (listed, FAR);
+  for (unsigned i = 0; i < FAR; i++)
+    g_array_index (listed, pal_member_t, i)
+        = (pal_member_t){ "one", "127.0.0.1:9", false };
+  pal_set_peers (here.pal, (const pal_member_t *)(void *)listed->data, FAR);
+  set_load (&one, 3, 500.);
+  use_add_served (one.use, NOW, "mill", 5000.);
+  pal_set_list_revision (one.pal, 1, 700);
+  deliver (&one, &here, NOW, PAL_SUMMARY);
+  g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 0);
+  g_assert_cmpfloat (use_total (here.use, NOW, "mill").served, ==, 0.);
+  g_assert_cmpint (pal_get_max_peer_revision (here.pal, NOW, 1), ==, 700);
+  g_assert_cmpuint (pal_count_alive (here.pal), ==, 2);
+  pal_tick (here.pal, NOW + 3000);
+  g_assert_cmpuint (pal_count_alive (here.pal), ==, 2);
+  pal_tick (here.pal, NOW + 6000);
+  g_assert_cmpuint (pal_count_alive (here.pal), ==, 1);
+  router_free (&here);
+  router_free (&one);
+}
+
+/* A router that comes into this cell sends its state, and one that leaves it
+   takes its load along.  */
+static void
+test_cell_changes (void)
+{
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+
+  set_load (&one, 3, 500.);
+  deliver (&one, &here, NOW, PAL_FULL);
+  g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 3);
+  deliver (&one, &here, NOW, PAL_SUMMARY);
+  g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 0);
+  deliver (&one, &here, NOW, PAL_FULL);
+  g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 3);
+  router_free (&here);
+  router_free (&one);
+}
+
+/* The warm-up rate of an endpoint is divided among the routers of its cell, or
+   among all where several cells share it.  */
+static void
+test_cold_ranks_in_cells (void)
+{
+  static const pal_member_t listed[] = { { "one", "127.0.0.1:9", true },
+                                         { "two", "127.0.0.1:9", false },
+                                         { "three", "127.0.0.1:9", false } };
+  router_t here = router_new ("here");
+  edp_t *edp = get_endpoint (&here);
+
+  pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
+  edp->cold_until = NOW + 3000;
+  for (edp->hash = 0; edp->hash < 50; edp->hash++)
+    {
+      unsigned expected = cold_ranks_before ("one", "here", edp->hash);
+
+      edp->cell_count = 1;
+      pal_update_cold_ranks (here.pal, NOW);
+      g_assert_cmpuint (edp->cold_rank, ==, expected);
+      expected += cold_ranks_before ("two", "here", edp->hash);
+      expected += cold_ranks_before ("three", "here", edp->hash);
+      edp->cell_count = 2;
+      pal_update_cold_ranks (here.pal, NOW);
+      g_assert_cmpuint (edp->cold_rank, ==, expected);
+    }
+  router_free (&here);
+}
+
+typedef struct
+{
+  unsigned count;
+  unsigned list;
+  int64_t from;
+  int64_t to;
+  char *events;
+} update_t;
+
+static void
+on_update (void *user, unsigned list, int64_t from, int64_t to,
+           const char *events)
+{
+  update_t *received = user;
+
+  received->count++;
+  received->list = list;
+  received->from = from;
+  received->to = to;
+  g_free (received->events);
+  received->events = g_strdup (events);
+}
+
+/* A clock that advances by a millisecond at each reading.  */
+static int64_t reading_us;
+
+static int64_t
+read_slow_clock (void)
+{
+  return reading_us += 1000;
+}
+
+static void
+add_state (router_t *from, router_t *to, unsigned active)
+{
+  g_autoptr (GByteArray) bytes = NULL;
+
+  set_load (from, active, 0.);
+  bytes = pal_pack (from->pal, NOW, PAL_FULL);
+  pal_inbox_add (&to->pal->inbox, bytes->data, bytes->len);
+}
+
+/* A router that finds more datagrams than it has time for takes the newest,
+   and all updates of lists.  */
+static void
+test_no_time (void)
+{
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  router_t two = router_new ("two");
+  g_autoptr (GByteArray) update = pal_pack_update (2, 40, 45, "{}");
+  update_t received = { 0 };
+
+  pal_set_update_callback (here.pal, on_update, &received);
+  pal_inbox_add (&here.pal->inbox, update->data, update->len);
+  for (unsigned i = 0; i < 200; i++)
+    add_state (&two, &here, i);
+  add_state (&one, &here, 7);
+  reading_us = 0;
+  pal_decode_inbox (here.pal, NOW, 4500, read_slow_clock);
+  g_assert_cmpuint (received.count, ==, 1);
+  /* One update and three states were decoded, the newest of both routers.  */
+  g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 7 + 199);
+  g_assert_cmpuint (pal_count_dropped (here.pal), ==, 198);
+  g_assert_cmpuint (here.pal->inbox.items->len, ==, 0);
+  g_free (received.events);
+  router_free (&here);
+  router_free (&one);
+  router_free (&two);
+}
+
+/* Few datagrams are decoded in the order of their arrival, whatever changes
+   they hold.  */
+static void
+test_in_order (void)
+{
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  g_autoptr (GByteArray) changes = NULL;
+
+  add_state (&one, &here, 2);
+  set_load (&one, 5, 0.);
+  changes = pal_pack (one.pal, NOW, PAL_CHANGES);
+  pal_inbox_add (&here.pal->inbox, changes->data, changes->len);
+  reading_us = 0;
+  pal_decode_inbox (here.pal, NOW, INT64_MAX, read_slow_clock);
+  g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 5);
+  g_assert_cmpuint (pal_count_dropped (here.pal), ==, 0);
+  router_free (&here);
+  router_free (&one);
+}
+
 /* A killed router announces nothing, and its requests end with it.  Without
    the timeout its load would reserve capacity at endpoints for ever.  */
 static void
@@ -254,7 +429,7 @@
 
   set_load (&one, 9, 900.);
   use_add_served (one.use, NOW, "mill", 5000.);
-  deliver (&one, &here, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
   g_assert_cmpfloat (use_total (here.use, NOW, "mill").served, ==, 5000.);
   pal_tick (here.pal, NOW + 5000);
   g_assert_cmpuint (get_endpoint (&here)->peer_active, ==, 0);
@@ -272,9 +447,9 @@
   g_autoptr (pfx_prompt_t) prompt = pfx_prompt_parse ("a:100,b:50,c:7");
   uint64_t endpoint = get_endpoint (&here)->hash;
 
-  deliver (&one, &here, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
   pfx_record (one.pfx, NOW, get_endpoint (&one)->hash, prompt);
-  deliver (&one, &here, NOW, false);
+  deliver (&one, &here, NOW, PAL_CHANGES);
   g_assert_cmpuint (pfx_count_cached_tokens (here.pfx, NOW, endpoint, prompt),
                     ==, 150);
   router_free (&here);
@@ -290,9 +465,9 @@
   router_t one = router_new ("one");
   uint64_t key = ret_request_key ("mill", "a:1,b:2", "text", 4);
 
-  deliver (&one, &here, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
   ret_add_refusal (one.ret, NOW, key, NOW - 250, NOW + 100);
-  deliver (&one, &here, NOW + 10, false);
+  deliver (&one, &here, NOW + 10, PAL_CHANGES);
   /* The same request before the announced time is another client's.  */
   g_assert_cmpint (ret_take_first_attempt (here.ret, NOW + 50, key), ==,
                    NOW + 50);
@@ -316,7 +491,7 @@
 
   g_assert_cmpint (pal_get_max_peer_stable_ms (here.pal, NOW), ==, -1);
   pal_set_list_stable_ms (one.pal, 9000);
-  deliver (&one, &here, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
   g_assert_cmpint (pal_get_max_peer_stable_ms (here.pal, NOW), ==, 9000);
   g_assert_cmpint (pal_get_max_peer_stable_ms (here.pal, NOW + 2000), ==, -1);
   router_free (&here);
@@ -335,10 +510,10 @@
   pal_set_list_revision (one.pal, 1, 700);
   pal_set_list_revision (two.pal, 1, 900);
   pal_set_list_revision (two.pal, 2, 1000);
-  deliver (&one, &here, NOW, true);
-  deliver (&two, &here, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
+  deliver (&two, &here, NOW, PAL_FULL);
   /* A datagram with changes only keeps the revisions.  */
-  deliver (&two, &here, NOW, false);
+  deliver (&two, &here, NOW, PAL_CHANGES);
   g_assert_cmpint (pal_get_max_peer_revision (here.pal, NOW, 1), ==, 900);
   g_assert_cmpint (pal_get_max_peer_revision (here.pal, NOW + 2000, 1), ==, 0);
   router_free (&here);
@@ -356,14 +531,14 @@
   router_t one = router_new ("one");
 
   g_assert_cmpint (pal_get_min_peer_age_ms (here.pal, NOW, 1), ==, -1);
-  deliver (&one, &here, NOW, true);
-  deliver (&here, &one, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
+  deliver (&here, &one, NOW, PAL_FULL);
   g_assert_cmpint (pal_get_min_peer_age_ms (here.pal, NOW, 1), ==, -1);
   g_assert_cmpuint (pal_get_reader_rank (here.pal, NOW, 1, 1000), ==, 0);
   pal_set_list_age (one.pal, 1, 300);
   pal_set_list_age (here.pal, 1, 300);
-  deliver (&one, &here, NOW, true);
-  deliver (&here, &one, NOW, true);
+  deliver (&one, &here, NOW, PAL_FULL);
+  deliver (&here, &one, NOW, PAL_FULL);
   g_assert_cmpint (pal_get_min_peer_age_ms (here.pal, NOW + 200, 1), ==, 500);
   g_assert_cmpuint (pal_get_reader_rank (here.pal, NOW, 1, 1000)
                         + pal_get_reader_rank (one.pal, NOW, 1, 1000),
@@ -383,7 +558,7 @@
 
   set_load (&one, 3, 500.);
   use_add_served (one.use, NOW, "mill", 5000.);
-  bytes = pal_pack (one.pal, NOW, true);
+  bytes = pal_pack (one.pal, NOW, PAL_FULL);
   for (guint i = 0; i < bytes->len; i++)
     {
       bool accepted = pal_receive (here.pal, NOW, bytes->data, i);
@@ -417,7 +592,7 @@
 {
   router_t here = router_new ("here");
   router_t one = router_new ("one");
-  g_autoptr (GByteArray) state = pal_pack (one.pal, NOW, true);
+  g_autoptr (GByteArray) state = pal_pack (one.pal, NOW, PAL_FULL);
   g_autoptr (GByteArray) update = pal_pack_update (2, 40, 45, "{}");
   const guint8 byte = 1;
 
@@ -503,29 +678,6 @@
     }
 }
 
-typedef struct
-{
-  unsigned count;
-  unsigned list;
-  int64_t from;
-  int64_t to;
-  char *events;
-} update_t;
-
-static void
-on_update (void *user, unsigned list, int64_t from, int64_t to,
-           const char *events)
-{
-  update_t *received = user;
-
-  received->count++;
-  received->list = list;
-  received->from = from;
-  received->to = to;
-  g_free (received->events);
-  received->events = g_strdup (events);
-}
-
 /* An update is received as it was sent, and is not taken for a state datagram.
    A truncated one, one of an unknown list and one that doesn't advance the
    revision are rejected.  */
@@ -560,13 +712,19 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
-  g_test_add_data_func ("/pal/adds-up", GINT_TO_POINTER (true), test_adds_up);
-  g_test_add_data_func ("/pal/adds-up-changes", GINT_TO_POINTER (false),
+  g_test_add_data_func ("/pal/adds-up", GINT_TO_POINTER (PAL_FULL),
+                        test_adds_up);
+  g_test_add_data_func ("/pal/adds-up-changes", GINT_TO_POINTER (PAL_CHANGES),
                         test_adds_up);
   g_test_add_func ("/pal/unnamed", test_unnamed);
   g_test_add_func ("/pal/overtaken", test_overtaken);
   g_test_add_func ("/pal/listed-late", test_listed_late);
   g_test_add_func ("/pal/cut-off", test_cut_off);
+  g_test_add_func ("/pal/summary", test_summary);
+  g_test_add_func ("/pal/cell-changes", test_cell_changes);
+  g_test_add_func ("/pal/cold-ranks-in-cells", test_cold_ranks_in_cells);
+  g_test_add_func ("/pal/no-time", test_no_time);
+  g_test_add_func ("/pal/in-order", test_in_order);
   g_test_add_func ("/pal/silent", test_silent);
   g_test_add_func ("/pal/prompts", test_prompts);
   g_test_add_func ("/pal/refusals", test_refusals);
--- a/libcoltsfootdrum/relay/test-rly.c
+++ b/libcoltsfootdrum/relay/test-rly.c
@@ -579,6 +579,51 @@
   scene_free (scene);
 }
 
+/* Lists COUNT endpoints, all of them at the address of the first one.  */
+static void
+list_copies (scene_t *scene, unsigned count)
+{
+  GPtrArray *reports = g_ptr_array_new ();
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      edp_report_t *report = g_new0 (edp_report_t, 1);
+
+      report->id = g_strdup_printf ("copy-%u", i);
+      report->service = g_strdup ("app");
+      report->address
+          = g_strdup_printf ("127.0.0.1:%u", scene->servers[0].port);
+      report->zone = g_strdup ("z");
+      report->slots = 4;
+      g_ptr_array_add (reports, report);
+    }
+  edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
+}
+
+/* All endpoints of the router's cell are out of service: its requests go to
+   others.  */
+static void
+test_spillover (void)
+{
+  static const scene_reply_t replies[]
+      = { { OK ("1", "x"), SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  const GPtrArray *near;
+  scene_caller_t *caller;
+
+  list_copies (scene, 16);
+  edp_set_choose_cell (scene->endpoints, 1, 4);
+  near = edp_set_get_near (scene->endpoints, "app");
+  g_assert_cmpuint (near->len, ==, 4);
+  for (guint i = 0; i < near->len; i++)
+    ((edp_t *)g_ptr_array_index (near, i))->withdrawn = true;
+  caller = scene_send_request (scene, CALL ("/once/", "1"));
+  scene_wait_for (scene, caller, "\r\n\r\nx");
+  g_assert_true (g_str_has_prefix (caller->text->str, "HTTP/1.1 200 "));
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -602,5 +647,6 @@
   g_test_add_func ("/rly/closed", test_closed);
   g_test_add_func ("/rly/table-never-older", test_table_never_older);
   g_test_add_func ("/rly/misdirected-kept", test_misdirected_kept);
+  g_test_add_func ("/rly/spillover", test_spillover);
   return g_test_run ();
 }
