Rollouts: a good version is completed

Cause: a rollout whose target is good stayed in progress for ever.

Each router reports when nothing of its own runs at the baseline; the status is written when all that live have. Canaries get half of the allowed share (0.05) in place of 0.7 of it, to leave room for the move. The verdict's null hypothesis is the baseline's rate of the last seconds or over all, whichever is higher, since the baseline gets nothing after the move.

Ruled out: steps before the deadline. A version that turns bad after them has got more than is allowed.

--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -178,16 +178,17 @@
 }
 
 static void
-pack_evidence (const pal_t *pal, msgpack_packer *packer, pal_content_t content)
+pack_evidence (const pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+               pal_content_t content)
 {
   bool is_sent = content != PAL_CHANGES && pal->rol != NULL;
   guint rows = 0;
 
   if (is_sent)
-    rol_foreach_own (pal->rol, count_evidence, &rows);
+    rol_foreach_own (pal->rol, now, count_evidence, &rows);
   msgpack_pack_array (packer, (size_t)rows * 5);
   if (is_sent)
-    rol_foreach_own (pal->rol, pack_evidence_row, packer);
+    rol_foreach_own (pal->rol, now, pack_evidence_row, packer);
 }
 
 GByteArray *
@@ -211,7 +212,7 @@
   msgpack_pack_int64 (&packer, pal->stable_ms);
   pack_list_states (pal, &packer, content);
   pack_refusals (pal, &packer, now, content);
-  pack_evidence (pal, &packer, content);
+  pack_evidence (pal, &packer, now, content);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -278,7 +278,8 @@
 }
 
 static void
-receive_evidence (pal_t *pal, uint64_t incarnation, const msg_node_t *rows)
+receive_evidence (pal_t *pal, cfd_time_t now, uint64_t incarnation,
+                  const msg_node_t *rows)
 {
   if (pal->rol == NULL)
     return;
@@ -291,8 +292,8 @@
                                   .answers = row[3].u.number,
                                   .bad = row[4].u.number };
 
-      if (row[2].u.number <= ROL_VERDICT)
-        rol_receive (pal->rol, incarnation, &evidence);
+      if (row[2].u.number <= ROL_AGE)
+        rol_receive (pal->rol, now, incarnation, &evidence);
     }
 }
 
@@ -333,7 +334,7 @@
   peer->stable_ms = decode_stable_ms (&items[8]);
   receive_list_states (peer, now, &items[9]);
   receive_refusals (pal, now, &items[10]);
-  receive_evidence (pal, incarnation, &items[11]);
+  receive_evidence (pal, now, incarnation, &items[11]);
 }
 
 bool
--- a/libcoltsfootdrum/relay/rly-rollout.c
+++ b/libcoltsfootdrum/relay/rly-rollout.c
@@ -9,15 +9,12 @@
   return rol_find (request->rly->rol, request->service->name);
 }
 
-/* A request that failed before is sent to the baseline: a bad target must not
-   cost its caller the last attempt.  */
 bool
 rly_allows_canary (const rly_round_t *round, const rly_request_t *request)
 {
   return round->rollout != NULL && round->canary_count > 0
-         && request->tries == 0
-         && rol_allows_canary (round->rly->rol, round->rollout,
-                               request->route);
+         && rol_allows_canary (round->rly->rol, round->rollout, request->route,
+                               round->now, request->tries > 0);
 }
 
 void
@@ -29,7 +26,7 @@
   request->is_canary = request->edp->standing == EDP_CANARY;
   request->is_warming_up = now < request->edp->cold_until;
   if (rollout != NULL && request->tries <= 1)
-    rol_count_send (request->rly->rol, rollout, request->route,
+    rol_count_send (request->rly->rol, rollout, request->route, now,
                     request->is_canary);
 }
 
--- a/libcoltsfootdrum/relay/rol-evidence.c
+++ b/libcoltsfootdrum/relay/rol-evidence.c
@@ -12,6 +12,8 @@
 #define MAX_ROUTES 1024
 /* Most counts of other routers, of one rollout.  */
 #define MAX_PEER_COUNTS 65536
+/* Most other routers whose progress is known.  */
+#define MAX_PROGRESS 4096
 /* An answer that takes this many times the baseline's mean is bad.  */
 #define SLOW_FACTOR 2.5
 /* Answers of the baseline before its mean is used.  */
@@ -71,6 +73,9 @@
   rollout->order = order;
   rollout->key = hash_text (order->service, hash_text (order->target, 0));
   rollout->seen_at = now;
+  rollout->ordered_at = now;
+  rollout->progress
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   rollout->routes
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, route_free);
   rollout->peers = g_hash_table_new_full (hash_peer_counts, equal_peer_counts,
@@ -86,6 +91,7 @@
 
   g_hash_table_unref (rollout->routes);
   g_hash_table_unref (rollout->peers);
+  g_hash_table_unref (rollout->progress);
   rol_order_free (rollout->order);
   g_free (rollout);
 }
@@ -246,7 +252,7 @@
 }
 
 static void
-report_rollout (const rol_rollout_t *rollout,
+report_rollout (const rol_rollout_t *rollout, cfd_time_t now,
                 void (*callback) (void *user, const rol_evidence_t *evidence),
                 void *user)
 {
@@ -261,13 +267,20 @@
                                          .bad = 1 });
       return;
     }
+  callback (user, &(rol_evidence_t){ .rollout = rollout->key,
+                                     .subject = ROL_PROGRESS,
+                                     .answers = rollout->is_drained });
+  callback (user, &(rol_evidence_t){
+                      .rollout = rollout->key,
+                      .subject = ROL_AGE,
+                      .answers = (uint64_t)(now - rollout->ordered_at) });
   g_hash_table_iter_init (&each, rollout->routes);
   while (g_hash_table_iter_next (&each, NULL, &route))
     report_route (rollout, route, callback, user);
 }
 
 void
-rol_foreach_own (const rol_t *rol,
+rol_foreach_own (const rol_t *rol, cfd_time_t now,
                  void (*callback) (void *user, const rol_evidence_t *evidence),
                  void *user)
 {
@@ -281,7 +294,7 @@
 
       if (rollout->order->state == ROL_ORDERED
           || rollout->order->state == ROL_IN_PROGRESS)
-        report_rollout (rollout, callback, user);
+        report_rollout (rollout, now, callback, user);
     }
 }
 
@@ -336,8 +349,38 @@
   old->bad = evidence->bad;
 }
 
+static void
+receive_progress (rol_rollout_t *rollout, cfd_time_t now, uint64_t incarnation,
+                  bool is_drained)
+{
+  rol_progress_t *progress
+      = g_hash_table_lookup (rollout->progress, &incarnation);
+
+  if (progress == NULL)
+    {
+      if (g_hash_table_size (rollout->progress) >= MAX_PROGRESS)
+        return;
+      progress = g_new0 (rol_progress_t, 1);
+      progress->incarnation = incarnation;
+      g_hash_table_insert (rollout->progress, &progress->incarnation,
+                           progress);
+    }
+  progress->is_drained = is_drained;
+  progress->received_at = now;
+}
+
+/* Another router may have seen the order before this one.  */
+static void
+receive_age (rol_rollout_t *rollout, cfd_time_t now, uint64_t age_ms)
+{
+  int64_t age = (int64_t)MIN (age_ms, (uint64_t)now);
+
+  rollout->ordered_at = MIN (rollout->ordered_at, now - age);
+}
+
 void
-rol_receive (rol_t *rol, uint64_t incarnation, const rol_evidence_t *evidence)
+rol_receive (rol_t *rol, cfd_time_t now, uint64_t incarnation,
+             const rol_evidence_t *evidence)
 {
   rol_rollout_t *rollout = find_by_key (rol, evidence->rollout);
 
@@ -354,6 +397,12 @@
       if (evidence->bad > 0)
         rol_condemn (rol, rollout, "peer");
       return;
+    case ROL_PROGRESS:
+      receive_progress (rollout, now, incarnation, evidence->answers > 0);
+      return;
+    case ROL_AGE:
+      receive_age (rollout, now, evidence->answers);
+      return;
     }
 }
 
@@ -399,6 +448,8 @@
 
       prom_append_sample (out, "cfd_relay_rollout_state", "gauge", labels,
                           rollout->order->state);
+      prom_append_sample (out, "cfd_relay_rollout_wait", "gauge", labels,
+                          rollout->wait);
       append_version (rollout, ROL_BASELINE, out);
       append_version (rollout, ROL_TARGET, out);
     }
--- a/libcoltsfootdrum/relay/rol-private.h
+++ b/libcoltsfootdrum/relay/rol-private.h
@@ -1,6 +1,6 @@
 /* Definitions shared by the files of this module: rol.c (orders, standing of
-   endpoints, exposure), rol-evidence.c (counts of answers, verdict, metrics).
-   Read rol.c first.  */
+   endpoints, exposure), rol-evidence.c (counts of answers, verdict, metrics),
+   rol-shift.c (moving the traffic of a good target).  Read rol.c first.  */
 
 #ifndef RELAY_ROL_PRIVATE_H
 #define RELAY_ROL_PRIVATE_H
@@ -30,11 +30,32 @@
   vdt_t verdict;
 } rol_route_t;
 
+/* What keeps a rollout from its end.  */
+typedef enum
+{
+  ROL_WAIT_NONE,
+  ROL_WAIT_TRIAL,    /* it is too young */
+  ROL_WAIT_EVIDENCE, /* too few answers, or a suspicion */
+  ROL_WAIT_CAPACITY, /* the target has too few free slots */
+  ROL_WAIT_BUDGET,   /* the target may not get that much before the deadline */
+  ROL_WAIT_DRAIN,    /* requests run at the baseline */
+  ROL_WAIT_ROUTERS   /* other routers have not moved their requests */
+} rol_wait_t;
+
+/* Progress of another router process.  */
+typedef struct
+{
+  uint64_t incarnation;
+  bool is_drained;
+  cfd_time_t received_at;
+} rol_progress_t;
+
 struct rol_rollout
 {
   rol_order_t *order;
-  uint64_t key; /* hash of the service and target version */
-  cfd_time_t seen_at;
+  uint64_t key;          /* hash of the service and target version */
+  cfd_time_t seen_at;    /* by this router */
+  cfd_time_t ordered_at; /* seen by the first router, as far as is known */
   bool is_bad;        /* verdict of this router, or heard from another one */
   bool is_withdrawn;  /* the order was removed before its end */
   bool has_endpoints; /* the service has any */
@@ -42,9 +63,16 @@
   double credit;      /* requests that may be sent to canaries now */
   uint64_t sent;      /* first sends of this router since the order */
   uint64_t canary_sent;
-  GHashTable *routes; /* id to rol_route_t */
-  GHashTable *peers;  /* rol_peer_counts_t, a set */
-  vdt_t verdict;      /* over all routes */
+  GHashTable *routes;  /* id to rol_route_t */
+  GHashTable *peers;   /* rol_peer_counts_t, a set */
+  vdt_t verdict;       /* over all routes */
+  double target_share; /* of the requests, beyond the trial; 0: none */
+  unsigned step;       /* steps taken after the deadline */
+  cfd_time_t step_at;
+  bool is_drained;  /* this router has no request at the baseline */
+  bool is_complete; /* no router has */
+  rol_wait_t wait;
+  GHashTable *progress; /* incarnation to rol_progress_t */
 };
 
 struct rol
@@ -52,6 +80,7 @@
   rol_settings_t settings;
   edp_set_t *endpoints;
   GHashTable *rollouts;      /* service to rol_rollout_t */
+  unsigned routers;          /* that live, this one included */
   int64_t revision;          /* as of which the orders are known; 0: not yet */
   int64_t required_revision; /* see rol_get_required_revision */
 };
@@ -64,6 +93,15 @@
 /* Returns whether the evidence shows that the target is bad.  */
 bool rol_weigh_evidence (rol_rollout_t *rollout, cfd_time_t now);
 
+/* rol-shift.c: takes the next step of a rollout in progress.  */
+void rol_move (const rol_t *rol, rol_rollout_t *rollout, cfd_time_t now);
+/* rol-shift.c: returns whether MORE requests may be sent to the target, when
+   it may get SHARE of the allowed exposure.  */
+bool rol_is_within_budget (const rol_t *rol, const rol_rollout_t *rollout,
+                           cfd_time_t now, double share, double more);
+/* rol-shift.c: returns a word for logs.  */
+const char *rol_wait_name (rol_wait_t wait);
+
 /* rol.c: returns whether canaries may be used, apart from their share.  */
 bool rol_is_open (const rol_rollout_t *rollout);
 /* rol.c: stops the use of the target version; SOURCE is for the log.  */
--- a/libcoltsfootdrum/relay/rol.c
+++ b/libcoltsfootdrum/relay/rol.c
@@ -5,10 +5,12 @@
 #include "base/log.h"
 #include <string.h>
 
-/* Part of the allowed exposure that canaries get.  The rest is for requests
-   that count differently at the operator: sent twice, or sent before the order
-   was known here.  */
-#define CANARY_SHARE_FACTOR 0.7
+/* Part of the allowed exposure that canaries get during the trial.  The rest
+   is for the move of the traffic before the deadline.  */
+#define CANARY_SHARE_FACTOR 0.5
+/* Part of the allowed exposure that a target gets before the deadline at the
+   most.  The rest is for requests that count differently at the operator.  */
+#define MAX_BUDGET_SHARE 0.95
 /* Requests that may follow each other to canaries after these could take
    none.  */
 #define MAX_CREDIT 4.0
@@ -47,6 +49,7 @@
 
   rol->settings = *settings;
   rol->endpoints = endpoints;
+  rol->routers = 1;
   rol->rollouts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          rol_rollout_free);
   return rol;
@@ -406,16 +409,28 @@
   rol_update_endpoints (rol);
 }
 
+void
+rol_set_router_count (rol_t *rol, unsigned routers)
+{
+  rol->routers = MAX (routers, 1u);
+}
+
 void
 rol_tick (rol_t *rol, cfd_time_t now)
 {
   GHashTableIter each;
-  void *data;
+  void *rollout;
 
   g_hash_table_iter_init (&each, rol->rollouts);
-  while (g_hash_table_iter_next (&each, NULL, &data))
-    if (rol_is_open (data) && rol_weigh_evidence (data, now))
-      rol_condemn (rol, data, "evidence");
+  while (g_hash_table_iter_next (&each, NULL, &rollout))
+    {
+      if (!rol_is_open (rollout))
+        continue;
+      if (rol_weigh_evidence (rollout, now))
+        rol_condemn (rol, rollout, "evidence");
+      else
+        rol_move (rol, rollout, now);
+    }
 }
 
 /* Returns the state that the store should have for an order.  An order for a
@@ -426,7 +441,11 @@
   if (is_final (rollout->order->state) || rollout->is_withdrawn
       || !rollout->has_endpoints)
     return rollout->order->state;
-  return rollout->is_bad ? ROL_ROLLED_BACK : ROL_IN_PROGRESS;
+  if (rollout->is_bad)
+    return ROL_ROLLED_BACK;
+  return rollout->is_complete && rollout->order->state == ROL_IN_PROGRESS
+             ? ROL_COMPLETED
+             : ROL_IN_PROGRESS;
 }
 
 void
@@ -457,11 +476,12 @@
   return rol->settings.exposure_share * CANARY_SHARE_FACTOR;
 }
 
-/* Each route may have its own part of the share and one request more, so that
-   a busy route doesn't take those of the others.  */
-bool
-rol_allows_canary (const rol_t *rol, rol_rollout_t *rollout,
-                   const rte_route_t *route)
+/* Returns whether the trial allows a request of ROUTE.  Each route may have
+   its own part of the share and one request more, so that a busy route doesn't
+   take those of the others.  */
+static bool
+trial_allows (const rol_t *rol, rol_rollout_t *rollout,
+              const rte_route_t *route)
 {
   const rol_route_t *counts = rol_get_route (rollout, route);
 
@@ -470,23 +490,35 @@
                 <= (double)counts->sent * get_canary_share (rol);
 }
 
+bool
+rol_allows_canary (const rol_t *rol, rol_rollout_t *rollout,
+                   const rte_route_t *route, cfd_time_t now, bool is_retry)
+{
+  if (!rol_is_within_budget (rol, rollout, now, MAX_BUDGET_SHARE, 1.))
+    return false;
+  if (rollout->target_share > 0. && g_random_double () < rollout->target_share)
+    return true;
+  /* A bad target must not cost a caller its last attempt.  */
+  return !is_retry && trial_allows (rol, rollout, route);
+}
+
 void
 rol_count_send (const rol_t *rol, rol_rollout_t *rollout,
-                const rte_route_t *route, bool is_canary)
+                const rte_route_t *route, cfd_time_t now, bool is_canary)
 {
   rol_route_t *counts = rol_get_route (rollout, route);
 
   rollout->sent++;
   rollout->canary_sent += is_canary;
-  rollout->credit = MIN (rollout->credit + get_canary_share (rol), MAX_CREDIT)
-                    - (is_canary ? 1. : 0.);
+  rollout->credit = CLAMP (rollout->credit + get_canary_share (rol)
+                               - (is_canary ? 1. : 0.),
+                           0., MAX_CREDIT);
   if (counts != NULL)
     {
       counts->sent++;
       counts->canary_sent += is_canary;
     }
   INVARIANT ("canary-share",
-             (double)rollout->canary_sent
-                 <= (double)rollout->sent * rol->settings.exposure_share,
+             !is_canary || rol_is_within_budget (rol, rollout, now, 1., 0.),
              rollout->order->service);
 }
--- a/libcoltsfootdrum/relay/rol.h
+++ b/libcoltsfootdrum/relay/rol.h
@@ -48,6 +48,8 @@
   /* Share of a service's requests that a bad version may get; 0: rollouts are
      not followed.  */
   double exposure_share;
+  /* Requests that it may get beyond that.  */
+  double exposure_slack;
 } rol_settings_t;
 
 typedef struct rol rol_t;
@@ -70,7 +72,10 @@
    before all listed endpoints can be used; 0 when it is known well enough.  */
 int64_t rol_get_required_revision (const rol_t *rol);
 
-/* Weighs the evidence; to be called several times a second.  */
+/* Sets the number of routers that live, this one included.  */
+void rol_set_router_count (rol_t *rol, unsigned routers);
+/* Weighs the evidence and moves traffic; to be called several times a
+   second.  */
 void rol_tick (rol_t *rol, cfd_time_t now);
 
 /* The rollout in progress for SERVICE; NULL when there is none.  It is valid
@@ -79,12 +84,13 @@
 rol_rollout_t *rol_find (const rol_t *rol, const char *service);
 
 /* Returns whether a request of ROUTE may be sent to a canary, by the share
-   that canaries may get.  */
+   that canaries may get.  One that failed before is a RETRY.  */
 bool rol_allows_canary (const rol_t *rol, rol_rollout_t *rollout,
-                        const rte_route_t *route);
+                        const rte_route_t *route, cfd_time_t now,
+                        bool is_retry);
 /* Counts the first send of a request of ROUTE to the service.  */
 void rol_count_send (const rol_t *rol, rol_rollout_t *rollout,
-                     const rte_route_t *route, bool is_canary);
+                     const rte_route_t *route, cfd_time_t now, bool is_canary);
 
 /* The outcome of one exchange with an endpoint of the service.  Answers that
    the caller did not wait for are not counted.  */
@@ -114,27 +120,29 @@
 {
   ROL_BASELINE,
   ROL_TARGET,
-  ROL_VERDICT /* a bad answer stands for "the target is bad" */
+  ROL_VERDICT,  /* a bad answer stands for "the target is bad" */
+  ROL_PROGRESS, /* an answer: no request runs at the baseline */
+  ROL_AGE       /* answers are milliseconds since the order was seen */
 } rol_subject_t;
 
 /* Counts of one router, of one route of a rollout.  */
 typedef struct
 {
   uint64_t rollout; /* hash of the service and target version */
-  uint64_t route;   /* hash of its name; 0 for ROL_VERDICT */
+  uint64_t route;   /* hash of its name; 0 where it is about no route */
   rol_subject_t subject;
   uint64_t answers;
   uint64_t bad;
 } rol_evidence_t;
 
 /* Calls CALLBACK with each of this router's counts.  */
-void rol_foreach_own (const rol_t *rol,
+void rol_foreach_own (const rol_t *rol, cfd_time_t now,
                       void (*callback) (void *user,
                                         const rol_evidence_t *evidence),
                       void *user);
 /* Applies counts of the router process INCARNATION.  They are absolute, and
    stay valid when that router stops.  */
-void rol_receive (rol_t *rol, uint64_t incarnation,
+void rol_receive (rol_t *rol, cfd_time_t now, uint64_t incarnation,
                   const rol_evidence_t *evidence);
 
 /* Appends the state of rollouts to OUT in Prometheus' text format.  */
--- a/libcoltsfootdrum/relay/test-vdt.c
+++ b/libcoltsfootdrum/relay/test-vdt.c
@@ -73,6 +73,28 @@
     g_assert_cmpfloat (target.bad - bad_before, <=, test->max_bad);
 }
 
+/* All traffic has moved to the target, which is as good as the baseline was:
+   that has slow answers too.  */
+static void
+test_baseline_gone (void)
+{
+  vdt_counts_t baseline = { 0 };
+  vdt_counts_t target = { 0 };
+  double fractions[2] = { 0 };
+  cfd_time_t now = 0;
+  vdt_t verdict;
+
+  vdt_init (&verdict, now);
+  for (unsigned tick = 0; tick < 1000; tick++)
+    {
+      if (tick < 100)
+        add_answers (&baseline, 130., 0.015, &fractions[0]);
+      add_answers (&target, tick < 100 ? 10. : 140., 0.015, &fractions[1]);
+      now += TICK_MS;
+      g_assert_false (vdt_update (&verdict, now, &baseline, &target));
+    }
+}
+
 /* The counts of a peer are discarded: totals fall, and count again as they
    grow.  */
 static void
@@ -100,6 +122,7 @@
 
       g_test_add_data_func (path, &cases[i], test_case);
     }
+  g_test_add_func ("/vdt/baseline-gone", test_baseline_gone);
   g_test_add_func ("/vdt/totals-fall", test_totals_fall);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/vdt.c
+++ b/libcoltsfootdrum/relay/vdt.c
@@ -24,11 +24,18 @@
   *verdict = (vdt_t){ .updated_at = now };
 }
 
+static double
+estimate_rate (const vdt_counts_t *counts)
+{
+  return (counts->bad + PRIOR_BAD) / (counts->answers + PRIOR_ANSWERS);
+}
+
+/* The baseline may be ill for a moment, or get nothing any more.  */
 double
 vdt_get_baseline_rate (const vdt_t *verdict)
 {
-  return MIN ((verdict->recent.bad + PRIOR_BAD)
-                  / (verdict->recent.answers + PRIOR_ANSWERS),
+  return MIN (MAX (estimate_rate (&verdict->recent),
+                   estimate_rate (&verdict->baseline)),
               MAX_RATE);
 }
 
@@ -53,6 +60,24 @@
   verdict->updated_at = now;
 }
 
+/* Returns the log-likelihood ratio of BAD_RATE against GOOD_RATE.  */
+static double
+compute_ratio (const vdt_counts_t *counts, double good_rate, double bad_rate)
+{
+  return counts->bad * log (bad_rate / good_rate)
+         + (counts->answers - counts->bad)
+               * log ((1. - bad_rate) / (1. - good_rate));
+}
+
+double
+vdt_compare_excess (const vdt_t *verdict, double excess)
+{
+  double good_rate = vdt_get_baseline_rate (verdict);
+
+  return compute_ratio (&verdict->target, good_rate,
+                        MIN (good_rate + excess, (1. + MAX_RATE) / 2.));
+}
+
 bool
 vdt_update (vdt_t *verdict, cfd_time_t now, const vdt_counts_t *baseline,
             const vdt_counts_t *target)
@@ -69,9 +94,7 @@
   bad_rate = MIN (
       MAX (good_rate * BAD_RATE_FACTOR, good_rate + MIN_BAD_RATE_EXCESS),
       (1. + MAX_RATE) / 2.);
-  verdict->score += added.bad * log (bad_rate / good_rate)
-                    + (added.answers - added.bad)
-                          * log ((1. - bad_rate) / (1. - good_rate));
+  verdict->score += compute_ratio (&added, good_rate, bad_rate);
   verdict->score = MAX (verdict->score, 0.);
   return verdict->score >= BAD_SCORE;
 }
--- a/tests/bench-rollout.c
+++ b/tests/bench-rollout.c
@@ -14,7 +14,7 @@
 
 #define ROUTES 5
 #define TICK_MS 25
-#define CANARY_SHARE 0.07
+#define CANARY_SHARE 0.05
 #define MAX_SECONDS 60
 /* Spread of the logarithm of answer times.  */
 #define TIME_SIGMA 0.45
