--- a/libcoltsfootdrum/relay/lag.c
+++ b/libcoltsfootdrum/relay/lag.c
@@ -17,8 +17,8 @@
 };
 
 static const char *const kind_names[]
-    = { "idle",      "accept",    "datagrams", "callers",
-        "endpoints", "placement", "tick",      "other" };
+    = { "idle",      "accept", "datagrams", "callers", "endpoints",
+        "placement", "lists",  "tick",      "other" };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (kind_names) == LAG_KINDS);
 
--- a/libcoltsfootdrum/relay/lag.h
+++ b/libcoltsfootdrum/relay/lag.h
@@ -21,6 +21,7 @@
   LAG_CALLERS,   /* reading and refusing requests */
   LAG_ENDPOINTS, /* reading and forwarding answers */
   LAG_PLACEMENT, /* choosing endpoints and sending requests */
+  LAG_LISTS,     /* decoding and applying the platform's lists */
   LAG_TICK,      /* periodic work */
   LAG_OTHER,
   LAG_KINDS
