Rollouts: a target that was not completed stays rejected after its order

Cause: found while reading: when the order of a target that was rolled back is removed or replaced while its endpoints still drain, nothing named their version any more, and they got their full share. An order for the version in force that is removed left that version rejected.

Change: versions of earlier targets that were on trial stay rejected until their endpoints are gone. An order for the only version moves nothing, also when it is removed.

Measured: relay-rol /rol/next-order and /rol/version-in-force fail without it.

--- a/libcoltsfootdrum/relay/rol-evidence.c
+++ b/libcoltsfootdrum/relay/rol-evidence.c
@@ -80,6 +80,8 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, route_free);
   rollout->peers = g_hash_table_new_full (hash_peer_counts, equal_peer_counts,
                                           g_free, NULL);
+  rollout->rejected
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   vdt_init (&rollout->verdict, now);
   return rollout;
 }
@@ -91,6 +93,7 @@
 
   g_hash_table_unref (rollout->routes);
   g_hash_table_unref (rollout->peers);
+  g_hash_table_unref (rollout->rejected);
   g_hash_table_unref (rollout->progress);
   rol_order_free (rollout->order);
   g_free (rollout);
--- a/libcoltsfootdrum/relay/rol-private.h
+++ b/libcoltsfootdrum/relay/rol-private.h
@@ -56,8 +56,11 @@
   uint64_t key;          /* hash of the service and target version */
   cfd_time_t seen_at;    /* by this router */
   cfd_time_t ordered_at; /* seen by the first router, as far as is known */
-  bool is_bad;        /* verdict of this router, or heard from another one */
-  bool is_withdrawn;  /* the order was removed before its end */
+  bool is_bad;       /* verdict of this router, or heard from another one */
+  bool is_withdrawn; /* the order was removed, and its target isn't good */
+  /* Versions of earlier targets that were not completed, while their endpoints
+     are listed.  */
+  GHashTable *rejected;
   bool has_endpoints; /* the service has any */
   bool had_baseline;  /* endpoints of another version were listed */
   double credit;      /* requests that may be sent to canaries now */
--- a/libcoltsfootdrum/relay/rol.c
+++ b/libcoltsfootdrum/relay/rol.c
@@ -85,7 +85,8 @@
   const rol_rollout_t *rollout; /* NULL: no order */
   bool has_baseline;            /* any of another version than the target's */
   bool has_verified;
-  GHashTable *verified;    /* set of versions; owned by the endpoints */
+  GHashTable *versions;    /* set; owned by the endpoints */
+  GHashTable *verified;    /* set of these */
   int64_t oldest_revision; /* of the endpoint listed first */
   const char *oldest_version;
 } group_t;
@@ -95,6 +96,7 @@
 {
   group_t *group = data;
 
+  g_hash_table_unref (group->versions);
   g_hash_table_unref (group->verified);
   g_free (group);
 }
@@ -121,6 +123,7 @@
     return group;
   group = g_new0 (group_t, 1);
   group->rollout = g_hash_table_lookup (rol->rollouts, service);
+  group->versions = g_hash_table_new (g_str_hash, g_str_equal);
   group->verified = g_hash_table_new (g_str_hash, g_str_equal);
   group->oldest_revision = G_MAXINT64;
   g_hash_table_insert (groups, (void *)service, group);
@@ -135,6 +138,7 @@
   edp->is_verified
       |= rol->revision > 0 && rol->revision >= edp->listed_revision;
   group->has_baseline |= !is_target (group->rollout, edp);
+  g_hash_table_add (group->versions, (void *)get_version (edp));
   if (edp->is_verified)
     {
       group->has_verified = true;
@@ -161,19 +165,21 @@
   return EDP_UNVERIFIED;
 }
 
-/* Returns the standing of an endpoint of the target version.  An order for the
-   only version in use moves nothing.  */
+/* Returns the standing of an endpoint of the target version.  */
 static edp_standing_t
 choose_target (const group_t *group, const edp_t *edp)
 {
   const rol_rollout_t *rollout = group->rollout;
+  rol_state_t state = rollout->order->state;
   bool is_only_version = !group->has_baseline;
 
-  if (rol_is_open (rollout))
-    return is_only_version && !rollout->had_baseline ? EDP_CURRENT
-                                                     : EDP_CANARY;
-  if (rollout->order->state == ROL_COMPLETED)
+  if (state == ROL_COMPLETED)
+    return EDP_CURRENT;
+  /* An order for the only version in use moves nothing.  */
+  if (is_only_version && !rollout->had_baseline && state != ROL_ROLLED_BACK)
     return EDP_CURRENT;
+  if (rol_is_open (rollout))
+    return EDP_CANARY;
   /* Listed after the end of the rollout, and the only version: a release.  */
   return is_only_version && edp->listed_revision > rollout->order->revision
              ? EDP_CURRENT
@@ -188,6 +194,9 @@
   if (group->rollout != NULL && group->rollout->order->state == ROL_COMPLETED
       && edp->listed_revision <= group->rollout->order->revision)
     return EDP_REPLACED;
+  if (group->rollout != NULL
+      && g_hash_table_contains (group->rollout->rejected, get_version (edp)))
+    return EDP_REJECTED;
   return choose_unordered (group, edp);
 }
 
@@ -204,21 +213,45 @@
   edp->standing = standing;
 }
 
+/* For g_hash_table_foreach_remove: returns whether VERSION is not listed.  */
+static gboolean
+is_version_gone (void *version, void *value, void *user)
+{
+  const group_t *group = user;
+
+  return group == NULL || !g_hash_table_contains (group->versions, version);
+}
+
+/* Updates what ROLLOUT needs to know of the listed endpoints.  Returns whether
+   the rollout is over and its target is gone.  */
+static bool
+note_group (rol_rollout_t *rollout, group_t *group)
+{
+  rollout->has_endpoints = group != NULL;
+  rollout->had_baseline |= group != NULL && group->has_baseline;
+  g_hash_table_foreach_remove (rollout->rejected, is_version_gone, group);
+  return rollout->is_withdrawn
+         && is_version_gone (rollout->order->target, NULL, group)
+         && g_hash_table_size (rollout->rejected) == 0;
+}
+
 static void
 note_groups (const rol_t *rol, GHashTable *groups)
 {
   GHashTableIter each;
   void *service;
-  void *data;
+  void *rollout;
 
   g_hash_table_iter_init (&each, rol->rollouts);
-  while (g_hash_table_iter_next (&each, &service, &data))
+  while (g_hash_table_iter_next (&each, &service, &rollout))
     {
-      const group_t *group = g_hash_table_lookup (groups, service);
-      rol_rollout_t *rollout = data;
+      group_t *group = g_hash_table_lookup (groups, service);
 
-      rollout->has_endpoints = group != NULL;
-      rollout->had_baseline |= group != NULL && group->has_baseline;
+      if (!note_group (rollout, group))
+        continue;
+      if (group != NULL)
+        group->rollout = NULL;
+      g_hash_table_iter_remove (&each);
     }
 }
 
@@ -304,6 +337,24 @@
     log_order (rollout, "changed");
 }
 
+static void
+copy_version (void *version, void *value, void *user)
+{
+  g_hash_table_add (user, g_strdup (version));
+}
+
+/* The endpoints of an earlier target that was not completed may still be
+   listed: the new order doesn't make them good.  A target that was the only
+   version was none on trial.  */
+static void
+inherit_rejected (rol_rollout_t *rollout, const rol_rollout_t *old)
+{
+  g_hash_table_foreach (old->rejected, copy_version, rollout->rejected);
+  if (old->order->state != ROL_COMPLETED && old->had_baseline)
+    g_hash_table_add (rollout->rejected, g_strdup (old->order->target));
+  g_hash_table_remove (rollout->rejected, rollout->order->target);
+}
+
 static void
 apply_order (rol_t *rol, cfd_time_t now, rol_order_t *order)
 {
@@ -322,14 +373,18 @@
     }
   else
     {
+      rol_rollout_t *old = rollout;
+
       rollout = rol_rollout_new (now, order);
+      if (old != NULL)
+        inherit_rejected (rollout, old);
       log_order (rollout, "was ordered");
     }
   g_hash_table_replace (rol->rollouts, rollout->order->service, rollout);
 }
 
-/* An order that is removed before its end leaves a target that nobody has
-   found good: its endpoints get nothing more.  */
+/* An order that is removed before its target was completed leaves a target
+   that nobody has found good: its endpoints get nothing more.  */
 static void
 remove_unlisted (rol_t *rol, GHashTable *listed)
 {
@@ -345,7 +400,7 @@
       if (g_hash_table_contains (listed, service) || rollout->is_withdrawn)
         continue;
       log_order (rollout, "was removed");
-      if (is_final (rollout->order->state))
+      if (rollout->order->state == ROL_COMPLETED)
         g_hash_table_iter_remove (&each);
       else
         rollout->is_withdrawn = true;
--- a/libcoltsfootdrum/relay/test-rol.c
+++ b/libcoltsfootdrum/relay/test-rol.c
@@ -139,6 +139,34 @@
   scene_free (&router);
 }
 
+/* The endpoints of a target that was rolled back are still listed when another
+   version is ordered, or the order is removed.  */
+static void
+test_next_order (void)
+{
+  static const scene_endpoint_t next[]
+      = { { "a", "v1", 10 }, { "c", "v2", 30 }, { "d", "v3", 60 }, { 0 } };
+  static const scene_endpoint_t gone[]
+      = { { "a", "v1", 10 }, { "d", "v3", 60 }, { 0 } };
+  scene_t router = scene_new (SHARE);
+
+  scene_list (&router, scene_both);
+  scene_set_order (&router, "v2", ROL_ROLLED_BACK, 41, 41);
+  scene_set_order (&router, "v3", ROL_ORDERED, 50, 50);
+  scene_list (&router, next);
+  scene_assert_standing (&router, "a", EDP_CURRENT);
+  scene_assert_standing (&router, "c", EDP_REJECTED);
+  scene_assert_standing (&router, "d", EDP_CANARY);
+  scene_set_order (&router, NULL, ROL_ORDERED, 0, 70);
+  scene_assert_standing (&router, "c", EDP_REJECTED);
+  scene_assert_standing (&router, "d", EDP_REJECTED);
+  scene_list (&router, gone);
+  scene_assert_standing (&router, "d", EDP_REJECTED);
+  scene_list (&router, scene_old_only);
+  g_assert_cmpuint (g_hash_table_size (router.rol->rollouts), ==, 0);
+  scene_free (&router);
+}
+
 /* An order that names the version in force moves nothing; one for another
    version follows it.  */
 static void
@@ -149,6 +177,9 @@
   scene_list (&router, scene_old_only);
   scene_set_order (&router, "v1", ROL_ORDERED, 25, 25);
   scene_assert_standing (&router, "a", EDP_CURRENT);
+  scene_set_order (&router, NULL, ROL_ORDERED, 0, 26);
+  scene_assert_standing (&router, "a", EDP_CURRENT);
+  scene_set_order (&router, "v1", ROL_ORDERED, 27, 27);
   scene_set_order (&router, "v2", ROL_ORDERED, 28, 28);
   scene_list (&router, scene_both);
   scene_assert_standing (&router, "a", EDP_CURRENT);
@@ -459,6 +490,7 @@
   g_test_add_func ("/rol/final", test_final);
   g_test_add_func ("/rol/rolled-back-only", test_rolled_back_only);
   g_test_add_func ("/rol/removed", test_removed);
+  g_test_add_func ("/rol/next-order", test_next_order);
   g_test_add_func ("/rol/version-in-force", test_version_in_force);
   g_test_add_func ("/rol/baseline-lost", test_baseline_lost);
   g_test_add_func ("/rol/two-services", test_two_services);
