--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -10,6 +10,8 @@
 #define COLD_MS 0
 /* Incarnations that the bytes of a datagram are changed for.  */
 #define STRAY_SEEDS 256
+/* Datagrams with random changes.  */
+#define MUTATIONS 20000
 
 typedef struct
 {
@@ -585,6 +587,42 @@
     receive_stray (seed);
 }
 
+/* Random changes of states, with all lists filled, and of updates.  What is
+   accepted is applied; sanitizers and invariants tell whether that is safe. */
+static void
+test_mutated (void)
+{
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  g_autoptr (GRand) random = g_rand_new_with_seed (20261203);
+  g_autoptr (pfx_prompt_t) prompt = pfx_prompt_parse ("a:100,b:50,c:7");
+  g_autoptr (GByteArray) update = pal_pack_update (2, 40, 45, "{}");
+
+  use_add_served (one.use, NOW, "mill", 5000.);
+  pfx_record (one.pfx, NOW, get_endpoint (&one)->hash, prompt);
+  ret_add_refusal (one.ret, NOW, 7, NOW - 250, NOW + 100);
+  for (unsigned i = 0; i < MUTATIONS; i++)
+    {
+      bool is_update = i % 4 == 0;
+      g_autoptr (GByteArray) bytes = NULL;
+      int changes = g_rand_int_range (random, 1, 6);
+
+      set_load (&one, i % 7, 500.);
+      bytes = is_update ? g_byte_array_append (g_byte_array_new (),
+                                               update->data, update->len)
+                        : pal_pack (one.pal, NOW, i % 3);
+      while (changes-- > 0)
+        bytes->data[g_rand_int_range (random, 0, (gint32)bytes->len)]
+            = (guint8)g_rand_int_range (random, 0, 256);
+      pal_receive_any (here.pal, NOW, bytes->data, bytes->len);
+    }
+  g_assert_cmpuint (pal_count_invalid (here.pal), >, 0);
+  g_assert_cmpuint (pal_count_invalid (here.pal), <, MUTATIONS);
+  pal_tick (here.pal, NOW + 5000);
+  router_free (&here);
+  router_free (&one);
+}
+
 /* Valid bytes followed by one more, and what is neither a state nor an update,
    are counted as invalid.  */
 static void
@@ -732,6 +770,7 @@
   g_test_add_func ("/pal/readers", test_readers);
   g_test_add_func ("/pal/seen", test_seen);
   g_test_add_func ("/pal/stray", test_stray);
+  g_test_add_func ("/pal/mutated", test_mutated);
   g_test_add_func ("/pal/invalid", test_invalid);
   g_test_add_func ("/pal/list-limits", test_list_limits);
   g_test_add_func ("/pal/update", test_update);
