--- a/libcoltsfootdrum/relay/cel.c
+++ b/libcoltsfootdrum/relay/cel.c
@@ -7,7 +7,7 @@
 
 /* Smallest cells.  A cell has enough routers that each gets about the mean
    load of its callers, and enough endpoints that some are free.  */
-#define MIN_ROUTERS 24u
+#define MIN_ROUTERS 16u
 #define MIN_ENDPOINTS 96u
 /* Share of these sizes below which cells are joined again.  */
 #define JOIN_SHARE 0.75
--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -43,6 +43,7 @@
   unsigned cell;
   unsigned cells;
   bool must_divide; /* endpoints came or went, or the cell changed */
+  unsigned epoch;   /* see edp_set_get_epoch */
   GStrv zones_out;  /* availability zones out of service */
 };
 
@@ -154,6 +155,7 @@
   g_hash_table_remove (set->by_hash, &edp->hash);
   edp->report->leaving = true;
   set->must_divide = true;
+  set->epoch++;
   list_remove (&edp->node);
   list_append (&set->retired, &edp->node);
 }
@@ -207,6 +209,7 @@
   edp->is_in_use = true;
   edp->cell_count = 1;
   set->must_divide = true;
+  set->epoch++;
   list_init (&edp->node);
   list_append (&set->list, &edp->node);
   g_hash_table_insert (set->by_id, report->id, edp);
@@ -403,6 +406,12 @@
   return found != NULL ? found->all : NULL;
 }
 
+unsigned
+edp_set_get_epoch (const edp_set_t *set)
+{
+  return set->epoch;
+}
+
 void
 edp_set_note_used (edp_set_t *set, edp_t *edp)
 {
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -102,6 +102,8 @@
 const GPtrArray *edp_set_get_near (const edp_set_t *set, const char *service);
 /* Returns all endpoints of SERVICE likewise.  */
 const GPtrArray *edp_set_get_all (const edp_set_t *set, const char *service);
+/* Returns a number that changes when an endpoint comes or goes.  */
+unsigned edp_set_get_epoch (const edp_set_t *set);
 /* Records that a request is sent to EDP, which may be of another cell.  */
 void edp_set_note_used (edp_set_t *set, edp_t *edp);
 
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -27,7 +27,7 @@
 /* Interval of summaries, by the number of routers that they are sent to, so
    that each router receives no more than a few hundred a second.  */
 #define MIN_SUMMARY_INTERVAL_MS 300
-#define SUMMARY_INTERVAL_MS_PER_ROUTER 4
+#define SUMMARY_INTERVAL_MS_PER_ROUTER 8
 /* Summaries that may be lost before a router of another cell counts as
    silent.  */
 #define LOST_SUMMARIES 3
--- a/libcoltsfootdrum/relay/rol-private.h
+++ b/libcoltsfootdrum/relay/rol-private.h
@@ -83,6 +83,8 @@
   rol_settings_t settings;
   edp_set_t *endpoints;
   GHashTable *rollouts;      /* service to rol_rollout_t */
+  unsigned endpoints_epoch;  /* of the endpoints, as they were weighed last */
+  bool must_update;          /* orders or a verdict changed since then */
   unsigned routers;          /* that live, this one included */
   int64_t revision;          /* as of which the orders are known; 0: not yet */
   int64_t required_revision; /* see rol_get_required_revision */
--- a/libcoltsfootdrum/relay/rol.c
+++ b/libcoltsfootdrum/relay/rol.c
@@ -289,9 +289,13 @@
   g_autoptr (GHashTable) groups
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, group_free);
 
-  rol->required_revision = 0;
-  if (rol->settings.exposure_share <= 0.)
+  if (rol->settings.exposure_share <= 0.
+      || (!rol->must_update
+          && rol->endpoints_epoch == edp_set_get_epoch (rol->endpoints)))
     return;
+  rol->must_update = false;
+  rol->endpoints_epoch = edp_set_get_epoch (rol->endpoints);
+  rol->required_revision = 0;
   add_list (rol, groups, edp_set_endpoints (rol->endpoints));
   add_list (rol, groups, edp_set_others (rol->endpoints));
   note_groups (rol, groups);
@@ -425,6 +429,7 @@
   g_ptr_array_unref (orders);
   remove_unlisted (rol, listed);
   rol->revision = MAX (rol->revision, revision);
+  rol->must_update = true;
   rol_update_endpoints (rol);
 }
 
@@ -434,6 +439,7 @@
   if (revision <= rol->revision)
     return;
   rol->revision = revision;
+  rol->must_update = true;
   if (rol->required_revision > 0)
     rol_update_endpoints (rol);
 }
@@ -461,6 +467,7 @@
             " canary_sent=%" G_GUINT64_FORMAT ".",
             rollout->order->service, rollout->order->target, source,
             rollout->sent, rollout->canary_sent);
+  rol->must_update = true;
   rol_update_endpoints (rol);
 }
 
--- a/libcoltsfootdrum/relay/test-cel.c
+++ b/libcoltsfootdrum/relay/test-cel.c
@@ -58,12 +58,12 @@
   { "many-routers-few-endpoints", 300, 100, 1, 1 },
   { "few-routers-many-endpoints", 30, 3000, 1, 1 },
   { "hundred", 99, 998, 1, 4 },
-  { "three-hundred", 302, 3002, 1, 8 },
+  { "three-hundred", 302, 3002, 1, 16 },
   { "thousand", 1000, 10000, 1, 32 },
   /* Some routers or endpoints are lost: the division stays.  */
-  { "loss", 160, 1600, 8, 8 },
-  { "great-loss", 140, 1600, 8, 4 },
-  { "return", 302, 3002, 4, 8 },
+  { "loss", 100, 1600, 8, 8 },
+  { "great-loss", 90, 1600, 8, 4 },
+  { "return", 302, 3002, 4, 16 },
 };
 
 static void
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -273,9 +273,9 @@
   g_assert_cmpfloat (use_total (here.use, NOW, "mill").served, ==, 0.);
   g_assert_cmpint (pal_get_max_peer_revision (here.pal, NOW, 1), ==, 700);
   g_assert_cmpuint (pal_count_alive (here.pal), ==, 2);
-  pal_tick (here.pal, NOW + 3000);
+  pal_tick (here.pal, NOW + 7000);
   g_assert_cmpuint (pal_count_alive (here.pal), ==, 2);
-  pal_tick (here.pal, NOW + 6000);
+  pal_tick (here.pal, NOW + 12000);
   g_assert_cmpuint (pal_count_alive (here.pal), ==, 1);
   router_free (&here);
   router_free (&one);
