--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -1,10 +1,9 @@
 /* Endpoints: the set of endpoints and the state of each.  */
 
-#include "relay/edp.h"
+#include "relay/edp-private.h"
 
 #include "base/list.h"
 #include "base/log.h"
-#include "relay/cel.h"
 #include <string.h>
 #include <xxhash.h>
 
@@ -29,43 +28,6 @@
    apart.  */
 #define HASH_MASK 0xffffffffu
 
-struct edp_set
-{
-  struct ev_loop *loop;
-  list_node_t list;   /* edp_t in use: of this router's cell, or used lately */
-  list_node_t others; /* edp_t of other cells */
-  list_node_t retired;  /* edp_t no longer in use, until their requests end */
-  GHashTable *by_id;    /* id to edp_t, without retired ones */
-  GHashTable *by_hash;  /* hash to edp_t, without retired ones */
-  GHashTable *services; /* name to service_t */
-  unsigned list_number; /* of the list that is being applied */
-  guint unlisted;       /* number of endpoints that the last list lacked */
-  unsigned cell;
-  unsigned cells;
-  bool must_divide; /* endpoints came or went, or the cell changed */
-  unsigned epoch;   /* see edp_set_get_epoch */
-  GStrv zones_out;  /* availability zones out of service */
-};
-
-/* The endpoints of one service.  */
-typedef struct
-{
-  char *name;
-  GPtrArray *all;
-  GPtrArray *near; /* of this router's cell */
-} service_t;
-
-static void
-service_free (void *data)
-{
-  service_t *service = data;
-
-  g_free (service->name);
-  g_ptr_array_unref (service->all);
-  g_ptr_array_unref (service->near);
-  g_free (service);
-}
-
 void
 edp_report_free (edp_report_t *report)
 {
@@ -117,8 +79,8 @@
   list_init (&set->others);
   list_init (&set->retired);
   set->cells = 1;
-  set->services
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  set->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                         edp_service_free);
   set->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   set->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
   return set;
@@ -299,125 +261,6 @@
   return true;
 }
 
-/* ---- cells ---- */
-
-static service_t *
-get_or_add_service (edp_set_t *set, const char *name)
-{
-  service_t *service = g_hash_table_lookup (set->services, name);
-
-  if (service != NULL)
-    return service;
-  service = g_new0 (service_t, 1);
-  service->name = g_strdup (name);
-  service->all = g_ptr_array_new ();
-  service->near = g_ptr_array_new ();
-  g_hash_table_insert (set->services, service->name, service);
-  return service;
-}
-
-static void
-add_items (GArray *items, list_node_t *list)
-{
-  list_for_each (node, list)
-    {
-      edp_t *edp = list_entry (node, edp_t, node);
-      cel_item_t item = { .service = edp->report->service,
-                          .zone = edp->report->zone,
-                          .hash = edp->hash,
-                          .item = edp };
-
-      g_array_append_val (items, item);
-    }
-}
-
-/* Moves EDP into the list of used endpoints, or out of it.  */
-static void
-move_to_list (edp_set_t *set, edp_t *edp, bool is_in_use)
-{
-  if (edp->is_in_use == is_in_use)
-    return;
-  edp->is_in_use = is_in_use;
-  edp->has_peer_totals = false;
-  list_remove (&edp->node);
-  list_append (is_in_use ? &set->list : &set->others, &edp->node);
-}
-
-static bool
-has_connections (const edp_t *edp)
-{
-  return edp->active > 0 || ups_count_connections (edp->ups) > 0;
-}
-
-static void
-place_item (edp_set_t *set, const cel_item_t *item)
-{
-  edp_t *edp = item->item;
-  service_t *service = get_or_add_service (set, edp->report->service);
-
-  edp->is_near = cel_contains (item, set->cell);
-  edp->cell_count = item->count;
-  g_ptr_array_add (service->all, edp);
-  if (edp->is_near)
-    g_ptr_array_add (service->near, edp);
-  move_to_list (set, edp, edp->is_near || has_connections (edp));
-}
-
-static void
-divide (edp_set_t *set)
-{
-  g_autoptr (GArray) items = g_array_new (FALSE, FALSE, sizeof (cel_item_t));
-
-  if (!set->must_divide)
-    return;
-  set->must_divide = false;
-  g_hash_table_remove_all (set->services);
-  add_items (items, &set->list);
-  add_items (items, &set->others);
-  cel_divide (items, set->cells);
-  for (guint i = 0; i < items->len; i++)
-    place_item (set, &g_array_index (items, cel_item_t, i));
-}
-
-void
-edp_set_choose_cell (edp_set_t *set, unsigned cell, unsigned cells)
-{
-  if (set->cell == cell && set->cells == cells)
-    return;
-  set->cell = cell;
-  set->cells = cells;
-  set->must_divide = true;
-  divide (set);
-}
-
-const GPtrArray *
-edp_set_get_near (const edp_set_t *set, const char *service)
-{
-  const service_t *found = g_hash_table_lookup (set->services, service);
-
-  return found != NULL ? found->near : NULL;
-}
-
-const GPtrArray *
-edp_set_get_all (const edp_set_t *set, const char *service)
-{
-  const service_t *found = g_hash_table_lookup (set->services, service);
-
-  return found != NULL ? found->all : NULL;
-}
-
-unsigned
-edp_set_get_epoch (const edp_set_t *set)
-{
-  return set->epoch;
-}
-
-void
-edp_set_note_used (edp_set_t *set, edp_t *edp)
-{
-  move_to_list (set, edp, true);
-}
-
 void
 edp_set_update (edp_set_t *set, cfd_time_t now, GPtrArray *reports,
                 bool settled, int64_t cold_ms)
@@ -433,7 +276,7 @@
   handle_unlisted (set, &set->list, now, settled);
   handle_unlisted (set, &set->others, now, settled);
   set->list_number++;
-  divide (set);
+  edp_set_divide (set);
 }
 
 static void
@@ -464,8 +307,8 @@
       edp_t *edp = list_entry (node, edp_t, node);
 
       ups_close_expired (edp->ups, now);
-      if (!edp->is_near && !has_connections (edp))
-        move_to_list (set, edp, false);
+      if (!edp->is_near)
+        edp_set_drop_unused (set, edp);
     }
   list_for_each_safe (node, &set->retired)
     {
--- a/libcoltsfootdrum/relay/rol-private.h
+++ b/libcoltsfootdrum/relay/rol-private.h
@@ -1,6 +1,7 @@
-/* Definitions shared by the files of this module: rol.c (orders, standing of
-   endpoints, exposure), rol-evidence.c (counts of answers, verdict, metrics),
-   rol-shift.c (moving the traffic of a good target).  Read rol.c first.  */
+/* Definitions shared by the files of this module: rol.c (orders, exposure),
+   rol-standing.c (which endpoints may be used), rol-evidence.c (counts of
+   answers, verdict, metrics), rol-shift.c (moving the traffic of a good
+   target).  Read rol.c first.  */
 
 #ifndef RELAY_ROL_PRIVATE_H
 #define RELAY_ROL_PRIVATE_H
