Rollouts: a process that ended has no progress; the bound keeps own time

Cause: found while reading. The age of an earlier order for the same target, from a router that had not seen its removal, would have ended the bound on what a target gets before the deadline too early.

--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -135,6 +135,8 @@
 /* pal-receive.c: computes the peers' total load of each endpoint that was
    added since the last call.  */
 void pal_sum_new_endpoints (pal_t *pal);
+/* Discards what is known of PEER by its incarnation.  */
+void pal_forget_incarnation (pal_t *pal, pal_peer_t *peer);
 /* Subtracts PEER's load from these totals and discards it.  */
 void pal_subtract_peer (pal_t *pal, pal_peer_t *peer);
 
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -121,6 +121,14 @@
   return peer;
 }
 
+void
+pal_forget_incarnation (pal_t *pal, pal_peer_t *peer)
+{
+  g_hash_table_remove (pal->by_incarnation, &peer->incarnation);
+  if (pal->rol != NULL)
+    rol_forget_process (pal->rol, peer->incarnation);
+}
+
 /* Returns the peer that sent a datagram.  The name is sent with the full state
    only: NULL for changes of a router that is not known yet.  */
 static pal_peer_t *
@@ -305,6 +313,15 @@
              : (int64_t)MIN (node->u.number, (uint64_t)INT64_MAX);
 }
 
+/* The process that sent the peer's earlier datagrams has ended.  */
+static void
+set_incarnation (pal_t *pal, pal_peer_t *peer, uint64_t incarnation)
+{
+  pal_forget_incarnation (pal, peer);
+  peer->incarnation = incarnation;
+  g_hash_table_insert (pal->by_incarnation, &peer->incarnation, peer);
+}
+
 static void
 apply_state (pal_t *pal, cfd_time_t now, const msg_node_t *items)
 {
@@ -321,9 +338,8 @@
   if (peer == NULL
       || (peer->incarnation == incarnation && peer->number >= number))
     return;
-  g_hash_table_remove (pal->by_incarnation, &peer->incarnation);
-  peer->incarnation = incarnation;
-  g_hash_table_insert (pal->by_incarnation, &peer->incarnation, peer);
+  if (peer->incarnation != incarnation)
+    set_incarnation (pal, peer, incarnation);
   peer->number = number;
   if (content != PAL_CHANGES)
     peer->sends_summaries = content == PAL_SUMMARY;
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -342,7 +342,7 @@
       if (now - peer->last_received_at <= get_timeout_ms (pal, peer))
         continue;
       log_info ("peers", "A peer timed out: router=%s.", peer->name);
-      g_hash_table_remove (pal->by_incarnation, &peer->incarnation);
+      pal_forget_incarnation (pal, peer);
       pal_subtract_peer (pal, peer);
       use_remove_peer (pal->use, now, peer->name);
       g_hash_table_iter_remove (&each);
--- a/libcoltsfootdrum/relay/rol-evidence.c
+++ b/libcoltsfootdrum/relay/rol-evidence.c
@@ -409,6 +409,17 @@
     }
 }
 
+void
+rol_forget_process (rol_t *rol, uint64_t incarnation)
+{
+  GHashTableIter each;
+  void *rollout;
+
+  g_hash_table_iter_init (&each, rol->rollouts);
+  while (g_hash_table_iter_next (&each, NULL, &rollout))
+    g_hash_table_remove (((rol_rollout_t *)rollout)->progress, &incarnation);
+}
+
 /* ---- metrics ---- */
 
 static void
--- a/libcoltsfootdrum/relay/rol-shift.c
+++ b/libcoltsfootdrum/relay/rol-shift.c
@@ -18,8 +18,8 @@
 #define RULED_OUT_EXCESS 0.05
 #define ROUTE_RULED_OUT_EXCESS 0.2
 /* Log-likelihood ratios from which on they are.  */
-#define GOOD_RATIO -4.6
-#define ROUTE_GOOD_RATIO -3.0
+#define GOOD_RATIO (-4.6)
+#define ROUTE_GOOD_RATIO (-3.0)
 /* Share of the service's answers from which on a route counts.  */
 #define MIN_ROUTE_SHARE 0.02
 /* Score below which there is no suspicion.  */
@@ -50,7 +50,8 @@
   double slack
       = rol->settings.exposure_slack * SLACK_SHARE / MAX (rol->routers, 1u);
 
-  return now >= get_deadline (rollout)
+  /* By this router's own time: another one may speak of an earlier order.  */
+  return now >= rollout->seen_at + rollout->order->duration_ms
          || (double)rollout->canary_sent + more
                 <= share * rol->settings.exposure_share
                            * ((double)rollout->sent + more)
--- a/libcoltsfootdrum/relay/rol.c
+++ b/libcoltsfootdrum/relay/rol.c
@@ -100,8 +100,7 @@
             rollout->is_bad, rollout->sent, rollout->canary_sent);
 }
 
-/* Replaces the order of a known rollout.  A final state stays, since the
-   target has been stopped or is in use already.  */
+/* Replaces the order of a known rollout, whose evidence stays.  */
 static void
 update_rollout (rol_rollout_t *rollout, rol_order_t *order)
 {
--- a/libcoltsfootdrum/relay/rol.h
+++ b/libcoltsfootdrum/relay/rol.h
@@ -145,6 +145,10 @@
 void rol_receive (rol_t *rol, cfd_time_t now, uint64_t incarnation,
                   const rol_evidence_t *evidence);
 
+/* Discards what the router process INCARNATION reported of its progress: it
+   has ended, or is silent.  */
+void rol_forget_process (rol_t *rol, uint64_t incarnation);
+
 /* Appends the state of rollouts to OUT in Prometheus' text format.  */
 void rol_append_metrics (const rol_t *rol, GString *out);
 
--- a/libcoltsfootdrum/relay/test-rol-shift.c
+++ b/libcoltsfootdrum/relay/test-rol-shift.c
@@ -246,6 +246,23 @@
   fleet_free (fleet);
 }
 
+/* A router restarts after it has reported that nothing of its own runs at the
+   baseline: the word of its former process doesn't count.  */
+static void
+test_restarted_router (void)
+{
+  fleet_t *fleet = fleet_new (3000, 0.);
+
+  run_fleet (fleet, 8000);
+  fleet->is_cut[1] = true;
+  exchange_all (fleet);
+  rol_forget_process (fleet->routers[0].rol, 2);
+  run_fleet (fleet, 9000);
+  g_assert_cmpint (get_write (fleet, 0), ==, ROL_ORDERED);
+  g_assert_cmpint (get_rollout (fleet, 0)->wait, ==, ROL_WAIT_ROUTERS);
+  fleet_free (fleet);
+}
+
 /* A router that starts in the middle learns from the others how old the order
    is.  */
 static void
@@ -275,6 +292,7 @@
   g_test_add_func ("/rol-shift/bad-under-load", test_bad_under_load);
   g_test_add_func ("/rol-shift/small-target", test_small_target);
   g_test_add_func ("/rol-shift/unheard-router", test_unheard_router);
+  g_test_add_func ("/rol-shift/restarted-router", test_restarted_router);
   g_test_add_func ("/rol-shift/late-router", test_late_router);
   return g_test_run ();
 }
