--- a/libcoltsfootdrum/relay/rol-private.h
+++ b/libcoltsfootdrum/relay/rol-private.h
@@ -57,8 +57,8 @@
   uint64_t key;          /* hash of the service and target version */
   cfd_time_t seen_at;    /* by this router */
   cfd_time_t ordered_at; /* seen by the first router, as far as is known */
-  bool is_bad;       /* verdict of this router, or heard from another one */
-  bool is_withdrawn; /* the order was removed, and its target isn't good */
+  bool is_bad;           /* verdict of this router, or received from another */
+  bool is_withdrawn;     /* the order was removed, and its target isn't good */
   /* Versions of earlier targets that were not completed, while their endpoints
      are listed.  */
   GHashTable *rejected;
--- a/libcoltsfootdrum/relay/rol-shift.c
+++ b/libcoltsfootdrum/relay/rol-shift.c
@@ -50,7 +50,8 @@
   double slack
       = rol->settings.exposure_slack * SLACK_SHARE / MAX (rol->routers, 1u);
 
-  /* By this router's own time: another one may speak of an earlier order.  */
+  /* By this router's own time: another may report the age of an earlier
+     order.  */
   return now >= rollout->seen_at + rollout->order->duration_ms
          || (double)rollout->canary_sent + more
                 <= share * rol->settings.exposure_share
--- a/libcoltsfootdrum/relay/rol.h
+++ b/libcoltsfootdrum/relay/rol.h
@@ -7,8 +7,8 @@
    it sends to the service.  The share is of each router's own requests, so
    that the sum over all routers stays within it whichever of them are cut off,
    paused or restarted.  Routers exchange counts of answers (relay/pal.h); a
-   router that finds the target bad, or hears so from another, stops sending to
-   it at once.
+   router that finds the target bad, or receives that verdict from another,
+   stops sending to it at once.
 
    Terms: an endpoint's version is that of its software.  The baseline version
    is the one that served before the order.  A version that is listed without
--- a/libcoltsfootdrum/relay/test-rol-shift.c
+++ b/libcoltsfootdrum/relay/test-rol-shift.c
@@ -22,7 +22,7 @@
   unsigned canaries;
   double failure_rate;  /* of the target */
   double failed;        /* a fraction of an answer is carried on */
-  bool is_cut[ROUTERS]; /* hears nobody, and isn't heard */
+  bool is_cut[ROUTERS]; /* sends and receives nothing */
 } fleet_t;
 
 static rol_rollout_t *
@@ -229,8 +229,8 @@
   fleet_free (fleet);
 }
 
-/* A router that others don't hear may still have requests at the baseline: as
-   long as it counts as alive, nothing is completed.  */
+/* A router that is cut off from the others may still have requests at the
+   baseline: as long as it counts as alive, nothing is completed.  */
 static void
 test_unheard_router (void)
 {
@@ -247,7 +247,7 @@
 }
 
 /* A router restarts after it has reported that nothing of its own runs at the
-   baseline: the word of its former process doesn't count.  */
+   baseline: the report of its former process doesn't count.  */
 static void
 test_restarted_router (void)
 {
--- a/libcoltsfootdrum/relay/test-rol.c
+++ b/libcoltsfootdrum/relay/test-rol.c
@@ -78,7 +78,7 @@
   scene_free (&router);
 }
 
-/* The end of a rollout, as the store tells it.  */
+/* The end of a rollout, by the status in the store.  */
 static void
 test_final (void)
 {
--- a/libcoltsfootdrum/relay/test-vdt.c
+++ b/libcoltsfootdrum/relay/test-vdt.c
@@ -5,7 +5,7 @@
 #include <glib.h>
 
 #define TICK_MS 100
-/* A good version must not be found bad in so many answers.  */
+/* Answers in which a good version must not be found bad.  */
 #define GOOD_ANSWERS 20000
 
 typedef struct
