Relay: a request isn't sent again to an endpoint that failed it

Callers saw 503 (reason=unreached) after 0.8 s, or lost the last attempt of a request to an endpoint that had just failed it, while another endpoint served and would soon have had a free slot.

Cause: the relay remembered the endpoint of the last failure only. With two endpoints down and the third full, the two got the request by turns: their backoff of 250 ms ends before the third has a free slot, and an endpoint that is down has the least load. Two more ways led to the same: a canary was chosen without a look at failures, and an endpoint in its pause of 20 to 80 ms after a rejection did not count as an alternative.

Evidence: the log of the new test on the code before: endpoint=dead-0, dead-1, dead-0, dead-1, dead-0, refused after 775 ms, one live endpoint listed. Ruled out: a wrong order by load; with the failed endpoints excluded the same figures give the right choice.

Change: a request keeps the endpoints of all its failures; none of them is chosen, canary or not, while another one serves that has not failed it. When all have failed it, all but the last may get it again.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -356,12 +356,18 @@
 }
 
 bool
-edp_is_open (const edp_t *edp, cfd_time_t now)
+edp_is_serving (const edp_t *edp, cfd_time_t now)
 {
   bool is_usable = edp->standing == EDP_CURRENT || edp->standing == EDP_CANARY;
 
   return is_usable && !edp->report->leaving && !edp->withdrawn
-         && now >= edp->backoff_until && now >= edp->full_until;
+         && now >= edp->backoff_until;
+}
+
+bool
+edp_is_open (const edp_t *edp, cfd_time_t now)
+{
+  return edp_is_serving (edp, now) && now >= edp->full_until;
 }
 
 bool
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -125,6 +125,9 @@
 /* Returns whether an endpoint is in use that the platform no longer lists.  */
 bool edp_set_has_unlisted (const edp_set_t *set);
 
+/* Returns whether EDP serves requests, though perhaps not at once: it may have
+   rejected some a moment ago.  */
+bool edp_is_serving (const edp_t *edp, cfd_time_t now);
 /* Returns whether new requests may be sent to EDP, apart from its load, the
    warm-up rate limit and the share of canaries.  */
 bool edp_is_open (const edp_t *edp, cfd_time_t now);
--- a/libcoltsfootdrum/relay/plc.c
+++ b/libcoltsfootdrum/relay/plc.c
@@ -87,7 +87,8 @@
   double memory = endpoint->kv_capacity_tokens * RUNNING_KV_SHARE
                   * request->capacity_share;
 
-  if (endpoint->slots == 0 || endpoint->active >= slots)
+  if (endpoint->is_excluded || endpoint->slots == 0
+      || endpoint->active >= slots)
     return false;
   return endpoint->kv_capacity_tokens <= 0. || endpoint->active == 0
          || endpoint->context_tokens + request->needed_tokens <= memory;
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -6,9 +6,6 @@
 #include "base/log.h"
 #include <string.h>
 
-/* Most exchanges for a request, with those whose connection failed before
-   anything was sent.  */
-#define MAX_TRIES 5
 /* Largest body of an answer that is not a stream.  These are buffered, so that
    the answer is checked before it is forwarded.  */
 #define MAX_BODY_BYTES 8388608
@@ -207,7 +204,7 @@
 has_attempt_left (const rly_request_t *request)
 {
   return request->attempts < request->route->max_attempts
-         && request->tries < MAX_TRIES;
+         && request->tries < RLY_MAX_TRIES;
 }
 
 /* Puts REQUEST back into its queue.  */
@@ -221,8 +218,7 @@
             "attempts=%u last_event=%" G_GINT64_FORMAT ".",
             request->id, request->edp->report->id, reason, request->attempts,
             request->answer.events.last_id);
-  g_free (request->last_failed_id);
-  request->last_failed_id = g_strdup (request->edp->report->id);
+  rly_add_failure (request, request->edp);
   rly_detach (request, true);
   rly_answer_reset (&request->answer);
   rly_enqueue (request);
@@ -318,7 +314,7 @@
   edp_record_failure (request->edp, now);
   /* Nothing was sent, so this is no attempt.  */
   request->attempts--;
-  if (request->tries < MAX_TRIES)
+  if (request->tries < RLY_MAX_TRIES)
     {
       retry (request, now, "unreached");
       return;
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -160,6 +160,7 @@
   round->base_ms = fit_base (&service->first_token_fit);
   round->ms_per_token = fit_slope (&service->first_token_fit);
   round->has_free_slot = false;
+  round->has_exclusions = false;
   round->rollout = rol_find (rly->rol, service->name);
   round->count = 0;
   round->canary_count = 0;
@@ -322,28 +323,58 @@
   return constraints;
 }
 
-/* Chooses an endpoint for REQUEST, other than the one of its last failure when
-   there is another.  */
-static int
-choose_endpoint (rly_round_t *round, const rly_request_t *request,
-                 const plc_request_t *constraints)
+/* Returns whether an endpoint can take REQUEST that has not failed it, now or
+   when the pause after a rejection is over.  */
+static bool
+has_alternative (const rly_round_t *round, const rly_request_t *request)
 {
-  unsigned slots = 0;
-  guint failed = round->count;
-  int chosen;
+  const GPtrArray *near
+      = edp_set_get_near (round->rly->endpoints, round->service->name);
+
+  for (guint i = 0; i < round->count; i++)
+    if (!rly_has_failed_at (request, round->endpoints[i]))
+      return true;
+  for (guint i = 0; near != NULL && i < near->len; i++)
+    {
+      const edp_t *edp = g_ptr_array_index (near, i);
+
+      if (edp->standing == EDP_CURRENT && edp_is_serving (edp, round->now)
+          && !rly_has_failed_at (request, edp))
+        return true;
+    }
+  return false;
+}
+
+static bool
+was_last_failure (const rly_request_t *request, const edp_t *edp)
+{
+  return request->failed_count > 0
+         && request->failed_at[request->failed_count - 1] == edp->hash;
+}
+
+/* Excludes the endpoints that failed REQUEST.  An endpoint that fails at once
+   has the least load, so that the request would go there again.  When all have
+   failed it, only the last one and canaries are excluded; a single endpoint is
+   never.  */
+static void
+exclude_failed (rly_round_t *round, const rly_request_t *request)
+{
+  guint count = round->count + round->canary_count;
+  bool is_retry = request->failed_count > 0;
+  bool has_other = is_retry && has_alternative (round, request);
 
-  for (guint i = 0; i < round->count && request->last_failed_id != NULL; i++)
-    if (g_str_equal (round->endpoints[i]->report->id, request->last_failed_id))
-      failed = i;
-  if (failed < round->count && round->count > 1)
+  if (!is_retry && !round->has_exclusions)
+    return;
+  for (guint i = 0; i < count; i++)
     {
-      slots = round->loads[failed].slots;
-      round->loads[failed].slots = 0;
+      const edp_t *edp = round->endpoints[i];
+
+      round->loads[i].is_excluded
+          = has_other || i >= round->count
+                ? rly_has_failed_at (request, edp)
+                : round->count > 1 && was_last_failure (request, edp);
     }
-  chosen = plc_choose_endpoint (round->loads, round->count, constraints);
-  if (failed < round->count && round->count > 1)
-    round->loads[failed].slots = slots;
-  return chosen;
+  round->has_exclusions = is_retry;
 }
 
 /* Chooses a canary for REQUEST, which need not cache its prefix: the share of
@@ -398,6 +429,7 @@
   if (!round->has_free_slot)
     return false;
   constraints = make_constraints (round, request);
+  exclude_failed (round, request);
   /* At high load all endpoints are full for most requests.  For these the
      lookup of cached prefixes is skipped.  */
   if (!plc_has_candidate (round->loads, round->count + round->canary_count,
@@ -407,7 +439,7 @@
     constraints.max_missing_tokens = compute_max_missing_tokens (request);
   chosen = choose_canary (round, request, &constraints);
   if (chosen < 0)
-    chosen = choose_endpoint (round, request, &constraints);
+    chosen = plc_choose_endpoint (round->loads, round->count, &constraints);
   /* A busy router reads a request and, an iteration later, the end of its
      connection.  Without this check, an endpoint would already work for a
      caller who has disconnected.  */
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -14,6 +14,10 @@
 #include "relay/rol.h"
 #include "relay/evs.h"
 
+/* Most exchanges for a request, with those whose connection failed before
+   anything was sent.  */
+#define RLY_MAX_TRIES 5
+
 typedef struct
 {
   list_node_t node;
@@ -106,7 +110,8 @@
   unsigned enqueued_round;   /* value of the service's rounds at that time */
   unsigned tries;            /* exchanges begun, with failed connections */
   unsigned attempts;         /* exchanges that may have reached an endpoint */
-  char *last_failed_id;      /* endpoint of the last failed exchange */
+  uint64_t failed_at[RLY_MAX_TRIES]; /* edp_t.hash, in the order of failures */
+  unsigned failed_count;
 
   edp_t *edp; /* NULL unless it runs */
   ups_exchange_t *exchange;
@@ -130,6 +135,10 @@
 /* Returns whether MECHANISM is not disabled.  */
 bool rly_is_enabled (const rly_t *rly, mech_t mechanism);
 const char *rly_get_account_name (const rly_request_t *request);
+/* Records that an exchange of REQUEST with EDP failed.  */
+void rly_add_failure (rly_request_t *request, const edp_t *edp);
+/* Returns whether an exchange of REQUEST with EDP has failed.  */
+bool rly_has_failed_at (const rly_request_t *request, const edp_t *edp);
 /* Detaches REQUEST from its queue or endpoint and frees it.  Its call must
    have been answered, or its caller disconnected.  */
 void rly_request_free (rly_request_t *request);
@@ -159,6 +168,7 @@
   double base_ms; /* time to first token without prefill */
   double ms_per_token;
   bool has_free_slot;     /* at any endpoint */
+  bool has_exclusions;    /* of the last request */
   rol_rollout_t *rollout; /* in progress; NULL: none */
   guint count;            /* of endpoints without canaries, which come first */
   guint canary_count;
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -203,6 +203,22 @@
   return request->account != NULL ? request->account->name : "";
 }
 
+void
+rly_add_failure (rly_request_t *request, const edp_t *edp)
+{
+  if (request->failed_count < RLY_MAX_TRIES)
+    request->failed_at[request->failed_count++] = edp->hash;
+}
+
+bool
+rly_has_failed_at (const rly_request_t *request, const edp_t *edp)
+{
+  for (unsigned i = 0; i < request->failed_count; i++)
+    if (request->failed_at[i] == edp->hash)
+      return true;
+  return false;
+}
+
 void
 rly_set_table (rly_t *rly, rte_table_t *table)
 {
@@ -257,7 +273,6 @@
   rly_answer_clear (&request->answer);
   pfx_prompt_free (request->prompt);
   rte_table_unref (request->table);
-  g_free (request->last_failed_id);
   g_free (request->id);
   g_free (request);
 }
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -215,6 +215,22 @@
   edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
 }
 
+void
+scene_list_dead (scene_t *scene, unsigned count)
+{
+  GPtrArray *reports = g_ptr_array_new ();
+
+  g_ptr_array_add (reports,
+                   report ("e1", scene->servers[SCENE_ENDPOINTS - 1].port, 1));
+  for (unsigned i = 0; i < count; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("dead-%u", i);
+
+      g_ptr_array_add (reports, report (id, find_unused_port (), 1));
+    }
+  edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
+}
+
 static rte_route_t *
 add_route (rte_table_t *table, const char *prefix, rte_kind_t kind,
            unsigned attempts, bool resumable)
@@ -258,6 +274,7 @@
   rte_table_t *table = rte_table_new (1, &limits);
 
   add_route (table, "/twice/", RTE_IDEMPOTENT, 2, false);
+  add_route (table, "/thrice/", RTE_IDEMPOTENT, 3, false);
   add_route (table, "/once/", RTE_ONCE, 1, false);
   add_route (table, "/events/", RTE_STREAM, 2, true);
   add_route (table, "/events-once/", RTE_STREAM, 1, false);
--- a/libcoltsfootdrum/relay/test-rly-scene.h
+++ b/libcoltsfootdrum/relay/test-rly-scene.h
@@ -68,6 +68,8 @@
    an address without a listener.  */
 void scene_list_endpoints (scene_t *scene, unsigned hidden, bool unreachable,
                            unsigned slots);
+/* Lists the last endpoint and COUNT addresses without a listener.  */
+void scene_list_dead (scene_t *scene, unsigned count);
 
 scene_caller_t *scene_send_request (scene_t *scene, const char *bytes);
 void scene_caller_free (scene_caller_t *caller);
