Router: a failed request waits for an agent that takes work, however long

Known red: agent-faults-retry-elsewhere. Callers saw nothing as a rule, as one attempt was left; with one failure more they would have seen 502.

A router forgot after 3 s which agent had failed a request, on the assumption that another one has a free slot by then.

Change: the failure is remembered as long as the request lives. After 3 s the request still waits for an agent that takes work: its link is up, and it runs a request of this router or offered a slot in the last 3 s. With no such agent it may go back, and the event of the assignment says so.

Why it works: the answer to a grant now depends on what the other agents do and not on a time. The check of the known red is unchanged; its entry stays until it has run many times on the final code.

--- a/libcoltsfootdrum/router/avoid.c
+++ b/libcoltsfootdrum/router/avoid.c
@@ -26,6 +26,12 @@
   entry->until = now + AVOID_AGENT_MS;
 }
 
+bool
+avoid_has_failed (const avoid_t *avoid, const char *agent)
+{
+  return find (avoid, agent) != NULL;
+}
+
 bool
 avoid_contains (const avoid_t *avoid, const char *agent, cfd_time_t now)
 {
--- a/libcoltsfootdrum/router/router-agents.c
+++ b/libcoltsfootdrum/router/router-agents.c
@@ -238,27 +238,45 @@
   store_foreach (router->store, REC_SERVICE, refresh_service_agents, router);
 }
 
+/* Returns whether AGENT takes work of this router.  A full agent offers no
+   slot for seconds; the requests that it runs show that it serves.  */
+static bool
+takes_work (const agent_t *agent, cfd_time_t now)
+{
+  return agent->up
+         && (agent->in_flight > 0
+             || now - agent->last_grant_at < AVOID_AGENT_MS);
+}
+
+/* Returns whether REQUEST has to wait for AGENT in place of one that failed
+   it.  RECENTLY: it failed a moment ago.  */
 static bool
 is_alternative (const cfd_router_t *router, const agent_t *agent,
-                const request_t *request, cfd_time_t now)
+                const request_t *request, bool recently, cfd_time_t now)
 {
-  return agent->listed && agents_accepts_work (router, agent)
-         && serves_service (agent, request->item.service)
-         && !avoid_contains (&request->avoid, agent->name, now);
+  const avoid_t *avoid = &request->avoid;
+
+  if (!agents_accepts_work (router, agent)
+      || !serves_service (agent, request->item.service))
+    return false;
+  if (recently && agent->listed && !avoid_contains (avoid, agent->name, now))
+    return true;
+  return !avoid_has_failed (avoid, agent->name) && takes_work (agent, now);
 }
 
 bool
 agents_is_eligible (const cfd_router_t *router, const agent_t *agent,
                     const request_t *request, cfd_time_t now)
 {
+  bool recently = avoid_contains (&request->avoid, agent->name, now);
   GHashTableIter iter;
   gpointer value;
 
-  if (!avoid_contains (&request->avoid, agent->name, now))
+  if (!avoid_has_failed (&request->avoid, agent->name))
     return true;
   g_hash_table_iter_init (&iter, router->agents);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (is_alternative (router, value, request, now))
+    if (is_alternative (router, value, request, recently, now))
       return false;
   return true;
 }
--- a/libcoltsfootdrum/router/router-grant.c
+++ b/libcoltsfootdrum/router/router-grant.c
@@ -196,6 +196,7 @@
   agent_t *agent = agents_find_or_add (router, peer->instance, peer->zone);
 
   router->counters.grants++;
+  agent->last_grant_at = now;
   agents_set_service (router, agent, grant->service);
   share_record_floor (router->share, grant->service, grant->floor, now);
   request_expire_queued (router, now);
@@ -305,10 +306,13 @@
                    uint64_t grant, double virtual_time)
 {
   g_autofree char *detail = g_strdup_printf (
-      "to %s: %s, virtual_time=%.0f attempt=%u", request->agent->name,
+      "to %s: %s, virtual_time=%.0f attempt=%u%s", request->agent->name,
       grant != 0 ? "it offered a slot to the account that got least"
                  : "it has the least load known here",
-      virtual_time, request->attempts);
+      virtual_time, request->attempts,
+      avoid_has_failed (&request->avoid, request->agent->name)
+          ? ", it failed the request before and no other agent takes work"
+          : "");
 
   router_record_event (router, TL_ASSIGN, request, detail);
 }
--- a/libcoltsfootdrum/router/router-private.h
+++ b/libcoltsfootdrum/router/router-private.h
@@ -18,7 +18,7 @@
 
       router-step.c     state machine of a request
       wfq.c             weighted fair queueing of the baseline policy
-      avoid.c           agents that recently failed a request
+      avoid.c           agents that failed a request
       peer-view.c       virtual times that a peer router computes
       fairness.c        check of the assignment order and of starvation
       cost.c            cost estimate of a request  */
@@ -98,8 +98,9 @@
   uint64_t incarnation; /* of the latest link */
   /* When the link was lost with requests in flight; 0: not lost.  */
   cfd_time_t link_lost_at;
-  bool link_was_silent; /* the lost link was closed for silence */
-  list_node_t requests; /* request_t.at_agent of those in flight */
+  bool link_was_silent;     /* the lost link was closed for silence */
+  cfd_time_t last_grant_at; /* 0: never */
+  list_node_t requests;     /* request_t.at_agent of those in flight */
   unsigned in_flight;
   bool link_held;
   cfd_time_t announced_until;
@@ -160,7 +161,7 @@
   web_request_t *web;
   cfd_time_t assigned_at;
   unsigned attempts;
-  avoid_t avoid; /* agents that recently failed this request */
+  avoid_t avoid; /* agents that failed this request */
 
   agent_t *agent;
   uint64_t agent_incarnation;
@@ -268,8 +269,8 @@
 /* Records that AGENT named SERVICE as its own in a message.  */
 void agents_set_service (cfd_router_t *router, agent_t *agent,
                          const char *service);
-/* Returns whether REQUEST may go to AGENT: not to one that recently failed it,
-   unless there is no alternative.  */
+/* Returns whether REQUEST may go to AGENT: not to one that failed it, unless
+   there is no alternative.  */
 bool agents_is_eligible (const cfd_router_t *router, const agent_t *agent,
                          const request_t *request, cfd_time_t now);
 /* Returns whether SERVICE has an endpoint.  */
--- a/libcoltsfootdrum/router/test-avoid.c
+++ b/libcoltsfootdrum/router/test-avoid.c
@@ -34,6 +34,19 @@
   g_assert_false (avoid_contains (&avoid, "a", 200));
 }
 
+/* The failure itself is not forgotten.  */
+static void
+test_has_failed (void)
+{
+  avoid_t avoid = { 0 };
+
+  avoid_add (&avoid, "a", 100);
+  g_assert_false (avoid_contains (&avoid, "a", 100 + AVOID_AGENT_MS));
+  g_assert_true (avoid_has_failed (&avoid, "a"));
+  g_assert_false (avoid_has_failed (&avoid, "b"));
+  avoid_clear (&avoid);
+}
+
 /* With more agents than fit, the latest are kept.  */
 static void
 test_many (void)
@@ -57,6 +70,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/avoid/cases", test_cases);
+  g_test_add_func ("/avoid/has-failed", test_has_failed);
   g_test_add_func ("/avoid/many", test_many);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/router/test-router-fixture.c
+++ b/libcoltsfootdrum/router/test-router-fixture.c
@@ -397,7 +397,7 @@
 }
 
 static void
-begin_with (fixture_t *fixture, bool same_service)
+begin_with (fixture_t *fixture, bool same_service, unsigned request_s)
 {
   static const web_limits_t limits = { 100000, 64, 30 };
   g_autofree char *platform = address (HOST_ROUTER, PORT_PLATFORM);
@@ -413,7 +413,7 @@
                               .secret = (char *)SECRET,
                               .listen = callers,
                               .drain_s = 1,
-                              .request_s = 1 };
+                              .request_s = request_s };
   g_autoptr (GError) error = NULL;
 
   *fixture = (fixture_t){ .zone_state = "in",
@@ -433,13 +433,13 @@
 void
 fixture_begin (fixture_t *fixture)
 {
-  begin_with (fixture, false);
+  begin_with (fixture, false, 1);
 }
 
 void
-fixture_begin_same_service (fixture_t *fixture)
+fixture_begin_same_service (fixture_t *fixture, unsigned request_s)
 {
-  begin_with (fixture, true);
+  begin_with (fixture, true, request_s);
 }
 
 void
--- a/libcoltsfootdrum/router/test-router-fixture.h
+++ b/libcoltsfootdrum/router/test-router-fixture.h
@@ -57,8 +57,9 @@
 } call_t;
 
 void fixture_begin (fixture_t *fixture);
-/* Both agents serve the model service.  */
-void fixture_begin_same_service (fixture_t *fixture);
+/* Both agents serve the model service.  Requests may wait REQUEST_S seconds.
+ */
+void fixture_begin_same_service (fixture_t *fixture, unsigned request_s);
 void fixture_end (fixture_t *fixture);
 /* Runs the loop until CONDITION holds; fails the test if it does not in
    time.  */
--- a/libcoltsfootdrum/router/test-router.c
+++ b/libcoltsfootdrum/router/test-router.c
@@ -281,7 +281,7 @@
   fake_agent_t *failing = &fixture.agents[0];
   fake_agent_t *working = &fixture.agents[1];
 
-  fixture_begin_same_service (&fixture);
+  fixture_begin_same_service (&fixture, 1);
   working->withholds_grants = true;
   call_post_completion (&fixture, &calls[0]);
   g_autofree char *first = agent_await_assignment (failing, 1);
