Relay: a caller's number can't be infinite, negative or no number

Callers saw (found by reading the decoders, shown by the new test; nobody had reported it): after one request with the token counts "1,inf" no account was held to its fair share any more; with "nan" or a negative number the sender's own usage fell to zero with each request and it went first.

Cause: the expected output is a part of a request's cost. It was read with strtod and checked for its sign only, in one of two fields. An infinite cost makes the sum of all that was served infinite, which means "all demand is served", and never decays.

Change: hdr_parse_number reads callers' numbers, with a maximum by name for each field. The deadline is read likewise; its conversion was undefined above 2^63.

Test: relay-rly-share absurd-count/0 to 3 (inf, 1e300, nan, -1e9) red before: served inf, 2e+300, 0 and 0 tokens; green now. relay-parts has a table.

--- a/libcoltsfootdrum/relay/hdr.c
+++ b/libcoltsfootdrum/relay/hdr.c
@@ -76,6 +76,18 @@
   return NULL;
 }
 
+double
+hdr_parse_number (const char *text, double max, double default_value)
+{
+  char *end = NULL;
+  double value = text != NULL ? g_ascii_strtod (text, &end) : default_value;
+
+  /* Not a number compares as false.  */
+  if (end == text || !(value >= 0.))
+    return default_value;
+  return MIN (value, max);
+}
+
 /* Returns whether the comma-separated LIST contains ITEM, ignoring case.  */
 static bool
 list_contains (const char *list, const char *item)
--- a/libcoltsfootdrum/relay/hdr.h
+++ b/libcoltsfootdrum/relay/hdr.h
@@ -33,6 +33,11 @@
 /* Returns the value of the first field NAME, ignoring case, or NULL.  */
 const char *hdr_get (const hdr_t *hdr, const char *name);
 
+/* Parses the decimal number at the start of TEXT, 0 or more.  A larger one
+   than MAX counts as MAX.  Returns DEFAULT_VALUE when TEXT is NULL or holds no
+   such number.  */
+double hdr_parse_number (const char *text, double max, double default_value);
+
 /* Returns true when field I applies to a single connection and must not be
    forwarded: it is one of the hop-by-hop fields of RFC 9110, or the message's
    Connection field lists it.  */
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -13,8 +13,12 @@
 #define INITIAL_MS_PER_TOKEN (1. / 80.)
 /* Retry-After while there is no configuration.  */
 #define NO_CONFIG_RETRY_MS 500
-/* Deadline of a request that gives none.  */
-#define DEFAULT_DEADLINE_MS 60000
+/* Deadline of a request that gives none, and the longest one.  */
+#define DEFAULT_DEADLINE_MS 60000.
+#define MAX_DEADLINE_MS 3600000.
+/* Most generated tokens that are expected of a request.  The number comes from
+   its caller and counts in the sums of all accounts.  */
+#define MAX_OUTPUT_TOKENS 1e6
 /* Cost of a generated token, in prompt tokens.  */
 #define OUTPUT_WEIGHT 2.
 /* Cost of a request without prompt parts, in prompt tokens.  */
@@ -291,17 +295,6 @@
   return text + scheme + 1 + strspn (text + scheme + 1, " ");
 }
 
-/* Returns the number in a field; DEFAULT_VALUE when there is none.  */
-static double
-parse_number (const hdr_t *fields, const char *name, double default_value)
-{
-  const char *text = hdr_get (fields, name);
-  char *end = NULL;
-  double value = text != NULL ? g_ascii_strtod (text, &end) : default_value;
-
-  return end != text && value >= 0. ? value : default_value;
-}
-
 /* Parses "PROMPT,OUTPUT" and returns OUTPUT, the maximum of generated tokens.
  */
 static double
@@ -310,7 +303,8 @@
   const char *text = hdr_get (fields, name);
   const char *comma = text != NULL ? strchr (text, ',') : NULL;
 
-  return comma != NULL ? g_ascii_strtod (comma + 1, NULL) : 0.;
+  return hdr_parse_number (comma != NULL ? comma + 1 : NULL, MAX_OUTPUT_TOKENS,
+                           0.);
 }
 
 static void
@@ -321,9 +315,9 @@
 
   if (prompt != NULL)
     request->prompt = pfx_prompt_parse (prompt);
-  request->output_tokens
-      = parse_number (fields, names->length_hint,
-                      parse_max_output_tokens (fields, names->token_counts));
+  request->output_tokens = hdr_parse_number (
+      hdr_get (fields, names->length_hint), MAX_OUTPUT_TOKENS,
+      parse_max_output_tokens (fields, names->token_counts));
 }
 
 /* Returns the cost of REQUEST in its account's usage.  */
@@ -375,8 +369,8 @@
 {
   const hdr_t *fields = &ent_get_head (call)->fields;
   rly_request_t *request = g_new0 (rly_request_t, 1);
-  double deadline
-      = parse_number (fields, rly->names.deadline_ms, DEFAULT_DEADLINE_MS);
+  double deadline = hdr_parse_number (hdr_get (fields, rly->names.deadline_ms),
+                                      MAX_DEADLINE_MS, DEFAULT_DEADLINE_MS);
 
   request->rly = rly;
   request->call = call;
--- a/libcoltsfootdrum/relay/test-parts.c
+++ b/libcoltsfootdrum/relay/test-parts.c
@@ -240,6 +240,24 @@
   g_assert_cmpfloat_with_epsilon (fit_slope (&fit), 0.008, 1e-4);
 }
 
+/* Numbers in callers' fields can't be infinite, negative or no number.  */
+static void
+test_numbers (void)
+{
+  static const struct
+  {
+    const char *text;
+    double value;
+  } numbers[]
+      = { { NULL, 7. },  { "", 7. },       { "x", 7. },     { "-1", 7. },
+          { "nan", 7. }, { "-inf", 7. },   { "inf", 100. }, { "1e300", 100. },
+          { "0", 0. },   { "5.5,9", 5.5 }, { "100", 100. } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (numbers); i++)
+    g_assert_cmpfloat (hdr_parse_number (numbers[i].text, 100., 7.), ==,
+                       numbers[i].value);
+}
+
 static void
 test_hop_fields (void)
 {
@@ -297,6 +315,7 @@
   g_test_add_func ("/parts/many-refused", test_evicts_oldest_refusal);
   g_test_add_func ("/fit/line", test_fit);
   g_test_add_func ("/mech/names", test_mechanisms);
+  g_test_add_func ("/hdr/numbers", test_numbers);
   g_test_add_func ("/hdr/hop", test_hop_fields);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-rly-share.c
+++ b/libcoltsfootdrum/relay/test-rly-share.c
@@ -84,6 +84,43 @@
   scene_free (scene);
 }
 
+/* Counts that are no counts, in the fields of a caller's request.  */
+static const char *const absurd_counts[]
+    = { "1,inf", "1,1e300", "1,nan", "1,-1e9" };
+
+/* A request whose output was said to be infinite turned fair shares off for
+   all accounts, and a negative one let its account pass all others.  */
+static void
+test_absurd_count (gconstpointer data)
+{
+  static const scene_reply_t replies[]
+      = { { "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\nContent-Length: "
+            "1\r\n\r\nx",
+            SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  g_autofree char *bytes
+      = g_strdup_printf ("POST /slow/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"
+                         "X-Prompt: a:1000,b:1000\r\nX-Tokens: %s\r\n"
+                         "Authorization: Bearer key-of-the-mill\r\n"
+                         "Content-Length: 0\r\n\r\n",
+                         (const char *)data);
+  scene_caller_t *caller = scene_send_request (scene, bytes);
+  cfd_time_t now;
+  use_sum_t sum;
+
+  scene_wait_for (scene, caller, "\r\n\r\nx");
+  now = clock_now ();
+  sum = use_total (scene->use, now, "mill");
+  g_assert_cmpfloat (sum.served, >, 1000.);
+  g_assert_cmpfloat (sum.served, <, LARGE_USAGE_TOKENS);
+  use_add_demand (scene->use, now, "press", 2. * LARGE_USAGE_TOKENS);
+  use_add_served (scene->use, now, "press", LARGE_USAGE_TOKENS);
+  use_update_level (scene->use, now);
+  g_assert_cmpfloat (use_level_ratio (scene->use, now, "press"), >, 0.);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 /* All requests of an account come to one router and share a prefix.  The
    endpoint that caches the prefix is busy with a long prompt; the other is
    free but would have to prefill the prefix again.  The request waits until
@@ -277,6 +314,13 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (absurd_counts); i++)
+    {
+      g_autofree char *path
+          = g_strdup_printf ("/rly-share/absurd-count/%u", i);
+
+      g_test_add_data_func (path, absurd_counts[i], test_absurd_count);
+    }
   g_test_add_func ("/rly-share/given-back", test_rejected_not_served);
   g_test_add_func ("/rly-share/behind", test_underserved);
   g_test_add_func ("/rly-share/late-refused-at-once",
