Prefixes: a prompt has at most 64 parts and 10 million tokens

Found by reading the decoders. The sum of the tokens was kept in 32 bits: three parts of 2^31 - 1 tokens became a prompt of 2.1 billion and not of 6.4 billion, and two more parts a short one.

Change: further parts belong to the last one, and the sum ends at PFX_MAX_TOKENS.

Test: relay-parts /pfx/large-prompts, red before (4000 parts), green now.

--- a/libcoltsfootdrum/relay/pfx.c
+++ b/libcoltsfootdrum/relay/pfx.c
@@ -58,6 +58,19 @@
   return true;
 }
 
+/* Adds PART to PROMPT, within the limits.  */
+static void
+add_part (pfx_prompt_t *prompt, pfx_part_t part)
+{
+  part.tokens = MIN (part.tokens, PFX_MAX_TOKENS - prompt->tokens);
+  prompt->tokens += part.tokens;
+  if (prompt->parts->len < PFX_MAX_PARTS)
+    g_array_append_val (prompt->parts, part);
+  else
+    g_array_index (prompt->parts, pfx_part_t, PFX_MAX_PARTS - 1).tokens
+        += part.tokens;
+}
+
 pfx_prompt_t *
 pfx_prompt_parse (const char *text)
 {
@@ -73,8 +86,7 @@
       if (!parse_part (g_strstrip (*item), previous, &part))
         goto invalid;
       previous = part.id;
-      prompt->tokens += part.tokens;
-      g_array_append_val (prompt->parts, part);
+      add_part (prompt, part);
     }
   if (prompt->parts->len > 0)
     return prompt;
--- a/libcoltsfootdrum/relay/pfx.h
+++ b/libcoltsfootdrum/relay/pfx.h
@@ -12,6 +12,12 @@
 
 typedef struct pfx pfx_t;
 
+/* Parts of a prompt that are told apart: each is looked up for each endpoint.
+   Further ones belong to the last part.  */
+#define PFX_MAX_PARTS 64
+/* More than any engine's context; a longer prompt counts as this long.  */
+#define PFX_MAX_TOKENS 10000000u
+
 /* One part of a prompt.  */
 typedef struct
 {
--- a/libcoltsfootdrum/relay/test-parts.c
+++ b/libcoltsfootdrum/relay/test-parts.c
@@ -108,6 +108,28 @@
     g_assert_null (pfx_prompt_parse (bad[i]));
 }
 
+/* A caller's field with 4,000 parts took as many look-ups for each endpoint,
+   and one with more tokens than an integer holds became a short prompt.  */
+static void
+test_large_prompts (void)
+{
+  g_autoptr (GString) text = g_string_new ("p:1");
+  g_autoptr (pfx_prompt_t) wide = NULL;
+  g_autoptr (pfx_prompt_t) large
+      = pfx_prompt_parse ("a:2147483647,b:2147483647,c:2147483647");
+
+  for (unsigned i = 1; i < 4000; i++)
+    g_string_append (text, ",p:1");
+  wide = pfx_prompt_parse (text->str);
+  g_assert_cmpuint (wide->parts->len, ==, PFX_MAX_PARTS);
+  g_assert_cmpuint (wide->tokens, ==, 4000);
+  g_assert_cmpuint (pfx_prompt_count_shared_tokens (wide), ==,
+                    PFX_MAX_PARTS - 1);
+  g_assert_cmpuint (large->tokens, ==, PFX_MAX_TOKENS);
+  g_assert_cmpuint (pfx_prompt_count_shared_tokens (large), ==,
+                    PFX_MAX_TOKENS);
+}
+
 /* The prefix of a prompt counts as cached for a while at the endpoint that got
    it.  A part matches only together with all parts before it.  */
 static void
@@ -307,6 +329,7 @@
   g_test_add_func ("/rte/accounts", test_accounts);
   g_test_add_func ("/rte/shares", test_shares);
   g_test_add_func ("/pfx/prompts", test_prompts);
+  g_test_add_func ("/pfx/large-prompts", test_large_prompts);
   g_test_add_func ("/pfx/cached", test_cached);
   g_test_add_func ("/pfx/peer-update", test_peer_update);
   g_test_add_func ("/bud/storm", test_retry_budget);
