JSON that arrives is nested 64 levels at most

Cause: the JSON library (1.6.6) calls itself for each level and has no limit. Frames and datagrams had limits of depth, JSON had none.

Change: base/jsn counts the nesting before the text is parsed. Comments and single quotes, which the library reads though JSON has none, are refused: brackets could be hidden behind them. All JSON that arrives goes through it: callers' bodies at the router and the agent, an engine's events and load report, the platform's answers, records from peers, and in cfd-entry the store's pages and the updates that come by datagram.

--- a/libcoltsfootdrum/agent/agent-run.c
+++ b/libcoltsfootdrum/agent/agent-run.c
@@ -1,6 +1,7 @@
 /* Runs one request at the endpoint.  */
 
 #include "agent/agent-private.h"
+#include "base/jsn.h"
 #include "base/log.h"
 #include <string.h>
 
@@ -37,8 +38,7 @@
   JsonNode *node;
 
   if (body->length == 0
-      || !json_parser_load_from_data (parser, (const char *)body->data,
-                                      (gssize)body->length, NULL))
+      || !jsn_load (parser, (const char *)body->data, body->length, NULL))
     return false;
   root = json_parser_get_root (parser);
   if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
--- a/libcoltsfootdrum/agent/agent-settle.c
+++ b/libcoltsfootdrum/agent/agent-settle.c
@@ -10,6 +10,7 @@
    as much as without the wait.  */
 
 #include "agent/agent-private.h"
+#include "base/jsn.h"
 #include "base/log.h"
 
 /* Longer than the lag of an engine's report.  */
@@ -33,8 +34,7 @@
 static gint64
 parse_running (const char *text)
 {
-  g_autoptr (JsonNode) root
-      = text != NULL ? json_from_string (text, NULL) : NULL;
+  g_autoptr (JsonNode) root = text != NULL ? jsn_parse (text, NULL) : NULL;
 
   if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
     return -1;
--- a/libcoltsfootdrum/agent/agent-sse.c
+++ b/libcoltsfootdrum/agent/agent-sse.c
@@ -1,5 +1,7 @@
 #include "agent/agent-sse.h"
 
+#include "base/jsn.h"
+
 #include <json-glib/json-glib.h>
 #include <string.h>
 
@@ -45,7 +47,7 @@
   JsonNode *root;
   JsonNode *usage;
 
-  if (!json_parser_load_from_data (parser, text, (gssize)length, NULL))
+  if (!jsn_load (parser, text, length, NULL))
     return false;
   root = json_parser_get_root (parser);
   if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
--- a/libcoltsfootdrum/config/store-receive.c
+++ b/libcoltsfootdrum/config/store-receive.c
@@ -3,6 +3,7 @@
    is the newer one, whichever source it comes from.  */
 
 #include "config/store-impl.h"
+#include "base/jsn.h"
 #include "base/log.h"
 
 #define PART "config"
@@ -130,7 +131,7 @@
                   cfd_time_t now)
 {
   g_autoptr (GError) error = NULL;
-  g_autoptr (JsonNode) root = json_from_string (text, &error);
+  g_autoptr (JsonNode) root = jsn_parse (text, &error);
   g_autoptr (JsonArray) single = NULL;
 
   if (root != NULL && JSON_NODE_HOLDS_ARRAY (root))
--- a/libcoltsfootdrum/platform/plat.c
+++ b/libcoltsfootdrum/platform/plat.c
@@ -1,4 +1,5 @@
 #include "platform/plat.h"
+#include "base/jsn.h"
 #include "base/list.h"
 
 #include <string.h>
@@ -66,7 +67,7 @@
   g_autoptr (JsonParser) parser = json_parser_new ();
   JsonNode *root;
 
-  if (!json_parser_load_from_data (parser, text, (gssize)length, NULL))
+  if (!jsn_load (parser, text, length, NULL))
     return NULL;
   root = json_parser_get_root (parser);
   if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
--- a/libcoltsfootdrum/router/router-front.c
+++ b/libcoltsfootdrum/router/router-front.c
@@ -1,5 +1,7 @@
 #include "router/router-private.h"
 
+#include "base/jsn.h"
+
 #include <string.h>
 
 /* Output limit assumed for a model request that states none.  */
@@ -50,8 +52,7 @@
   const char *body = web_get_body (web, &length);
   JsonNode *root;
 
-  if (length == 0
-      || !json_parser_load_from_data (parser, body, (gssize)length, NULL))
+  if (length == 0 || !jsn_load (parser, body, length, NULL))
     return NULL;
   root = json_parser_get_root (parser);
   return root != NULL && JSON_NODE_HOLDS_OBJECT (root)
