Event streams: an event has at most 1 MB

Found by reading the decoders. An endpoint that sends an event without an end took memory until its request's deadline, at the pace of its link, and each part that arrived was searched again from the event's beginning.

Change: an event beyond 1 MB ends the exchange like a garbled answer, and the stream is resumed at another endpoint; the search goes on where it ended.

Test: relay-rly-retry/endless-event: 504 after the caller's 20 s without the check in rly-send.c, the rest of the stream from the other endpoint with it. relay-evs too-long and single-bytes.

--- a/libcoltsfootdrum/relay/evs.c
+++ b/libcoltsfootdrum/relay/evs.c
@@ -9,6 +9,8 @@
 evs_init (evs_t *stream)
 {
   stream->bytes = g_byte_array_new ();
+  stream->scanned = 0;
+  stream->is_too_long = false;
   stream->last_id = -1;
   stream->events = 0;
 }
@@ -20,11 +22,12 @@
 }
 
 /* Returns the length of the first event in TEXT, including the blank line that
-   terminates it, or 0 when the event is incomplete.  */
+   terminates it, or 0 when the event is incomplete.  The line does not begin
+   before START.  */
 static size_t
-find_event_length (const char *text, size_t length)
+find_event_length (const char *text, size_t length, size_t start)
 {
-  for (size_t i = 0; i + 1 < length; i++)
+  for (size_t i = start; i + 1 < length; i++)
     {
       if (text[i] != '\n')
         continue;
@@ -62,13 +65,18 @@
   size_t consumed = 0;
   unsigned events = 0;
 
+  if (stream->is_too_long)
+    return 0;
   g_byte_array_append (stream->bytes, (const guint8 *)bytes, (guint)length);
   while (consumed < stream->bytes->len)
     {
       const char *text = (const char *)stream->bytes->data + consumed;
-      size_t size = find_event_length (text, stream->bytes->len - consumed);
+      size_t left = stream->bytes->len - consumed;
+      size_t size = find_event_length (text, left, stream->scanned);
       int64_t id;
 
+      /* The blank line may have begun in the last two bytes.  */
+      stream->scanned = size == 0 ? left - MIN (left, 2) : 0;
       if (size == 0)
         break;
       id = parse_event_id (text, size);
@@ -83,6 +91,11 @@
   if (consumed > 0)
     g_byte_array_remove_range (stream->bytes, 0, (guint)consumed);
   stream->events += events;
+  if (stream->bytes->len > EVS_MAX_EVENT_BYTES)
+    {
+      evs_discard_partial (stream);
+      stream->is_too_long = true;
+    }
   return events;
 }
 
@@ -90,6 +103,8 @@
 evs_discard_partial (evs_t *stream)
 {
   g_byte_array_set_size (stream->bytes, 0);
+  stream->scanned = 0;
+  stream->is_too_long = false;
 }
 
 void
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -190,6 +190,8 @@
       return;
     }
   evs_feed (&answer->events, bytes, length, answer->body);
+  if (answer->events.is_too_long)
+    answer->is_valid = false;
   forward_body (request);
   if (request->read_paused || request->exchange == NULL
       || ent_get_unsent_bytes (request->call) <= MAX_UNSENT_BYTES)
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -319,6 +319,11 @@
       rly_fail (request, 504, "timeout");
       return;
     }
+  if (request->answer.events.is_too_long)
+    {
+      abort_exchange (request, now, UPS_MALFORMED);
+      return;
+    }
   if (!ups_is_connected (request->exchange))
     {
       if (since_sent > CONNECT_TIMEOUT_MS)
--- a/libcoltsfootdrum/relay/test-evs.c
+++ b/libcoltsfootdrum/relay/test-evs.c
@@ -67,6 +67,47 @@
   evs_clear (&stream);
 }
 
+/* An endpoint's event without an end took memory without a limit, and each
+   part that arrived was searched from the event's beginning.  */
+static void
+test_too_long (void)
+{
+  g_autoptr (GString) out = g_string_new (NULL);
+  char part[1000];
+  evs_t stream;
+
+  evs_init (&stream);
+  memset (part, 'x', sizeof part);
+  for (unsigned i = 0; i < 2 * EVS_MAX_EVENT_BYTES / sizeof part; i++)
+    {
+      evs_feed (&stream, part, sizeof part, out);
+      g_assert_cmpuint (stream.bytes->len, <=, EVS_MAX_EVENT_BYTES);
+    }
+  g_assert_true (stream.is_too_long);
+  evs_feed (&stream, "\n\nid: 2\n\n", 9, out);
+  g_assert_cmpuint (out->len, ==, 0);
+  evs_discard_partial (&stream);
+  evs_feed (&stream, "id: 2\n\n", 7, out);
+  g_assert_cmpstr (out->str, ==, "id: 2\n\n");
+  evs_clear (&stream);
+}
+
+/* Pieces of one byte give the same events as the whole.  */
+static void
+test_single_bytes (void)
+{
+  static const char text[] = "id: 1\r\ndata: a\r\n\r\nid: 2\n\ndata: \n\n";
+  g_autoptr (GString) out = g_string_new (NULL);
+  evs_t stream;
+
+  evs_init (&stream);
+  for (size_t i = 0; i + 1 < sizeof text; i++)
+    evs_feed (&stream, text + i, 1, out);
+  g_assert_cmpstr (out->str, ==, text);
+  g_assert_cmpuint (stream.events, ==, 3);
+  evs_clear (&stream);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -78,5 +119,7 @@
       g_test_add_data_func (path, &cases[i], test_case);
     }
   g_test_add_func ("/evs/goes-on-elsewhere", test_goes_on_elsewhere);
+  g_test_add_func ("/evs/too-long", test_too_long);
+  g_test_add_func ("/evs/single-bytes", test_single_bytes);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-rly-retry.c
+++ b/libcoltsfootdrum/relay/test-rly-retry.c
@@ -2,6 +2,7 @@
 
 #include "test-rly-scene.h"
 
+#include "relay/evs.h"
 #include "relay/rol-private.h"
 
 #include <string.h>
@@ -200,6 +201,33 @@
   scene_free (scene);
 }
 
+/* An endpoint sends an event without an end: its request stayed there until
+   the caller's deadline.  */
+static void
+test_endless_event (void)
+{
+  g_autofree char *filler = g_strnfill (EVS_MAX_EVENT_BYTES + 1, 'x');
+  g_autofree char *endless = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\nX-Id: %%I\r\nX-Stamp: s\r\nTransfer-Encoding: "
+      "chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n%x\r\n%s\r\n",
+      EVS_MAX_EVENT_BYTES + 1, filler);
+  const scene_reply_t replies[]
+      = { { endless, SCENE_KEEP_OPEN },
+          { "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\nTransfer-Encoding: "
+            "chunked\r\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+            SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 2, 4);
+  scene_caller_t *caller = scene_send_request (scene, CALL ("/events/", "1"));
+
+  scene_wait_for (scene, caller, "\r\n0\r\n\r\n");
+  g_assert_nonnull (strstr (caller->text->str, "id: 1\ndata: a\n\n"));
+  g_assert_nonnull (strstr (caller->text->str, "id: 2\ndata: b\n\n"));
+  g_assert_null (strstr (caller->text->str, "xxx"));
+  g_assert_cmpuint (scene->requests_received, ==, 2);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -209,5 +237,6 @@
   g_test_add_func ("/rly-retry/all-have-failed", test_all_have_failed);
   g_test_add_func ("/rly-retry/single-endpoint", test_single_endpoint);
   g_test_add_func ("/rly-retry/not-the-same-canary", test_not_the_same_canary);
+  g_test_add_func ("/rly-retry/endless-event", test_endless_event);
   return g_test_run ();
 }
