Connections to endpoints: an announced time-out is read within limits

Found by reading the decoders. "Keep-Alive: timeout=" overflowed in milliseconds (undefined; here it became 0), so that each request opened a connection of its own.

Test: relay-rly/huge-keep-alive: two connections before, one now.

--- a/libcoltsfootdrum/relay/test-rly.c
+++ b/libcoltsfootdrum/relay/test-rly.c
@@ -485,6 +485,32 @@
   scene_free (scene);
 }
 
+/* An endpoint announces a time-out that no integer holds in milliseconds: its
+   connection is kept all the same.  */
+static void
+test_huge_keep_alive (void)
+{
+  static const scene_reply_t replies[]
+      = { { "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\nKeep-Alive: "
+            "timeout=9223372036854775807\r\nContent-Length: 1\r\n\r\nx",
+            SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+
+  scene_list_endpoints (scene, 1, false, 4);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      scene_caller_t *caller
+          = scene_send_request (scene, CALL ("/once/", "1"));
+
+      scene_wait_for (scene, caller, "\r\n\r\nx");
+      scene_caller_free (caller);
+    }
+  g_assert_cmpuint (scene->requests_received, ==, 2);
+  g_assert_cmpuint (scene->server_cons->len, ==, 1);
+  g_assert_cmpuint (scene->closed_connections, ==, 0);
+  scene_free (scene);
+}
+
 /* An endpoint accepts a request and doesn't answer: an idempotent request is
    sent to the other endpoint.  */
 static void
@@ -642,6 +668,7 @@
   g_test_add_func ("/rly/refused-in-time", test_refused_in_time);
   g_test_add_func ("/rly/short-past-long", test_short_past_long);
   g_test_add_func ("/rly/idle-connections", test_idle_connections);
+  g_test_add_func ("/rly/huge-keep-alive", test_huge_keep_alive);
   g_test_add_func ("/rly/silent-endpoint", test_silent_endpoint);
   g_test_add_func ("/rly/pipelined", test_pipelined);
   g_test_add_func ("/rly/closed", test_closed);
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -14,6 +14,8 @@
    request that is sent while the endpoint closes its connection has an unknown
    outcome.  */
 #define DEFAULT_IDLE_MS 3500
+/* Longest that an endpoint's answer can make it.  */
+#define MAX_IDLE_S 3600
 /* Subtracted from an announced timeout, to allow for the network delay.  */
 #define IDLE_MARGIN_MS 900
 
@@ -104,6 +106,7 @@
   if (at == NULL)
     return DEFAULT_IDLE_MS;
   seconds = strtol (at + strlen ("timeout="), NULL, 10);
+  seconds = CLAMP (seconds, 0, MAX_IDLE_S);
   return MAX (seconds * 1000 - IDLE_MARGIN_MS, 0);
 }
 
