--- a/libcoltsfootdrum/relay/evs.c
+++ b/libcoltsfootdrum/relay/evs.c
@@ -5,6 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A larger number is no id of an event.  */
+#define MAX_EVENT_ID INT64_C (1000000000000000)
+
 void
 evs_init (evs_t *stream)
 {
@@ -39,22 +42,44 @@
   return 0;
 }
 
+/* Returns the decimal number at AT, which ends before END at the latest; -1 if
+   there is none, or a larger one than MAX_EVENT_ID.  */
+static int64_t
+parse_number (const char *at, const char *end)
+{
+  int64_t number = 0;
+
+  while (at < end && *at == ' ')
+    at++;
+  if (at == end || !g_ascii_isdigit (*at))
+    return -1;
+  for (; at < end && g_ascii_isdigit (*at); at++)
+    {
+      number = number * 10 + g_ascii_digit_value (*at);
+      if (number > MAX_EVENT_ID)
+        return -1;
+    }
+  return number;
+}
+
 /* Returns the number in the event's "id:" line, or -1 if there is none.  */
 static int64_t
 parse_event_id (const char *text, size_t length)
 {
   static const char field[] = "id:";
-  size_t at = 0;
+  const char *end = text + length;
 
-  while (at + sizeof field <= length)
+  while (text < end)
     {
-      const char *end = memchr (text + at, '\n', length - at);
+      const char *newline = memchr (text, '\n', (size_t)(end - text));
+      const char *line_end = newline != NULL ? newline : end;
 
-      if (strncmp (text + at, field, sizeof field - 1) == 0)
-        return g_ascii_strtoll (text + at + sizeof field - 1, NULL, 10);
-      if (end == NULL)
+      if ((size_t)(line_end - text) >= sizeof field - 1
+          && strncmp (text, field, sizeof field - 1) == 0)
+        return parse_number (text + sizeof field - 1, line_end);
+      if (newline == NULL)
         break;
-      at = (size_t)(end - text) + 1;
+      text = newline + 1;
     }
   return -1;
 }
