--- a/libcoltsfootdrum/relay/evs.c
+++ b/libcoltsfootdrum/relay/evs.c
@@ -2,10 +2,9 @@
 
 #include "relay/evs.h"
 
-#include <stdlib.h>
 #include <string.h>
 
-/* A larger number is no id of an event.  */
+/* An event with a larger number counts as one without an id.  */
 #define MAX_EVENT_ID INT64_C (1000000000000000)
 
 void
@@ -100,7 +99,7 @@
       size_t size = find_event_length (text, left, stream->scanned);
       int64_t id;
 
-      /* The blank line may have begun in the last two bytes.  */
+      /* The blank line may begin in the last two bytes.  */
       stream->scanned = size == 0 ? left - MIN (left, 2) : 0;
       if (size == 0)
         break;
--- a/libcoltsfootdrum/relay/evs.h
+++ b/libcoltsfootdrum/relay/evs.h
@@ -15,8 +15,8 @@
 typedef struct
 {
   GByteArray *bytes; /* the start of an incomplete event */
-  size_t scanned;    /* of these, in which no event ends */
-  bool is_too_long;  /* an event exceeded the limit; the rest is dropped */
+  size_t scanned;    /* number of these bytes in which no event ends */
+  bool is_too_long;  /* an event exceeded the limit; all bytes are dropped */
   int64_t last_id;   /* of the last event passed on; -1: none */
   unsigned events;   /* number of events passed on */
 } evs_t;
@@ -26,8 +26,7 @@
 
 /* Adds BYTES to the stream and appends the events that are now complete to
    OUT.  Events whose id was passed on before are dropped.  Returns the number
-   of events appended.  After an event that is too long nothing is appended.
- */
+   of events appended.  After an event that is too long, appends nothing.  */
 unsigned evs_feed (evs_t *stream, const char *bytes, size_t length,
                    GString *out);
 
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -353,9 +353,9 @@
 }
 
 /* Excludes the endpoints that failed REQUEST.  An endpoint that fails at once
-   has the least load, so that the request would go there again.  When all have
-   failed it, only the last one and canaries are excluded; a single endpoint is
-   never.  */
+   has the least load, so that the request would go there again.  Where all
+   have failed it, those before the last failure are allowed again, and so is a
+   single endpoint.  */
 static void
 exclude_failed (rly_round_t *round, const rly_request_t *request)
 {
