Relay: each send is checked for "not again where it failed"

Tests: addresses without a listener stay bound until the scene's end. A port that was free a moment before could be taken by another test in between.

--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -3,6 +3,7 @@
 
 #include "relay/rly-private.h"
 
+#include "base/log.h"
 #include "relay/cold.h"
 
 #include <math.h>
@@ -405,6 +406,7 @@
   edp_t *edp = round->endpoints[chosen];
   const edp_t *source = NULL;
 
+  INVARIANT ("retry-elsewhere", !load->is_excluded, request->id);
   request->prefill_ahead = load->pending_prefill + load->own_prefill;
   request->pending_prefill = request->prompt != NULL ? load->own_prefill : 0.;
   request->context_tokens = needed_tokens;
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -185,16 +185,19 @@
   return one;
 }
 
-/* Returns a port without a listener.  */
+/* Returns a port without a listener, which no other process gets until the
+   scene's end.  */
 static unsigned
-find_unused_port (void)
+reserve_port (scene_t *scene)
 {
-  struct sockaddr_in addr = { 0 };
+  struct sockaddr_in addr
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   socklen_t length = sizeof addr;
-  int fd = addr_listen ("127.0.0.1:0", NULL);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
+  g_assert_cmpint (bind (fd, (struct sockaddr *)&addr, length), ==, 0);
   getsockname (fd, (struct sockaddr *)&addr, &length);
-  close (fd);
+  g_array_append_val (scene->reserved_fds, fd);
   return ntohs (addr.sin_port);
 }
 
@@ -211,7 +214,7 @@
       g_ptr_array_add (reports, report (id, scene->servers[i].port, slots));
     }
   if (unreachable)
-    g_ptr_array_add (reports, report ("dead", find_unused_port (), slots));
+    g_ptr_array_add (reports, report ("dead", reserve_port (scene), slots));
   edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
 }
 
@@ -226,7 +229,7 @@
     {
       g_autofree char *id = g_strdup_printf ("dead-%u", i);
 
-      g_ptr_array_add (reports, report (id, find_unused_port (), 1));
+      g_ptr_array_add (reports, report (id, reserve_port (scene), 1));
     }
   edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
 }
@@ -324,6 +327,7 @@
   scene->reply_count = count;
   scene->last_request = g_string_new (NULL);
   scene->server_cons = g_ptr_array_new ();
+  scene->reserved_fds = g_array_new (FALSE, FALSE, sizeof (int));
   scene->endpoints = edp_set_new (scene->loop);
   scene->use = use_new (bounds.share_window_ms);
   scene->pfx = pfx_new ();
@@ -364,6 +368,9 @@
   pfx_free (scene->pfx);
   ret_free (scene->ret);
   ev_loop_destroy (scene->loop);
+  for (guint i = 0; i < scene->reserved_fds->len; i++)
+    close (g_array_index (scene->reserved_fds, int, i));
+  g_array_unref (scene->reserved_fds);
   g_ptr_array_unref (scene->server_cons);
   g_string_free (scene->last_request, TRUE);
   g_free (scene);
--- a/libcoltsfootdrum/relay/test-rly-scene.h
+++ b/libcoltsfootdrum/relay/test-rly-scene.h
@@ -50,6 +50,7 @@
   unsigned closed_connections; /* as seen by endpoints */
   GString *last_request;       /* as its endpoint received it */
   GPtrArray *server_cons;      /* open connections at endpoints */
+  GArray *reserved_fds;        /* int: sockets of ports without a listener */
   bool timed_out;
 };
 
