--- a/libcoltsfootdrum/relay/lag.c
+++ b/libcoltsfootdrum/relay/lag.c
@@ -112,6 +112,17 @@
   return sums;
 }
 
+void
+lag_add_sums (lag_sums_t *total, const lag_sums_t *sums)
+{
+  total->turns += sums->turns;
+  for (unsigned i = 0; i < LAG_KINDS; i++)
+    {
+      total->us[i] += sums->us[i];
+      total->count[i] += sums->count[i];
+    }
+}
+
 int64_t
 lag_get_datagram_delay_ms (const lag_sums_t *sums, int64_t late_ms)
 {
--- a/libcoltsfootdrum/relay/lag.h
+++ b/libcoltsfootdrum/relay/lag.h
@@ -49,6 +49,9 @@
 /* Returns the sums since the last call and resets them.  */
 lag_sums_t lag_take_sums (lag_t *lag);
 
+/* Adds SUMS to TOTAL.  */
+void lag_add_sums (lag_sums_t *total, const lag_sums_t *sums);
+
 /* Returns by how much datagrams were read late, when a tick was LATE_MS late
    and SUMS is the work before it.  The time for the platform's lists doesn't
    count: a router that has just read a list needs no datagram about it.  A
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -91,6 +91,7 @@
   int64_t stable_ms;
   int64_t revisions[PAL_LIST_COUNT];
   int64_t ages[PAL_LIST_COUNT];
+  cfd_time_t started_at; /* of the first tick; CFD_TIME_NEVER until then */
   cfd_time_t changes_sent_at;
   cfd_time_t full_sent_at;
   cfd_time_t summary_sent_at;
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -180,6 +180,7 @@
   pal->pfx = pfx;
   pal->ret = ret;
   pal->stable_ms = -1;
+  pal->started_at = CFD_TIME_NEVER;
   for (unsigned i = 0; i < PAL_LIST_COUNT; i++)
     pal->ages[i] = -1;
   ev_io_init (&pal->reader, on_readable, fd, EV_READ);
@@ -501,6 +502,36 @@
   return min_age_ms;
 }
 
+/* Returns whether PEER counts as a reader of LIST.  */
+static bool
+may_read (const pal_peer_t *peer, cfd_time_t now, unsigned list,
+          int64_t max_age_ms)
+{
+  int64_t age = get_age_ms (peer, now, list);
+
+  return max_age_ms == PAL_ANY_AGE || (age >= 0 && age <= max_age_ms);
+}
+
+/* Returns the rank among all listed routers, of which those that have not
+   reported yet are assumed to work.  */
+static unsigned
+get_rank_of_listed (const pal_t *pal, cfd_time_t now, unsigned list,
+                    int64_t max_age_ms)
+{
+  unsigned rank = 0;
+
+  for (guint i = 0; i < pal->member_names->len; i++)
+    {
+      const char *name = g_ptr_array_index (pal->member_names, i);
+      const pal_peer_t *peer = g_hash_table_lookup (pal->peers, name);
+      bool is_unknown = peer == NULL || peer->ages[list] < 0;
+
+      if (is_unknown || may_read (peer, now, list, max_age_ms))
+        rank += cold_ranks_before (name, pal->name, list);
+    }
+  return rank;
+}
+
 unsigned
 pal_get_reader_rank (const pal_t *pal, cfd_time_t now, unsigned list,
                      int64_t max_age_ms)
@@ -510,13 +541,15 @@
   unsigned rank = 0;
 
   g_return_val_if_fail (list < PAL_LIST_COUNT, 0);
+  if (pal->member_names != NULL && max_age_ms != PAL_ANY_AGE
+      && now - pal->started_at <= max_age_ms)
+    return get_rank_of_listed (pal, now, list, max_age_ms);
   g_hash_table_iter_init (&each, pal->peers);
   while (g_hash_table_iter_next (&each, NULL, &data))
     {
       const pal_peer_t *peer = data;
-      int64_t age = get_age_ms (peer, now, list);
 
-      if (age >= 0 && age <= max_age_ms)
+      if (may_read (peer, now, list, max_age_ms))
         rank += peer->precedes[list];
     }
   return rank;
@@ -533,6 +566,8 @@
 void
 pal_tick (pal_t *pal, cfd_time_t now)
 {
+  if (pal->started_at == CFD_TIME_NEVER)
+    pal->started_at = now;
   remove_silent_peers (pal, now);
   pal_sum_new_endpoints (pal);
   send_summary (pal, now);
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -89,7 +89,11 @@
 
 /* Returns how many other routers precede this one in the order in which
    routers are chosen to read LIST for the fleet.  Routers that last confirmed
-   it more than MAX_AGE_MS ago don't count.  */
+   it more than MAX_AGE_MS ago don't count; with PAL_ANY_AGE all do that
+   datagrams come from.  For MAX_AGE_MS after this router's start, the listed
+   routers that it has not heard from count too: they may all have started at
+   the same moment.  */
+#define PAL_ANY_AGE INT64_MAX
 unsigned pal_get_reader_rank (const pal_t *pal, cfd_time_t now, unsigned list,
                               int64_t max_age_ms);
 
--- a/libcoltsfootdrum/relay/test-lag.c
+++ b/libcoltsfootdrum/relay/test-lag.c
@@ -62,6 +62,20 @@
   ev_loop_destroy (loop);
 }
 
+static void
+test_add (void)
+{
+  lag_sums_t total = { 0 };
+  lag_sums_t sums = { .turns = 2, .us = { [LAG_TICK] = 30 } };
+
+  sums.count[LAG_TICK] = 4;
+  lag_add_sums (&total, &sums);
+  lag_add_sums (&total, &sums);
+  g_assert_cmpuint (total.turns, ==, 4);
+  g_assert_cmpint (total.us[LAG_TICK], ==, 60);
+  g_assert_cmpuint (total.count[LAG_TICK], ==, 8);
+}
+
 static void
 test_null (void)
 {
@@ -88,6 +102,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/lag/nested", test_nested);
   g_test_add_func ("/lag/turns", test_turns);
+  g_test_add_func ("/lag/add", test_add);
   g_test_add_func ("/lag/not-counted", test_null);
   g_test_add_func ("/lag/list-is-no-lag", test_list_is_no_lag);
   return g_test_run ();
