Peers: one system call sends a datagram to many routers, or reads many

Cause: in a cell of 89 routers each sends and receives over 1,200 datagrams a second, a system call each and a wake-up for most. Change: sendmmsg and recvmmsg, 64 and 16 datagrams a call.

--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -95,6 +95,7 @@
   cfd_time_t changes_sent_at;
   cfd_time_t full_sent_at;
   cfd_time_t summary_sent_at;
+  char *read_buffer; /* of several datagrams */
   pal_inbox_t inbox;
   uint64_t invalid_datagrams; /* received */
   uint64_t dropped_datagrams; /* not decoded, for lack of time */
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -38,6 +38,9 @@
 /* Datagrams read per wakeup: more than the socket's buffer holds, so that none
    waits for a later iteration of an event loop that is behind.  */
 #define MAX_READS_PER_WAKEUP 1024
+/* Datagrams sent or received by one system call.  */
+#define SENDS_PER_CALL 64
+#define READS_PER_CALL 16
 #define MAX_INBOX_BYTES 1048576u
 /* Time for decoding them.  Callers wait meanwhile.  */
 #define MAX_DECODE_US 4000
@@ -102,22 +105,41 @@
   pal_inbox_empty (inbox);
 }
 
+/* Reads the datagrams of one system call.  Returns their number.  */
+static unsigned
+read_batch (pal_t *pal)
+{
+  struct iovec parts[READS_PER_CALL];
+  struct mmsghdr messages[READS_PER_CALL] = { 0 };
+  int count;
+
+  for (unsigned i = 0; i < READS_PER_CALL; i++)
+    {
+      parts[i] = (struct iovec){ .iov_base
+                                 = pal->read_buffer + i * MAX_DATAGRAM_BYTES,
+                                 .iov_len = MAX_DATAGRAM_BYTES };
+      messages[i].msg_hdr.msg_iov = &parts[i];
+      messages[i].msg_hdr.msg_iovlen = 1;
+    }
+  count = recvmmsg (pal->reader.fd, messages, READS_PER_CALL, MSG_DONTWAIT,
+                    NULL);
+  for (int i = 0; i < count; i++)
+    pal_inbox_add (&pal->inbox, parts[i].iov_base, messages[i].msg_len);
+  return (unsigned)MAX (count, 0);
+}
+
 /* Returns the number of datagrams read.  */
 static unsigned
 read_datagrams (pal_t *pal)
 {
-  char buffer[MAX_DATAGRAM_BYTES];
   unsigned read = 0;
+  unsigned batch = READS_PER_CALL;
 
-  while (read < MAX_READS_PER_WAKEUP
+  while (batch == READS_PER_CALL && read < MAX_READS_PER_WAKEUP
          && pal->inbox.bytes->len < MAX_INBOX_BYTES)
     {
-      ssize_t n = recv (pal->reader.fd, buffer, sizeof buffer, 0);
-
-      if (n < 0)
-        break;
-      read++;
-      pal_inbox_add (&pal->inbox, buffer, (size_t)n);
+      batch = read_batch (pal);
+      read += batch;
     }
   pal_decode_inbox (pal, clock_now (), clock_now_us () + MAX_DECODE_US,
                     clock_now_us);
@@ -175,6 +197,7 @@
   pal->peers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
   pal_inbox_init (&pal->inbox);
+  pal->read_buffer = g_malloc (READS_PER_CALL * MAX_DATAGRAM_BYTES);
   pal->endpoints = endpoints;
   pal->use = use;
   pal->pfx = pfx;
@@ -208,6 +231,7 @@
   g_clear_pointer (&pal->near_names, g_ptr_array_unref);
   g_hash_table_unref (pal->by_incarnation);
   pal_inbox_clear (&pal->inbox);
+  g_free (pal->read_buffer);
   g_hash_table_unref (pal->peers);
   g_free (pal->name);
   g_free (pal);
@@ -350,16 +374,42 @@
     }
 }
 
+/* Sends a datagram to COUNT addresses from FIRST on, by one system call.
+   Returns the number that were sent.  */
+static guint
+send_batch (const pal_t *pal, const GArray *addresses, guint first,
+            guint count, struct iovec *content)
+{
+  struct mmsghdr messages[SENDS_PER_CALL] = { 0 };
+  int sent;
+
+  for (guint i = 0; i < count; i++)
+    {
+      addr_t *addr = &g_array_index (addresses, addr_t, first + i);
+
+      messages[i].msg_hdr.msg_name = &addr->storage;
+      messages[i].msg_hdr.msg_namelen = addr->length;
+      messages[i].msg_hdr.msg_iov = content;
+      messages[i].msg_hdr.msg_iovlen = 1;
+    }
+  sent = sendmmsg (pal->reader.fd, messages, count, MSG_NOSIGNAL);
+  return (guint)MAX (sent, 0);
+}
+
 static void
 send_to (const pal_t *pal, const GArray *addresses, const void *bytes,
          size_t length)
 {
-  for (guint i = 0; i < addresses->len; i++)
+  struct iovec content = { .iov_base = (void *)bytes, .iov_len = length };
+  guint next = 0;
+
+  while (next < addresses->len)
     {
-      const addr_t *addr = &g_array_index (addresses, addr_t, i);
+      guint count = MIN (addresses->len - next, SENDS_PER_CALL);
+      guint sent = send_batch (pal, addresses, next, count, &content);
 
-      sendto (pal->reader.fd, bytes, length, MSG_NOSIGNAL,
-              (const struct sockaddr *)&addr->storage, addr->length);
+      /* The first one that fails is skipped: datagrams may be lost anyway.  */
+      next += sent < count ? sent + 1 : sent;
     }
 }
 
