Streams: the events of one read are forwarded in one write

Cause: each event was written by itself, the head and the end of the stream too, also when a router that is behind reads several events at once. A turn of 420 ms of a router with 0.068 cores had 2,904 events; its load does not fall when it falls behind. Change: what a read from an endpoint brings is forwarded after that read; the head goes with the first event and the end with the last one. Events before a break are delivered first, since a resumed stream goes on after them.

--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -67,6 +67,7 @@
   rd_t *rd;
   GByteArray *body;
   GByteArray *pipelined; /* input that is not parsed yet */
+  GString *head;         /* of a response, not written yet; NULL: none */
   void *data;
   cfd_time_t state_since;
   cfd_time_t started; /* start of the request */
@@ -93,6 +94,8 @@
   rd_free (call->rd);
   g_byte_array_unref (call->body);
   g_byte_array_unref (call->pipelined);
+  if (call->head != NULL)
+    g_string_free (call->head, TRUE);
   g_free (call);
 }
 
@@ -560,7 +563,7 @@
 ent_begin_response (ent_call_t *call, unsigned status, const char *fields,
                     int64_t length)
 {
-  g_autoptr (GString) text = build_head (call, status, fields);
+  GString *text = build_head (call, status, fields);
 
   call->chunked = length < 0;
   if (call->chunked)
@@ -569,7 +572,28 @@
     g_string_append_printf (text, "Content-Length: %" G_GINT64_FORMAT "\r\n",
                             length);
   g_string_append (text, "\r\n");
-  con_write (call->con, text->str, text->len);
+  call->head = text;
+}
+
+static void
+append_body (const ent_call_t *call, GString *text, const void *bytes,
+             size_t length)
+{
+  if (length == 0)
+    return;
+  if (call->chunked)
+    g_string_append_printf (text, "%zx\r\n", length);
+  g_string_append_len (text, bytes, (gssize)length);
+  if (call->chunked)
+    g_string_append_len (text, "\r\n", 2);
+}
+
+/* Returns the head if it was not written yet, or an empty text.  */
+static GString *
+take_head (ent_call_t *call)
+{
+  return call->head != NULL ? g_steal_pointer (&call->head)
+                            : g_string_sized_new (512);
 }
 
 void
@@ -579,23 +603,20 @@
 
   if (length == 0)
     return;
-  if (!call->chunked)
-    {
-      con_write (call->con, bytes, length);
-      return;
-    }
-  text = g_string_sized_new (length + 32);
-  g_string_append_printf (text, "%zx\r\n", length);
-  g_string_append_len (text, bytes, (gssize)length);
-  g_string_append_len (text, "\r\n", 2);
+  text = take_head (call);
+  append_body (call, text, bytes, length);
   con_write (call->con, text->str, text->len);
 }
 
 void
-ent_finish_response (ent_call_t *call)
+ent_finish_response (ent_call_t *call, const void *bytes, size_t length)
 {
+  g_autoptr (GString) text = take_head (call);
+
+  append_body (call, text, bytes, length);
   if (call->chunked)
-    con_write (call->con, "0\r\n\r\n", 5);
+    g_string_append (text, "0\r\n\r\n");
+  con_write (call->con, text->str, text->len);
   finish_call (call);
 }
 
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -82,8 +82,10 @@
    body; -1 selects chunked encoding.  */
 void ent_begin_response (ent_call_t *call, unsigned status, const char *fields,
                          int64_t length);
+/* Sends a piece of the body, the first one together with the head.  */
 void ent_send_body (ent_call_t *call, const void *bytes, size_t length);
-void ent_finish_response (ent_call_t *call);
+/* Sends the last piece, which may be empty, and ends the response.  */
+void ent_finish_response (ent_call_t *call, const void *bytes, size_t length);
 /* Closes the connection at once, so that the client sees that the response is
    incomplete.  */
 void ent_abort (ent_call_t *call);
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -176,6 +176,19 @@
   g_string_truncate (answer->body, 0);
 }
 
+void
+rly_forward (rly_request_t *request)
+{
+  if (!request->answer.is_stream)
+    return;
+  forward_body (request);
+  if (request->read_paused || request->exchange == NULL
+      || ent_get_unsent_bytes (request->call) <= MAX_UNSENT_BYTES)
+    return;
+  request->read_paused = true;
+  ups_set_read_paused (request->exchange, true);
+}
+
 void
 rly_handle_body (rly_request_t *request, const char *bytes, size_t length)
 {
@@ -192,12 +205,6 @@
   evs_feed (&answer->events, bytes, length, answer->body);
   if (answer->events.is_too_long)
     answer->is_valid = false;
-  forward_body (request);
-  if (request->read_paused || request->exchange == NULL
-      || ent_get_unsent_bytes (request->call) <= MAX_UNSENT_BYTES)
-    return;
-  request->read_paused = true;
-  ups_set_read_paused (request->exchange, true);
 }
 
 /* Returns whether REQUEST may be sent to another endpoint, apart from the
@@ -336,13 +343,15 @@
   rly_answer_t *answer = &request->answer;
   ent_call_t *call = request->call;
 
-  evs_flush (&answer->events, answer->body);
-  forward_body (request);
+  g_autoptr (GString) rest = g_steal_pointer (&answer->body);
+
+  answer->body = g_string_new (NULL);
+  evs_flush (&answer->events, rest);
   request->rly->counts.answered++;
   if (!request->head_sent)
     ent_begin_response (call, answer->status, answer->fields->str, -1);
   finish_request (request);
-  ent_finish_response (call);
+  ent_finish_response (call, rest->str, rest->len);
 }
 
 static void
@@ -403,6 +412,10 @@
 void
 rly_handle_end (rly_request_t *request, ups_end_t end, cfd_time_t now)
 {
+  /* The events before a break are delivered: a resumed stream goes on after
+     them.  */
+  if (end != UPS_COMPLETE)
+    rly_forward (request);
   switch (end)
     {
     case UPS_COMPLETE:
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -230,6 +230,9 @@
 void rly_handle_head (rly_request_t *request, rd_head_t *head);
 void rly_handle_body (rly_request_t *request, const char *bytes,
                       size_t length);
+/* Forwards the events that were received since the last call, in one write:
+   several arrive in one read when the loop is behind.  */
+void rly_forward (rly_request_t *request);
 void rly_handle_end (rly_request_t *request, ups_end_t end, cfd_time_t now);
 
 #endif
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -163,6 +163,17 @@
   lag_leave (lag, before, 1);
 }
 
+static void
+on_read_end (void *user)
+{
+  rly_request_t *request = user;
+  lag_t *lag = request->rly->lag;
+  lag_kind_t before = lag_enter (lag, LAG_ENDPOINTS);
+
+  rly_forward (request);
+  lag_leave (lag, before, 0);
+}
+
 static void
 on_ended (void *user, ups_end_t end)
 {
@@ -175,8 +186,9 @@
   lag_leave (lag, before, 0);
 }
 
-static const ups_ops_t exchange_ops
-    = { .head = on_head, .body = on_body, .ended = on_ended };
+static const ups_ops_t exchange_ops = {
+  .head = on_head, .body = on_body, .read_end = on_read_end, .ended = on_ended
+};
 
 static void
 start_exchange (rly_request_t *request, edp_t *edp, cfd_time_t now)
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -223,6 +223,9 @@
 
   connection->in_callback = true;
   parse_bytes (connection, bytes, length);
+  if (connection->exchange != NULL
+      && connection->exchange->ops.read_end != NULL)
+    connection->exchange->ops.read_end (connection->exchange->user);
   connection->in_callback = false;
   if (connection->free_pending)
     connection_free (connection);
--- a/libcoltsfootdrum/relay/ups.h
+++ b/libcoltsfootdrum/relay/ups.h
@@ -30,6 +30,9 @@
 {
   void (*head) (void *user, rd_head_t *head);
   void (*body) (void *user, const char *bytes, size_t length);
+  /* Called after all parts of the body that one read from the socket brought,
+     unless the exchange ended; may be NULL.  */
+  void (*read_end) (void *user);
   /* The last callback.  */
   void (*ended) (void *user, ups_end_t end);
 } ups_ops_t;
