Peers: routers of large cells read datagrams at ticks

Cause: most wake-ups of a router among 29 are for one datagram, and each turn of the loop goes through all endpoints to look for changed loads; each tick goes through all callers' connections.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -279,6 +279,25 @@
   edp_set_divide (set);
 }
 
+void
+edp_set_note_changed (edp_set_t *set, edp_t *edp)
+{
+  edp->changed = true;
+  set->has_changed = true;
+}
+
+bool
+edp_set_has_changed (const edp_set_t *set)
+{
+  return set->has_changed;
+}
+
+void
+edp_set_clear_changed (edp_set_t *set)
+{
+  set->has_changed = false;
+}
+
 static void
 withdraw_zones (const edp_set_t *set, list_node_t *list)
 {
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -107,6 +107,12 @@
 /* Records that a request is sent to EDP, which may be of another cell.  */
 void edp_set_note_used (edp_set_t *set, edp_t *edp);
 
+/* Records that this router's load on EDP changed.  Returns whether any load
+   has changed since edp_set_clear_changed.  */
+void edp_set_note_changed (edp_set_t *set, edp_t *edp);
+bool edp_set_has_changed (const edp_set_t *set);
+void edp_set_clear_changed (edp_set_t *set);
+
 /* Sets the availability zones that are out of service.  ZONES is copied.  */
 void edp_set_withdraw_zones (edp_set_t *set, const char *const *zones);
 
--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -30,6 +30,8 @@
 #define MAX_ACCEPTS_PER_WAKEUP 32
 /* Buffered bytes of pipelined requests, above which reading is paused.  */
 #define MAX_PIPELINED_BYTES 65536
+/* Interval at which the time-outs of all connections are checked.  */
+#define TIMEOUT_CHECK_INTERVAL_MS 100
 /* Before a connection is closed, further input is read and discarded for this
    time: closing a socket with unread bytes resets the connection, and the
    client might lose the response.  */
@@ -48,6 +50,7 @@
   unsigned accepted; /* since the start */
   bool backlogged;   /* since the last query */
   bool draining;
+  cfd_time_t checked_at; /* time-outs */
 };
 
 typedef enum
@@ -442,6 +445,9 @@
 {
   int64_t idle_ms = get_idle_limit_ms (ent);
 
+  if (now - ent->checked_at < TIMEOUT_CHECK_INTERVAL_MS)
+    return;
+  ent->checked_at = now;
   list_for_each_safe (node, &ent->calls)
     {
       enforce_timeouts (list_entry (node, ent_call_t, node), now, idle_ms);
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -38,6 +38,9 @@
 /* Datagrams read per wakeup: more than the socket's buffer holds, so that none
    waits for a later iteration of an event loop that is behind.  */
 #define MAX_READS_PER_WAKEUP 1024
+/* With more routers in the cell, datagrams are read at each tick and not as
+   they arrive: most wake-ups would be for one of them.  */
+#define MAX_PEERS_READ_AT_ONCE 16
 /* Datagrams sent or received by one system call.  */
 #define SENDS_PER_CALL 64
 #define READS_PER_CALL 16
@@ -147,14 +150,19 @@
 }
 
 static void
-on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+receive_waiting (pal_t *pal)
 {
-  pal_t *pal = watcher->data;
   lag_kind_t before = lag_enter (pal->lag, LAG_DATAGRAMS);
 
   lag_leave (pal->lag, before, read_datagrams (pal));
 }
 
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  receive_waiting (watcher->data);
+}
+
 static void on_prepare (struct ev_loop *loop, ev_prepare *watcher, int events);
 
 static int
@@ -276,6 +284,10 @@
       if (addr_parse (peers[i].address, &addr, NULL))
         g_array_append_val (addresses, addr);
     }
+  if (pal->near_addresses->len > MAX_PEERS_READ_AT_ONCE)
+    ev_io_stop (pal->loop, &pal->reader);
+  else
+    ev_io_start (pal->loop, &pal->reader);
 }
 
 /* True when datagrams come from less than half of the other routers, so that
@@ -448,16 +460,12 @@
   int64_t interval_ms
       = (int64_t)pal->near_addresses->len * CHANGES_INTERVAL_MS_PER_ROUTER;
 
-  if (now - pal->changes_sent_at < interval_ms)
+  if (!edp_set_has_changed (pal->endpoints)
+      || now - pal->changes_sent_at < interval_ms)
     return;
-  list_for_each (node, edp_set_endpoints (pal->endpoints))
-    {
-      if (!list_entry (node, edp_t, node)->changed)
-        continue;
-      pal->changes_sent_at = now;
-      send_state (pal, now, PAL_CHANGES);
-      return;
-    }
+  edp_set_clear_changed (pal->endpoints);
+  pal->changes_sent_at = now;
+  send_state (pal, now, PAL_CHANGES);
 }
 
 /* Sends all changes of a loop iteration in one datagram per router.  */
@@ -618,6 +626,8 @@
 {
   if (pal->started_at == CFD_TIME_NEVER)
     pal->started_at = now;
+  if (!ev_is_active (&pal->reader))
+    receive_waiting (pal);
   remove_silent_peers (pal, now);
   pal_sum_new_endpoints (pal);
   send_summary (pal, now);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -92,7 +92,7 @@
 {
   request->edp->pending_prefill
       = MAX (request->edp->pending_prefill - request->pending_prefill, 0.);
-  request->edp->changed = true;
+  edp_set_note_changed (request->rly->endpoints, request->edp);
   request->pending_prefill = 0.;
 }
 
@@ -211,7 +211,7 @@
   edp->pending_prefill += request->pending_prefill;
   edp->context_tokens += request->context_tokens;
   edp_count_cold_request (edp, now);
-  edp->changed = true;
+  edp_set_note_changed (rly->endpoints, edp);
   rly_count_rollout_send (request, now);
   if (request->prompt != NULL)
     pfx_record (rly->pfx, now, edp->hash, request->prompt);
