Relay: a router without processor time refuses some requests at once

Cause: clients are spread over a zone's routers by a hash. A router that accepts all connections counted as ready however late it was.

A router that is late for 0.4 s reports that it isn't ready and lets its callers' connections end.

--- a/libcoltsfootdrum/relay/mech.c
+++ b/libcoltsfootdrum/relay/mech.c
@@ -30,8 +30,10 @@
   { "reject-pause", MECH_REJECT_PAUSE,
     "an endpoint that rejects requests gets a short pause" },
   { "load-readiness", MECH_LOAD_READINESS,
-    "a router that can't accept all connections reports that it isn't "
-    "ready" },
+    "a router that can't accept all connections, or is late, reports that "
+    "it isn't ready" },
+  { "load-shedding", MECH_LOAD_SHEDDING,
+    "a router without processor time refuses some new requests at once" },
   { "peer-updates", MECH_PEER_UPDATES,
     "changes of the store's lists come from the router that read them" },
 };
--- a/libcoltsfootdrum/relay/rdy.c
+++ b/libcoltsfootdrum/relay/rdy.c
@@ -5,8 +5,8 @@
 #include <glib.h>
 #include <math.h>
 
-/* Connections that are left waiting for this time are not a short burst.  */
-#define MIN_BACKLOGGED_MS 1000
+/* An overload of this time is not a short burst.  */
+#define MIN_OVERLOAD_MS 400
 /* The instance is not ready for MIN_HOLD_MS, and for twice as long each time
    that it is overloaded again within RELAPSE_MS of becoming ready.  The same
    clients return when it is ready, and the platform takes some seconds to send
@@ -22,7 +22,7 @@
 void
 rdy_init (rdy_t *rdy)
 {
-  *rdy = (rdy_t){ .backlogged_since = CFD_TIME_NEVER };
+  *rdy = (rdy_t){ .overloaded_since = CFD_TIME_NEVER };
 }
 
 static void
@@ -39,17 +39,18 @@
 rdy_update (rdy_t *rdy, cfd_time_t now, const rdy_sample_t *sample)
 {
   double span_ms = sample->busy_ms + sample->idle_ms;
+  bool is_overloaded = sample->backlogged || sample->is_late;
 
   if (span_ms > 0.)
     rdy->busy += (sample->busy_ms / span_ms - rdy->busy)
                  * (1. - exp (-span_ms / SMOOTHING_MS));
-  if (!sample->backlogged)
-    rdy->backlogged_since = CFD_TIME_NEVER;
-  else if (rdy->backlogged_since == CFD_TIME_NEVER)
-    rdy->backlogged_since = now;
-  else if (!rdy->not_ready && now - rdy->backlogged_since >= MIN_BACKLOGGED_MS)
+  if (!is_overloaded)
+    rdy->overloaded_since = CFD_TIME_NEVER;
+  else if (rdy->overloaded_since == CFD_TIME_NEVER)
+    rdy->overloaded_since = now;
+  else if (!rdy->not_ready && now - rdy->overloaded_since >= MIN_OVERLOAD_MS)
     set_not_ready (rdy, now);
-  if (!rdy->not_ready || now < rdy->not_ready_until || sample->backlogged
+  if (!rdy->not_ready || now < rdy->not_ready_until || is_overloaded
       || rdy->busy > MAX_READY_BUSY)
     return;
   rdy->not_ready = false;
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -54,10 +54,11 @@
   rly_settings_t settings;
   edp_set_t *endpoints;
   use_t *use;
-  pfx_t *pfx; /* not owned */
-  ret_t *ret; /* not owned */
-  lag_t *lag; /* not owned; may be NULL */
-  rol_t *rol; /* not owned; may be NULL */
+  pfx_t *pfx;       /* not owned */
+  ret_t *ret;       /* not owned */
+  lag_t *lag;       /* not owned; may be NULL */
+  const shd_t *shd; /* not owned; may be NULL */
+  rol_t *rol;       /* not owned; may be NULL */
   rte_table_t *table;
   list_node_t services; /* rly_service_t */
   list_node_t running;  /* rly_request_t */
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -13,6 +13,10 @@
 #define INITIAL_MS_PER_TOKEN (1. / 80.)
 /* Retry-After while there is no configuration.  */
 #define NO_CONFIG_RETRY_MS 500
+/* Retry-After of a request that is refused for lack of processor time: the
+   retry reaches another router, which may have some at once.  */
+#define MIN_SHED_RETRY_MS 100
+#define MAX_SHED_RETRY_MS 300
 /* Deadline of a request that gives none, and the longest one.  */
 #define DEFAULT_DEADLINE_MS 60000.
 #define MAX_DEADLINE_MS 3600000.
@@ -166,6 +170,12 @@
   rly->lag = lag;
 }
 
+void
+rly_set_shedding (rly_t *rly, const shd_t *shd)
+{
+  rly->shd = shd;
+}
+
 void
 rly_set_rollouts (rly_t *rly, rol_t *rol)
 {
@@ -331,7 +341,7 @@
 
 static void
 refuse_on_arrival (rly_t *rly, ent_call_t *call, unsigned status,
-                   const char *reason)
+                   const char *reason, int retry_ms)
 {
   const char *id
       = hdr_get (&ent_get_head (call)->fields, rly->names.request_id);
@@ -343,8 +353,7 @@
             id != NULL ? id : "", status, reason);
   rly->counts.refused++;
   if (status == 503)
-    fields = g_strdup_printf ("Retry-After: %.3f\r\n",
-                              NO_CONFIG_RETRY_MS / 1000.);
+    fields = g_strdup_printf ("Retry-After: %.3f\r\n", retry_ms / 1000.);
   ent_respond (call, status, fields, NULL, 0);
 }
 
@@ -393,6 +402,14 @@
   return request;
 }
 
+/* Returns whether a new request is refused because this router lacks processor
+   time.  */
+static bool
+must_shed (const rly_t *rly)
+{
+  return rly->shd != NULL && !shd_admits (rly->shd, g_random_double ());
+}
+
 void
 rly_on_request (void *user, ent_call_t *call)
 {
@@ -406,17 +423,28 @@
   cfd_time_t now = clock_now ();
 
   rly->counts.requests++;
+  if (must_shed (rly))
+    {
+      /* The retry comes on a new connection, by which it reaches another
+         router.  */
+      ent_close_after (call);
+      refuse_on_arrival (
+          rly, call, 503, "processor",
+          g_random_int_range (MIN_SHED_RETRY_MS, MAX_SHED_RETRY_MS));
+      return;
+    }
   if (rly->table == NULL || rly->is_draining)
     {
       refuse_on_arrival (rly, call, 503,
-                         rly->is_draining ? "shutdown" : "no-configuration");
+                         rly->is_draining ? "shutdown" : "no-configuration",
+                         NO_CONFIG_RETRY_MS);
       return;
     }
   route
       = host != NULL ? rte_find_route (rly->table, host, head->target) : NULL;
   if (route == NULL)
     {
-      refuse_on_arrival (rly, call, 404, "no-route");
+      refuse_on_arrival (rly, call, 404, "no-route", 0);
       return;
     }
   if (key != NULL)
@@ -424,7 +452,7 @@
   if (account == NULL && !route->allows_anonymous
       && rte_table_has_accounts (rly->table))
     {
-      refuse_on_arrival (rly, call, 401, "unknown-key");
+      refuse_on_arrival (rly, call, 401, "unknown-key", 0);
       return;
     }
   request = request_new (rly, call, route, account);
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -14,6 +14,7 @@
 #include "relay/ret.h"
 #include "relay/rol.h"
 #include "relay/rte.h"
+#include "relay/shd.h"
 #include "relay/use.h"
 
 /* Names of the header fields that callers and endpoints use, from the
@@ -86,6 +87,10 @@
 /* Refuses new requests from now on; accepted requests are completed.  */
 void rly_stop_accepting (rly_t *rly);
 
+/* Sets what decides whether a new request is admitted.  SHD is not owned;
+   without it all are.  */
+void rly_set_shedding (rly_t *rly, const shd_t *shd);
+
 /* Sets the number of routers of the fleet, this one included.  */
 void rly_set_router_count (rly_t *rly, unsigned routers);
 
--- a/libcoltsfootdrum/relay/test-rdy.c
+++ b/libcoltsfootdrum/relay/test-rdy.c
@@ -56,7 +56,7 @@
 
   fixture_init (&fixture);
   run_load (&fixture, 0.5, false, 5000);
-  run_load (&fixture, 1., true, 900);
+  run_load (&fixture, 1., true, 300);
   g_assert_true (rdy_is_ready (&fixture.rdy));
   run_load (&fixture, 1., true, 200);
   g_assert_false (rdy_is_ready (&fixture.rdy));
@@ -71,7 +71,7 @@
   fixture_init (&fixture);
   for (unsigned i = 0; i < 20; i++)
     {
-      run_load (&fixture, 1., true, 800);
+      run_load (&fixture, 1., true, 300);
       run_load (&fixture, 1., false, 50);
     }
   g_assert_true (rdy_is_ready (&fixture.rdy));
@@ -115,6 +115,24 @@
   g_assert_cmpint (fixture.rdy.hold_ms, ==, first);
 }
 
+/* Guards against a router that keeps its callers while it serves all of them
+   late, and others of its zone are idle.  */
+static void
+test_late (void)
+{
+  rdy_sample_t late = { .busy_ms = 200., .is_late = true };
+  fixture_t fixture;
+
+  fixture_init (&fixture);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      g_assert_true (rdy_is_ready (&fixture.rdy));
+      fixture.now += 200;
+      rdy_update (&fixture.rdy, fixture.now, &late);
+    }
+  g_assert_false (rdy_is_ready (&fixture.rdy));
+}
+
 /* A process that was paused is ready once it accepts all connections.  */
 static void
 test_pause (void)
@@ -139,6 +157,7 @@
   g_test_add_func ("/rdy/short-bursts", test_short_bursts);
   g_test_add_func ("/rdy/still-busy", test_still_busy);
   g_test_add_func ("/rdy/hysteresis", test_hysteresis);
+  g_test_add_func ("/rdy/late", test_late);
   g_test_add_func ("/rdy/pause", test_pause);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-rly.c
+++ b/libcoltsfootdrum/relay/test-rly.c
@@ -563,6 +563,49 @@
   scene_free (scene);
 }
 
+/* Guards against streams that get slower the more a router is behind: the
+   events of one read are written at once, not one by one.  */
+static void
+test_events_together (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E1 E2 E3 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller = scene_send_request (scene, CALL ("/events/", "1"));
+
+  scene_wait_for (scene, caller, "0\r\n\r\n");
+  g_assert_nonnull (
+      strstr (caller->text->str, "\r\n\r\n2d\r\nid: 1\ndata: a\n\nid: 2\n"));
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* Guards against a router without processor time that makes its callers wait.
+   They are refused at once and come back elsewhere.  */
+static void
+test_shed (void)
+{
+  static const scene_reply_t replies[]
+      = { { OK ("1", "x"), SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  shd_t shedding = { .admitted = 0. };
+  scene_caller_t *caller;
+
+  rly_set_shedding (scene->rly, &shedding);
+  caller = scene_send_request (scene, CALL ("/once/", "1"));
+  scene_wait_for (scene, caller, NULL);
+  g_assert_true (g_str_has_prefix (caller->text->str, "HTTP/1.1 503 "));
+  g_assert_nonnull (strstr (caller->text->str, "\r\nRetry-After: 0."));
+  g_assert_nonnull (strstr (caller->text->str, "\r\nConnection: close\r\n"));
+  g_assert_cmpuint (scene->requests_received, ==, 0);
+  scene_caller_free (caller);
+  shd_init (&shedding, 0);
+  caller = scene_send_request (scene, CALL ("/once/", "2"));
+  scene_wait_for (scene, caller, "\r\n\r\nx");
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 /* An older configuration doesn't replace a newer one.  */
 static void
 test_table_never_older (void)
@@ -673,6 +716,8 @@
   g_test_add_func ("/rly/pipelined", test_pipelined);
   g_test_add_func ("/rly/closed", test_closed);
   g_test_add_func ("/rly/table-never-older", test_table_never_older);
+  g_test_add_func ("/rly/events-together", test_events_together);
+  g_test_add_func ("/rly/shed", test_shed);
   g_test_add_func ("/rly/misdirected-kept", test_misdirected_kept);
   g_test_add_func ("/rly/spillover", test_spillover);
   return g_test_run ();
