Placement: all cells prefer the same endpoint for a long shared prefix

Cause: each cell has its own preferred endpoint for a prefix.

Change: a request whose shared prefix takes long enough to prefill has one more candidate, the endpoint that rendezvous hashing over the whole fleet gives the prefix. Its load is estimated from what the own cell's routers have there and from the own cell's mean. It is no candidate while it is closed or cold, for a request that failed before, or during a trial of a version. The latency estimate learns nothing from it, since what it caches is guessed.

Not built: hot prefixes copied between cells, prefixes divided by account.

--- a/libcoltsfootdrum/relay/edp-cells.c
+++ b/libcoltsfootdrum/relay/edp-cells.c
@@ -4,6 +4,7 @@
 #include "relay/edp-private.h"
 
 #include "relay/cel.h"
+#include <xxhash.h>
 
 void
 edp_service_free (void *data)
@@ -121,6 +122,40 @@
   return found != NULL ? found->all : NULL;
 }
 
+unsigned
+edp_set_get_cells (const edp_set_t *set)
+{
+  return set->cells;
+}
+
+uint64_t
+edp_compute_weight (const edp_t *edp, uint64_t prefix_id)
+{
+  return XXH3_64bits_withSeed (&edp->hash, sizeof edp->hash, prefix_id);
+}
+
+edp_t *
+edp_set_find_preferred (const edp_set_t *set, const char *service,
+                        cfd_time_t now, uint64_t prefix_id)
+{
+  const GPtrArray *all = edp_set_get_all (set, service);
+  edp_t *preferred = NULL;
+  uint64_t best = 0;
+
+  for (guint i = 0; all != NULL && i < all->len; i++)
+    {
+      edp_t *edp = g_ptr_array_index (all, i);
+      uint64_t weight = edp_compute_weight (edp, prefix_id);
+
+      if ((preferred != NULL && weight <= best) || edp->standing != EDP_CURRENT
+          || !edp_is_open (edp, now))
+        continue;
+      preferred = edp;
+      best = weight;
+    }
+  return preferred;
+}
+
 unsigned
 edp_set_get_epoch (const edp_set_t *set)
 {
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -102,6 +102,16 @@
 const GPtrArray *edp_set_get_near (const edp_set_t *set, const char *service);
 /* Returns all endpoints of SERVICE likewise.  */
 const GPtrArray *edp_set_get_all (const edp_set_t *set, const char *service);
+/* Returns the number of cells that the fleet is divided into.  */
+unsigned edp_set_get_cells (const edp_set_t *set);
+/* Returns the open endpoint of SERVICE that the routers of all cells prefer
+   for prompts with the prefix PREFIX_ID, by rendezvous hashing; NULL when none
+   is open.  */
+edp_t *edp_set_find_preferred (const edp_set_t *set, const char *service,
+                               cfd_time_t now, uint64_t prefix_id);
+/* Returns the weight of EDP for the prefix PREFIX_ID: the endpoint with the
+   highest is preferred.  */
+uint64_t edp_compute_weight (const edp_t *edp, uint64_t prefix_id);
 /* Returns a number that changes when an endpoint comes or goes.  */
 unsigned edp_set_get_epoch (const edp_set_t *set);
 /* Records that a request is sent to EDP, which may be of another cell.  */
--- a/libcoltsfootdrum/relay/plc.c
+++ b/libcoltsfootdrum/relay/plc.c
@@ -10,6 +10,9 @@
    so that routers without information about caches choose the same
    endpoint.  */
 #define NOT_PREFERRED_COST_MS 8.
+/* Added for an endpoint of another cell: mostly a connection has to be opened,
+   and its load is only estimated.  */
+#define OTHER_CELL_COST_MS 6.
 /* Added for running requests, in proportion to the load: engines generate
    their tokens between the chunks of a new request's prompt.  */
 #define FULL_LOAD_COST_MS 60.
@@ -124,7 +127,8 @@
                * endpoint->missing_tokens
          + compute_load (endpoint) * FULL_LOAD_COST_MS
          + (endpoint->is_preferred ? 0. : NOT_PREFERRED_COST_MS)
-         + (endpoint->in_other_zone ? request->other_zone_cost_ms : 0.);
+         + (endpoint->in_other_zone ? request->other_zone_cost_ms : 0.)
+         + (endpoint->in_other_cell ? OTHER_CELL_COST_MS : 0.);
 }
 
 int
--- a/libcoltsfootdrum/relay/plc.h
+++ b/libcoltsfootdrum/relay/plc.h
@@ -31,6 +31,7 @@
   double kv_capacity_tokens; /* size of the KV cache; 0: unknown */
   bool is_preferred;  /* the preferred endpoint of the prompt's prefix */
   bool in_other_zone; /* not in the router's availability zone */
+  bool in_other_cell; /* the router has hardly any connections to it */
   bool is_excluded;   /* the request must not go there */
 } plc_endpoint_t;
 
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -42,6 +42,9 @@
 #define DEFAULT_COLD_PER_S 4.
 /* Endpoints of other cells that a placement round considers.  */
 #define SPILLOVER_ENDPOINTS 8
+/* Time to prefill a shared prefix from which on a request may go to another
+   cell, where the prefix is cached: several times that of a new connection. */
+#define MIN_REMOTE_PREFIX_MS 10.
 /* Slots of an endpoint when neither its report nor its service gives them.  */
 #define DEFAULT_SLOTS 8
 
@@ -148,6 +151,20 @@
     }
 }
 
+static void
+compute_means (rly_round_t *round)
+{
+  guint count = MAX (round->count, 1);
+
+  round->mean_active = 0.;
+  round->mean_prefill = 0.;
+  for (guint i = 0; i < round->count; i++)
+    {
+      round->mean_active += (double)round->loads[i].active / count;
+      round->mean_prefill += round->loads[i].pending_prefill / count;
+    }
+}
+
 void
 rly_begin_round (rly_round_t *round, rly_t *rly, rly_service_t *service,
                  cfd_time_t now)
@@ -165,11 +182,13 @@
   round->rollout = rol_find (rly->rol, service->name);
   round->count = 0;
   round->canary_count = 0;
+  round->has_remote = false;
   add_endpoints (round, near, EDP_CURRENT);
   if (round->count == 0)
     add_spillover (round, edp_set_get_all (rly->endpoints, service->name));
   if (round->rollout != NULL)
     add_endpoints (round, near, EDP_CANARY);
+  compute_means (round);
 }
 
 /* Returns the cost of sending REQUEST and its answer between availability
@@ -197,18 +216,67 @@
   for (guint i = 0; prefix_id != 0 && i < round->count; i++)
     {
       const edp_t *edp = round->endpoints[i];
-      uint64_t score
-          = XXH3_64bits_withSeed (&edp->hash, sizeof edp->hash, prefix_id);
+      uint64_t weight = edp_compute_weight (edp, prefix_id);
 
-      if (preferred == NULL || score > best)
+      if (preferred == NULL || weight > best)
         {
           preferred = edp;
-          best = score;
+          best = weight;
         }
     }
   return preferred;
 }
 
+/* Returns the load of EDP, which is of another cell: what the routers of each
+   cell send there for its prefixes, which is known of this cell alone, and the
+   usual load of its own cell.  */
+static plc_endpoint_t
+estimate_remote_load (const rly_round_t *round, edp_t *edp)
+{
+  unsigned cells = edp_set_get_cells (round->rly->endpoints);
+  plc_endpoint_t load = collect_load (round, edp);
+
+  load.active = load.active * cells + (unsigned)ceil (round->mean_active);
+  load.pending_prefill = load.pending_prefill * cells + round->mean_prefill;
+  load.context_tokens *= cells;
+  load.in_other_cell = true;
+  return load;
+}
+
+/* Adds the endpoint that the routers of all cells prefer for the prefix of
+   REQUEST, unless it is of this cell.  If each cell used an endpoint of its
+   own, a long prefix would be prefilled once in each.  */
+static void
+add_remote (rly_round_t *round, const rly_request_t *request)
+{
+  const pfx_prompt_t *prompt = request->prompt;
+  const rly_t *rly = round->rly;
+  edp_t *edp;
+
+  if (edp_set_get_cells (rly->endpoints) == 1 || round->canary_count > 0
+      || round->count == RLY_MAX_ENDPOINTS || request->tries > 0
+      || !rly_is_enabled (rly, MECH_PREFIX_AFFINITY)
+      || pfx_prompt_get_shared_id (prompt) == 0
+      || pfx_prompt_count_shared_tokens (prompt) * round->ms_per_token
+             < MIN_REMOTE_PREFIX_MS)
+    return;
+  edp = edp_set_find_preferred (rly->endpoints, round->service->name,
+                                round->now, pfx_prompt_get_shared_id (prompt));
+  /* The warm-up rate of a cold endpoint is shared out in its own cell.  */
+  if (edp == NULL || edp->is_near || round->now < edp->cold_until)
+    return;
+  round->has_remote = true;
+  round->endpoints[round->count] = edp;
+  round->loads[round->count] = estimate_remote_load (round, edp);
+}
+
+/* Returns the number of endpoints that the current request may go to.  */
+static guint
+count_candidates (const rly_round_t *round)
+{
+  return round->count + round->canary_count + round->has_remote;
+}
+
 /* Returns the milliseconds that an endpoint needs to copy TOKENS of a cached
    prefix from another one; 0 when the service has no transfers.  */
 static double
@@ -252,10 +320,11 @@
 {
   const pfx_prompt_t *prompt = request->prompt;
   bool affinity = rly_is_enabled (round->rly, MECH_PREFIX_AFFINITY);
-  const edp_t *preferred
-      = affinity ? find_preferred_endpoint (round, prompt) : NULL;
+  const edp_t *preferred = affinity && !round->has_remote
+                               ? find_preferred_endpoint (round, prompt)
+                               : NULL;
   double shared = pfx_prompt_count_shared_tokens (prompt);
-  guint count = round->count + round->canary_count;
+  guint count = count_candidates (round);
 
   round->source = 0;
   for (guint i = 0; i < count; i++)
@@ -263,7 +332,7 @@
       round->cached_tokens[i] = pfx_count_cached_tokens (
           round->rly->pfx, round->now, round->endpoints[i]->hash, prompt);
       /* A copy from a canary would count as its request.  */
-      if (i < round->count
+      if (i < round->count + round->has_remote
           && round->cached_tokens[i] > round->cached_tokens[round->source])
         round->source = i;
     }
@@ -274,6 +343,12 @@
           = affinity ? shared - round->cached_tokens[i] : 0.;
       round->loads[i].is_preferred = round->endpoints[i] == preferred;
     }
+  /* Wherever it is prefilled for the first time, it should be there.  */
+  if (round->has_remote)
+    {
+      round->loads[round->count].missing_tokens = 0.;
+      round->loads[round->count].is_preferred = true;
+    }
   return round->count > 0
          && round->cached_tokens[round->source]
                 >= shared * (1. - MAX_MISSING_SHARE);
@@ -360,7 +435,7 @@
 static void
 exclude_failed (rly_round_t *round, const rly_request_t *request)
 {
-  guint count = round->count + round->canary_count;
+  guint count = count_candidates (round);
   bool is_retry = request->failed_count > 0;
   bool has_other = is_retry && has_alternative (round, request);
 
@@ -413,12 +488,14 @@
   request->fetch_ms = request->prompt != NULL ? load->fetch_ms : 0.;
   if (request->fetch_ms > 0.)
     source = round->endpoints[round->source];
+  request->is_remote = load->in_other_cell;
   if (!rly_send (request, edp, source, round->now))
     {
       load->slots = 0;
       return false;
     }
-  *load = collect_load (round, edp);
+  if (!request->is_remote)
+    *load = collect_load (round, edp);
   return true;
 }
 
@@ -430,6 +507,7 @@
 
   if (!round->has_free_slot)
     return false;
+  round->has_remote = false;
   constraints = make_constraints (round, request);
   exclude_failed (round, request);
   /* At high load all endpoints are full for most requests.  For these the
@@ -437,11 +515,14 @@
   if (!plc_has_candidate (round->loads, round->count + round->canary_count,
                           &constraints))
     return false;
+  if (request->prompt != NULL)
+    add_remote (round, request);
   if (request->prompt != NULL && set_prompt_work (round, request))
     constraints.max_missing_tokens = compute_max_missing_tokens (request);
   chosen = choose_canary (round, request, &constraints);
   if (chosen < 0)
-    chosen = plc_choose_endpoint (round->loads, round->count, &constraints);
+    chosen = plc_choose_endpoint (
+        round->loads, round->count + round->has_remote, &constraints);
   /* A busy router reads a request and, an iteration later, the end of its
      connection.  Without this check, an endpoint would already work for a
      caller who has disconnected.  */
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -122,6 +122,7 @@
   double context_tokens;  /* KV cache that it uses */
   double fetch_ms;        /* time to copy a cached prefix to the endpoint */
   bool is_canary;         /* the endpoint is of a version on trial */
+  bool is_remote;         /* the endpoint is of another cell */
   bool is_warming_up;     /* the endpoint was cold when it was sent */
   double expected_ms;     /* time to the first byte, at the time of sending */
   cfd_time_t first_byte_at; /* of this exchange; 0: none yet */
@@ -170,9 +171,14 @@
   double ms_per_token;
   bool has_free_slot;     /* at any endpoint */
   bool has_exclusions;    /* of the last request */
+  double mean_active;     /* running requests of an endpoint */
+  double mean_prefill;    /* pending prefill work of an endpoint */
   rol_rollout_t *rollout; /* in progress; NULL: none */
   guint count;            /* of endpoints without canaries, which come first */
   guint canary_count;
+  /* An endpoint of another cell, for the current request, follows the COUNT
+     others.  There is none while there are canaries.  */
+  bool has_remote;
   edp_t *endpoints[RLY_MAX_ENDPOINTS];
   plc_endpoint_t loads[RLY_MAX_ENDPOINTS];
   double cached_tokens[RLY_MAX_ENDPOINTS]; /* of the current prompt */
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -99,7 +99,7 @@
 static void
 record_first_token (rly_request_t *request, cfd_time_t now)
 {
-  if (request->is_canary)
+  if (request->is_canary || request->is_remote)
     return;
   fit_add (&request->service->first_token_fit, request->prefill_ahead,
            (double)(now - request->sent_at) - request->fetch_ms);
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -378,6 +378,64 @@
   ev_loop_destroy (loop);
 }
 
+#define FLEET_CELLS 4
+#define FLEET_ENDPOINTS 640
+#define FLEET_PREFIXES 1400
+
+static edp_set_t *
+cell_new (struct ev_loop *loop, unsigned cell)
+{
+  edp_set_t *set = edp_set_new (loop);
+  GPtrArray *reports = g_ptr_array_new ();
+
+  for (unsigned i = 0; i < FLEET_ENDPOINTS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("e%u", i);
+
+      g_ptr_array_add (reports, report (id, 1, 0));
+    }
+  edp_set_update (set, NOW, reports, true, COLD_MS);
+  edp_set_choose_cell (set, cell, FLEET_CELLS);
+  return set;
+}
+
+/* Guards against a shared prefix that is prefilled in each cell of a divided
+   fleet: the routers of all cells prefer the same endpoint, also when the
+   first one is closed.  The prefixes are spread over the endpoints.  */
+static void
+test_preferred (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  edp_set_t *sets[FLEET_CELLS];
+  g_autoptr (GHashTable) counts = g_hash_table_new (g_str_hash, g_str_equal);
+  guint busiest = 0;
+
+  for (unsigned i = 0; i < FLEET_CELLS; i++)
+    {
+      sets[i] = cell_new (loop, i);
+      edp_record_failure (edp_set_find (sets[i], "e7"), NOW);
+    }
+  for (uint64_t prefix = 1; prefix <= FLEET_PREFIXES; prefix++)
+    {
+      const char *id
+          = edp_set_find_preferred (sets[0], "app", NOW, prefix)->report->id;
+      guint count = GPOINTER_TO_UINT (g_hash_table_lookup (counts, id)) + 1;
+
+      g_assert_cmpstr (id, !=, "e7");
+      for (unsigned i = 1; i < FLEET_CELLS; i++)
+        g_assert_cmpstr (
+            edp_set_find_preferred (sets[i], "app", NOW, prefix)->report->id,
+            ==, id);
+      g_hash_table_insert (counts, (char *)id, GUINT_TO_POINTER (count));
+      busiest = MAX (busiest, count);
+    }
+  g_assert_cmpuint (busiest, <=, 6 * FLEET_PREFIXES / FLEET_ENDPOINTS);
+  g_assert_null (edp_set_find_preferred (sets[0], "none", NOW, 1));
+  for (unsigned i = 0; i < FLEET_CELLS; i++)
+    edp_set_free (sets[i]);
+  ev_loop_destroy (loop);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -397,5 +455,6 @@
   g_test_add_func ("/edp/gives-back", test_rejections);
   g_test_add_func ("/edp/kept", test_kept);
   g_test_add_func ("/edp/cells", test_cells);
+  g_test_add_func ("/edp/preferred", test_preferred);
   return g_test_run ();
 }
