Peers: the usage of accounts is sent when it changes

Cause: each full state of a router had a row for each account of the last eighteen seconds or so (sums decay from thousands of tokens to one), three times a second to all routers of its cell: most of the bytes between zones. Change: rows of the accounts that had requests since the last full state, and all rows every 1.5 s. The others' sums decay as the sender's do, so that they stay equal between (`/pal/usage-refresh`).

--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -8,6 +8,9 @@
 /* Prefixes and refusals are repeated in all full datagrams of this time, since
    datagrams may be lost.  */
 #define RESEND_MS 150
+/* Interval at which the usage of all accounts is sent, for routers that have
+   started or missed a datagram.  */
+#define USAGE_REFRESH_MS 1500
 
 static void
 pack_text (msgpack_packer *packer, const char *text)
@@ -131,17 +134,29 @@
     }
 }
 
+/* Packs the usage of the accounts that had requests since the last full state,
+   and at intervals of all: the others' sums decay there as they do here.  */
 static void
 pack_usage (pal_t *pal, msgpack_packer *packer, cfd_time_t now,
             pal_content_t content)
 {
+  cfd_time_t since = pal->usage_sent_at;
   guint accounts = 0;
 
-  if (content == PAL_FULL)
-    use_foreach_own (pal->use, now, count_account, &accounts);
+  if (content != PAL_FULL)
+    {
+      msgpack_pack_array (packer, 0);
+      return;
+    }
+  if (now - pal->usage_refreshed_at >= USAGE_REFRESH_MS)
+    {
+      since = 0;
+      pal->usage_refreshed_at = now;
+    }
+  pal->usage_sent_at = now;
+  use_foreach_own (pal->use, now, since, count_account, &accounts);
   msgpack_pack_array (packer, (size_t)accounts * 3);
-  if (content == PAL_FULL)
-    use_foreach_own (pal->use, now, pack_account, packer);
+  use_foreach_own (pal->use, now, since, pack_account, packer);
 }
 
 static void
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -750,6 +750,33 @@
   router_free (&here);
 }
 
+/* Guards against datagrams that grow with all accounts of the last seconds:
+   the usage of an account without new requests is sent at intervals.  A router
+   that missed it learns it then.  */
+static void
+test_usage_refresh (void)
+{
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  g_autoptr (GByteArray) lost = NULL;
+  double served;
+
+  use_add_served (one.use, NOW - 100, "mill", 4000.);
+  lost = pal_pack (one.pal, NOW, PAL_FULL);
+  deliver (&one, &here, NOW + 300, PAL_FULL);
+  g_assert_cmpfloat (use_total (here.use, NOW + 300, "mill").served, ==, 0.);
+  use_add_served (one.use, NOW + 400, "branch", 100.);
+  deliver (&one, &here, NOW + 600, PAL_FULL);
+  g_assert_cmpfloat (use_total (here.use, NOW + 600, "branch").served, >, 50.);
+  deliver (&one, &here, NOW + 2000, PAL_FULL);
+  served = use_total (one.use, NOW + 2000, "mill").served;
+  g_assert_cmpfloat (served, >, 500.);
+  g_assert_cmpfloat_with_epsilon (
+      use_total (here.use, NOW + 2000, "mill").served, served, 1.);
+  router_free (&here);
+  router_free (&one);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -778,5 +805,6 @@
   g_test_add_func ("/pal/invalid", test_invalid);
   g_test_add_func ("/pal/list-limits", test_list_limits);
   g_test_add_func ("/pal/update", test_update);
+  g_test_add_func ("/pal/usage-refresh", test_usage_refresh);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/use.c
+++ b/libcoltsfootdrum/relay/use.c
@@ -175,7 +175,7 @@
 }
 
 void
-use_foreach_own (use_t *use, cfd_time_t now,
+use_foreach_own (use_t *use, cfd_time_t now, cfd_time_t since,
                  void (*callback) (void *user, const char *account,
                                    const use_sum_t *own),
                  void *user)
@@ -187,8 +187,11 @@
   g_hash_table_iter_init (&each, use->accounts);
   while (g_hash_table_iter_next (&each, &name, &account))
     {
-      use_sum_t own = decay (use, &((use_account_t *)account)->own, now);
+      const use_decayed_t *decayed = &((use_account_t *)account)->own;
+      use_sum_t own = decay (use, decayed, now);
 
+      if (decayed->at < since)
+        continue;
       if (own.demand >= EMPTY_SUM_TOKENS || own.served >= EMPTY_SUM_TOKENS)
         callback (user, name, &own);
     }
--- a/libcoltsfootdrum/relay/use.h
+++ b/libcoltsfootdrum/relay/use.h
@@ -42,8 +42,9 @@
 /* Returns the sums of ACCOUNT over all routers.  */
 use_sum_t use_total (const use_t *use, cfd_time_t now, const char *account);
 
-/* Calls CALLBACK for each account with usage at this router.  */
-void use_foreach_own (use_t *use, cfd_time_t now,
+/* Calls CALLBACK for each account with usage at this router that had a request
+   since SINCE.  */
+void use_foreach_own (use_t *use, cfd_time_t now, cfd_time_t since,
                       void (*callback) (void *user, const char *account,
                                         const use_sum_t *own),
                       void *user);
