--- a/tests/fuzz-frames.c
+++ b/tests/fuzz-frames.c
@@ -5,7 +5,8 @@
 
      CC=clang meson setup build-fuzz -Dfuzz=true
      ninja -C build-fuzz tests/fuzz-frames
-     build-fuzz/tests/fuzz-frames -max_total_time=60  */
+     build-fuzz/tests/fuzz-frames -max_total_time=60 \
+       -artifact_prefix=build-fuzz/  */
 
 #include "wire/msg-state.h"
 #include "wire/msg.h"
--- a/tests/fuzz-http.c
+++ b/tests/fuzz-http.c
@@ -4,7 +4,8 @@
 
      CC=clang meson setup build-fuzz -Dfuzz=true
      ninja -C build-fuzz tests/fuzz-http
-     build-fuzz/tests/fuzz-http -max_total_time=60  */
+     build-fuzz/tests/fuzz-http -max_total_time=60 \
+       -artifact_prefix=build-fuzz/  */
 
 #include "relay/evs.h"
 #include "relay/pfx.h"
--- a/tests/fuzz-json.c
+++ b/tests/fuzz-json.c
@@ -3,7 +3,8 @@
 
      CC=clang meson setup build-fuzz -Dfuzz=true
      ninja -C build-fuzz tests/fuzz-json
-     build-fuzz/tests/fuzz-json -max_total_time=60  */
+     build-fuzz/tests/fuzz-json -max_total_time=60 \
+       -artifact_prefix=build-fuzz/  */
 
 #include "base/jsn.h"
 #include "base/log.h"
