--- a/libcoltsfootdrum/relay/lag.c
+++ b/libcoltsfootdrum/relay/lag.c
@@ -124,7 +124,7 @@
 }
 
 int64_t
-lag_get_datagram_delay_ms (const lag_sums_t *sums, int64_t late_ms)
+lag_get_load_delay_ms (const lag_sums_t *sums, int64_t late_ms)
 {
   return MAX (late_ms - sums->us[LAG_LISTS] / 1000, 0);
 }
--- a/libcoltsfootdrum/relay/lag.h
+++ b/libcoltsfootdrum/relay/lag.h
@@ -52,12 +52,12 @@
 /* Adds SUMS to TOTAL.  */
 void lag_add_sums (lag_sums_t *total, const lag_sums_t *sums);
 
-/* Returns by how much datagrams were read late, when a tick was LATE_MS late
-   and SUMS is the work before it.  The time for the platform's lists doesn't
-   count: a router that has just read a list needs no datagram about it.  A
-   router that lags reads each list for itself; if reading counted as lag, that
-   would never end.  */
-int64_t lag_get_datagram_delay_ms (const lag_sums_t *sums, int64_t late_ms);
+/* Returns by how much callers and datagrams delayed the loop, when a tick was
+   LATE_MS late and SUMS is the work before it.  The time for the platform's
+   lists doesn't count.  It is no load by callers, and a router that has just
+   read a list needs no datagram about it.  A router that lags reads each list
+   for itself; if reading counted as lag, that would never end.  */
+int64_t lag_get_load_delay_ms (const lag_sums_t *sums, int64_t late_ms);
 
 /* Appends the time spent on each kind since the start to OUT, in Prometheus'
    text format.  */
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -43,8 +43,8 @@
 /* Endpoints of other cells that a placement round considers.  */
 #define SPILLOVER_ENDPOINTS 8
 /* Time to prefill a shared prefix from which on a request may go to another
-   cell, where the prefix is cached: several times that of a new connection. */
-#define MIN_REMOTE_PREFIX_MS 10.
+   cell, where the prefix is cached: about that to open a connection.  */
+#define MIN_REMOTE_PREFIX_MS 3.
 /* Slots of an endpoint when neither its report nor its service gives them.  */
 #define DEFAULT_SLOTS 8
 
--- a/libcoltsfootdrum/relay/test-lag.c
+++ b/libcoltsfootdrum/relay/test-lag.c
@@ -91,9 +91,9 @@
   lag_sums_t lists = { .us = { [LAG_LISTS] = 380000, [LAG_CALLERS] = 9000 } };
   lag_sums_t datagrams = { .us = { [LAG_DATAGRAMS] = 380000 } };
 
-  g_assert_cmpint (lag_get_datagram_delay_ms (&lists, 400), ==, 20);
-  g_assert_cmpint (lag_get_datagram_delay_ms (&lists, 300), ==, 0);
-  g_assert_cmpint (lag_get_datagram_delay_ms (&datagrams, 400), ==, 400);
+  g_assert_cmpint (lag_get_load_delay_ms (&lists, 400), ==, 20);
+  g_assert_cmpint (lag_get_load_delay_ms (&lists, 300), ==, 0);
+  g_assert_cmpint (lag_get_load_delay_ms (&datagrams, 400), ==, 400);
 }
 
 int
