Entry: what waits for slow clients is bounded by the instance's memory

Cause: each caller of a stream might have 1 MB waiting, whatever the memory; hundreds of slow ones end a process of 120 MB. The limit of one caller, at which its endpoint is no longer read, falls from 1 MB to 16 KB as the budget is used up; beyond it callers that have read nothing for two seconds are cut off, with a log line that names bytes and time. Measured: /ent/slow-clients, 24 clients that read nothing of 8 MB each, 64 MB for all. Not bounded yet: bodies of requests, and whole answers of 8 MB at most.

--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -32,6 +32,15 @@
 #define MAX_PIPELINED_BYTES 65536
 /* Interval at which the time-outs of all connections are checked.  */
 #define TIMEOUT_CHECK_INTERVAL_MS 100
+/* Bytes that may wait for one client.  A client that is as fast as its network
+   rarely needs more than the minimum.  */
+#define MIN_UNSENT_LIMIT 16384u
+#define MAX_UNSENT_LIMIT 1048576u
+/* Part of what is left of the budget that one more client may use.  */
+#define UNSENT_LIMIT_DIVISOR 16u
+/* A client that read nothing for this time is cut off when memory is short.
+   Endpoints cut off answers that are not read for some seconds anyway.  */
+#define MAX_STALLED_MS 2000
 /* Before a connection is closed, further input is read and discarded for this
    time: closing a socket with unread bytes resets the connection, and the
    client might lose the response.  */
@@ -52,6 +61,8 @@
   bool draining;
   bool is_closing;       /* see ent_set_closing */
   cfd_time_t checked_at; /* time-outs */
+  size_t unsent_budget;  /* see ent_set_unsent_budget */
+  size_t unsent_total;   /* at the last check */
 };
 
 typedef enum
@@ -74,7 +85,9 @@
   GString *head;         /* of a response, not written yet; NULL: none */
   void *data;
   cfd_time_t state_since;
-  cfd_time_t started; /* start of the request */
+  cfd_time_t started;      /* start of the request */
+  size_t unsent;           /* at the last check */
+  cfd_time_t unsent_since; /* since when the client has read nothing */
   state_t state;
   bool head_done;
   bool too_large;
@@ -447,6 +460,80 @@
     }
 }
 
+void
+ent_set_unsent_budget (ent_t *ent, size_t bytes)
+{
+  ent->unsent_budget = bytes;
+}
+
+size_t
+ent_get_unsent_total (const ent_t *ent)
+{
+  return ent->unsent_total;
+}
+
+size_t
+ent_get_unsent_limit (const ent_call_t *call)
+{
+  const ent_t *ent = call->ent;
+  size_t left;
+
+  if (ent->unsent_budget == 0)
+    return MAX_UNSENT_LIMIT;
+  left = ent->unsent_budget - MIN (ent->unsent_total, ent->unsent_budget);
+  return CLAMP (left / UNSENT_LIMIT_DIVISOR, MIN_UNSENT_LIMIT,
+                MAX_UNSENT_LIMIT);
+}
+
+/* Notes whether the client has read since the last check, and returns the
+   bytes that wait for it.  */
+static size_t
+update_unsent (ent_call_t *call, cfd_time_t now)
+{
+  size_t unsent = con_get_unsent_bytes (call->con);
+
+  if (unsent == 0 || unsent < call->unsent || call->unsent == 0)
+    call->unsent_since = now;
+  call->unsent = unsent;
+  return unsent;
+}
+
+/* Cuts off the client of CALL, which reads nothing.  */
+static void
+cut_stalled (ent_call_t *call, cfd_time_t now)
+{
+  log_warn ("entry",
+            "A client was cut off, as it reads nothing and memory is short: "
+            "unsent=%zu stalled_ms=%" G_GINT64_FORMAT " total=%zu.",
+            call->unsent, now - call->unsent_since, call->ent->unsent_total);
+  call->ent->unsent_total -= MIN (call->unsent, call->ent->unsent_total);
+  if (call->state == STATE_SERVING)
+    call->ent->ops.disconnected (call->ent->user, call);
+  call_free (call);
+}
+
+static void
+check_unsent (ent_t *ent, cfd_time_t now)
+{
+  ent->unsent_total = 0;
+  list_for_each (node, &ent->calls)
+    {
+      ent->unsent_total
+          += update_unsent (list_entry (node, ent_call_t, node), now);
+    }
+  if (ent->unsent_budget == 0)
+    return;
+  list_for_each_safe (node, &ent->calls)
+    {
+      ent_call_t *call = list_entry (node, ent_call_t, node);
+
+      if (ent->unsent_total <= ent->unsent_budget)
+        return;
+      if (call->unsent > 0 && now - call->unsent_since > MAX_STALLED_MS)
+        cut_stalled (call, now);
+    }
+}
+
 void
 ent_tick (ent_t *ent, cfd_time_t now)
 {
@@ -455,6 +542,7 @@
   if (now - ent->checked_at < TIMEOUT_CHECK_INTERVAL_MS)
     return;
   ent->checked_at = now;
+  check_unsent (ent, now);
   list_for_each_safe (node, &ent->calls)
     {
       enforce_timeouts (list_entry (node, ent_call_t, node), now, idle_ms);
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -9,9 +9,6 @@
 /* Largest body of an answer that is not a stream.  These are buffered, so that
    the answer is checked before it is forwarded.  */
 #define MAX_BODY_BYTES 8388608
-/* Limit for a caller that reads its stream slowly.  With more unsent bytes,
-   reading from the endpoint pauses until all are sent.  */
-#define MAX_UNSENT_BYTES 1048576
 /* Retry-After of a request that its endpoint rejected: about the time until
    the endpoint has a free slot.  */
 #define REJECTED_RETRY_MS 150
@@ -182,8 +179,11 @@
   if (!request->answer.is_stream)
     return;
   forward_body (request);
+  /* The caller reads its stream slowly.  The endpoint's answer waits at the
+     endpoint until all is sent.  */
   if (request->read_paused || request->exchange == NULL
-      || ent_get_unsent_bytes (request->call) <= MAX_UNSENT_BYTES)
+      || ent_get_unsent_bytes (request->call)
+             <= ent_get_unsent_limit (request->call))
     return;
   request->read_paused = true;
   ups_set_read_paused (request->exchange, true);
--- a/libcoltsfootdrum/relay/test-ent.c
+++ b/libcoltsfootdrum/relay/test-ent.c
@@ -122,11 +122,67 @@
   fixture_clear (&fixture);
 }
 
+#define SLOW_CLIENTS 24
+#define ANSWER_BYTES 8388608
+#define BUDGET_BYTES 67108864
+
+static void
+on_large_request (void *user, ent_call_t *call)
+{
+  g_autofree char *body = g_malloc0 (ANSWER_BYTES);
+
+  ent_respond (call, 200, NULL, body, ANSWER_BYTES);
+}
+
+static void
+run_for (fixture_t *fixture, cfd_time_t now)
+{
+  for (unsigned i = 0; i < 20; i++)
+    {
+      ev_run (fixture->loop, EVRUN_NOWAIT);
+      ent_tick (fixture->ent, now + i);
+    }
+}
+
+/* Guards against a process that ends out of memory because clients don't read
+   their answers: beyond the budget those are cut off that read nothing.  */
+static void
+test_slow_clients (void)
+{
+  static const ent_ops_t ops = { on_large_request, on_disconnected };
+  static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  fixture_t fixture = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  g_autofree char *address = NULL;
+  int fds[SLOW_CLIENTS];
+
+  fixture.ent = ent_new (fixture.loop, "127.0.0.1:0", &ops, NULL, NULL);
+  ent_set_unsent_budget (fixture.ent, BUDGET_BYTES);
+  address = g_strdup_printf ("127.0.0.1:%u", ent_get_port (fixture.ent));
+  g_assert_true (addr_parse (address, &fixture.address, NULL));
+  for (unsigned i = 0; i < SLOW_CLIENTS; i++)
+    {
+      fds[i] = addr_connect (&fixture.address);
+      run_for (&fixture, 1000);
+      g_assert_cmpint (send (fds[i], request, sizeof request - 1, 0), ==,
+                       sizeof request - 1);
+    }
+  run_for (&fixture, 2000);
+  g_assert_cmpuint (ent_get_unsent_total (fixture.ent), >, BUDGET_BYTES);
+  g_assert_cmpuint (ent_count_connections (fixture.ent), ==, SLOW_CLIENTS);
+  run_for (&fixture, 5000);
+  g_assert_cmpuint (ent_get_unsent_total (fixture.ent), <=, BUDGET_BYTES);
+  g_assert_cmpuint (ent_count_connections (fixture.ent), >, 0);
+  for (unsigned i = 0; i < SLOW_CLIENTS; i++)
+    close (fds[i]);
+  fixture_clear (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/ent/burst", test_burst);
   g_test_add_func ("/ent/left-waiting", test_left_waiting);
+  g_test_add_func ("/ent/slow-clients", test_slow_clients);
   return g_test_run ();
 }
