--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -322,6 +322,17 @@
   return ent;
 }
 
+void
+ent_set_accepting (ent_t *ent, bool is_accepting)
+{
+  if (ent->listener.fd < 0)
+    return;
+  if (is_accepting)
+    ev_io_start (ent->loop, &ent->listener);
+  else
+    ev_io_stop (ent->loop, &ent->listener);
+}
+
 void
 ent_close_listener (ent_t *ent)
 {
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -39,6 +39,10 @@
                 const ent_ops_t *ops, void *user, GError **error);
 void ent_free (ent_t *ent);
 
+/* Sets whether connections are accepted, as they are at first.  Otherwise they
+   wait in the kernel's queue.  */
+void ent_set_accepting (ent_t *ent, bool is_accepting);
+
 /* Returns true when, since the last call of this function, a wakeup accepted
    as many connections as it may, so that more were probably waiting.  */
 bool ent_test_and_clear_backlogged (ent_t *ent);
