Relay: shedding only while the loop is busy; connections are kept

There callers repeat at once and often; three of a zone's five routers report that they aren't ready, so that the platform uses all again, and closing connections then made each request a new connection. The routers shed requests while they idled for 15 to 45 % of the time: one turn with many new connections is late. Change: connections are kept; the admitted share falls, and lateness counts against readiness, only while the loop is busy for 90 % of the time.

--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -59,7 +59,6 @@
   unsigned accepted; /* since the start */
   bool backlogged;   /* since the last query */
   bool draining;
-  bool is_closing;       /* see ent_set_closing */
   cfd_time_t checked_at; /* time-outs */
   size_t unsent_budget;  /* see ent_set_unsent_budget */
   size_t unsent_total;   /* at the last check */
@@ -411,12 +410,6 @@
     }
 }
 
-void
-ent_set_closing (ent_t *ent, bool is_closing)
-{
-  ent->is_closing = is_closing;
-}
-
 /* Starts to close the connection; further input is read and discarded.  */
 static void
 start_close (ent_call_t *call)
@@ -613,8 +606,6 @@
 {
   GString *text = g_string_sized_new (512);
 
-  if (call->ent->is_closing)
-    call->reusable = false;
   g_string_append_printf (text, "HTTP/1.1 %u %s\r\n", status,
                           http_status_str (status));
   if (fields != NULL)
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -87,10 +87,6 @@
 /* Closes the connection after the response to CALL.  */
 void ent_close_after (ent_call_t *call);
 
-/* Sets whether each response asks its client to close the connection, so that
-   the client's next request may reach another instance.  */
-void ent_set_closing (ent_t *ent, bool is_closing);
-
 /* Sends a complete response.  FIELDS are formatted header lines, or NULL.  */
 void ent_respond (ent_call_t *call, unsigned status, const char *fields,
                   const void *body, size_t length);
--- a/libcoltsfootdrum/relay/rdy.c
+++ b/libcoltsfootdrum/relay/rdy.c
@@ -6,7 +6,7 @@
 #include <math.h>
 
 /* An overload of this time is not a short burst.  */
-#define MIN_OVERLOAD_MS 400
+#define MIN_OVERLOAD_MS 1000
 /* The instance is not ready for MIN_HOLD_MS, and for twice as long each time
    that it is overloaded again within RELAPSE_MS of becoming ready.  The same
    clients return when it is ready, and the platform takes some seconds to send
@@ -18,6 +18,8 @@
    less.  */
 #define MAX_READY_BUSY 0.6
 #define SMOOTHING_MS 200.
+/* A late loop that is less busy than this catches up by itself.  */
+#define MIN_LATE_BUSY 0.9
 
 void
 rdy_init (rdy_t *rdy)
@@ -39,11 +41,13 @@
 rdy_update (rdy_t *rdy, cfd_time_t now, const rdy_sample_t *sample)
 {
   double span_ms = sample->busy_ms + sample->idle_ms;
-  bool is_overloaded = sample->backlogged || sample->is_late;
+  bool is_overloaded;
 
   if (span_ms > 0.)
     rdy->busy += (sample->busy_ms / span_ms - rdy->busy)
                  * (1. - exp (-span_ms / SMOOTHING_MS));
+  is_overloaded
+      = sample->backlogged || (sample->is_late && rdy->busy > MIN_LATE_BUSY);
   if (!is_overloaded)
     rdy->overloaded_since = CFD_TIME_NEVER;
   else if (rdy->overloaded_since == CFD_TIME_NEVER)
--- a/libcoltsfootdrum/relay/shd.c
+++ b/libcoltsfootdrum/relay/shd.c
@@ -5,9 +5,11 @@
 
 #include <glib.h>
 
-/* Lateness that callers hardly notice, as a part of the pause that they allow
+/* Lateness that callers hardly notice: a part of the pause that they allow
    between the events of a stream.  */
-#define MAX_LATE_MS 60
+#define MAX_LATE_MS 100
+/* A late loop that is less busy than this catches up by itself.  */
+#define MIN_BUSY 0.9
 /* A single late tick is no overload: a list was read, or the process was
    paused.  */
 #define MIN_OVERLOAD_MS 100
@@ -27,12 +29,12 @@
 }
 
 void
-shd_update (shd_t *shd, cfd_time_t now, int64_t late_ms)
+shd_update (shd_t *shd, cfd_time_t now, int64_t late_ms, double busy)
 {
   int64_t elapsed_ms = now - shd->updated_at;
 
   shd->updated_at = now;
-  if (late_ms <= MAX_LATE_MS)
+  if (late_ms <= MAX_LATE_MS || busy < MIN_BUSY)
     {
       shd->late_since = CFD_TIME_NEVER;
       shd->admitted
--- a/libcoltsfootdrum/relay/shd.h
+++ b/libcoltsfootdrum/relay/shd.h
@@ -24,8 +24,9 @@
 } shd_t;
 
 void shd_init (shd_t *shd, cfd_time_t now);
-/* To be called at each tick, which is LATE_MS late.  */
-void shd_update (shd_t *shd, cfd_time_t now, int64_t late_ms);
+/* To be called at each tick, which is LATE_MS late.  BUSY is the share of time
+   spent working, smoothed.  */
+void shd_update (shd_t *shd, cfd_time_t now, int64_t late_ms, double busy);
 /* Returns whether a new request is admitted; DRAW is a random number from 0 to
    below 1.  */
 bool shd_admits (const shd_t *shd, double draw);
--- a/libcoltsfootdrum/relay/test-rdy.c
+++ b/libcoltsfootdrum/relay/test-rdy.c
@@ -56,7 +56,7 @@
 
   fixture_init (&fixture);
   run_load (&fixture, 0.5, false, 5000);
-  run_load (&fixture, 1., true, 300);
+  run_load (&fixture, 1., true, 900);
   g_assert_true (rdy_is_ready (&fixture.rdy));
   run_load (&fixture, 1., true, 200);
   g_assert_false (rdy_is_ready (&fixture.rdy));
@@ -71,7 +71,7 @@
   fixture_init (&fixture);
   for (unsigned i = 0; i < 20; i++)
     {
-      run_load (&fixture, 1., true, 300);
+      run_load (&fixture, 1., true, 800);
       run_load (&fixture, 1., false, 50);
     }
   g_assert_true (rdy_is_ready (&fixture.rdy));
@@ -124,7 +124,8 @@
   fixture_t fixture;
 
   fixture_init (&fixture);
-  for (unsigned i = 0; i < 3; i++)
+  run_load (&fixture, 1., false, 2000);
+  for (unsigned i = 0; i < 6; i++)
     {
       g_assert_true (rdy_is_ready (&fixture.rdy));
       fixture.now += 200;
@@ -133,6 +134,22 @@
   g_assert_false (rdy_is_ready (&fixture.rdy));
 }
 
+/* A loop that is late but not busy, as after lists or bursts, catches up.  */
+static void
+test_late_idle (void)
+{
+  rdy_sample_t late = { .busy_ms = 120., .idle_ms = 80., .is_late = true };
+  fixture_t fixture;
+
+  fixture_init (&fixture);
+  for (unsigned i = 0; i < 50; i++)
+    {
+      fixture.now += 200;
+      rdy_update (&fixture.rdy, fixture.now, &late);
+    }
+  g_assert_true (rdy_is_ready (&fixture.rdy));
+}
+
 /* A process that was paused is ready once it accepts all connections.  */
 static void
 test_pause (void)
@@ -158,6 +175,7 @@
   g_test_add_func ("/rdy/still-busy", test_still_busy);
   g_test_add_func ("/rdy/hysteresis", test_hysteresis);
   g_test_add_func ("/rdy/late", test_late);
+  g_test_add_func ("/rdy/late-idle", test_late_idle);
   g_test_add_func ("/rdy/pause", test_pause);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-shd.c
+++ b/libcoltsfootdrum/relay/test-shd.c
@@ -41,7 +41,8 @@
       double elapsed_ms = TICK_MS + late_ms;
 
       router->now += (int64_t)elapsed_ms;
-      shd_update (&router->shd, router->now, (int64_t)late_ms);
+      shd_update (&router->shd, router->now, (int64_t)late_ms,
+                  late_ms > 0. ? 1. : load);
       router->backlog_ms
           = MAX (elapsed_ms * load * router->shd.admitted - TICK_MS, 0.);
       if (router->now > start + ms / 2)
@@ -59,7 +60,7 @@
   double late_ms = run_load (&router, 1. / CAPACITY, WAVE_MS);
 
   g_test_message ("late %.0f ms, admitted %.2f", late_ms, router.shd.admitted);
-  g_assert_cmpfloat (late_ms, <, 200.);
+  g_assert_cmpfloat (late_ms, <, 250.);
   g_assert_cmpfloat (router.shd.admitted, <, 2. * CAPACITY);
   g_assert_cmpfloat (router.shd.admitted, >, CAPACITY / 4.);
 }
@@ -82,10 +83,10 @@
 {
   router_t router = router_new ();
 
-  shd_update (&router.shd, router.now + 5000, 4975);
+  shd_update (&router.shd, router.now + 5000, 4975, 1.);
   g_assert_cmpfloat (router.shd.admitted, ==, 1.);
-  shd_update (&router.shd, router.now + 5025, 0);
-  shd_update (&router.shd, router.now + 5225, 175);
+  shd_update (&router.shd, router.now + 5025, 0, 1.);
+  shd_update (&router.shd, router.now + 5225, 175, 1.);
   g_assert_cmpfloat (router.shd.admitted, ==, 1.);
 }
 
@@ -98,12 +99,27 @@
   for (unsigned i = 0; i < 100; i++)
     {
       router.now += 1000;
-      shd_update (&router.shd, router.now, 975);
+      shd_update (&router.shd, router.now, 975, 1.);
     }
   g_assert_true (shd_admits (&router.shd, 0.04));
   g_assert_false (shd_admits (&router.shd, 0.06));
 }
 
+/* Guards against requests that are refused though the router has time for
+   them: a burst made one turn of the loop long.  */
+static void
+test_not_busy (void)
+{
+  router_t router = router_new ();
+
+  for (unsigned i = 0; i < 20; i++)
+    {
+      router.now += 300;
+      shd_update (&router.shd, router.now, 275, 0.7);
+    }
+  g_assert_cmpfloat (router.shd.admitted, ==, 1.);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -112,5 +128,6 @@
   g_test_add_func ("/shd/recovery", test_recovery);
   g_test_add_func ("/shd/single", test_single);
   g_test_add_func ("/shd/minimum", test_minimum);
+  g_test_add_func ("/shd/not-busy", test_not_busy);
   return g_test_run ();
 }
