--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -1,11 +1,9 @@
 /* Entry: the clients' connections.  */
 
-#include "relay/ent.h"
+#include "relay/ent-private.h"
 
 #include "base/addr.h"
-#include "base/list.h"
 #include "base/log.h"
-#include "relay/con.h"
 
 #include <errno.h>
 #include <http_parser.h>
@@ -32,72 +30,13 @@
 #define MAX_PIPELINED_BYTES 65536
 /* Interval at which the time-outs of all connections are checked.  */
 #define TIMEOUT_CHECK_INTERVAL_MS 100
-/* Bytes that may wait for one client.  A client that is as fast as its network
-   rarely needs more than the minimum.  */
-#define MIN_UNSENT_LIMIT 16384u
-#define MAX_UNSENT_LIMIT 1048576u
-/* Part of what is left of the budget that one more client may use.  */
-#define UNSENT_LIMIT_DIVISOR 16u
-/* A client that read nothing for this time is cut off when memory is short.
-   Endpoints cut off answers that are not read for some seconds anyway.  */
-#define MAX_STALLED_MS 2000
 /* Before a connection is closed, further input is read and discarded for this
    time: closing a socket with unread bytes resets the connection, and the
    client might lose the response.  */
 #define LINGER_MS 1000
 
-struct ent
-{
-  struct ev_loop *loop;
-  ev_io listener;
-  ent_ops_t ops;
-  void *user;
-  ent_limits_t limits;
-  lag_t *lag;        /* not owned; may be NULL */
-  list_node_t calls; /* ent_call_t */
-  unsigned count;
-  unsigned accepted; /* since the start */
-  bool backlogged;   /* since the last query */
-  bool draining;
-  cfd_time_t checked_at; /* time-outs */
-  size_t unsent_budget;  /* see ent_set_unsent_budget */
-  size_t unsent_total;   /* at the last check */
-};
-
-typedef enum
-{
-  STATE_IDLE,    /* between requests */
-  STATE_READING, /* receiving a request */
-  STATE_SERVING, /* passed to the user */
-  STATE_CLOSING  /* input is discarded until the connection is closed */
-} state_t;
-
-/* A connection and its current call.  */
-struct ent_call
-{
-  list_node_t node;
-  ent_t *ent;
-  con_t *con;
-  rd_t *rd;
-  GByteArray *body;
-  GByteArray *pipelined; /* input that is not parsed yet */
-  GString *head;         /* of a response, not written yet; NULL: none */
-  void *data;
-  cfd_time_t state_since;
-  cfd_time_t started;      /* start of the request */
-  size_t unsent;           /* at the last check */
-  cfd_time_t unsent_since; /* since when the client has read nothing */
-  state_t state;
-  bool head_done;
-  bool too_large;
-  bool chunked;
-  bool reusable; /* for another request */
-  bool parsing;  /* input is being parsed; freeing is deferred */
-  bool free_pending;
-};
-
-static void
-call_free (ent_call_t *call)
+void
+ent_call_free (ent_call_t *call)
 {
   if (call->parsing)
     {
@@ -116,7 +55,7 @@
 }
 
 static void
-set_state (ent_call_t *call, state_t state)
+set_state (ent_call_t *call, ent_state_t state)
 {
   call->state = state;
   call->state_since = clock_now ();
@@ -169,7 +108,7 @@
   rd_head_t *head = rd_get_head (call->rd);
 
   call->reusable = head->keep_alive;
-  set_state (call, STATE_SERVING);
+  set_state (call, ENT_SERVING);
   call->ent->ops.request (call->ent->user, call);
 }
 
@@ -181,9 +120,9 @@
   size_t used = 0;
   rd_result_t result;
 
-  if (call->state == STATE_IDLE)
+  if (call->state == ENT_IDLE)
     {
-      set_state (call, STATE_READING);
+      set_state (call, ENT_READING);
       call->started = call->state_since;
     }
   result = rd_feed (call->rd, bytes, length, &used);
@@ -202,14 +141,14 @@
 parse_bytes (ent_call_t *call, const char *bytes, size_t length)
 {
   while (length > 0 && !call->free_pending
-         && (call->state == STATE_IDLE || call->state == STATE_READING))
+         && (call->state == ENT_IDLE || call->state == ENT_READING))
     {
       size_t used = read_request (call, bytes, length);
 
       bytes += used;
       length -= MIN (used, length);
     }
-  if (length == 0 || call->free_pending || call->state == STATE_CLOSING)
+  if (length == 0 || call->free_pending || call->state == ENT_CLOSING)
     return;
   g_byte_array_append (call->pipelined, (const guint8 *)bytes, (guint)length);
   if (call->pipelined->len > MAX_PIPELINED_BYTES)
@@ -227,7 +166,7 @@
   parse_bytes (call, bytes, length);
   call->parsing = false;
   if (call->free_pending)
-    call_free (call);
+    ent_call_free (call);
   lag_leave (lag, before, 1);
 }
 
@@ -236,10 +175,10 @@
 {
   ent_call_t *call = user;
 
-  if (call->state == STATE_SERVING)
+  if (call->state == ENT_SERVING)
     call->ent->ops.disconnected (call->ent->user, call);
   call->parsing = false;
-  call_free (call);
+  ent_call_free (call);
 }
 
 static const con_ops_t connection_ops
@@ -254,7 +193,7 @@
   call->rd = rd_new (RD_REQUESTS, ent->limits.head_bytes, &parser_ops, call);
   call->body = g_byte_array_new ();
   call->pipelined = g_byte_array_new ();
-  set_state (call, STATE_IDLE);
+  set_state (call, ENT_IDLE);
   list_init (&call->node);
   list_append (&ent->calls, &call->node);
   ent->count++;
@@ -350,7 +289,7 @@
   ent_close_listener (ent);
   list_for_each_safe (node, &ent->calls)
     {
-      call_free (list_entry (node, ent_call_t, node));
+      ent_call_free (list_entry (node, ent_call_t, node));
     }
   g_free (ent);
 }
@@ -405,8 +344,8 @@
     {
       ent_call_t *call = list_entry (node, ent_call_t, node);
 
-      if (call->state == STATE_IDLE)
-        call_free (call);
+      if (call->state == ENT_IDLE)
+        ent_call_free (call);
     }
 }
 
@@ -414,7 +353,7 @@
 static void
 start_close (ent_call_t *call)
 {
-  set_state (call, STATE_CLOSING);
+  set_state (call, ENT_CLOSING);
   con_shutdown_after_flush (call->con);
 }
 
@@ -444,100 +383,26 @@
 
   switch (call->state)
     {
-    case STATE_IDLE:
+    case ENT_IDLE:
       if (in_state > idle_ms)
-        call_free (call);
+        ent_call_free (call);
       break;
-    case STATE_READING:
+    case ENT_READING:
       if (!call->head_done && limits->head_ms > 0
           && in_state > limits->head_ms)
         reject_request (call, 408);
       else if (limits->idle_ms > 0 && in_state > limits->idle_ms)
         reject_request (call, 408);
       break;
-    case STATE_CLOSING:
+    case ENT_CLOSING:
       if (in_state > LINGER_MS && con_get_unsent_bytes (call->con) == 0)
-        call_free (call);
+        ent_call_free (call);
       break;
-    case STATE_SERVING:
+    case ENT_SERVING:
       break;
     }
 }
 
-void
-ent_set_unsent_budget (ent_t *ent, size_t bytes)
-{
-  ent->unsent_budget = bytes;
-}
-
-size_t
-ent_get_unsent_total (const ent_t *ent)
-{
-  return ent->unsent_total;
-}
-
-size_t
-ent_get_unsent_limit (const ent_call_t *call)
-{
-  const ent_t *ent = call->ent;
-  size_t left;
-
-  if (ent->unsent_budget == 0)
-    return MAX_UNSENT_LIMIT;
-  left = ent->unsent_budget - MIN (ent->unsent_total, ent->unsent_budget);
-  return CLAMP (left / UNSENT_LIMIT_DIVISOR, MIN_UNSENT_LIMIT,
-                MAX_UNSENT_LIMIT);
-}
-
-/* Notes whether the client has read since the last check, and returns the
-   bytes that wait for it.  */
-static size_t
-update_unsent (ent_call_t *call, cfd_time_t now)
-{
-  size_t unsent = con_get_unsent_bytes (call->con);
-
-  if (unsent == 0 || unsent < call->unsent || call->unsent == 0)
-    call->unsent_since = now;
-  call->unsent = unsent;
-  return unsent;
-}
-
-/* Cuts off the client of CALL, which reads nothing.  */
-static void
-cut_stalled (ent_call_t *call, cfd_time_t now)
-{
-  log_warn ("entry",
-            "A client was cut off, as it reads nothing and memory is short: "
-            "unsent=%zu stalled_ms=%" G_GINT64_FORMAT " total=%zu.",
-            call->unsent, now - call->unsent_since, call->ent->unsent_total);
-  call->ent->unsent_total -= MIN (call->unsent, call->ent->unsent_total);
-  if (call->state == STATE_SERVING)
-    call->ent->ops.disconnected (call->ent->user, call);
-  call_free (call);
-}
-
-static void
-check_unsent (ent_t *ent, cfd_time_t now)
-{
-  ent->unsent_total = 0;
-  list_for_each (node, &ent->calls)
-    {
-      ent->unsent_total
-          += update_unsent (list_entry (node, ent_call_t, node), now);
-    }
-  if (ent->unsent_budget == 0)
-    return;
-  list_for_each_safe (node, &ent->calls)
-    {
-      ent_call_t *call = list_entry (node, ent_call_t, node);
-
-      if (ent->unsent_total <= ent->unsent_budget)
-        return;
-      if (call->unsent > 0 && now - call->unsent_since > MAX_STALLED_MS)
-        cut_stalled (call, now);
-    }
-}
-
 void
 ent_tick (ent_t *ent, cfd_time_t now)
 {
@@ -546,7 +411,7 @@
   if (now - ent->checked_at < TIMEOUT_CHECK_INTERVAL_MS)
     return;
   ent->checked_at = now;
-  check_unsent (ent, now);
+  ent_check_unsent (ent, now);
   list_for_each_safe (node, &ent->calls)
     {
       enforce_timeouts (list_entry (node, ent_call_t, node), now, idle_ms);
@@ -631,7 +496,7 @@
   g_byte_array_set_size (call->body, 0);
   call->head_done = false;
   call->too_large = false;
-  set_state (call, STATE_IDLE);
+  set_state (call, ENT_IDLE);
   if (call->pipelined->len == 0)
     return;
   pipelined = g_steal_pointer (&call->pipelined);
@@ -728,7 +593,7 @@
 void
 ent_abort (ent_call_t *call)
 {
-  call_free (call);
+  ent_call_free (call);
 }
 
 bool
