--- a/libcoltsfootdrum/relay/test-ent.c
+++ b/libcoltsfootdrum/relay/test-ent.c
@@ -129,9 +129,11 @@
 static void
 on_large_request (void *user, ent_call_t *call)
 {
-  g_autofree char *body = g_malloc0 (ANSWER_BYTES);
+  g_autoptr (GByteArray) body = g_byte_array_new ();
 
-  ent_respond (call, 200, NULL, body, ANSWER_BYTES);
+  g_byte_array_set_size (body, ANSWER_BYTES);
+  memset (body->data, 0, body->len);
+  ent_respond (call, 200, NULL, body->data, body->len);
 }
 
 static void
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -758,11 +758,11 @@
 {
   router_t here = router_new ("here");
   router_t one = router_new ("one");
-  g_autoptr (GByteArray) lost = NULL;
   double served;
 
   use_add_served (one.use, NOW - 100, "mill", 4000.);
-  lost = pal_pack (one.pal, NOW, PAL_FULL);
+  /* This datagram is lost.  */
+  g_byte_array_unref (pal_pack (one.pal, NOW, PAL_FULL));
   deliver (&one, &here, NOW + 300, PAL_FULL);
   g_assert_cmpfloat (use_total (here.use, NOW + 300, "mill").served, ==, 0.);
   use_add_served (one.use, NOW + 400, "branch", 100.);
