--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -151,6 +151,7 @@
     }
 }
 
+/* Sets the mean load of the endpoints of this cell.  */
 static void
 compute_means (rly_round_t *round)
 {
@@ -343,7 +344,7 @@
           = affinity ? shared - round->cached_tokens[i] : 0.;
       round->loads[i].is_preferred = round->endpoints[i] == preferred;
     }
-  /* Wherever it is prefilled for the first time, it should be there.  */
+  /* Where no endpoint caches the prefix, it is to be prefilled there.  */
   if (round->has_remote)
     {
       round->loads[round->count].missing_tokens = 0.;
