--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -88,7 +88,7 @@
   /* How many of them precede this router in the order in which routers are
      chosen to read the list for the fleet, of those that have confirmed it
      lately.  For some time after this router's start, the listed routers that
-     it has not heard from count too: they may all have started at the same
+     have sent it nothing yet count too: they may all have started at the same
      moment.  */
   unsigned rank;
   unsigned rank_of_all; /* the same among all that datagrams come from */
