Relay: an endpoint that asks for rest gets none of this router's requests

Cause: the Retry-After of an endpoint's 503 was not read. A rejection paused the endpoint for 20 to 80 ms, and one that rejects at once has the least load, so that placement prefers it.

Class: what a peer says of itself in an answer was dropped with the answer.

Any answer's head counts, also that of a late answer. What is being sent is taken back while the endpoint can't have it whole. When all endpoints of a service rest, a request that can't wait until then is refused at once with that time. After a rest an endpoint gets requests at the warm-up rate for 0.5 s.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -24,6 +24,10 @@
 #define MIN_FULL_BACKOFF_MS 20
 #define MAX_FULL_BACKOFF_MS 80
 
+/* Time after a rest in which an endpoint gets requests at the warm-up rate, so
+   that those which waited for it don't all come at once.  */
+#define REST_WARM_UP_MS 500
+
 /* 32 bits keep datagrams short, and are enough to tell some hundred endpoints
    apart.  */
 #define HASH_MASK 0xffffffffu
@@ -384,13 +388,19 @@
   return set->unlisted > 0;
 }
 
+/* Returns whether EDP is to get requests at all, at some time.  */
+static bool
+is_usable (const edp_t *edp)
+{
+  return (edp->standing == EDP_CURRENT || edp->standing == EDP_CANARY)
+         && !edp->report->leaving && !edp->withdrawn;
+}
+
 bool
 edp_is_serving (const edp_t *edp, cfd_time_t now)
 {
-  bool is_usable = edp->standing == EDP_CURRENT || edp->standing == EDP_CANARY;
-
-  return is_usable && !edp->report->leaving && !edp->withdrawn
-         && now >= edp->backoff_until;
+  return is_usable (edp) && now >= edp->backoff_until
+         && now >= edp->rest_until;
 }
 
 bool
@@ -458,3 +468,36 @@
   edp->consecutive_rejections = 0;
   edp->full_until = 0;
 }
+
+bool
+edp_record_rest (edp_t *edp, cfd_time_t now, int64_t rest_ms)
+{
+  bool begins = !edp_is_resting (edp, now);
+
+  edp->rest_until = MAX (edp->rest_until, now + rest_ms);
+  edp->cold_until = MAX (edp->cold_until, edp->rest_until + REST_WARM_UP_MS);
+  return begins;
+}
+
+bool
+edp_is_resting (const edp_t *edp, cfd_time_t now)
+{
+  return now < edp->rest_until;
+}
+
+cfd_time_t
+edp_set_find_rest_end (const edp_set_t *set, const char *service,
+                       cfd_time_t now)
+{
+  const GPtrArray *all = edp_set_get_all (set, service);
+  cfd_time_t first = CFD_TIME_NEVER;
+
+  for (guint i = 0; all != NULL && i < all->len; i++)
+    {
+      const edp_t *edp = g_ptr_array_index (all, i);
+
+      if (is_usable (edp))
+        first = MIN (first, MAX (edp->rest_until, edp->backoff_until));
+    }
+  return first == CFD_TIME_NEVER ? now : MAX (first, now);
+}
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -74,6 +74,7 @@
   unsigned consecutive_failures;
   cfd_time_t full_until; /* no new requests until then, after rejections */
   unsigned consecutive_rejections;
+  cfd_time_t rest_until; /* no new requests until then: it asked for rest */
   cfd_time_t last_answer_at; /* when it last sent part of an answer */
 } edp_t;
 
@@ -145,7 +146,7 @@
 bool edp_set_has_unlisted (const edp_set_t *set);
 
 /* Returns whether EDP serves requests, though perhaps not at once: it may have
-   rejected some a moment ago.  */
+   rejected some a moment ago.  One that rests doesn't.  */
 bool edp_is_serving (const edp_t *edp, cfd_time_t now);
 /* Returns whether new requests may be sent to EDP, apart from its load, the
    warm-up rate limit and the share of canaries.  */
@@ -165,5 +166,15 @@
 /* Record that EDP rejected a request for lack of capacity, or accepted one. */
 void edp_record_rejection (edp_t *edp, cfd_time_t now);
 void edp_record_acceptance (edp_t *edp);
+/* Records that EDP asked this router for REST_MS without requests, which a
+   shorter rest doesn't end sooner.  What waits for its end is sent at the
+   warm-up rate at first.  Returns whether it did not rest before.  */
+bool edp_record_rest (edp_t *edp, cfd_time_t now, int64_t rest_ms);
+bool edp_is_resting (const edp_t *edp, cfd_time_t now);
+/* Returns when the first endpoint of SERVICE that only rests, or pauses after
+   a failure, gets requests again; NOW when one of them does already, or when
+   there is none.  */
+cfd_time_t edp_set_find_rest_end (const edp_set_t *set, const char *service,
+                                  cfd_time_t now);
 
 #endif
--- a/libcoltsfootdrum/relay/hdr.c
+++ b/libcoltsfootdrum/relay/hdr.c
@@ -2,6 +2,8 @@
 
 #include "relay/hdr.h"
 
+#include <curl/curl.h>
+#include <math.h>
 #include <string.h>
 
 void
@@ -88,6 +90,38 @@
   return MIN (value, max);
 }
 
+/* Returns whether TEXT is a number without a sign or an exponent.  */
+static bool
+is_plain_decimal (const char *text)
+{
+  size_t length = strlen (text);
+
+  return strpbrk (text, "0123456789") != NULL
+         && strspn (text, "0123456789.") == length
+         && strchr (text, '.') == strrchr (text, '.');
+}
+
+int64_t
+hdr_parse_retry_after (const char *text, int64_t wall_ms)
+{
+  g_autofree char *value = text != NULL ? g_strstrip (g_strdup (text)) : NULL;
+  double ms;
+  time_t date;
+
+  if (value == NULL)
+    return 0;
+  if (is_plain_decimal (value))
+    {
+      ms = ceil (g_ascii_strtod (value, NULL) * 1000.);
+      return (int64_t)MIN (ms, HDR_MAX_RETRY_AFTER_MS);
+    }
+  /* Only a date has a time of day.  */
+  date = strchr (value, ':') != NULL ? curl_getdate (value, NULL) : -1;
+  if (date < 0)
+    return 0;
+  return CLAMP ((int64_t)date * 1000 - wall_ms, 0, HDR_MAX_RETRY_AFTER_MS);
+}
+
 /* Returns whether the comma-separated LIST contains ITEM, ignoring case.  */
 static bool
 list_contains (const char *list, const char *item)
--- a/libcoltsfootdrum/relay/hdr.h
+++ b/libcoltsfootdrum/relay/hdr.h
@@ -38,6 +38,15 @@
    such number.  */
 double hdr_parse_number (const char *text, double max, double default_value);
 
+/* Longest rest that a Retry-After field can ask for.  */
+#define HDR_MAX_RETRY_AFTER_MS 3600000
+
+/* Parses the value of a Retry-After field: seconds, which may have a fraction,
+   or a date, which is compared with WALL_MS, the time of day in Unix
+   milliseconds.  A longer time counts as HDR_MAX_RETRY_AFTER_MS.  Returns
+   milliseconds; 0 when TEXT is NULL, names a past date or is neither.  */
+int64_t hdr_parse_retry_after (const char *text, int64_t wall_ms);
+
 /* Returns true when field I applies to a single connection and must not be
    forwarded: it is one of the hop-by-hop fields of RFC 9110, or the message's
    Connection field lists it.  */
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -294,7 +294,11 @@
       return;
     }
   rly_detach (request, true);
-  rly_refuse (request, now, "endpoint-full", REJECTED_RETRY_MS);
+  rly_refuse (request, now, "endpoint-full",
+              MAX (REJECTED_RETRY_MS,
+                   edp_set_find_rest_end (request->rly->endpoints,
+                                          request->service->name, now)
+                       - now));
 }
 
 /* Handles a missing, truncated or invalid answer, after which the request may
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -23,6 +23,8 @@
     { "cfd_relay_ended_total", "outcome=\"left\"", counts->disconnected },
     { "cfd_relay_repeats_total", NULL, counts->retries },
     { "cfd_relay_resumed_total", NULL, counts->resumed },
+    { "cfd_relay_rest_avoided_total", NULL, counts->rest_avoided },
+    { "cfd_relay_withdrawn_total", NULL, counts->withdrawn },
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (counters); i++)
@@ -30,18 +32,20 @@
                         (double)counters[i].value);
 }
 
+/* Returns the number of endpoints for which TEST returns true.  */
 static unsigned
-count_open (const rly_t *rly, cfd_time_t now)
+count_endpoints (const rly_t *rly, cfd_time_t now,
+                 bool (*test) (const edp_t *, cfd_time_t))
 {
   unsigned count = 0;
 
   list_for_each (node, edp_set_endpoints (rly->endpoints))
     {
-      count += edp_is_open (list_entry (node, edp_t, node), now);
+      count += test (list_entry (node, edp_t, node), now);
     }
   list_for_each (node, edp_set_others (rly->endpoints))
     {
-      count += edp_is_open (list_entry (node, edp_t, node), now);
+      count += test (list_entry (node, edp_t, node), now);
     }
   return count;
 }
@@ -59,7 +63,9 @@
   prom_append_sample (out, "cfd_relay_endpoints", "gauge", NULL,
                       edp_set_count (rly->endpoints));
   prom_append_sample (out, "cfd_relay_endpoints_open", "gauge", NULL,
-                      count_open (rly, now));
+                      count_endpoints (rly, now, edp_is_open));
+  prom_append_sample (out, "cfd_relay_endpoints_resting", "gauge", NULL,
+                      count_endpoints (rly, now, edp_is_resting));
   prom_append_sample (out, "cfd_relay_config_version", "gauge", NULL,
                       (double)version);
 }
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -122,6 +122,7 @@
 
       if (round->count + round->canary_count == RLY_MAX_ENDPOINTS)
         return;
+      round->has_resting |= edp_is_resting (edp, round->now);
       if (edp->standing != standing || !edp_is_open (edp, round->now))
         continue;
       add_endpoint (round, edp);
@@ -179,6 +180,7 @@
   round->base_ms = fit_base (&service->first_token_fit);
   round->ms_per_token = fit_slope (&service->first_token_fit);
   round->has_free_slot = false;
+  round->has_resting = false;
   round->has_exclusions = false;
   round->rollout = rol_find (rly->rol, service->name);
   round->count = 0;
@@ -497,6 +499,7 @@
     }
   if (!request->is_remote)
     *load = collect_load (round, edp);
+  round->rly->counts.rest_avoided += round->has_resting;
   return true;
 }
 
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -146,6 +146,10 @@
 void rly_request_free (rly_request_t *request);
 
 /* rly-queue.c: waiting requests.  */
+/* Refuses REQUEST, which may be sent again after DELAY_MS and a random time
+   more, so that refused callers don't return all at once.  */
+void rly_refuse_for (rly_request_t *request, cfd_time_t now,
+                     const char *reason, int64_t delay_ms);
 void rly_enqueue (rly_request_t *request);
 /* Refuses REQUEST, which was just enqueued, when the requests of its account
    before it would take too long.  Returns whether it was refused.  */
@@ -170,6 +174,7 @@
   double base_ms; /* time to first token without prefill */
   double ms_per_token;
   bool has_free_slot;     /* at any endpoint */
+  bool has_resting;       /* an endpoint of the cell rests */
   bool has_exclusions;    /* of the last request */
   double mean_active;     /* running requests of an endpoint */
   double mean_prefill;    /* pending prefill work of an endpoint */
@@ -205,6 +210,14 @@
    iteration.  */
 void rly_schedule_dispatch (rly_service_t *service);
 
+/* rly-notice.c: what endpoints say of themselves in the heads of answers.  */
+/* Applies the head of any answer from the endpoint of REQUEST.  */
+void rly_note_head (rly_request_t *request, const rd_head_t *head,
+                    cfd_time_t now);
+/* Refuses the waiting requests of SERVICE that would have to wait too long,
+   as all endpoints rest.  */
+void rly_refuse_resting (rly_t *rly, rly_service_t *service, cfd_time_t now);
+
 /* rly-rollout.c: what rollouts need to know of requests.  */
 /* Returns the rollout in progress for the service of REQUEST, or NULL.  */
 rol_rollout_t *rly_find_rollout (const rly_request_t *request);
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -144,14 +144,16 @@
   g_free (queue);
 }
 
-static void
-refuse_with_retry (rly_request_t *request, cfd_time_t now, const char *reason)
+void
+rly_refuse_for (rly_request_t *request, cfd_time_t now, const char *reason,
+                int64_t delay_ms)
 {
   double retry_share
       = g_random_double_range (MIN_RETRY_SHARE, MAX_RETRY_SHARE);
+  int64_t spread_ms
+      = (int64_t)(retry_share * (double)request->target_latency_ms);
 
-  rly_refuse (request, now, reason,
-              (int64_t)(retry_share * (double)request->target_latency_ms));
+  rly_refuse (request, now, reason, delay_ms + spread_ms);
 }
 
 /* Returns whether a placement round has run since REQUEST was enqueued.  */
@@ -178,7 +180,7 @@
 
           if (now < request->wait_deadline || !was_tried (request))
             continue;
-          refuse_with_retry (request, now, "no-room");
+          rly_refuse_for (request, now, "no-room", 0);
           return true;
         }
     }
@@ -225,7 +227,7 @@
   if (delay_ms
       <= EARLY_REFUSAL_FACTOR * (double)(request->wait_deadline - now))
     return false;
-  refuse_with_retry (request, now, "queue");
+  rly_refuse_for (request, now, "queue", 0);
   return true;
 }
 
@@ -344,6 +346,8 @@
   if (service->waiting == 0)
     return;
   rly_begin_round (&round, rly, service, now);
+  if (round.count + round.canary_count == 0)
+    rly_refuse_resting (rly, service, now);
   if (!round.has_free_slot)
     return;
   place_all (&round, false);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -105,6 +105,12 @@
            (double)(now - request->sent_at) - request->fetch_ms);
 }
 
+static void
+on_any_head (void *user, const rd_head_t *head)
+{
+  rly_note_head (user, head, clock_now ());
+}
+
 static void
 on_head (void *user, rd_head_t *head)
 {
@@ -186,9 +192,11 @@
   lag_leave (lag, before, 0);
 }
 
-static const ups_ops_t exchange_ops = {
-  .head = on_head, .body = on_body, .read_end = on_read_end, .ended = on_ended
-};
+static const ups_ops_t exchange_ops = { .head = on_head,
+                                        .any_head = on_any_head,
+                                        .body = on_body,
+                                        .read_end = on_read_end,
+                                        .ended = on_ended };
 
 static void
 start_exchange (rly_request_t *request, edp_t *edp, cfd_time_t now)
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -59,6 +59,8 @@
   uint64_t disconnected; /* the caller disconnected */
   uint64_t retries;      /* requests sent again */
   uint64_t resumed;      /* streams resumed at another endpoint */
+  uint64_t rest_avoided; /* sent elsewhere or refused for a resting endpoint */
+  uint64_t withdrawn;    /* taken back before they were sent */
   unsigned waiting;
   unsigned running;
 } rly_counts_t;
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -436,6 +436,42 @@
   ev_loop_destroy (loop);
 }
 
+/* Guards against a rest that a list, a shorter rest or the same address under
+   another process ends or takes over.  */
+static void
+test_rest (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  edp_set_t *set = edp_set_new (loop);
+  edp_t *edp;
+
+  update (set, NOW, report ("e1", 1, 0), true);
+  edp = edp_set_find (set, "e1");
+  g_assert_cmpint (edp_set_find_rest_end (set, "app", NOW), ==, NOW);
+  g_assert_true (edp_record_rest (edp, NOW, 3000));
+  g_assert_false (edp_record_rest (edp, NOW + 100, 10));
+  update (set, NOW + 200, report ("e1", 1, 0), true);
+  g_assert_true (edp_set_find (set, "e1") == edp);
+  g_assert_false (edp_is_open (edp, NOW + 2999));
+  g_assert_null (edp_set_find_preferred (set, "app", NOW + 2999, 7));
+  g_assert_cmpint (edp_set_find_rest_end (set, "app", NOW + 300), ==,
+                   NOW + 3000);
+  g_assert_true (edp_is_open (edp, NOW + 3000));
+  g_assert_true (edp_allows_request (edp, NOW + 3000, 4.));
+  edp_count_cold_request (edp, NOW + 3000);
+  g_assert_false (edp_allows_request (edp, NOW + 3100, 4.));
+  update (set, NOW + 400, report ("e1", 2, 0), true);
+  edp = edp_set_find (set, "e1");
+  g_assert_true (edp_is_open (edp, NOW + 400));
+  edp_record_rest (edp, NOW + 400, 1000);
+  update (set, NOW + 500, report ("e2", 3, 0), false);
+  g_assert_true (edp_is_open (edp_set_find (set, "e2"), NOW + 500));
+  g_assert_cmpint (edp_set_find_rest_end (set, "app", NOW + 500), ==,
+                   NOW + 500);
+  edp_set_free (set);
+  ev_loop_destroy (loop);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -453,6 +489,7 @@
   g_test_add_func ("/edp/zone-out", test_zone_out);
   g_test_add_func ("/edp/failures", test_failures);
   g_test_add_func ("/edp/gives-back", test_rejections);
+  g_test_add_func ("/edp/rest", test_rest);
   g_test_add_func ("/edp/kept", test_kept);
   g_test_add_func ("/edp/cells", test_cells);
   g_test_add_func ("/edp/preferred", test_preferred);
--- a/libcoltsfootdrum/relay/test-parts.c
+++ b/libcoltsfootdrum/relay/test-parts.c
@@ -280,6 +280,46 @@
                        numbers[i].value);
 }
 
+/* A Retry-After field is seconds or a date; anything else asks for no rest. */
+static void
+test_retry_after (void)
+{
+  /* Sun, 06 Nov 1994 08:49:37 GMT.  */
+  static const int64_t wall_ms = 784111777000;
+  static const struct
+  {
+    const char *text;
+    int64_t ms;
+  } cases[] = { { NULL, 0 },
+                { "", 0 },
+                { "0", 0 },
+                { "3", 3000 },
+                { " 3 ", 3000 },
+                { "0.25", 250 },
+                { ".5", 500 },
+                { "0.0001", 1 },
+                { "-1", 0 },
+                { "+1", 0 },
+                { "1.2.3", 0 },
+                { "1e3", 0 },
+                { "0x10", 0 },
+                { "inf", 0 },
+                { "nan", 0 },
+                { "3 s", 0 },
+                { "3, 5", 0 },
+                { "soon", 0 },
+                { "a:b", 0 },
+                { "3600", HDR_MAX_RETRY_AFTER_MS },
+                { "99999999999999999999999", HDR_MAX_RETRY_AFTER_MS },
+                { "Sun, 06 Nov 1994 08:49:39 GMT", 2000 },
+                { "Sun, 06 Nov 1994 08:49:30 GMT", 0 },
+                { "Sun, 06 Nov 2094 08:49:37 GMT", HDR_MAX_RETRY_AFTER_MS } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (cases); i++)
+    g_assert_cmpint (hdr_parse_retry_after (cases[i].text, wall_ms), ==,
+                     cases[i].ms);
+}
+
 static void
 test_hop_fields (void)
 {
@@ -339,6 +379,7 @@
   g_test_add_func ("/fit/line", test_fit);
   g_test_add_func ("/mech/names", test_mechanisms);
   g_test_add_func ("/hdr/numbers", test_numbers);
+  g_test_add_func ("/hdr/retry-after", test_retry_after);
   g_test_add_func ("/hdr/hop", test_hop_fields);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -153,6 +153,7 @@
   server_con->body = g_string_new (NULL);
   server_con->rd = rd_new (RD_REQUESTS, MAX_HEAD_BYTES, &reader, server_con);
   server_con->con = con_new_accepted (loop, fd, &wire, server_con);
+  con_set_read_paused (server_con->con, server_con->server->reads_nothing);
   g_ptr_array_add (server_con->server->scene->server_cons, server_con);
 }
 
--- a/libcoltsfootdrum/relay/test-rly-scene.h
+++ b/libcoltsfootdrum/relay/test-rly-scene.h
@@ -30,6 +30,7 @@
   struct ev_io listener;
   unsigned port;
   unsigned requests;
+  bool reads_nothing; /* on connections that it accepts from now on */
 } scene_server_t;
 
 struct scene
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -119,6 +119,8 @@
 
   if (exchange == NULL)
     return false;
+  if (exchange->ops.any_head != NULL)
+    exchange->ops.any_head (exchange->user, head);
   id = hdr_get (&head->fields, exchange->id_field);
   connection->stale_response = id != NULL && strcmp (id, exchange->id) != 0;
   if (connection->stale_response)
@@ -367,6 +369,12 @@
   return con_is_connected (exchange->connection->con);
 }
 
+bool
+ups_has_unsent_bytes (const ups_exchange_t *exchange)
+{
+  return con_get_unsent_bytes (exchange->connection->con) > 0;
+}
+
 void
 ups_set_read_paused (ups_exchange_t *exchange, bool paused)
 {
--- a/libcoltsfootdrum/relay/ups.h
+++ b/libcoltsfootdrum/relay/ups.h
@@ -29,6 +29,9 @@
 typedef struct
 {
   void (*head) (void *user, rd_head_t *head);
+  /* Called before that for each response's head that the endpoint sends, also
+     that of a late response to an earlier request; may be NULL.  */
+  void (*any_head) (void *user, const rd_head_t *head);
   void (*body) (void *user, const char *bytes, size_t length);
   /* Called after all parts of the body that one read from the socket brought,
      unless the exchange ended; may be NULL.  */
@@ -65,6 +68,8 @@
 /* Returns true when the connection is established, so that the endpoint may
    have received the request.  */
 bool ups_is_connected (const ups_exchange_t *exchange);
+/* Returns whether a part of the request has not been sent yet.  */
+bool ups_has_unsent_bytes (const ups_exchange_t *exchange);
 
 /* Pauses or resumes reading of the response.  */
 void ups_set_read_paused (ups_exchange_t *exchange, bool paused);
