Relay: an endpoint that announces in an answer that it leaves gets no more

New on the platform's pages: a server that leaves says so in all its answers (Server-Leaving: 1), and gets nothing from a router that has passed such an answer on, once drain_ms has passed, in touch with the store or not (DRAIN). Until now only the list in the store told.

Any answer's head counts: a success, an error, a rejection, a stream's head, a late answer. Not that of a 421, which is of the endpoint that has the address now. It is state of the endpoint beside the list's report, so that an older list doesn't undo it, and a new process is another endpoint. Requests that are being sent are taken back as for a rest.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -393,7 +393,8 @@
 is_usable (const edp_t *edp)
 {
   return (edp->standing == EDP_CURRENT || edp->standing == EDP_CANARY)
-         && !edp->report->leaving && !edp->withdrawn;
+         && !edp->report->leaving && !edp->has_announced_leaving
+         && !edp->withdrawn;
 }
 
 bool
@@ -469,6 +470,15 @@
   edp->full_until = 0;
 }
 
+bool
+edp_record_leaving (edp_t *edp)
+{
+  bool is_new = !edp->has_announced_leaving && !edp->report->leaving;
+
+  edp->has_announced_leaving = true;
+  return is_new;
+}
+
 bool
 edp_record_rest (edp_t *edp, cfd_time_t now, int64_t rest_ms)
 {
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -45,7 +45,8 @@
   edp_report_t *report;
   uint64_t hash; /* of its id and start time */
   ups_t *ups;
-  bool withdrawn; /* its availability zone is out of service */
+  bool withdrawn;             /* its availability zone is out of service */
+  bool has_announced_leaving; /* in an answer, whatever the list says */
   edp_standing_t standing;
   bool is_near;            /* of this router's cell, see relay/cel.h */
   bool is_in_use;          /* in the list of edp_set_endpoints */
@@ -166,6 +167,10 @@
 /* Record that EDP rejected a request for lack of capacity, or accepted one. */
 void edp_record_rejection (edp_t *edp, cfd_time_t now);
 void edp_record_acceptance (edp_t *edp);
+/* Records that EDP announced in an answer that it leaves.  It gets no more
+   requests, also when an older list is applied later.  Returns false when that
+   was known.  */
+bool edp_record_leaving (edp_t *edp);
 /* Records that EDP asked this router for REST_MS without requests, which a
    shorter rest doesn't end sooner.  What waits for its end is sent at the
    warm-up rate at first.  Returns whether it did not rest before.  */
--- a/libcoltsfootdrum/relay/rly-notice.c
+++ b/libcoltsfootdrum/relay/rly-notice.c
@@ -2,9 +2,10 @@
    their answers, and what follows for requests that wait or are being sent.
 
    An endpoint that rejects a request may ask for rest, a time in which it
-   wants nothing from this router.  It is a fact of that endpoint, whatever
-   address it has, and other routers aren't concerned: each is asked by
-   itself.  */
+   wants nothing from this router, and any answer may announce that it leaves.
+   Both are facts of that endpoint, whatever address it has.  Other routers
+   aren't told: each is asked for rest by itself, and learns from the
+   platform's list which endpoints leave.  */
 
 #include "relay/rly-private.h"
 
@@ -78,11 +79,31 @@
             withdrawn);
 }
 
+static void
+note_leaving (rly_request_t *request, unsigned status, cfd_time_t now)
+{
+  edp_t *edp = request->edp;
+
+  if (!edp_record_leaving (edp))
+    return;
+  log_info ("relay",
+            "An endpoint announced that it leaves: endpoint=%s service=%s "
+            "status=%u request=%s withdrawn=%u.",
+            edp->report->id, edp->report->service, status, request->id,
+            withdraw_all (request->rly, edp, request, now));
+}
+
 void
 rly_note_head (rly_request_t *request, const rd_head_t *head, cfd_time_t now)
 {
+  const char *leaving = hdr_get (&head->fields, request->rly->names.leaving);
+
+  if (head->status == STATUS_MISDIRECTED)
+    return;
   if (head->status == STATUS_UNAVAILABLE)
     note_rest (request, head, now);
+  if (g_strcmp0 (leaving, "1") == 0)
+    note_leaving (request, head->status, now);
 }
 
 /* Refuses one request that can't wait until REST_END.  Returns false when
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -26,6 +26,7 @@
   const char *account;         /* client account, sent to endpoints */
   const char *expect_endpoint; /* id; any other endpoint refuses */
   const char *not_run;         /* in an answer: the request was not run */
+  const char *leaving;         /* in an answer: its endpoint leaves, if 1 */
   const char *response_stamp;  /* in an answer: it is from an endpoint */
   const char *prompt;          /* parts of the prompt */
   const char *token_counts;    /* prompt tokens and most generated tokens */
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -30,6 +30,7 @@
   .account = "X-Account",
   .expect_endpoint = "X-Expect",
   .not_run = "X-Not-Run",
+  .leaving = "X-Leaving",
   .response_stamp = "X-Stamp",
   .prompt = "X-Prompt",
   .token_counts = "X-Tokens",
