Endpoints: a rest outlasts a restart under the same id

The rest was noted of the former process and dropped with it, so that the endpoint got requests at once. A rest now goes on under the same id; at most the new process gets nothing for what is left of the old one's rest. The case of edp/rest failed before. An announcement of leaving is not carried over, since the new process isn't the one that leaves.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -211,6 +211,8 @@
   edp_t *edp = g_hash_table_lookup (set->by_id, report->id);
   bool is_new = edp == NULL || is_different_process (edp->report, report);
   int64_t cold = report->cold_ms;
+  /* The new process may have asked for it before it was listed.  */
+  int64_t rest_ms = edp != NULL ? edp->rest_until - now : 0;
 
   if (edp != NULL && is_new)
     retire (set, edp);
@@ -224,6 +226,8 @@
     update_report (set, edp, report);
   if (edp == NULL)
     return;
+  if (is_new && rest_ms > 0)
+    edp_record_rest (edp, now, rest_ms);
   edp->listed_in = set->list_number;
   if (cold > 0 && now + cold > edp->cold_until)
     edp->cold_until = now + cold;
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -436,8 +436,8 @@
   ev_loop_destroy (loop);
 }
 
-/* Guards against a rest that a list, a shorter rest or the same address under
-   another process ends or takes over.  */
+/* Guards against a rest that a list, a shorter rest or a restart under the
+   same id ends, or that another endpoint at the address takes over.  */
 static void
 test_rest (void)
 {
@@ -460,10 +460,11 @@
   g_assert_true (edp_allows_request (edp, NOW + 3000, 4.));
   edp_count_cold_request (edp, NOW + 3000);
   g_assert_false (edp_allows_request (edp, NOW + 3100, 4.));
+  /* The process that asked may be the new one, started before it is listed. */
   update (set, NOW + 400, report ("e1", 2, 0), true);
   edp = edp_set_find (set, "e1");
-  g_assert_true (edp_is_open (edp, NOW + 400));
-  edp_record_rest (edp, NOW + 400, 1000);
+  g_assert_false (edp_is_open (edp, NOW + 2999));
+  g_assert_true (edp_is_open (edp, NOW + 3000));
   update (set, NOW + 500, report ("e2", 3, 0), false);
   g_assert_true (edp_is_open (edp_set_find (set, "e2"), NOW + 500));
   g_assert_cmpint (edp_set_find_rest_end (set, "app", NOW + 500), ==,
