Queues: a late caller isn't refused for a queue that delays it by nothing

Cause: the wait deadline of a late request is its arrival, so that one that is read a millisecond later has a negative time to wait, and a delay of 0 was longer than twice that. Evidence: a request whose head comes in two parts, 50 ms apart, was refused each time (reason=queue waited_ms=75); the new case late-read-slowly failed before.

Change: a time to wait that is over counts as none, so that only a queue with a delay refuses early. A late request that finds no capacity is still refused by the next round.

--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -219,13 +219,13 @@
 rly_refuse_early (rly_request_t *request, cfd_time_t now)
 {
   double delay_ms;
+  double wait_ms = MAX ((double)(request->wait_deadline - now), 0.);
 
   if (request->prompt == NULL
       || !rly_is_enabled (request->rly, MECH_EARLY_REJECT))
     return false;
   delay_ms = estimate_queue_delay_ms (request, now);
-  if (delay_ms
-      <= EARLY_REFUSAL_FACTOR * (double)(request->wait_deadline - now))
+  if (delay_ms <= EARLY_REFUSAL_FACTOR * wait_ms)
     return false;
   rly_refuse_for (request, now, "queue", 0);
   return true;
--- a/libcoltsfootdrum/relay/test-rly-share.c
+++ b/libcoltsfootdrum/relay/test-rly-share.c
@@ -251,6 +251,28 @@
   scene_free (scene);
 }
 
+/* Guards against a late caller who is refused for a queue without a delay, as
+   its request was read later than it arrived.  */
+static void
+test_late_read_slowly (void)
+{
+  static const char request[] = CALL ("/slow/", "2", "c:20,d:10");
+  static const scene_reply_t replies[] = { { NULL, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  g_autofree char *first = g_strndup (request, 20);
+  scene_caller_t *caller;
+  cfd_time_t later;
+
+  add_refusal (scene, "c:20,d:10");
+  caller = scene_send_request (scene, first);
+  later = clock_now () + 2 * RLY_TICK_MS;
+  scene_run (scene, is_later, &later);
+  con_write (caller->con, request + 20, strlen (request + 20));
+  scene_run (scene, has_received_one, scene);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 /* An account floods the router.  At the rate at which the account is served,
    its next request would wait for too long.  It must be refused on arrival,
    while the requests before it still wait.  */
@@ -327,6 +349,7 @@
                    test_late_refused_at_once);
   g_test_add_func ("/rly-share/late-uses-spare-capacity",
                    test_late_uses_spare_capacity);
+  g_test_add_func ("/rly-share/late-read-slowly", test_late_read_slowly);
   g_test_add_func ("/rly-share/early-reject", test_early_reject);
   g_test_add_func ("/rly-share/burst-of-idle-account",
                    test_burst_of_idle_account);
