Relay: a pause after a failure is no rest

Found on reading the diff: when all endpoints of a service paused after failures, requests that could not wait until the first pause's end were refused with reason=resting. A pause can end sooner, by an answer to another request, and nothing had asked for rest. Only rests count now; the added line of edp/rest failed before. The withdrawals of an endpoint that leaves are also made outside of the log call's arguments.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -511,7 +511,7 @@
       const edp_t *edp = g_ptr_array_index (all, i);
 
       if (is_usable (edp))
-        first = MIN (first, MAX (edp->rest_until, edp->backoff_until));
+        first = MIN (first, edp->rest_until);
     }
   return first == CFD_TIME_NEVER ? now : MAX (first, now);
 }
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -176,9 +176,9 @@
    warm-up rate at first.  Returns whether it did not rest before.  */
 bool edp_record_rest (edp_t *edp, cfd_time_t now, int64_t rest_ms);
 bool edp_is_resting (const edp_t *edp, cfd_time_t now);
-/* Returns when the first endpoint of SERVICE that only rests, or pauses after
-   a failure, gets requests again; NOW when one of them does already, or when
-   there is none.  */
+/* Returns when the first rest ends if all endpoints of SERVICE rest, apart
+   from those that get no requests at all; otherwise NOW.  One that pauses
+   after a failure doesn't rest: it may take requests at any moment.  */
 cfd_time_t edp_set_find_rest_end (const edp_set_t *set, const char *service,
                                   cfd_time_t now);
 
--- a/libcoltsfootdrum/relay/rly-notice.c
+++ b/libcoltsfootdrum/relay/rly-notice.c
@@ -83,14 +83,16 @@
 note_leaving (rly_request_t *request, unsigned status, cfd_time_t now)
 {
   edp_t *edp = request->edp;
+  unsigned withdrawn;
 
   if (!edp_record_leaving (edp))
     return;
+  withdrawn = withdraw_all (request->rly, edp, request, now);
   log_info ("relay",
             "An endpoint announced that it leaves: endpoint=%s service=%s "
             "status=%u request=%s withdrawn=%u.",
             edp->report->id, edp->report->service, status, request->id,
-            withdraw_all (request->rly, edp, request, now));
+            withdrawn);
 }
 
 void
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -467,6 +467,7 @@
   g_assert_true (edp_is_open (edp, NOW + 3000));
   update (set, NOW + 500, report ("e2", 3, 0), false);
   g_assert_true (edp_is_open (edp_set_find (set, "e2"), NOW + 500));
+  edp_record_failure (edp_set_find (set, "e2"), NOW + 500);
   g_assert_cmpint (edp_set_find_rest_end (set, "app", NOW + 500), ==,
                    NOW + 500);
   edp_set_free (set);
