Relay: logs and metrics tell how each exchange with an endpoint ended

Each way in which an answer can end is a case of its own now (end.c): by its length, its last chunk, an orderly close with neither, inside an event, before its end, by a reset, by a time-out of ours, by what is no answer, or without one. An exchange's line names the end, its bytes and its events; answers that end with their connection have a line of their own, which the rate limit of the others doesn't drop. A metric counts the ends, and a caller that leaves has a line too. No decision has changed: a request is answered, sent again or failed as before.

--- a/libcoltsfootdrum/relay/evs.c
+++ b/libcoltsfootdrum/relay/evs.c
@@ -123,6 +123,26 @@
   return events;
 }
 
+bool
+evs_is_inside_event (const evs_t *stream)
+{
+  const char *line = (const char *)stream->bytes->data;
+  const char *end = line + stream->bytes->len;
+
+  if (stream->is_too_long)
+    return true;
+  while (line < end)
+    {
+      const char *newline = memchr (line, '\n', (size_t)(end - line));
+      bool is_blank = *line == '\n' || (*line == '\r' && newline == line + 1);
+
+      if (newline == NULL || (*line != ':' && !is_blank))
+        return true;
+      line = newline + 1;
+    }
+  return false;
+}
+
 void
 evs_discard_partial (evs_t *stream)
 {
--- a/libcoltsfootdrum/relay/evs.h
+++ b/libcoltsfootdrum/relay/evs.h
@@ -30,6 +30,10 @@
 unsigned evs_feed (evs_t *stream, const char *bytes, size_t length,
                    GString *out);
 
+/* Returns whether the bytes after the last complete event begin another one.
+   Blank lines and comments don't.  */
+bool evs_is_inside_event (const evs_t *stream);
+
 /* Discards an incomplete event, for when the stream was interrupted.  */
 void evs_discard_partial (evs_t *stream);
 
--- a/libcoltsfootdrum/relay/rd.c
+++ b/libcoltsfootdrum/relay/rd.c
@@ -104,6 +104,16 @@
          || parser->status_code == 304;
 }
 
+static rd_framing_t
+find_framing (const rd_t *rd, int64_t length)
+{
+  if ((rd->parser.flags & F_CHUNKED) != 0)
+    return RD_CHUNKS;
+  if (length >= 0 || rd->no_body || has_no_body (&rd->parser))
+    return RD_LENGTH;
+  return RD_UNTIL_CLOSE;
+}
+
 static int
 on_head (http_parser *parser)
 {
@@ -123,8 +133,7 @@
   head->length = parser->content_length == UINT64_MAX
                      ? -1
                      : (int64_t)parser->content_length;
-  head->framed = head->length >= 0 || (parser->flags & F_CHUNKED) != 0
-                 || rd->no_body || has_no_body (parser);
+  head->framing = find_framing (rd, head->length);
   if ((parser->flags & F_CHUNKED) != 0)
     head->length = -1;
   if (!rd->ops->head (rd->user, head))
--- a/libcoltsfootdrum/relay/rd.h
+++ b/libcoltsfootdrum/relay/rd.h
@@ -25,13 +25,21 @@
   RD_TOO_LARGE   /* the head exceeds its limit */
 } rd_result_t;
 
+/* What tells where a message ends.  */
+typedef enum
+{
+  RD_LENGTH,     /* its length, or that it has no body */
+  RD_CHUNKS,     /* the last chunk */
+  RD_UNTIL_CLOSE /* nothing but the connection's end */
+} rd_framing_t;
+
 typedef struct
 {
   const char *method; /* requests */
   const char *target; /* requests: path and query as sent */
   unsigned status;    /* responses */
   bool keep_alive;
-  bool framed;    /* the end does not depend on the connection's close */
+  rd_framing_t framing;
   int64_t length; /* of the body; -1: unknown */
   hdr_t fields;
 } rd_head_t;
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -22,7 +22,8 @@
   answer->is_stream = false;
   answer->not_run = false;
   answer->is_valid = false;
-  answer->framed = false;
+  answer->framing = RD_LENGTH;
+  answer->received_bytes = 0;
   g_string_truncate (answer->fields, 0);
   g_string_truncate (answer->body, 0);
   evs_discard_partial (&answer->events);
@@ -142,7 +143,7 @@
   rly_answer_t *answer = &request->answer;
 
   answer->status = head->status;
-  answer->framed = head->framed;
+  answer->framing = head->framing;
   answer->is_valid = is_valid_head (request, head);
   answer->not_run = head->status == STATUS_MISDIRECTED
                     || hdr_get (&head->fields, names->not_run) != NULL;
@@ -194,6 +195,7 @@
 {
   rly_answer_t *answer = &request->answer;
 
+  answer->received_bytes += length;
   if (!answer->is_stream)
     {
       if (answer->body->len + length <= MAX_BODY_BYTES)
@@ -413,16 +415,57 @@
   finish_answer (request);
 }
 
+static end_kind_t
+classify_end (const rly_answer_t *answer, ups_end_t exchange)
+{
+  const end_evidence_t evidence
+      = { .exchange = exchange,
+          .framing = answer->framing,
+          .is_stream = answer->is_stream,
+          .is_inside_event = evs_is_inside_event (&answer->events) };
+
+  return end_classify (&evidence);
+}
+
+/* Ends that depend on the connection's close have a line of their own, so that
+   the rate limit of the others doesn't drop them.  */
+static void
+log_end (const rly_request_t *request, end_kind_t kind)
+{
+  const rly_answer_t *answer = &request->answer;
+  const char *endpoint = request->edp->report->id;
+
+  if (kind == END_CLOSE || kind == END_SPLIT_EVENT)
+    log_info ("relay",
+              "An answer ended with its connection: request=%s endpoint=%s "
+              "status=%u end=%s bytes=%" G_GUINT64_FORMAT
+              " events=%u last_event=%" G_GINT64_FORMAT " unfinished=%u.",
+              request->id, endpoint, answer->status, end_get_name (kind),
+              answer->received_bytes, answer->events.events,
+              answer->events.last_id, answer->events.bytes->len);
+  else
+    log_info ("relay",
+              "An exchange ended: request=%s endpoint=%s status=%u end=%s "
+              "bytes=%" G_GUINT64_FORMAT " events=%u.",
+              request->id, endpoint, answer->status, end_get_name (kind),
+              answer->received_bytes, answer->events.events);
+}
+
 void
 rly_handle_end (rly_request_t *request, ups_end_t end, cfd_time_t now)
 {
+  end_kind_t kind = classify_end (&request->answer, end);
+
+  request->rly->counts.ends[kind]++;
+  log_end (request, kind);
   /* The events before a break are delivered: a resumed stream goes on after
      them.  */
-  if (end != UPS_COMPLETE)
+  if (end != UPS_COMPLETE && end != UPS_CLOSED)
     rly_forward (request);
   switch (end)
     {
     case UPS_COMPLETE:
+    case UPS_CLOSED:
       handle_complete (request, now);
       break;
     case UPS_CONNECT_FAILED:
@@ -431,9 +474,15 @@
     case UPS_NO_RESPONSE:
       handle_unknown_outcome (request, now, "broken");
       break;
+    case UPS_TIMED_OUT:
+      handle_unknown_outcome (request, now, "silent");
+      break;
     case UPS_TRUNCATED:
       handle_unknown_outcome (request, now, "cut");
       break;
+    case UPS_RESET:
+      handle_unknown_outcome (request, now, "reset");
+      break;
     case UPS_MALFORMED:
       handle_unknown_outcome (request, now, "garbled");
       break;
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -32,6 +32,19 @@
                         (double)counters[i].value);
 }
 
+static void
+append_ends (const rly_counts_t *counts, GString *out)
+{
+  for (unsigned i = 0; i < END_KINDS; i++)
+    {
+      g_autofree char *labels
+          = g_strdup_printf ("end=\"%s\"", end_get_name ((end_kind_t)i));
+
+      prom_append_sample (out, "cfd_relay_exchange_ends_total", "counter",
+                          labels, (double)counts->ends[i]);
+    }
+}
+
 /* Returns the number of endpoints for which TEST returns true.  */
 static unsigned
 count_endpoints (const rly_t *rly, cfd_time_t now,
@@ -86,6 +99,7 @@
 rly_append_metrics (const rly_t *rly, cfd_time_t now, GString *out)
 {
   append_counters (&rly->counts, out);
+  append_ends (&rly->counts, out);
   append_state (rly, now, out);
   list_for_each (node, &rly->services)
     {
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -6,6 +6,7 @@
 #include "admin/prom.h"
 #include "base/list.h"
 #include "relay/bud.h"
+#include "relay/end.h"
 #include "relay/fit.h"
 #include "relay/mech.h"
 #include "relay/pfx.h"
@@ -80,7 +81,8 @@
   bool is_stream; /* forwarded event by event as it arrives */
   bool not_run;   /* the endpoint rejected the request */
   bool is_valid;  /* may be forwarded to the caller */
-  bool framed;    /* has a length or chunks, so truncation is detected */
+  rd_framing_t framing;
+  uint64_t received_bytes; /* of the body */
 } rly_answer_t;
 
 typedef struct
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -359,5 +359,5 @@
       && since_sent > compute_silence_timeout_ms (request)
       && rte_may_retry (request->route)
       && request->attempts < request->route->max_attempts)
-    abort_exchange (request, now, UPS_NO_RESPONSE);
+    abort_exchange (request, now, UPS_TIMED_OUT);
 }
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -477,6 +477,12 @@
   if (request == NULL)
     return;
   rly->counts.disconnected++;
+  log_info ("relay",
+            "A caller left: request=%s endpoint=%s began=%d attempts=%u "
+            "events=%u.",
+            request->id, request->edp != NULL ? request->edp->report->id : "",
+            request->head_sent, request->attempts,
+            request->answer.events.events);
   service = request->service;
   rly_request_free (request);
   rly_schedule_dispatch (service);
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -9,6 +9,7 @@
 #define RELAY_RLY_H
 
 #include "relay/edp.h"
+#include "relay/end.h"
 #include "relay/ent.h"
 #include "relay/pfx.h"
 #include "relay/ret.h"
@@ -62,6 +63,7 @@
   uint64_t resumed;      /* streams resumed at another endpoint */
   uint64_t rest_avoided; /* sent elsewhere or refused for a resting endpoint */
   uint64_t withdrawn;    /* taken back before they were sent */
+  uint64_t ends[END_KINDS]; /* of exchanges with endpoints */
   unsigned waiting;
   unsigned running;
 } rly_counts_t;
--- a/libcoltsfootdrum/relay/test-rd.c
+++ b/libcoltsfootdrum/relay/test-rd.c
@@ -11,7 +11,7 @@
   GString *head;
   GString *body;
   unsigned status;
-  bool framed;
+  rd_framing_t framing;
 } parsed_t;
 
 static bool
@@ -20,7 +20,7 @@
   parsed_t *parsed = user;
 
   parsed->status = head->status;
-  parsed->framed = head->framed;
+  parsed->framing = head->framing;
   if (head->status == 0)
     g_string_append_printf (parsed->head, "%s %s", head->method, head->target);
   for (guint i = 0; i < hdr_count (&head->fields); i++)
@@ -150,7 +150,7 @@
   size_t done;
 
   feed_all (rd, "HTTP/1.1 200 OK\r\n\r\nab", 4096, &done);
-  g_assert_false (parsed.framed);
+  g_assert_cmpint (parsed.framing, ==, RD_UNTIL_CLOSE);
   g_assert_cmpint (rd_finish (rd), ==, RD_COMPLETE);
   g_string_free (parsed.head, TRUE);
   g_string_free (parsed.body, TRUE);
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -150,7 +150,8 @@
   rd_head_t *head = rd_get_head (connection->rd);
 
   return !has_excess_bytes && !connection->free_pending && head->keep_alive
-         && head->framed && con_get_unsent_bytes (connection->con) == 0;
+         && head->framing != RD_UNTIL_CLOSE
+         && con_get_unsent_bytes (connection->con) == 0;
 }
 
 static void
@@ -170,10 +171,19 @@
   end_exchange (connection, UPS_COMPLETE);
 }
 
+/* Returns how the exchange of CONNECTION ended, which itself ended by END.  */
 static ups_end_t
-get_early_end (const ups_exchange_t *exchange)
+classify_end (ups_connection_t *connection, con_end_t end)
 {
-  return exchange->response_started ? UPS_TRUNCATED : UPS_NO_RESPONSE;
+  if (end == CON_END_CONNECT_FAILED)
+    return UPS_CONNECT_FAILED;
+  if (!connection->exchange->response_started)
+    return UPS_NO_RESPONSE;
+  if (end == CON_END_RESET)
+    return UPS_RESET;
+  if (!connection->stale_response && rd_finish (connection->rd) == RD_COMPLETE)
+    return UPS_CLOSED;
+  return UPS_TRUNCATED;
 }
 
 static void
@@ -237,17 +247,10 @@
 on_ended (void *user, con_end_t end)
 {
   ups_connection_t *connection = user;
-  ups_exchange_t *exchange = connection->exchange;
 
   connection->in_callback = true;
-  if (exchange != NULL && end == CON_END_CONNECT_FAILED)
-    end_exchange (connection, UPS_CONNECT_FAILED);
-  else if (exchange != NULL && end == CON_END_CLOSED
-           && exchange->response_started && !connection->stale_response
-           && rd_finish (connection->rd) == RD_COMPLETE)
-    end_exchange (connection, UPS_COMPLETE);
-  else if (exchange != NULL && connection->exchange != NULL)
-    end_exchange (connection, get_early_end (exchange));
+  if (connection->exchange != NULL)
+    end_exchange (connection, classify_end (connection, end));
   connection->in_callback = false;
   connection_free (connection);
 }
--- a/libcoltsfootdrum/relay/ups.h
+++ b/libcoltsfootdrum/relay/ups.h
@@ -19,10 +19,13 @@
 
 typedef enum
 {
-  UPS_COMPLETE,       /* the complete response was received */
+  UPS_COMPLETE,       /* all of its length, or its last chunk, was received */
+  UPS_CLOSED,         /* it has neither, and the endpoint closed in order */
   UPS_CONNECT_FAILED, /* not connected; the request was not sent */
   UPS_NO_RESPONSE,    /* sent, perhaps in part; no response began */
-  UPS_TRUNCATED,      /* the response began and is incomplete */
+  UPS_TRUNCATED,      /* closed by the endpoint before the response's end */
+  UPS_RESET,          /* the response began, and the connection failed */
+  UPS_TIMED_OUT,      /* not reported by this module: given up by its user */
   UPS_MALFORMED       /* what was received is not a response */
 } ups_end_t;
 
--- a/tests/fuzz-http.c
+++ b/tests/fuzz-http.c
@@ -36,7 +36,7 @@
   g_string_append_printf (out, "[%s %s %u %d %d %" G_GINT64_FORMAT "]",
                           head->method != NULL ? head->method : "",
                           head->target != NULL ? head->target : "",
-                          head->status, head->keep_alive, head->framed,
+                          head->status, head->keep_alive, (int)head->framing,
                           head->length);
   for (guint i = 0; i < hdr_count (&head->fields); i++)
     {
