Tests: a stream that was cut inside an event reaches its caller as whole

Red on this code, ten cases of 22 (/ends/split-event/...): the caller gets the fragment and the last chunk behind it, the bytes that the users' record shows. An endpoint sends a stream with neither a length nor chunks and closes the connection in order, in a field's name, a value, between lines or before the blank line; a resumable stream isn't resumed. The other twelve cases, of plain answers, resets and cut chunks, pass.

--- /dev/null
+++ b/libcoltsfootdrum/relay/test-rly-ends.c
@@ -0,0 +1,306 @@
+/* The ways in which an endpoint can end an answer, over real connections: what
+   the caller takes for whole, and the requests that follow.  */
+
+#include "test-rly-scene.h"
+
+#include <string.h>
+
+#define MAX_HEAD_BYTES 4096
+
+#define HEAD "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\n"
+#define UNTIL_CLOSE HEAD "\r\n"
+#define CHUNKED HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define LENGTH(bytes) HEAD "Content-Length: " bytes "\r\n\r\n"
+
+#define E1 "id: 1\ndata: a\n\n"
+#define E2 "id: 2\ndata: b\n\n"
+#define E3 "id: 3\ndata: c\n\n"
+#define CHUNK(text) "f\r\n" text "\r\n"
+#define LAST_CHUNK "0\r\n\r\n"
+
+#define CALL(path)                                                            \
+  "POST " path " HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Deadline: 20000\r\n"     \
+  "Authorization: Bearer key-of-the-mill\r\nContent-Length: 0\r\n\r\n"
+#define ONCE CALL ("/events-once/")
+#define RESUMABLE CALL ("/events/")
+#define PLAIN CALL ("/once/")
+#define PLAIN_TWICE CALL ("/twice/")
+
+typedef struct
+{
+  const char *name;
+  const char *call;
+  scene_reply_t replies[2]; /* a reply without bytes: none */
+  unsigned status;
+  const char *body; /* that its caller gets */
+  bool is_whole;    /* by its framing */
+  unsigned requests;
+  end_kind_t first_end;
+} case_t;
+
+static const case_t cases[] = {
+  /* Guards against a stream that is broken off inside an event, ends with its
+     connection, and is framed as whole for its caller.  */
+  { "split-event/field",
+    ONCE,
+    { { UNTIL_CLOSE E1 "id", SCENE_CLOSE } },
+    200,
+    E1,
+    false,
+    1,
+    END_SPLIT_EVENT },
+  { "split-event/value",
+    ONCE,
+    { { UNTIL_CLOSE E1 "id: 2\ndata: b", SCENE_CLOSE } },
+    200,
+    E1,
+    false,
+    1,
+    END_SPLIT_EVENT },
+  { "split-event/line",
+    ONCE,
+    { { UNTIL_CLOSE E1 "id: 2\n", SCENE_CLOSE } },
+    200,
+    E1,
+    false,
+    1,
+    END_SPLIT_EVENT },
+  { "split-event/blank-line",
+    ONCE,
+    { { UNTIL_CLOSE E1 "id: 2\ndata: b\n", SCENE_CLOSE } },
+    200,
+    E1,
+    false,
+    1,
+    END_SPLIT_EVENT },
+  { "split-event/first",
+    ONCE,
+    { { UNTIL_CLOSE "id: 1\nda", SCENE_CLOSE } },
+    502,
+    "",
+    true,
+    1,
+    END_SPLIT_EVENT },
+  { "split-event/chunks",
+    ONCE,
+    { { CHUNKED CHUNK (E1) "4\r\nid: \r\n" LAST_CHUNK, SCENE_KEEP_OPEN } },
+    200,
+    E1,
+    false,
+    1,
+    END_SPLIT_EVENT },
+  { "split-event/length",
+    ONCE,
+    { { LENGTH ("17") E1 "id", SCENE_KEEP_OPEN } },
+    200,
+    E1,
+    false,
+    1,
+    END_SPLIT_EVENT },
+  { "split-event/resumed",
+    RESUMABLE,
+    { { UNTIL_CLOSE E1 "id: 2\nda", SCENE_CLOSE },
+      { UNTIL_CLOSE E2 E3, SCENE_CLOSE } },
+    200,
+    E1 E2 E3,
+    true,
+    2,
+    END_SPLIT_EVENT },
+  { "split-event/resumed-and-split",
+    RESUMABLE,
+    { { UNTIL_CLOSE E1 "id: 2\nda", SCENE_CLOSE },
+      { UNTIL_CLOSE E2 "id: 3\nda", SCENE_CLOSE } },
+    200,
+    E1 E2,
+    false,
+    2,
+    END_SPLIT_EVENT },
+  { "split-event/resumed-before-first",
+    RESUMABLE,
+    { { UNTIL_CLOSE "id: 1\nda", SCENE_CLOSE },
+      { UNTIL_CLOSE E1 E2, SCENE_CLOSE } },
+    200,
+    E1 E2,
+    true,
+    2,
+    END_SPLIT_EVENT },
+
+  { "close/stream",
+    ONCE,
+    { { UNTIL_CLOSE E1 E2, SCENE_CLOSE } },
+    200,
+    E1 E2,
+    true,
+    1,
+    END_CLOSE },
+  { "close/comment",
+    ONCE,
+    { { UNTIL_CLOSE E1 ": ping\n", SCENE_CLOSE } },
+    200,
+    E1 ": ping\n",
+    true,
+    1,
+    END_CLOSE },
+  { "close/plain",
+    PLAIN,
+    { { UNTIL_CLOSE "abc", SCENE_CLOSE } },
+    200,
+    "abc",
+    true,
+    1,
+    END_CLOSE },
+  { "close/plain-empty",
+    PLAIN,
+    { { UNTIL_CLOSE, SCENE_CLOSE } },
+    200,
+    "",
+    true,
+    1,
+    END_CLOSE },
+  { "reset/plain",
+    PLAIN,
+    { { UNTIL_CLOSE "abc", SCENE_RESET } },
+    502,
+    "",
+    true,
+    1,
+    END_RESET },
+  { "reset/plain-twice",
+    PLAIN_TWICE,
+    { { UNTIL_CLOSE "abc", SCENE_RESET }, { UNTIL_CLOSE "d", SCENE_CLOSE } },
+    200,
+    "d",
+    true,
+    2,
+    END_RESET },
+  { "reset/between-events",
+    ONCE,
+    { { UNTIL_CLOSE E1, SCENE_RESET } },
+    200,
+    E1,
+    false,
+    1,
+    END_RESET },
+  { "truncated/chunks",
+    ONCE,
+    { { CHUNKED CHUNK (E1), SCENE_CLOSE } },
+    200,
+    E1,
+    false,
+    1,
+    END_TRUNCATED },
+  { "truncated/in-chunk",
+    ONCE,
+    { { CHUNKED CHUNK (E1) "f\r\nid: 2", SCENE_CLOSE } },
+    200,
+    E1,
+    false,
+    1,
+    END_TRUNCATED },
+  { "truncated/length",
+    PLAIN,
+    { { LENGTH ("9") "abc", SCENE_CLOSE } },
+    502,
+    "",
+    true,
+    1,
+    END_TRUNCATED },
+  { "malformed/chunk",
+    ONCE,
+    { { CHUNKED CHUNK (E1) "zz\r\n", SCENE_KEEP_OPEN } },
+    200,
+    E1,
+    false,
+    1,
+    END_TRUNCATED },
+  { "no-answer/head",
+    PLAIN,
+    { { "HTTP/1.1 200 OK\r\nX-", SCENE_CLOSE } },
+    502,
+    "",
+    true,
+    1,
+    END_NO_ANSWER },
+};
+
+/* What a caller makes of the bytes that it received.  */
+typedef struct
+{
+  unsigned status;
+  bool is_whole; /* by length, chunks, or the connection's orderly end */
+  GString *body;
+} answer_t;
+
+static bool
+on_head (void *user, rd_head_t *head)
+{
+  ((answer_t *)user)->status = head->status;
+  return true;
+}
+
+static void
+on_body (void *user, const char *bytes, size_t length)
+{
+  g_string_append_len (((answer_t *)user)->body, bytes, (gssize)length);
+}
+
+static answer_t
+read_answer (const scene_caller_t *caller)
+{
+  static const rd_ops_t ops = { on_head, on_body };
+  answer_t answer = { .body = g_string_new (NULL) };
+  g_autoptr (rd_t) rd = rd_new (RD_RESPONSES, MAX_HEAD_BYTES, &ops, &answer);
+  size_t used;
+  rd_result_t result
+      = rd_feed (rd, caller->text->str, caller->text->len, &used);
+
+  if (result == RD_INCOMPLETE && caller->ended)
+    result = rd_finish (rd);
+  answer.is_whole = result == RD_COMPLETE;
+  return answer;
+}
+
+/* Returns whether the caller has a whole answer, or its connection ended.  */
+static bool
+is_answered (void *user)
+{
+  const scene_caller_t *caller = user;
+  answer_t answer = read_answer (caller);
+
+  g_string_free (answer.body, TRUE);
+  return answer.is_whole || caller->ended;
+}
+
+static void
+test_case (const void *data)
+{
+  const case_t *test = data;
+  unsigned replies = test->replies[1].bytes != NULL ? 2 : 1;
+  scene_t *scene = scene_new (test->replies, replies, 4);
+  scene_caller_t *caller = scene_send_request (scene, test->call);
+  answer_t answer;
+
+  scene_run (scene, is_answered, caller);
+  answer = read_answer (caller);
+  g_assert_cmpuint (answer.status, ==, test->status);
+  g_assert_cmpstr (answer.body->str, ==, test->body);
+  g_assert_cmpint (answer.is_whole, ==, test->is_whole);
+  g_assert_cmpuint (scene->requests_received, ==, test->requests);
+  g_assert_cmpuint (rly_counts (scene->rly)->ends[test->first_end], >=, 1);
+  g_string_free (answer.body, TRUE);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/ends/%s", cases[i].name);
+
+      g_test_add_data_func (path, &cases[i], test_case);
+    }
+  return g_test_run ();
+}
