Relay: a stream that ends inside an event has been broken off

Cause: an answer with neither a length nor chunks ends with its connection. An orderly close was taken for the end of the answer wherever it came, and what was left of an event went out with the last chunk. The router claimed to its caller what it had no evidence for. The same end was counted as a success of the endpoint, in the latencies, in the answered requests and in a rollout's evidence, and a resumable stream was not resumed.

Cut chunks were not taken for whole either (/ends/truncated).

Change: whether an answer is whole is decided in one place, from the way in which the exchange ended and the stream's last bytes (end.c), and all that believes an answer follows from it. The events before the break are passed on, the fragment is not; then the stream is resumed, or its caller's connection ends without the last chunk. Streams with chunks or a length are read in the same way. Blank lines and comments behind the last event are no fragment.

--- a/libcoltsfootdrum/relay/end.c
+++ b/libcoltsfootdrum/relay/end.c
@@ -31,6 +31,12 @@
   return END_NOT_CONNECTED;
 }
 
+bool
+end_is_whole (end_kind_t kind)
+{
+  return kind == END_LENGTH || kind == END_CHUNKS || kind == END_CLOSE;
+}
+
 const char *
 end_get_name (end_kind_t kind)
 {
--- a/libcoltsfootdrum/relay/end.h
+++ b/libcoltsfootdrum/relay/end.h
@@ -36,6 +36,10 @@
 
 end_kind_t end_classify (const end_evidence_t *evidence);
 
+/* Returns whether KIND shows that the caller may be sent the answer as a whole
+   one.  */
+bool end_is_whole (end_kind_t kind);
+
 /* Returns the name of KIND in logs and metrics.  */
 const char *end_get_name (end_kind_t kind);
 
--- a/libcoltsfootdrum/relay/evs.h
+++ b/libcoltsfootdrum/relay/evs.h
@@ -37,8 +37,8 @@
 /* Discards an incomplete event, for when the stream was interrupted.  */
 void evs_discard_partial (evs_t *stream);
 
-/* Appends the remaining bytes to OUT, for when the stream is complete and its
-   last event is not terminated by a blank line.  */
+/* Appends the remaining bytes to OUT, for when the stream is complete: blank
+   lines and comments after its last event.  */
 void evs_flush (evs_t *stream, GString *out);
 
 #endif
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -460,30 +460,35 @@
   log_end (request, kind);
   /* The events before a break are delivered: a resumed stream goes on after
      them.  */
-  if (end != UPS_COMPLETE && end != UPS_CLOSED)
+  if (!end_is_whole (kind))
     rly_forward (request);
-  switch (end)
+  switch (kind)
     {
-    case UPS_COMPLETE:
-    case UPS_CLOSED:
+    case END_LENGTH:
+    case END_CHUNKS:
+    case END_CLOSE:
       handle_complete (request, now);
       break;
-    case UPS_CONNECT_FAILED:
+    case END_NOT_CONNECTED:
       handle_unreached (request, now);
       break;
-    case UPS_NO_RESPONSE:
-      handle_unknown_outcome (request, now, "broken");
-      break;
-    case UPS_TIMED_OUT:
-      handle_unknown_outcome (request, now, "silent");
+    case END_SPLIT_EVENT:
+      handle_unknown_outcome (request, now, "split-event");
       break;
-    case UPS_TRUNCATED:
+    case END_TRUNCATED:
       handle_unknown_outcome (request, now, "cut");
       break;
-    case UPS_RESET:
+    case END_RESET:
       handle_unknown_outcome (request, now, "reset");
       break;
-    case UPS_MALFORMED:
+    case END_NO_ANSWER:
+      handle_unknown_outcome (request, now, "broken");
+      break;
+    case END_TIMED_OUT:
+      handle_unknown_outcome (request, now, "silent");
+      break;
+    case END_MALFORMED:
+    case END_KINDS:
       handle_unknown_outcome (request, now, "garbled");
       break;
     }
