Entry: callers of HTTP/1.0 get streams with a length

A caller of HTTP/1.0 got a stream in chunks, which that version doesn't have, and on a kept connection it got no word that the connection stays open, so that it waited for its end until the idle time-out. Found by reading, when the ways in which an answer can end were listed for callers of both versions.

Its answers come with a length now, streams too: they are collected up to 8 MiB and sent when they are whole; a broken one gets 502. A body that ends with the connection would have been simpler, but the kernel closes the connections of a process that is killed in order, so that its caller could not tell a broken answer from a whole one. What is collected counts to the memory for slow clients. Connections of HTTP/1.0 are closed after the answer.

relay-rly-ends, cases http10: all four red before (chunks, a broken stream that looked whole, a connection that stays open), green after.

--- a/libcoltsfootdrum/relay/ent-private.h
+++ b/libcoltsfootdrum/relay/ent-private.h
@@ -44,6 +44,7 @@
   GByteArray *body;
   GByteArray *pipelined; /* input that is not parsed yet */
   GString *head;         /* of a response, not written yet; NULL: none */
+  GString *collected;    /* body for a client of HTTP/1.0; NULL: none */
   void *data;
   cfd_time_t state_since;
   cfd_time_t started;      /* start of the request */
--- a/libcoltsfootdrum/relay/ent-unsent.c
+++ b/libcoltsfootdrum/relay/ent-unsent.c
@@ -76,8 +76,11 @@
   ent->unsent_total = 0;
   list_for_each (node, &ent->calls)
     {
-      ent->unsent_total
-          += update_unsent (list_entry (node, ent_call_t, node), now);
+      ent_call_t *call = list_entry (node, ent_call_t, node);
+
+      ent->unsent_total += update_unsent (call, now);
+      if (call->collected != NULL)
+        ent->unsent_total += call->collected->len;
     }
   if (ent->unsent_budget == 0)
     return;
--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -28,6 +28,8 @@
 #define MAX_ACCEPTS_PER_WAKEUP 32
 /* Buffered bytes of pipelined requests, above which reading is paused.  */
 #define MAX_PIPELINED_BYTES 65536
+/* Largest response that is collected for a client of HTTP/1.0.  */
+#define MAX_COLLECTED_BYTES 8388608u
 /* Interval at which the time-outs of all connections are checked.  */
 #define TIMEOUT_CHECK_INTERVAL_MS 100
 /* Before a connection is closed, further input is read and discarded for this
@@ -51,6 +53,8 @@
   g_byte_array_unref (call->pipelined);
   if (call->head != NULL)
     g_string_free (call->head, TRUE);
+  if (call->collected != NULL)
+    g_string_free (call->collected, TRUE);
   g_free (call);
 }
 
@@ -107,7 +111,7 @@
 {
   rd_head_t *head = rd_get_head (call->rd);
 
-  call->reusable = head->keep_alive;
+  call->reusable = head->keep_alive && !head->is_http10;
   set_state (call, ENT_SERVING);
   call->ent->ops.request (call->ent->user, call);
 }
@@ -536,6 +540,12 @@
   GString *text = build_head (call, status, fields);
 
   call->chunked = length < 0;
+  if (call->chunked && rd_get_head (call->rd)->is_http10)
+    {
+      call->head = text;
+      call->collected = g_string_new (NULL);
+      return;
+    }
   if (call->chunked)
     hdr_append_line (text, "Transfer-Encoding", "chunked");
   else
@@ -566,6 +576,33 @@
                             : g_string_sized_new (512);
 }
 
+/* Adds BYTES to the response that is collected.  A larger one than the limit
+   is not sent.  */
+static void
+collect_body (ent_call_t *call, const void *bytes, size_t length)
+{
+  if (call->collected->len <= MAX_COLLECTED_BYTES)
+    g_string_append_len (call->collected, bytes, (gssize)length);
+}
+
+/* Sends the collected response.  */
+static void
+finish_collected (ent_call_t *call)
+{
+  g_autoptr (GString) body = g_steal_pointer (&call->collected);
+  g_autoptr (GString) text = take_head (call);
+
+  if (body->len > MAX_COLLECTED_BYTES)
+    {
+      ent_respond (call, 502, NULL, NULL, 0);
+      return;
+    }
+  g_string_append_printf (text, "Content-Length: %zu\r\n\r\n", body->len);
+  g_string_append_len (text, body->str, (gssize)body->len);
+  con_write (call->con, text->str, text->len);
+  finish_call (call);
+}
+
 void
 ent_send_body (ent_call_t *call, const void *bytes, size_t length)
 {
@@ -573,6 +610,11 @@
 
   if (length == 0)
     return;
+  if (call->collected != NULL)
+    {
+      collect_body (call, bytes, length);
+      return;
+    }
   text = take_head (call);
   append_body (call, text, bytes, length);
   con_write (call->con, text->str, text->len);
@@ -581,8 +623,15 @@
 void
 ent_finish_response (ent_call_t *call, const void *bytes, size_t length)
 {
-  g_autoptr (GString) text = take_head (call);
+  g_autoptr (GString) text = NULL;
 
+  if (call->collected != NULL)
+    {
+      collect_body (call, bytes, length);
+      finish_collected (call);
+      return;
+    }
+  text = take_head (call);
   append_body (call, text, bytes, length);
   if (call->chunked)
     g_string_append (text, "0\r\n\r\n");
@@ -593,6 +642,13 @@
 void
 ent_abort (ent_call_t *call)
 {
+  if (call->collected != NULL)
+    {
+      g_string_free (g_steal_pointer (&call->collected), TRUE);
+      g_string_free (g_steal_pointer (&call->head), TRUE);
+      ent_respond (call, 502, NULL, NULL, 0);
+      return;
+    }
   ent_call_free (call);
 }
 
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -92,7 +92,10 @@
                   const void *body, size_t length);
 
 /* Starts a response whose body is sent in pieces.  LENGTH is that of the whole
-   body; -1 selects chunked encoding.  */
+   body; -1 selects chunked encoding.  A client of HTTP/1.0 reads no chunks: its
+   response is collected and sent with its length when it is finished.  A body
+   that ends with the connection would look whole also when this process ends
+   first.  */
 void ent_begin_response (ent_call_t *call, unsigned status, const char *fields,
                          int64_t length);
 /* Sends a piece of the body, the first one together with the head.  */
@@ -100,7 +103,7 @@
 /* Sends the last piece, which may be empty, and ends the response.  */
 void ent_finish_response (ent_call_t *call, const void *bytes, size_t length);
 /* Closes the connection at once, so that the client sees that the response is
-   incomplete.  */
+   incomplete.  If nothing of it was sent, the client gets 502 instead.  */
 void ent_abort (ent_call_t *call);
 
 /* Returns false when the client has closed the connection, even if that was
--- a/libcoltsfootdrum/relay/rd.c
+++ b/libcoltsfootdrum/relay/rd.c
@@ -129,6 +129,7 @@
   head->method = http_method_str (parser->method);
   head->target = rd->target->str;
   head->status = parser->status_code;
+  head->is_http10 = parser->http_major == 1 && parser->http_minor == 0;
   head->keep_alive = http_should_keep_alive (parser) != 0;
   head->length = parser->content_length == UINT64_MAX
                      ? -1
--- a/libcoltsfootdrum/relay/rd.h
+++ b/libcoltsfootdrum/relay/rd.h
@@ -39,6 +39,7 @@
   const char *target; /* requests: path and query as sent */
   unsigned status;    /* responses */
   bool keep_alive;
+  bool is_http10; /* the peer reads no chunks */
   rd_framing_t framing;
   int64_t length; /* of the body; -1: unknown */
   hdr_t fields;
--- a/libcoltsfootdrum/relay/test-rly-ends.c
+++ b/libcoltsfootdrum/relay/test-rly-ends.c
@@ -21,6 +21,10 @@
 #define CALL(path)                                                            \
   "POST " path " HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Deadline: 20000\r\n"     \
   "Authorization: Bearer key-of-the-mill\r\nContent-Length: 0\r\n\r\n"
+#define CALL_HTTP10(path)                                                     \
+  "POST " path " HTTP/1.0\r\nHost: h\r\nX-Id: 1\r\nX-Deadline: 20000\r\n"     \
+  "Authorization: Bearer key-of-the-mill\r\nContent-Length: 0\r\n"            \
+  "Connection: keep-alive\r\n\r\n"
 #define ONCE CALL ("/events-once/")
 #define RESUMABLE CALL ("/events/")
 #define PLAIN CALL ("/once/")
@@ -221,6 +225,42 @@
     true,
     1,
     END_NO_ANSWER },
+
+  /* Guards against a caller of HTTP/1.0 that gets chunks, which it can't read,
+     or a body that ends with the connection, however that ends.  */
+  { "http10/stream",
+    CALL_HTTP10 ("/events-once/"),
+    { { CHUNKED CHUNK (E1) CHUNK (E2) LAST_CHUNK, SCENE_KEEP_OPEN } },
+    200,
+    E1 E2,
+    true,
+    1,
+    END_CHUNKS },
+  { "http10/split-event",
+    CALL_HTTP10 ("/events-once/"),
+    { { UNTIL_CLOSE E1 "id: 2\nda", SCENE_CLOSE } },
+    502,
+    "",
+    true,
+    1,
+    END_SPLIT_EVENT },
+  { "http10/resumed",
+    CALL_HTTP10 ("/events/"),
+    { { CHUNKED CHUNK (E1), SCENE_CLOSE },
+      { UNTIL_CLOSE E2 E3, SCENE_CLOSE } },
+    200,
+    E1 E2 E3,
+    true,
+    2,
+    END_TRUNCATED },
+  { "http10/plain",
+    CALL_HTTP10 ("/once/"),
+    { { UNTIL_CLOSE "abc", SCENE_CLOSE } },
+    200,
+    "abc",
+    true,
+    1,
+    END_CLOSE },
 };
 
 /* What a caller makes of the bytes that it received.  */
@@ -287,6 +327,12 @@
   g_assert_cmpint (answer.is_whole, ==, test->is_whole);
   g_assert_cmpuint (scene->requests_received, ==, test->requests);
   g_assert_cmpuint (rly_counts (scene->rly)->ends[test->first_end], >=, 1);
+  if (strstr (test->call, " HTTP/1.0\r\n") != NULL)
+    {
+      g_assert_null (strstr (caller->text->str, "Transfer-Encoding"));
+      g_assert_nonnull (strstr (caller->text->str, "Content-Length: "));
+      scene_wait_for (scene, caller, NULL);
+    }
   g_string_free (answer.body, TRUE);
   scene_caller_free (caller);
   scene_free (scene);
