Relay: a stream that is closed before its first event is not whole

An endpoint that ends after the head of a stream with neither a length nor chunks closes its connection in order, as the kernel does for any process that is killed. Its caller got an empty stream, framed as whole. Nothing had been received that could show it.

Such a stream is broken off now: resumed if it may be, or 502. An empty stream with a last chunk or a length is whole, as its endpoint says so; so is an empty plain answer, by the platform's rules.

--- a/libcoltsfootdrum/relay/end.c
+++ b/libcoltsfootdrum/relay/end.c
@@ -14,6 +14,8 @@
     case UPS_CLOSED:
       if (evidence->is_stream && evidence->is_inside_event)
         return END_SPLIT_EVENT;
+      if (evidence->is_stream && evidence->is_empty)
+        return END_NO_EVENT;
       return END_CLOSE;
     case UPS_TRUNCATED:
       return END_TRUNCATED;
@@ -48,6 +50,8 @@
       return "chunks";
     case END_CLOSE:
       return "close";
+    case END_NO_EVENT:
+      return "no-event";
     case END_SPLIT_EVENT:
       return "split-event";
     case END_TRUNCATED:
--- a/libcoltsfootdrum/relay/end.h
+++ b/libcoltsfootdrum/relay/end.h
@@ -12,15 +12,16 @@
 
 typedef enum
 {
-  END_LENGTH,        /* all bytes of its length were received */
-  END_CHUNKS,        /* its last chunk was received */
-  END_CLOSE,         /* neither; the endpoint closed the connection */
-  END_SPLIT_EVENT,   /* a stream ended inside an event */
-  END_TRUNCATED,     /* closed before its length or last chunk */
-  END_RESET,         /* the connection failed after the head */
-  END_NO_ANSWER,     /* sent, and no answer began */
-  END_TIMED_OUT,     /* sent, and given up by this router */
-  END_MALFORMED,     /* what was received is no answer */
+  END_LENGTH,      /* all bytes of its length were received */
+  END_CHUNKS,      /* its last chunk was received */
+  END_CLOSE,       /* neither; the endpoint closed the connection */
+  END_NO_EVENT,    /* a stream without framing closed before its first event */
+  END_SPLIT_EVENT, /* a stream ended inside an event */
+  END_TRUNCATED,   /* closed before its length or last chunk */
+  END_RESET,       /* the connection failed after the head */
+  END_NO_ANSWER,   /* sent, and no answer began */
+  END_TIMED_OUT,   /* sent, and given up by this router */
+  END_MALFORMED,   /* what was received is no answer */
   END_NOT_CONNECTED, /* nothing was sent */
   END_KINDS          /* their number */
 } end_kind_t;
@@ -32,6 +33,7 @@
   rd_framing_t framing;
   bool is_stream;
   bool is_inside_event; /* the last event is incomplete */
+  bool is_empty;        /* no byte of the body was received */
 } end_evidence_t;
 
 end_kind_t end_classify (const end_evidence_t *evidence);
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -422,7 +422,8 @@
       = { .exchange = exchange,
           .framing = answer->framing,
           .is_stream = answer->is_stream,
-          .is_inside_event = evs_is_inside_event (&answer->events) };
+          .is_inside_event = evs_is_inside_event (&answer->events),
+          .is_empty = answer->received_bytes == 0 };
 
   return end_classify (&evidence);
 }
@@ -435,7 +436,7 @@
   const rly_answer_t *answer = &request->answer;
   const char *endpoint = request->edp->report->id;
 
-  if (kind == END_CLOSE || kind == END_SPLIT_EVENT)
+  if (kind == END_CLOSE || kind == END_NO_EVENT || kind == END_SPLIT_EVENT)
     log_info ("relay",
               "An answer ended with its connection: request=%s endpoint=%s "
               "status=%u end=%s bytes=%" G_GUINT64_FORMAT
@@ -472,6 +473,9 @@
     case END_NOT_CONNECTED:
       handle_unreached (request, now);
       break;
+    case END_NO_EVENT:
+      handle_unknown_outcome (request, now, "no-event");
+      break;
     case END_SPLIT_EVENT:
       handle_unknown_outcome (request, now, "split-event");
       break;
--- a/libcoltsfootdrum/relay/test-end.c
+++ b/libcoltsfootdrum/relay/test-end.c
@@ -14,15 +14,19 @@
 
 #define PLAIN(exchange, framing)                                              \
   {                                                                           \
-    exchange, framing, false, false                                           \
+    exchange, framing, false, false, false                                    \
   }
 #define STREAM(exchange, framing)                                             \
   {                                                                           \
-    exchange, framing, true, false                                            \
+    exchange, framing, true, false, false                                     \
   }
 #define IN_EVENT(exchange, framing)                                           \
   {                                                                           \
-    exchange, framing, true, true                                             \
+    exchange, framing, true, true, false                                      \
+  }
+#define EMPTY(exchange, framing, is_stream)                                   \
+  {                                                                           \
+    exchange, framing, is_stream, false, true                                 \
   }
 
 static const case_t cases[] = {
@@ -41,6 +45,11 @@
   { "stream-length", STREAM (UPS_COMPLETE, RD_LENGTH), END_LENGTH },
   { "stream-chunks", STREAM (UPS_COMPLETE, RD_CHUNKS), END_CHUNKS },
   { "stream-close", STREAM (UPS_CLOSED, RD_UNTIL_CLOSE), END_CLOSE },
+  { "stream-close-empty", EMPTY (UPS_CLOSED, RD_UNTIL_CLOSE, true),
+    END_NO_EVENT },
+  { "stream-chunks-empty", EMPTY (UPS_COMPLETE, RD_CHUNKS, true), END_CHUNKS },
+  { "plain-close-empty", EMPTY (UPS_CLOSED, RD_UNTIL_CLOSE, false),
+    END_CLOSE },
   { "stream-reset", STREAM (UPS_RESET, RD_UNTIL_CLOSE), END_RESET },
   { "stream-truncated", IN_EVENT (UPS_TRUNCATED, RD_CHUNKS), END_TRUNCATED },
   { "event-length", IN_EVENT (UPS_COMPLETE, RD_LENGTH), END_SPLIT_EVENT },
