Agent: an end mark that is cut inside its event doesn't end a stream

When the engine's connection ended before the blank line, the answer went to the caller as whole, and a client that follows the standard discards that event. The end mark counts now with the end of its event; until then the rest is requested from the engine as after any other break.

--- a/libcoltsfootdrum/agent/agent-sse.c
+++ b/libcoltsfootdrum/agent/agent-sse.c
@@ -76,6 +76,12 @@
 {
   const char *event = sse->buffer->str;
 
+  /* Clients discard an event without the blank line after it.  */
+  if (event[0] == '\0' || g_str_equal (event, "\r"))
+    {
+      sse->is_complete |= sse->has_end_mark;
+      return;
+    }
   if (!g_str_has_prefix (event, EVENT_PREFIX))
     return;
   event += strlen (EVENT_PREFIX);
@@ -83,7 +89,7 @@
     event++;
   if (g_str_has_prefix (event, EVENT_END))
     {
-      sse->is_complete = true;
+      sse->has_end_mark = true;
       return;
     }
   if (strstr (event, "\"usage\"") != NULL)
--- a/libcoltsfootdrum/agent/agent-sse.h
+++ b/libcoltsfootdrum/agent/agent-sse.h
@@ -24,8 +24,9 @@
 typedef struct
 {
   bool is_streamed;
-  bool is_complete; /* "[DONE]" was read, or the whole object */
-  GString *buffer;  /* the incomplete line, or the whole answer */
+  bool has_end_mark; /* "[DONE]" was read */
+  bool is_complete;  /* so was the end of its event, or the whole object */
+  GString *buffer;   /* the incomplete line, or the whole answer */
   bool is_too_long;
   unsigned token_events; /* events with a token so far */
   bool has_usage;
--- a/libcoltsfootdrum/agent/test-sse.c
+++ b/libcoltsfootdrum/agent/test-sse.c
@@ -21,6 +21,12 @@
 } cases[] = {
   { "empty", true, "", 0, 0, false },
   { "cut-short", true, TOKEN TOKEN, 0, 2, false },
+  /* Guards against an end mark that is cut inside its event, which clients
+     discard, and taken for a whole stream.  */
+  { "end-mark-without-blank-line", true, TOKEN "data: [DONE]\n", 0, 1, false },
+  { "end-mark-without-line-end", true, TOKEN "data: [DONE]", 0, 1, false },
+  { "end-mark-and-carriage-returns", true, TOKEN "data: [DONE]\r\n\r\n", 0, 1,
+    true },
   { "usage-wins", true, TOKEN TOKEN USAGE DONE, 7, 5, true },
   { "no-usage", true, TOKEN DONE, 0, 1, true },
   { "null-usage", true,
