Agent: a load report that was cut short doesn't end the wait for old requests

A report of status 200 whose body is no whole JSON object, as when the engine's connection ends inside it, was taken for an engine that gives no reports, and ended the wait; the agent then filled slots that the requests of the process before it still used. It is requested again now, up to the same longest wait, and logged. An engine that answers another status, or an object without the count, still ends the wait.

agent/cut-load-report: red before (one report was requested), green after.

--- a/libcoltsfootdrum/agent/agent-settle.c
+++ b/libcoltsfootdrum/agent/agent-settle.c
@@ -30,16 +30,18 @@
   log_info ("agent", "Settling has ended: reason=%s.", reason);
 }
 
-/* Number of running requests in the report TEXT; -1 when it is no report.  */
-static gint64
-parse_running (const char *text)
+/* Sets *RUNNING to the number of running requests in the report TEXT, -1 when
+   it doesn't have it.  Returns false when TEXT is no whole report.  */
+static bool
+parse_running (const char *text, gint64 *running)
 {
   g_autoptr (JsonNode) root = text != NULL ? jsn_parse (text, NULL) : NULL;
 
   if (root == NULL || !JSON_NODE_HOLDS_OBJECT (root))
-    return -1;
-  return json_object_get_int_member_with_default (json_node_get_object (root),
-                                                  "running", -1);
+    return false;
+  *running = json_object_get_int_member_with_default (
+      json_node_get_object (root), "running", -1);
+  return true;
 }
 
 static void
@@ -52,9 +54,10 @@
 
   agent->settle_fetch = NULL;
   agent->settle_poll_at = now + POLL_INTERVAL_MS;
-  if (result == FETCH_COMPLETE && status == 200)
-    running = parse_running (body);
-  if (running == 0)
+  if (result == FETCH_COMPLETE && status == 200
+      && !parse_running (body, &running))
+    log_warn ("agent", "A load report was cut short; it is requested again.");
+  else if (running == 0)
     end_settling (agent, "no request is running");
   else if (running < 0 && result == FETCH_COMPLETE)
     end_settling (agent, "the engine gives no report");
--- a/libcoltsfootdrum/agent/test-agent.c
+++ b/libcoltsfootdrum/agent/test-agent.c
@@ -56,6 +56,17 @@
     }
 }
 
+/* Guards against an agent that takes a load report that was cut short for an
+   engine without reports, and fills slots that are still in use.  */
+static void
+test_cut_load_report (void)
+{
+  scene_t *scene = scene_new (ENGINE_CUT_REPORT);
+
+  SCENE_RUN_UNTIL (scene, scene->load_requests >= 3);
+  scene_free (scene);
+}
+
 /* A late ASSIGN, one for another incarnation, one that arrives twice, and one
    after the zone was taken out: none starts anything, and the router is
    told.  */
@@ -419,6 +430,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/agent/cut-load-report", test_cut_load_report);
   g_test_add_func ("/agent/runs", test_runs);
   g_test_add_func ("/agent/not-started", test_not_started);
   g_test_add_func ("/agent/suspended-before-sending",
--- a/libcoltsfootdrum/agent/test-scene.c
+++ b/libcoltsfootdrum/agent/test-scene.c
@@ -144,6 +144,7 @@
   switch (scene->engine)
     {
     case ENGINE_COMPLETE:
+    case ENGINE_CUT_REPORT:
       web_stream_write (request, SCENE_END, strlen (SCENE_END));
       web_stream_end (request, true);
       return;
@@ -198,8 +199,11 @@
   else if (g_str_equal (path, "/v1/load"))
     {
       /* Without a report the agent assumes that the engine is idle.  */
-      scene->is_load_requested = true;
-      web_respond (request, 404, "text/plain", NULL, "", 0);
+      scene->load_requests++;
+      if (scene->engine == ENGINE_CUT_REPORT)
+        web_respond (request, 200, "application/json", NULL, "{\"run", 5);
+      else
+        web_respond (request, 404, "text/plain", NULL, "", 0);
     }
   else if (g_str_has_prefix (path, "/v1/streams/"))
     on_resume (scene, request);
@@ -385,7 +389,7 @@
   g_assert_no_error (error);
   scene_connect_router (scene, 1);
   SCENE_RUN_UNTIL (scene, scene->is_router_up && scene->watch != NULL
-                              && scene->is_load_requested);
+                              && scene->load_requests > 0);
   return scene;
 }
 
--- a/libcoltsfootdrum/agent/test-scene.h
+++ b/libcoltsfootdrum/agent/test-scene.h
@@ -23,7 +23,8 @@
   ENGINE_HANGS,
   ENGINE_DEAD_CONNECTION, /* no answer to the request, but to all others */
   ENGINE_STOPPED,         /* answers nothing after its first request */
-  ENGINE_LARGE_ANSWER
+  ENGINE_LARGE_ANSWER,
+  ENGINE_CUT_REPORT /* its load reports are cut short */
 } engine_t;
 
 typedef struct
@@ -37,7 +38,7 @@
   bool has_timed_out;
 
   engine_t engine;
-  bool is_load_requested;
+  unsigned load_requests;
   unsigned starts;
   unsigned resumes;
   unsigned cancels;
