Tests: the HTTP client tells a reset from a close

What the agent and the store's reader take for complete rests on it: a response with neither a length nor chunks is complete after an orderly close, not after a reset. Both rows pass on the code as it was.

--- a/libcoltsfootdrum/http/test-fetch.c
+++ b/libcoltsfootdrum/http/test-fetch.c
@@ -20,7 +20,8 @@
 typedef enum
 {
   KEEP_OPEN,
-  CLOSE_CONNECTION
+  CLOSE_CONNECTION,
+  RESET_CONNECTION
 } after_script_t;
 
 typedef struct
@@ -74,7 +75,13 @@
   f->requests++;
   g_assert_cmpint (write (io->fd, f->script, strlen (f->script)), ==,
                    (ssize_t)strlen (f->script));
-  if (f->after == CLOSE_CONNECTION)
+  if (f->after == RESET_CONNECTION)
+    {
+      struct linger none = { .l_onoff = 1, .l_linger = 0 };
+
+      setsockopt (io->fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    }
+  if (f->after != KEEP_OPEN)
     close_connection (f);
 }
 
@@ -236,7 +243,9 @@
     KEEP_OPEN, 0, 0, FETCH_COMPLETE, 200, "hi" },
   { "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", KEEP_OPEN, 0, 0,
     FETCH_COMPLETE, 503, "" },
+  { OK_HEAD "\r\nhi", CLOSE_CONNECTION, 0, 0, FETCH_COMPLETE, 200, "hi" },
   /* In each of these the server may have run the request.  */
+  { OK_HEAD "\r\nhi", RESET_CONNECTION, 0, 0, FETCH_INCOMPLETE, 200, "hi" },
   { "", CLOSE_CONNECTION, 0, 0, FETCH_INCOMPLETE, 0, "" },
   { "no HTTP\r\n\r\n", CLOSE_CONNECTION, 0, 0, FETCH_INCOMPLETE, 0, "" },
   { OK_HEAD "Content-Length: 9\r\n\r\nhi", CLOSE_CONNECTION, 0, 0,
