--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -352,6 +352,8 @@
   g_autoptr (GString) rest = g_steal_pointer (&answer->body);
 
   answer->body = g_string_new (NULL);
+  INVARIANT ("whole-answer", !evs_is_inside_event (&answer->events),
+             request->id);
   evs_flush (&answer->events, rest);
   request->rly->counts.answered++;
   if (!request->head_sent)
