--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -92,10 +92,10 @@
                   const void *body, size_t length);
 
 /* Starts a response whose body is sent in pieces.  LENGTH is that of the whole
-   body; -1 selects chunked encoding.  A client of HTTP/1.0 reads no chunks: its
-   response is collected and sent with its length when it is finished.  A body
-   that ends with the connection would look whole also when this process ends
-   first.  */
+   body; -1 selects chunked encoding.  A client of HTTP/1.0 reads no chunks:
+   its response is collected and sent with its length when it is finished.  A
+   body that ends with the connection would look whole also when this process
+   ends first.  */
 void ent_begin_response (ent_call_t *call, unsigned status, const char *fields,
                          int64_t length);
 /* Sends a piece of the body, the first one together with the head.  */
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -14,15 +14,25 @@
   short) suite_option=--no-suite=long ;;
   *) echo "check.sh: the suite is short or long, not $suite" >&2; exit 2 ;;
 esac
+# The builds are tested side by side: the tests mostly wait.
+for build in "$@"; do
+  ninja -C "$build" || exit 1
+done
+for build in "$@"; do
+  {
+    meson test -C "$build" --no-rebuild --print-errorlogs $suite_option \
+      --num-processes "$PARALLEL_TESTS"
+    echo $? >"$build/test-status"
+  } >"$build/test-output" 2>&1 &
+done
+wait
 passed=0
 failed=0
 red=0
 known=$(sed -n 's/^\([a-z0-9-]*\):.*/\1/p' KNOWN-RED.txt 2>/dev/null)
 for build in "$@"; do
-  ninja -C "$build" || exit 1
-  meson test -C "$build" --no-rebuild --print-errorlogs $suite_option \
-    --num-processes "$PARALLEL_TESTS"
-  status=$?
+  cat "$build/test-output"
+  status=$(cat "$build/test-status")
   # The log has one JSON line for each test program, with a TAP line for each
   # case in its output.
   python3 - "$build/meson-logs/testlog.json" $known <<'PY' >"$build/counts"
