Relay: the ends by time-out and by a parser's error are named and counted

Review of the ways in which an answer can end: an exchange that ended at its route's or its caller's deadline had no line and no count, and bytes that ceased to be an answer after its head were logged as a truncated one. What callers get is unchanged. relay-rly-ends has three new cases, of which those of the time-out need the count, and malformed/chunk expects its own kind now in place of "truncated", which is as strict.

--- a/libcoltsfootdrum/relay/end.h
+++ b/libcoltsfootdrum/relay/end.h
@@ -21,7 +21,7 @@
   END_RESET,       /* the connection failed after the head */
   END_NO_ANSWER,   /* sent, and no answer began */
   END_TIMED_OUT,   /* sent, and given up by this router */
-  END_MALFORMED,   /* what was received is no answer */
+  END_MALFORMED,   /* what was received is no answer, or not all */
   END_NOT_CONNECTED, /* nothing was sent */
   END_KINDS          /* their number */
 } end_kind_t;
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -454,13 +454,21 @@
               answer->received_bytes, answer->events.events);
 }
 
-void
-rly_handle_end (rly_request_t *request, ups_end_t end, cfd_time_t now)
+end_kind_t
+rly_note_end (rly_request_t *request, ups_end_t end)
 {
   end_kind_t kind = classify_end (&request->answer, end);
 
   request->rly->counts.ends[kind]++;
   log_end (request, kind);
+  return kind;
+}
+
+void
+rly_handle_end (rly_request_t *request, ups_end_t end, cfd_time_t now)
+{
+  end_kind_t kind = rly_note_end (request, end);
+
   /* The events before a break are delivered: a resumed stream goes on after
      them.  */
   if (!end_is_whole (kind))
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -255,6 +255,8 @@
 /* Forwards the events that were received since the last call, in one write:
    several arrive in one read when the loop is behind.  */
 void rly_forward (rly_request_t *request);
+/* Counts and logs the end of an exchange.  */
+end_kind_t rly_note_end (rly_request_t *request, ups_end_t end);
 void rly_handle_end (rly_request_t *request, ups_end_t end, cfd_time_t now);
 
 #endif
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -335,6 +335,7 @@
 
   if (now >= MIN (request->deadline, request->route_deadline))
     {
+      rly_note_end (request, UPS_TIMED_OUT);
       rly_count_rollout_answer (request, now, true);
       rly_fail (request, 504, "timeout");
       return;
--- a/libcoltsfootdrum/relay/test-rly-ends.c
+++ b/libcoltsfootdrum/relay/test-rly-ends.c
@@ -25,6 +25,9 @@
   "POST " path " HTTP/1.0\r\nHost: h\r\nX-Id: 1\r\nX-Deadline: 20000\r\n"     \
   "Authorization: Bearer key-of-the-mill\r\nContent-Length: 0\r\n"            \
   "Connection: keep-alive\r\n\r\n"
+#define CALL_SHORT(path)                                                      \
+  "POST " path " HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Deadline: 300\r\n"       \
+  "Authorization: Bearer key-of-the-mill\r\nContent-Length: 0\r\n\r\n"
 #define ONCE CALL ("/events-once/")
 #define RESUMABLE CALL ("/events/")
 #define PLAIN CALL ("/once/")
@@ -242,7 +245,31 @@
     E1,
     false,
     1,
-    END_TRUNCATED },
+    END_MALFORMED },
+  { "malformed/head",
+    PLAIN,
+    { { "no HTTP\r\n\r\n", SCENE_KEEP_OPEN } },
+    502,
+    "",
+    true,
+    1,
+    END_MALFORMED },
+  { "timed-out/stream",
+    CALL_SHORT ("/events-once/"),
+    { { UNTIL_CLOSE E1 "id", SCENE_KEEP_OPEN } },
+    200,
+    E1,
+    false,
+    1,
+    END_TIMED_OUT },
+  { "timed-out/plain",
+    CALL_SHORT ("/once/"),
+    { { UNTIL_CLOSE "abc", SCENE_KEEP_OPEN } },
+    504,
+    "",
+    true,
+    1,
+    END_TIMED_OUT },
   { "no-answer/head",
     PLAIN,
     { { "HTTP/1.1 200 OK\r\nX-", SCENE_CLOSE } },
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -212,9 +212,7 @@
       if (result != RD_COMPLETE)
         {
           connection->free_pending = true;
-          end_exchange (connection, connection->exchange->response_started
-                                        ? UPS_TRUNCATED
-                                        : UPS_MALFORMED);
+          end_exchange (connection, UPS_MALFORMED);
           return;
         }
       if (connection->stale_response)
--- a/libcoltsfootdrum/relay/ups.h
+++ b/libcoltsfootdrum/relay/ups.h
@@ -26,7 +26,7 @@
   UPS_TRUNCATED,      /* closed by the endpoint before the response's end */
   UPS_RESET,          /* the response began, and the connection failed */
   UPS_TIMED_OUT,      /* not reported by this module: given up by its user */
-  UPS_MALFORMED       /* what was received is not a response */
+  UPS_MALFORMED       /* what was received is not a response, or not all */
 } ups_end_t;
 
 typedef struct
