Relay: events whose lines end with carriage returns alone

The standard allows LF, CR and both as line ends. Of a stream with CR alone no event was found: it was held back until its end and passed on whole then.

--- a/libcoltsfootdrum/relay/evs.c
+++ b/libcoltsfootdrum/relay/evs.c
@@ -23,6 +23,17 @@
   g_clear_pointer (&stream->bytes, g_byte_array_unref);
 }
 
+/* Returns the end of the line that begins at TEXT, without its terminator;
+   NULL when that is missing.  Terminators are LF, CR and both.  */
+static const char *
+find_line_end (const char *text, const char *end)
+{
+  for (; text < end; text++)
+    if (*text == '\n' || *text == '\r')
+      return text;
+  return NULL;
+}
+
 /* Returns the length of the first event in TEXT, including the blank line that
    terminates it, or 0 when the event is incomplete.  The line does not begin
    before START.  */
@@ -31,10 +42,12 @@
 {
   for (size_t i = start; i + 1 < length; i++)
     {
-      if (text[i] != '\n')
+      if (text[i] != '\n' && text[i] != '\r')
         continue;
-      if (text[i + 1] == '\n')
+      if (text[i + 1] == text[i])
         return i + 2;
+      if (text[i] == '\r')
+        continue;
       if (text[i + 1] == '\r' && i + 2 < length && text[i + 2] == '\n')
         return i + 3;
     }
@@ -70,15 +83,15 @@
 
   while (text < end)
     {
-      const char *newline = memchr (text, '\n', (size_t)(end - text));
-      const char *line_end = newline != NULL ? newline : end;
+      const char *terminator = find_line_end (text, end);
+      const char *line_end = terminator != NULL ? terminator : end;
 
       if ((size_t)(line_end - text) >= sizeof field - 1
           && strncmp (text, field, sizeof field - 1) == 0)
         return parse_number (text + sizeof field - 1, line_end);
-      if (newline == NULL)
+      if (terminator == NULL)
         break;
-      text = newline + 1;
+      text = terminator + 1;
     }
   return -1;
 }
@@ -133,12 +146,11 @@
     return true;
   while (line < end)
     {
-      const char *newline = memchr (line, '\n', (size_t)(end - line));
-      bool is_blank = *line == '\n' || (*line == '\r' && newline == line + 1);
+      const char *terminator = find_line_end (line, end);
 
-      if (newline == NULL || (*line != ':' && !is_blank))
+      if (terminator == NULL || (*line != ':' && terminator != line))
         return true;
-      line = newline + 1;
+      line = terminator + 1;
     }
   return false;
 }
--- a/libcoltsfootdrum/relay/test-evs.c
+++ b/libcoltsfootdrum/relay/test-evs.c
@@ -45,6 +45,16 @@
     "id: 2\n\nid:\n\r\nid: 4\n\n",
     4 },
   { "no-id", { "data: a\n\n", NULL }, "data: a\n\n", -1 },
+  /* Guards against a stream whose lines end with carriage returns alone, of
+     which no event is passed on.  */
+  { "lone-carriage-returns",
+    { "id: 7\rdata: a\r\rid: 8\rda", "ta: b\r", "\rid", NULL },
+    "id: 7\rdata: a\r\rid: 8\rdata: b\r\r",
+    8 },
+  { "lone-carriage-returns-twice",
+    { "data: a\rid: 7\r\r", "id: 7\r\r", NULL },
+    "data: a\rid: 7\r\r",
+    7 },
   { "carriage-returns",
     { "id: 7\r\ndata: a\r\n\r\n", NULL },
     "id: 7\r\ndata: a\r\n\r\n",
