--- a/libcoltsfootdrum/relay/end.h
+++ b/libcoltsfootdrum/relay/end.h
@@ -2,8 +2,8 @@
    them show that it is whole.
 
    An answer with neither a length nor chunks ends with its connection.  Then
-   nothing but the way in which that was closed, and for a stream what its last
-   bytes are, tells a whole answer from one that was broken off.  */
+   nothing but the way in which that was closed, and for a stream its last
+   bytes, distinguishes a whole answer from one that was broken off.  */
 
 #ifndef RELAY_END_H
 #define RELAY_END_H
--- a/libcoltsfootdrum/relay/rd.h
+++ b/libcoltsfootdrum/relay/rd.h
@@ -25,7 +25,7 @@
   RD_TOO_LARGE   /* the head exceeds its limit */
 } rd_result_t;
 
-/* What tells where a message ends.  */
+/* What marks the end of a message.  */
 typedef enum
 {
   RD_LENGTH,     /* its length, or that it has no body */
--- a/libcoltsfootdrum/relay/rly-notice.c
+++ b/libcoltsfootdrum/relay/rly-notice.c
@@ -4,7 +4,7 @@
    An endpoint that rejects a request may ask for rest, a time in which it
    wants nothing from this router, and any answer may announce that it leaves.
    Both are facts of that endpoint, whatever address it has.  Other routers
-   aren't told: each is asked for rest by itself, and learns from the
+   aren't notified: each is asked for rest by itself, and learns from the
    platform's list which endpoints leave.  */
 
 #include "relay/rly-private.h"
--- a/libcoltsfootdrum/relay/test-rly-rest.c
+++ b/libcoltsfootdrum/relay/test-rly-rest.c
@@ -86,7 +86,7 @@
   scene_free (scene);
 }
 
-/* Guards against a caller who is kept waiting, or told to come back at once,
+/* Guards against a caller who is kept waiting, or asked to retry at once,
    when every endpoint rests past the time that its request may wait.  */
 static void
 test_all_rest (void)
