Endpoints: a log line tells when and by what an endpoint became cold

Needed to tell the hypotheses of the flooded cold endpoint apart. Two metrics: endpoints that are cold now, and requests sent to such. No decision changes.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -204,6 +204,23 @@
   g_hash_table_insert (set->by_id, report->id, edp);
 }
 
+/* Records that EDP is cold for COLD_MS from now on.  */
+static void
+set_cold (edp_t *edp, cfd_time_t now, int64_t cold_ms, const char *cause)
+{
+  if (cold_ms <= 0 || now + cold_ms <= edp->cold_until)
+    return;
+  if (now >= edp->cold_until)
+    log_info ("endpoints",
+              "An endpoint is cold: endpoint=%s service=%s zone=%s "
+              "cold_ms=%" G_GINT64_FORMAT " cause=%s "
+              "revision=%" G_GINT64_FORMAT " active=%u peers=%u withdrawn=%d.",
+              edp->report->id, edp->report->service, edp->report->zone,
+              cold_ms, cause, edp->report->revision, edp->active,
+              edp->peer_active, edp->withdrawn);
+  edp->cold_until = now + cold_ms;
+}
+
 static void
 apply_report (edp_set_t *set, cfd_time_t now, edp_report_t *report,
               int64_t cold_ms, bool is_first_list)
@@ -229,8 +246,7 @@
   if (is_new && rest_ms > 0)
     edp_record_rest (edp, now, rest_ms);
   edp->listed_in = set->list_number;
-  if (cold > 0 && now + cold > edp->cold_until)
-    edp->cold_until = now + cold;
+  set_cold (edp, now, cold, is_new ? "listed" : "report");
 }
 
 static void
@@ -408,6 +424,12 @@
          && now >= edp->rest_until;
 }
 
+bool
+edp_is_cold (const edp_t *edp, cfd_time_t now)
+{
+  return now < edp->cold_until;
+}
+
 bool
 edp_is_open (const edp_t *edp, cfd_time_t now)
 {
@@ -489,7 +511,7 @@
   bool begins = !edp_is_resting (edp, now);
 
   edp->rest_until = MAX (edp->rest_until, now + rest_ms);
-  edp->cold_until = MAX (edp->cold_until, edp->rest_until + REST_WARM_UP_MS);
+  set_cold (edp, now, edp->rest_until + REST_WARM_UP_MS - now, "rest");
   return begins;
 }
 
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -153,6 +153,7 @@
    warm-up rate limit and the share of canaries.  */
 bool edp_is_open (const edp_t *edp, cfd_time_t now);
 
+bool edp_is_cold (const edp_t *edp, cfd_time_t now);
 /* Returns whether the warm-up rate limit allows another request to EDP now;
    always true for a warm endpoint.  A cold endpoint takes few requests a
    second from all routers together and crashes well above that rate.  PER_S is
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -25,6 +25,7 @@
     { "cfd_relay_resumed_total", NULL, counts->resumed },
     { "cfd_relay_rest_avoided_total", NULL, counts->rest_avoided },
     { "cfd_relay_withdrawn_total", NULL, counts->withdrawn },
+    { "cfd_relay_cold_requests_total", NULL, counts->cold_requests },
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (counters); i++)
@@ -79,6 +80,8 @@
                       count_endpoints (rly, now, edp_is_open));
   prom_append_sample (out, "cfd_relay_endpoints_resting", "gauge", NULL,
                       count_endpoints (rly, now, edp_is_resting));
+  prom_append_sample (out, "cfd_relay_endpoints_cold", "gauge", NULL,
+                      count_endpoints (rly, now, edp_is_cold));
   prom_append_sample (out, "cfd_relay_config_version", "gauge", NULL,
                       (double)version);
 }
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -218,6 +218,7 @@
   edp->active++;
   edp->pending_prefill += request->pending_prefill;
   edp->context_tokens += request->context_tokens;
+  rly->counts.cold_requests += edp_is_cold (edp, now);
   edp_count_cold_request (edp, now);
   edp_set_note_changed (rly->endpoints, edp);
   rly_count_rollout_send (request, now);
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -63,6 +63,7 @@
   uint64_t resumed;      /* streams resumed at another endpoint */
   uint64_t rest_avoided; /* sent elsewhere or refused for a resting endpoint */
   uint64_t withdrawn;    /* taken back before they were sent */
+  uint64_t cold_requests; /* sent to endpoints that were cold */
   uint64_t ends[END_KINDS]; /* of exchanges with endpoints */
   unsigned waiting;
   unsigned running;
