Endpoints: one that may have turned cold unnoticed counts as cold

The list of zones is watched and that of endpoints polled, and each has other readers. A zone's return could be known before the report that its endpoints are cold; and a process that stood still went on with what it knew before. In both cases endpoints that were cold counted as warm and idle, and got most of what the routers had to send.

The class: warmth was concluded from knowledge that was older than the event. One in doubt gets requests at the warm-up rate, until a list that is current as of that moment shows its state, read here or by a router whose changes are all here; at the longest for the time that an endpoint can be cold. Services without a warm-up are never in doubt.

--- a/libcoltsfootdrum/relay/edp-private.h
+++ b/libcoltsfootdrum/relay/edp-private.h
@@ -33,6 +33,7 @@
   bool has_new;     /* endpoints came into use, see edp_set_take_new */
   bool has_changed; /* the load on an endpoint, since it was last sent */
   GStrv zones_out;  /* availability zones out of service */
+  bool has_doubts;  /* the warmth of an endpoint may be in doubt */
 };
 
 /* edp-cells.c */
--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -166,6 +166,7 @@
                                     (uint64_t)report->started_ms)
               & HASH_MASK;
   edp->cold_tokens = COLD_BURST;
+  edp->doubted_at = CFD_TIME_NEVER;
   edp->ups = ups_new (set->loop, &addr);
   edp->unlisted_since = CFD_TIME_NEVER;
   edp->listed_revision = report->revision;
@@ -333,23 +334,135 @@
 }
 
 static void
-withdraw_zones (const edp_set_t *set, list_node_t *list)
+doubt_warmth (edp_set_t *set, edp_t *edp, cfd_time_t now)
 {
+  edp->doubted_at = now;
+  set->has_doubts = true;
+}
+
+/* Returns the number of endpoints whose zone returned.  */
+static unsigned
+withdraw_zones (edp_set_t *set, list_node_t *list, cfd_time_t now)
+{
+  unsigned returned = 0;
+
   list_for_each (node, list)
     {
       edp_t *edp = list_entry (node, edp_t, node);
+      bool was_withdrawn = edp->withdrawn;
 
       edp->withdrawn = is_zone_out (set, edp->report->zone);
+      if (!was_withdrawn || edp->withdrawn)
+        continue;
+      doubt_warmth (set, edp, now);
+      returned++;
     }
+  return returned;
+}
+
+static void
+log_doubt (const char *cause, unsigned count)
+{
+  log_info ("endpoints",
+            "The warmth of endpoints is in doubt: cause=%s endpoints=%u.",
+            cause, count);
 }
 
 void
-edp_set_withdraw_zones (edp_set_t *set, const char *const *zones)
+edp_set_withdraw_zones (edp_set_t *set, cfd_time_t now,
+                        const char *const *zones)
 {
+  unsigned returned;
+
   g_strfreev (set->zones_out);
   set->zones_out = g_strdupv ((char **)zones);
-  withdraw_zones (set, &set->list);
-  withdraw_zones (set, &set->others);
+  returned = withdraw_zones (set, &set->list, now)
+             + withdraw_zones (set, &set->others, now);
+  if (returned > 0)
+    log_doubt ("zone-returned", returned);
+}
+
+void
+edp_set_doubt (edp_set_t *set, cfd_time_t now, const char *cause)
+{
+  list_for_each (node, &set->list)
+    {
+      doubt_warmth (set, list_entry (node, edp_t, node), now);
+    }
+  list_for_each (node, &set->others)
+    {
+      doubt_warmth (set, list_entry (node, edp_t, node), now);
+    }
+  log_doubt (cause, edp_set_count (set));
+}
+
+typedef struct
+{
+  unsigned ended;
+  unsigned cold; /* of these */
+  unsigned left;
+  int64_t after_ms; /* the longest */
+} doubts_t;
+
+static void
+end_doubts (const list_node_t *list, cfd_time_t now, cfd_time_t current_at,
+            doubts_t *doubts)
+{
+  list_for_each (node, list)
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      if (edp->doubted_at == CFD_TIME_NEVER)
+        continue;
+      if (current_at < edp->doubted_at)
+        {
+          doubts->left++;
+          continue;
+        }
+      doubts->after_ms = MAX (doubts->after_ms, now - edp->doubted_at);
+      edp->doubted_at = CFD_TIME_NEVER;
+      doubts->ended++;
+      doubts->cold += edp_is_cold (edp, now);
+    }
+}
+
+void
+edp_set_note_current (edp_set_t *set, cfd_time_t now, cfd_time_t current_at)
+{
+  doubts_t doubts = { 0 };
+
+  if (!set->has_doubts || current_at == CFD_TIME_NEVER)
+    return;
+  end_doubts (&set->list, now, current_at, &doubts);
+  end_doubts (&set->others, now, current_at, &doubts);
+  set->has_doubts = doubts.left > 0;
+  if (doubts.ended > 0)
+    log_info ("endpoints",
+              "The warmth of endpoints is known: endpoints=%u cold=%u "
+              "in_doubt=%u after_ms=%" G_GINT64_FORMAT ".",
+              doubts.ended, doubts.cold, doubts.left, doubts.after_ms);
+}
+
+static void
+update_warm_up (list_node_t *list,
+                int64_t (*get_ms) (void *user, const char *service),
+                void *user)
+{
+  list_for_each (node, list)
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      edp->warm_up_ms = get_ms (user, edp->report->service);
+    }
+}
+
+void
+edp_set_update_warm_up (edp_set_t *set,
+                        int64_t (*get_ms) (void *user, const char *service),
+                        void *user)
+{
+  update_warm_up (&set->list, get_ms, user);
+  update_warm_up (&set->others, get_ms, user);
 }
 
 void
@@ -427,7 +540,9 @@
 bool
 edp_is_cold (const edp_t *edp, cfd_time_t now)
 {
-  return now < edp->cold_until;
+  return now < edp->cold_until
+         || (edp->doubted_at != CFD_TIME_NEVER
+             && now < edp->doubted_at + edp->warm_up_ms);
 }
 
 bool
@@ -441,7 +556,7 @@
 {
   double refill = (double)(now - edp->cold_refilled_at) * per_s / 1000.;
 
-  if (now >= edp->cold_until)
+  if (!edp_is_cold (edp, now))
     return true;
   if (per_s <= 0.)
     return false;
@@ -453,7 +568,7 @@
 void
 edp_count_cold_request (edp_t *edp, cfd_time_t now)
 {
-  if (now >= edp->cold_until)
+  if (!edp_is_cold (edp, now))
     return;
   edp->cold_tokens -= 1.;
   INVARIANT ("cold-within-rate", edp->cold_tokens >= 0., edp->report->id);
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -59,6 +59,10 @@
   double cold_tokens; /* token bucket of the warm-up rate limit */
   unsigned cold_rank; /* this router's rank among those that share the rate */
   cfd_time_t cold_refilled_at;
+  int64_t warm_up_ms; /* that a start or return takes; 0: it is never cold */
+  /* By when it may have turned cold without a report here, see edp_set_doubt;
+     CFD_TIME_NEVER: its warmth is not in doubt.  */
+  cfd_time_t doubted_at;
 
   /* Load of this router.  */
   unsigned active;        /* running requests */
@@ -128,8 +132,26 @@
 /* Returns whether endpoints came into use since the last call.  */
 bool edp_set_take_new (edp_set_t *set);
 
-/* Sets the availability zones that are out of service.  ZONES is copied.  */
-void edp_set_withdraw_zones (edp_set_t *set, const char *const *zones);
+/* Sets the availability zones that are out of service.  ZONES is copied.  The
+   warmth of endpoints whose zone returns is in doubt (edp_set_doubt): they may
+   turn cold while they get nothing.  */
+void edp_set_withdraw_zones (edp_set_t *set, cfd_time_t now,
+                             const char *const *zones);
+
+/* Puts the warmth of all endpoints in doubt for CAUSE, a word for logs: each
+   may have turned cold unnoticed.  Until a list that is current as of NOW
+   shows its state, but no longer than it can be cold, an endpoint in doubt
+   gets requests at the warm-up rate.  */
+void edp_set_doubt (edp_set_t *set, cfd_time_t now, const char *cause);
+/* Records that the list which was applied last is current as of CURRENT_AT;
+   CFD_TIME_NEVER: not known.  */
+void edp_set_note_current (edp_set_t *set, cfd_time_t now,
+                           cfd_time_t current_at);
+/* Sets how long the endpoints of each service can be cold.  */
+void edp_set_update_warm_up (edp_set_t *set,
+                             int64_t (*get_ms) (void *user,
+                                                const char *service),
+                             void *user);
 
 /* Frees retired endpoints that have no running requests.  Must not be called
    from a callback of an exchange.  */
@@ -153,6 +175,8 @@
    warm-up rate limit and the share of canaries.  */
 bool edp_is_open (const edp_t *edp, cfd_time_t now);
 
+/* Returns whether EDP gets requests at the warm-up rate only: it is cold, or
+   may be.  */
 bool edp_is_cold (const edp_t *edp, cfd_time_t now);
 /* Returns whether the warm-up rate limit allows another request to EDP now;
    always true for a warm endpoint.  A cold endpoint takes few requests a
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -345,7 +345,7 @@
     {
       edp_t *edp = list_entry (node, edp_t, node);
 
-      if (now < edp->cold_until)
+      if (edp_is_cold (edp, now))
         edp->cold_rank = pal->member_names != NULL
                              ? compute_cold_rank (pal, edp)
                              : COLD_RANK_UNKNOWN;
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -266,7 +266,7 @@
   edp = edp_set_find_preferred (rly->endpoints, round->service->name,
                                 round->now, pfx_prompt_get_shared_id (prompt));
   /* The warm-up rate of a cold endpoint is shared out in its own cell.  */
-  if (edp == NULL || edp->is_near || round->now < edp->cold_until)
+  if (edp == NULL || edp->is_near || edp_is_cold (edp, round->now))
     return;
   round->has_remote = true;
   round->endpoints[round->count] = edp;
--- a/libcoltsfootdrum/relay/rly-rollout.c
+++ b/libcoltsfootdrum/relay/rly-rollout.c
@@ -24,7 +24,7 @@
 
   request->first_byte_at = 0;
   request->is_canary = request->edp->standing == EDP_CANARY;
-  request->is_warming_up = now < request->edp->cold_until;
+  request->is_warming_up = edp_is_cold (request->edp, now);
   if (rollout != NULL && request->tries <= 1)
     rol_count_send (request->rly->rol, rollout, request->route, now,
                     request->is_canary);
--- a/libcoltsfootdrum/relay/rol-shift.c
+++ b/libcoltsfootdrum/relay/rol-shift.c
@@ -142,7 +142,7 @@
 
       load.running += edp->active + edp->peer_active;
       if (edp->standing == EDP_CANARY && edp_is_open (edp, now)
-          && now >= edp->cold_until)
+          && !edp_is_cold (edp, now))
         load.target_slots += edp->report->slots;
     }
   return load;
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -107,17 +107,66 @@
   edp_set_t *set = edp_set_new (loop);
 
   update (set, NOW, report ("e1", 1, 0), true);
-  edp_set_withdraw_zones (set, zones_out);
+  edp_set_withdraw_zones (set, NOW, zones_out);
   g_assert_false (edp_is_open (edp_set_find (set, "e1"), NOW));
   /* The same holds for an endpoint that is listed later.  */
   update (set, NOW, report ("e2", 1, 0), true);
   g_assert_false (edp_is_open (edp_set_find (set, "e2"), NOW));
-  edp_set_withdraw_zones (set, none);
+  edp_set_withdraw_zones (set, NOW, none);
   g_assert_true (edp_is_open (edp_set_find (set, "e2"), NOW));
   edp_set_free (set);
   ev_loop_destroy (loop);
 }
 
+static int64_t
+get_warm_up_ms (void *user, const char *service)
+{
+  return g_str_equal (service, "app") ? COLD_MS : 0;
+}
+
+/* Returns whether the warm-up rate limits EDP at NOW.  */
+static bool
+is_limited (edp_t *edp, cfd_time_t now)
+{
+  return !edp_allows_request (edp, now, 0.);
+}
+
+/* An endpoint whose zone returns may have turned cold there.  It is limited
+   until a list that is current as of the return has shown its state, or until
+   it must be warm.  */
+static void
+test_doubt (void)
+{
+  static const char *const zones_out[] = { "z", NULL };
+  static const char *const none[] = { NULL };
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  edp_set_t *set = edp_set_new (loop);
+  edp_t *edp;
+
+  update (set, NOW, report ("e1", 1, 0), true);
+  edp_set_update_warm_up (set, get_warm_up_ms, NULL);
+  edp = edp_set_find (set, "e1");
+  g_assert_false (is_limited (edp, NOW));
+  edp_set_withdraw_zones (set, NOW, zones_out);
+  edp_set_withdraw_zones (set, NOW + 10, none);
+  g_assert_true (is_limited (edp, NOW + 10));
+  edp_set_note_current (set, NOW + 20, NOW + 9);
+  edp_set_note_current (set, NOW + 20, CFD_TIME_NEVER);
+  g_assert_true (is_limited (edp, NOW + 20));
+  edp_set_note_current (set, NOW + 30, NOW + 10);
+  g_assert_false (is_limited (edp, NOW + 30));
+  /* No list can be read.  */
+  edp_set_doubt (set, NOW + 100, "test");
+  g_assert_true (is_limited (edp, NOW + 99 + COLD_MS));
+  g_assert_false (is_limited (edp, NOW + 100 + COLD_MS));
+  /* Endpoints of a service without a warm-up are never cold.  */
+  edp->warm_up_ms = 0;
+  edp_set_doubt (set, NOW + 200, "test");
+  g_assert_false (is_limited (edp, NOW + 200));
+  edp_set_free (set);
+  ev_loop_destroy (loop);
+}
+
 /* Consecutive failures lengthen the backoff up to its maximum; a success ends
    it.  */
 static void
@@ -489,6 +538,7 @@
       g_test_add_data_func (path, &cold_cases[i], test_warm_up_rate_of_fleet);
     }
   g_test_add_func ("/edp/zone-out", test_zone_out);
+  g_test_add_func ("/edp/doubt", test_doubt);
   g_test_add_func ("/edp/failures", test_failures);
   g_test_add_func ("/edp/gives-back", test_rejections);
   g_test_add_func ("/edp/rest", test_rest);
