Peers: a cold endpoint of another cell gets nothing from this one

When all endpoints of a cell are down or full, its requests go to endpoints of other cells. Of these only the ones in use had their rank for the warm-up rate computed, and with the routers of the wrong cell; any other one had rank 0, so that every router of the fleet took itself for one of those that share the rate.

--- a/libcoltsfootdrum/relay/cold.h
+++ b/libcoltsfootdrum/relay/cold.h
@@ -14,7 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Rank of a router that doesn't know the other routers yet; its rate is 0.  */
+/* Rank of a router that doesn't know the other routers yet, or is none of
+   those that share the endpoint; its rate is 0.  */
 #define COLD_RANK_UNKNOWN UINT32_MAX
 
 /* Returns whether ROUTER ranks before OTHER for ENDPOINT, a hash.  */
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -318,7 +318,7 @@
 }
 
 /* Returns this router's rank among those that share EDP: the routers of its
-   cell, or all where several cells share it.  */
+   cell, or all where several cells share it.  The others send it nothing.  */
 static unsigned
 compute_cold_rank (const pal_t *pal, const edp_t *edp)
 {
@@ -327,6 +327,8 @@
   bool all = may_be_partitioned (pal);
   unsigned rank = 0;
 
+  if (pal->member_names == NULL || !edp->is_near)
+    return COLD_RANK_UNKNOWN;
   for (guint i = 0; i < names->len; i++)
     {
       const char *name = g_ptr_array_index (names, i);
@@ -338,20 +340,25 @@
   return rank;
 }
 
-void
-pal_update_cold_ranks (pal_t *pal, cfd_time_t now)
+static void
+update_cold_ranks (const pal_t *pal, list_node_t *endpoints, cfd_time_t now)
 {
-  list_for_each (node, edp_set_endpoints (pal->endpoints))
+  list_for_each (node, endpoints)
     {
       edp_t *edp = list_entry (node, edp_t, node);
 
       if (edp_is_cold (edp, now))
-        edp->cold_rank = pal->member_names != NULL
-                             ? compute_cold_rank (pal, edp)
-                             : COLD_RANK_UNKNOWN;
+        edp->cold_rank = compute_cold_rank (pal, edp);
     }
 }
 
+void
+pal_update_cold_ranks (pal_t *pal, cfd_time_t now)
+{
+  update_cold_ranks (pal, edp_set_endpoints (pal->endpoints), now);
+  update_cold_ranks (pal, edp_set_others (pal->endpoints), now);
+}
+
 static int64_t
 get_summary_interval_ms (const pal_t *pal)
 {
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -330,6 +330,30 @@
   router_free (&here);
 }
 
+/* Requests that spill over to another cell would reach its cold endpoints from
+   every router at once.  Only the routers of its cell send to a cold
+   endpoint.  */
+static void
+test_cold_endpoint_of_other_cell (void)
+{
+  static const pal_member_t listed[] = { { "one", "127.0.0.1:9", true } };
+  router_t here = router_new ("here");
+  edp_t *edp = get_endpoint (&here);
+
+  pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
+  edp->cold_until = NOW + 3000;
+  edp->is_near = false;
+  pal_update_cold_ranks (here.pal, NOW);
+  g_assert_cmpuint (edp->cold_rank, ==, COLD_RANK_UNKNOWN);
+  /* The same for one that got no requests lately.  */
+  edp->cold_rank = 0;
+  list_remove (&edp->node);
+  list_append (edp_set_others (here.endpoints), &edp->node);
+  pal_update_cold_ranks (here.pal, NOW);
+  g_assert_cmpuint (edp->cold_rank, ==, COLD_RANK_UNKNOWN);
+  router_free (&here);
+}
+
 typedef struct
 {
   unsigned count;
@@ -792,6 +816,8 @@
   g_test_add_func ("/pal/summary", test_summary);
   g_test_add_func ("/pal/cell-changes", test_cell_changes);
   g_test_add_func ("/pal/cold-ranks-in-cells", test_cold_ranks_in_cells);
+  g_test_add_func ("/pal/cold-endpoint-of-other-cell",
+                   test_cold_endpoint_of_other_cell);
   g_test_add_func ("/pal/no-time", test_no_time);
   g_test_add_func ("/pal/in-order", test_in_order);
   g_test_add_func ("/pal/silent", test_silent);
