--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -265,14 +265,16 @@
   prom_hist_observe (&request->service->wait_ms, now - request->arrived_at);
   log_info (
       "relay",
-      "A request was sent: request=%s account=%s endpoint=%s active=%u "
+      "A request was sent: request=%s account=%s endpoint=%s version=%s "
+      "active=%u "
       "peers=%u ahead=%.0f own=%.0f expect_ms=%.0f waited_ms=%" G_GINT64_FORMAT
       " source=%s fetch_ms=%.0f canary=%d again=%d.",
       request->id, rly_get_account_name (request), edp->report->id,
-      edp->active, edp->peer_active, request->prefill_ahead,
-      request->pending_prefill, estimate_first_byte_ms (request),
-      now - request->arrived_at, source != NULL ? source->report->id : "",
-      request->fetch_ms, request->is_canary, rly_has_failed_at (request, edp));
+      edp->report->version != NULL ? edp->report->version : "", edp->active,
+      edp->peer_active, request->prefill_ahead, request->pending_prefill,
+      estimate_first_byte_ms (request), now - request->arrived_at,
+      source != NULL ? source->report->id : "", request->fetch_ms,
+      request->is_canary, rly_has_failed_at (request, edp));
   return true;
 }
 
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -402,6 +402,21 @@
   return request;
 }
 
+static void
+log_take_up (const rly_request_t *request, const hdr_t *fields)
+{
+  const rly_names_t *names = &request->rly->names;
+  const char *last_event = hdr_get (fields, names->last_event);
+  const char *resumes = hdr_get (fields, names->resumes);
+
+  if (last_event == NULL || request->route->kind != RTE_STREAM)
+    return;
+  log_info ("relay",
+            "A caller takes up a stream: request=%s resumes=%s "
+            "last_event=%s.",
+            request->id, resumes != NULL ? resumes : "", last_event);
+}
+
 /* Returns whether a new request is refused because this router lacks processor
    time.  */
 static bool
@@ -457,6 +472,7 @@
     }
   request = request_new (rly, call, route, account);
   ent_set_data (call, request);
+  log_take_up (request, &head->fields);
   request->service = rly_find_or_add_service (
       rly, rte_choose_service (route, g_random_double ()));
   bud_count_request (&request->service->retry_budget, now);
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -34,6 +34,7 @@
   const char *length_hint;     /* expected number of generated tokens */
   const char *fetch_from;      /* address to copy a cached prefix from */
   const char *last_event;      /* event after which a stream resumes */
+  const char *resumes;         /* id of the attempt that brought its first */
   const char *key_scheme;      /* of the Authorization field */
   /* Fields that are dropped from callers' requests; NULL-terminated.  */
   const char *const *reserved_fields;
@@ -63,7 +64,7 @@
   uint64_t resumed;      /* streams resumed at another endpoint */
   uint64_t rest_avoided; /* sent elsewhere or refused for a resting endpoint */
   uint64_t withdrawn;    /* taken back before they were sent */
-  uint64_t cold_requests; /* sent to endpoints that were cold */
+  uint64_t cold_requests;   /* sent to endpoints that were cold */
   uint64_t ends[END_KINDS]; /* of exchanges with endpoints */
   unsigned waiting;
   unsigned running;
