Tests: a stream goes on at another software version

Fails on today's code in three of four cases: the router resumes a stream itself at the other version; its caller takes it up and is sent there; and where its version is gone the caller isn't refused.

--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -37,6 +37,7 @@
   .length_hint = "X-Hint",
   .fetch_from = "X-Fetch",
   .last_event = "Last-Event-Id",
+  .resumes = "X-Resumes",
   .key_scheme = "Bearer",
   .reserved_fields = reserved_fields,
 };
--- /dev/null
+++ b/libcoltsfootdrum/relay/test-rly-versions.c
@@ -0,0 +1,156 @@
+/* A stream holds events of one software version of its service, whoever takes
+   it up: the router within one response, or its caller.  Endpoint e0 is of
+   version "v1" and e1 of "v2".  */
+
+#include "test-rly-scene.h"
+
+#include <string.h>
+
+#define EVENTS                                                                \
+  "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\n"                             \
+  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define E1 "f\r\nid: 1\ndata: a\n\n\r\n"
+#define E2 "f\r\nid: 2\ndata: b\n\n\r\n"
+#define END "0\r\n\r\n"
+
+#define CALL(id, fields)                                                      \
+  "POST /events/ HTTP/1.1\r\nHost: h\r\nX-Id: " id "\r\n" fields              \
+  "X-Deadline: 5000\r\nAuthorization: Bearer key-of-the-mill\r\n"             \
+  "Content-Length: 0\r\n\r\n"
+#define TAKE_UP(id, first)                                                    \
+  CALL (id, "Last-Event-Id: 1\r\nX-Resumes: " first "\r\n")
+
+#define TAKE_UPS 20
+
+/* Lists the endpoints from FIRST on, e0 of version V1 and e1 of V2.  */
+static void
+list_versions (scene_t *scene, unsigned first, const char *v1, const char *v2)
+{
+  const char *const versions[SCENE_ENDPOINTS] = { v1, v2 };
+  GPtrArray *reports = g_ptr_array_new ();
+
+  for (unsigned i = first; i < SCENE_ENDPOINTS; i++)
+    {
+      edp_report_t *report = g_new0 (edp_report_t, 1);
+
+      report->id = g_strdup_printf ("e%u", i);
+      report->service = g_strdup ("app");
+      report->address
+          = g_strdup_printf ("127.0.0.1:%u", scene->servers[i].port);
+      report->zone = g_strdup ("z");
+      report->version = g_strdup (versions[i]);
+      report->slots = 4;
+      g_ptr_array_add (reports, report);
+    }
+  edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
+}
+
+/* Sends BYTES, waits for the end of the answer, and returns its status.  */
+static unsigned
+send_and_wait (scene_t *scene, const char *bytes, const char *end)
+{
+  scene_caller_t *caller = scene_send_request (scene, bytes);
+  unsigned status = 0;
+
+  scene_wait_for (scene, caller, end);
+  if (g_str_has_prefix (caller->text->str, "HTTP/1.1 "))
+    status = (unsigned)atoi (caller->text->str + strlen ("HTTP/1.1 "));
+  scene_caller_free (caller);
+  return status;
+}
+
+/* Returns the endpoint that began the stream of attempt "first", of which the
+   caller takes only the first event for received.  */
+static unsigned
+begin_stream (scene_t *scene)
+{
+  send_and_wait (scene, CALL ("first", ""), END);
+  g_assert_cmpuint (scene->requests_received, ==, 1);
+  return scene->servers[0].requests == 1 ? 0 : 1;
+}
+
+/* The router resumes a stream itself at an endpoint of another version.  */
+static void
+test_resumed_by_router (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E1, SCENE_CLOSE }, { EVENTS E2 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 2, 4);
+  scene_caller_t *caller;
+
+  list_versions (scene, 0, "v1", "v2");
+  caller = scene_send_request (scene, CALL ("first", ""));
+  scene_wait_for (scene, caller, "\r\n" END);
+  g_assert_nonnull (strstr (caller->text->str, E1));
+  g_assert_null (strstr (caller->text->str, E2));
+  g_assert_null (strstr (caller->text->str, "\r\n0\r\n\r\n"));
+  g_assert_cmpuint (scene->requests_received, ==, 1);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* The same with endpoints of one version: the stream goes on.  */
+static void
+test_resumed_in_one_version (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E1, SCENE_CLOSE }, { EVENTS E2 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 2, 4);
+
+  list_versions (scene, 0, "v1", "v1");
+  g_assert_cmpuint (send_and_wait (scene, CALL ("first", ""), END), ==, 200);
+  g_assert_cmpuint (scene->requests_received, ==, 2);
+  scene_free (scene);
+}
+
+/* A caller takes up its stream, again and again with the id of the first
+   attempt: it is never sent to the other version.  */
+static void
+test_taken_up (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E1 END, SCENE_KEEP_OPEN },
+          { EVENTS E2 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 2, 4);
+  unsigned origin;
+
+  list_versions (scene, 0, "v1", "v2");
+  origin = begin_stream (scene);
+  for (unsigned i = 0; i < TAKE_UPS; i++)
+    g_assert_cmpuint (send_and_wait (scene, TAKE_UP ("again", "first"), END),
+                      ==, 200);
+  g_assert_cmpuint (scene->servers[origin].requests, ==, 1 + TAKE_UPS);
+  g_assert_cmpuint (scene->servers[1 - origin].requests, ==, 0);
+  scene_free (scene);
+}
+
+/* The version at which the stream began is gone: the caller is refused at once
+   and may begin anew.  */
+static void
+test_version_is_gone (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E1 END, SCENE_KEEP_OPEN },
+          { EVENTS E2 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 2, 4);
+
+  list_versions (scene, 0, "v1", "v2");
+  begin_stream (scene);
+  list_versions (scene, 0, "v3", "v3");
+  g_assert_cmpuint (
+      send_and_wait (scene, TAKE_UP ("again", "first"), "\r\n\r\n"), ==, 503);
+  g_assert_cmpuint (scene->requests_received, ==, 1);
+  scene_free (scene);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/rly-versions/resumed-by-router", test_resumed_by_router);
+  g_test_add_func ("/rly-versions/resumed-in-one-version",
+                   test_resumed_in_one_version);
+  g_test_add_func ("/rly-versions/taken-up", test_taken_up);
+  g_test_add_func ("/rly-versions/version-is-gone", test_version_is_gone);
+  return g_test_run ();
+}
