Relay: a stream goes on only at the software version at which it began

Callers got streams of events that don't fit together (ORDER): a stream that broke was placed by load alone, whichever version of the software had begun it.

Now each router records the version of the streams that it began, by the id of the attempt. While a service has several versions, or had them in the last 20 s, it sends the record to the other routers with the changes of its load, in the same turn of the loop that passes the first event on; to other cells with the summaries. So what a caller needs is with the others when its router is killed. A request that takes up a stream is bound to the version on record. Where none is on record, any endpoint will do if the service has had one version only, as far as this router can know; otherwise, and where the version has no endpoint left, the caller is refused at once, as not run, and may begin anew. While a service has one version nothing is sent.

The case /resumed-by-router was corrected: its stream may go on at the endpoint that began it; it fails on the code before, where the other one got it. The state datagram has a new format number: routers of two releases don't read each other's.

Log lines and metrics name the outcome of each take-up, the version, where it was learned and how old that is.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -165,6 +165,7 @@
   edp->hash = XXH3_64bits_withSeed (report->id, strlen (report->id),
                                     (uint64_t)report->started_ms)
               & HASH_MASK;
+  edp->origin = org_hash (report->service, report->version);
   edp->cold_tokens = COLD_BURST;
   edp->doubted_at = CFD_TIME_NEVER;
   edp->ups = ups_new (set->loop, &addr);
@@ -530,6 +531,22 @@
          && !edp->withdrawn;
 }
 
+bool
+edp_set_has_origin (const edp_set_t *set, const char *service,
+                    org_origin_t origin)
+{
+  const GPtrArray *near = edp_set_get_near (set, service);
+
+  for (guint i = 0; near != NULL && i < near->len; i++)
+    {
+      const edp_t *edp = g_ptr_array_index (near, i);
+
+      if (edp->origin == origin && is_usable (edp))
+        return true;
+    }
+  return false;
+}
+
 bool
 edp_is_serving (const edp_t *edp, cfd_time_t now)
 {
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "relay/org.h"
 #include "relay/ups.h"
 
 /* The platform's report about one endpoint.  */
@@ -43,7 +44,8 @@
 {
   list_node_t node;
   edp_report_t *report;
-  uint64_t hash; /* of its id and start time */
+  uint64_t hash;       /* of its id and start time */
+  org_origin_t origin; /* of the streams that it begins */
   ups_t *ups;
   bool withdrawn;             /* its availability zone is out of service */
   bool has_announced_leaving; /* in an answer, whatever the list says */
@@ -165,6 +167,10 @@
 edp_t *edp_set_find (edp_set_t *set, const char *id);
 edp_t *edp_set_find_by_hash (edp_set_t *set, uint64_t hash);
 guint edp_set_count (const edp_set_t *set);
+/* Returns whether an endpoint of SERVICE that this router uses may continue
+   streams of ORIGIN, now or later.  */
+bool edp_set_has_origin (const edp_set_t *set, const char *service,
+                         org_origin_t origin);
 /* Returns whether an endpoint is in use that the platform no longer lists.  */
 bool edp_set_has_unlisted (const edp_set_t *set);
 
--- /dev/null
+++ b/libcoltsfootdrum/relay/org.c
@@ -0,0 +1,416 @@
+/* Origins: the streams that began lately, and the versions in service.  */
+
+#include "relay/org.h"
+
+#include "base/list.h"
+#include <string.h>
+#include <xxhash.h>
+
+/* Time for which a stream may still be taken up: longer than callers wait for
+   a whole answer.  */
+#define STREAM_KEEP_MS 20000
+/* Limits the memory: some 100 bytes each.  */
+#define MAX_STREAMS 40000
+/* Updates kept for the other routers, less than fill a datagram.  */
+#define MAX_UPDATES 2048
+/* Streams of this age are published when a second version appears.  */
+#define MAX_PUBLISHED_AGE_MS 10000
+/* 40 bits keep datagrams short; among some ten thousand streams collisions
+   are unlikely.  */
+#define KEY_MASK UINT64_C (0xffffffffff)
+
+typedef struct
+{
+  list_node_t node;
+  uint64_t key;
+  org_origin_t origin;
+  bool is_own;
+  cfd_time_t at;
+} org_stream_t;
+
+typedef struct
+{
+  org_origin_t origin;
+  bool is_listed;
+  cfd_time_t gone_at; /* unless it is listed */
+} org_version_t;
+
+typedef struct
+{
+  GArray *versions; /* org_version_t */
+  bool was_mixed;
+} org_service_t;
+
+struct org
+{
+  GHashTable *streams; /* key to org_stream_t */
+  list_node_t order;   /* the same, the earliest record first */
+  GArray *updates;     /* org_update_t, the oldest first */
+  uint64_t last_number;
+  GHashTable *services; /* hash of the name to org_service_t */
+  bool knows_versions;
+};
+
+static uint64_t
+hash_service (const char *service)
+{
+  return XXH3_64bits (service, strlen (service)) & KEY_MASK;
+}
+
+org_origin_t
+org_hash (const char *service, const char *version)
+{
+  const char *text = version != NULL ? version : "";
+  uint64_t hash
+      = XXH3_64bits_withSeed (text, strlen (text), hash_service (service));
+
+  return (org_origin_t)hash != ORG_ANY ? (org_origin_t)hash : 1u;
+}
+
+uint64_t
+org_stream_key (const char *id)
+{
+  return XXH3_64bits (id, strlen (id)) & KEY_MASK;
+}
+
+org_verdict_t
+org_decide (const org_inputs_t *inputs)
+{
+  if (inputs->origin != ORG_ANY)
+    return ORG_BOUND;
+  return inputs->is_mixed || !inputs->knows_versions ? ORG_UNKNOWN : ORG_FREE;
+}
+
+static void
+stream_free (void *data)
+{
+  org_stream_t *stream = data;
+
+  list_remove (&stream->node);
+  g_free (stream);
+}
+
+static void
+service_free (void *data)
+{
+  org_service_t *service = data;
+
+  g_array_unref (service->versions);
+  g_free (service);
+}
+
+org_t *
+org_new (void)
+{
+  org_t *org = g_new0 (org_t, 1);
+
+  org->streams
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, stream_free);
+  list_init (&org->order);
+  org->updates = g_array_new (FALSE, FALSE, sizeof (org_update_t));
+  org->services = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                         service_free);
+  org->knows_versions = true;
+  return org;
+}
+
+void
+org_free (org_t *org)
+{
+  if (org == NULL)
+    return;
+  g_hash_table_unref (org->streams);
+  g_array_unref (org->updates);
+  g_hash_table_unref (org->services);
+  g_free (org);
+}
+
+static org_service_t *
+get_or_add_service (org_t *org, uint64_t hash)
+{
+  org_service_t *service = g_hash_table_lookup (org->services, &hash);
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (org_service_t, 1);
+  service->versions = g_array_new (FALSE, FALSE, sizeof (org_version_t));
+  g_hash_table_insert (org->services, g_memdup2 (&hash, sizeof hash), service);
+  return service;
+}
+
+static org_version_t *
+get_or_add_version (org_service_t *service, org_origin_t origin)
+{
+  org_version_t added = { .origin = origin };
+
+  for (guint i = 0; i < service->versions->len; i++)
+    {
+      org_version_t *version
+          = &g_array_index (service->versions, org_version_t, i);
+
+      if (version->origin == origin)
+        return version;
+    }
+  g_array_append_val (service->versions, added);
+  return &g_array_index (service->versions, org_version_t,
+                         service->versions->len - 1);
+}
+
+static bool
+counts (const org_version_t *version, cfd_time_t now)
+{
+  return version->is_listed || now - version->gone_at <= STREAM_KEEP_MS;
+}
+
+static bool
+is_mixed (const org_service_t *service, cfd_time_t now)
+{
+  unsigned count = 0;
+
+  for (guint i = 0; i < service->versions->len; i++)
+    count
+        += counts (&g_array_index (service->versions, org_version_t, i), now);
+  return count > 1;
+}
+
+static void
+publish (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin)
+{
+  org_update_t update = {
+    .key = key, .origin = origin, .number = ++org->last_number, .at = now
+  };
+
+  if (org->updates->len >= MAX_UPDATES)
+    g_array_remove_index (org->updates, 0);
+  g_array_append_val (org->updates, update);
+}
+
+/* Publishes the streams that began here before a second version appeared.  */
+static void
+publish_recent (org_t *org, cfd_time_t now)
+{
+  list_for_each (node, &org->order)
+    {
+      const org_stream_t *stream = list_entry (node, org_stream_t, node);
+
+      if (stream->is_own && now - stream->at <= MAX_PUBLISHED_AGE_MS)
+        publish (org, now, stream->key, stream->origin);
+    }
+}
+
+void
+org_begin_versions (org_t *org)
+{
+  GHashTableIter each;
+  void *data;
+
+  g_hash_table_iter_init (&each, org->services);
+  while (g_hash_table_iter_next (&each, NULL, &data))
+    {
+      const org_service_t *service = data;
+
+      for (guint i = 0; i < service->versions->len; i++)
+        {
+          org_version_t *version
+              = &g_array_index (service->versions, org_version_t, i);
+
+          if (version->is_listed)
+            version->gone_at = CFD_TIME_NEVER;
+          version->is_listed = false;
+        }
+    }
+}
+
+void
+org_list_version (org_t *org, const char *service, org_origin_t origin)
+{
+  org_service_t *found = get_or_add_service (org, hash_service (service));
+
+  get_or_add_version (found, origin)->is_listed = true;
+}
+
+/* Notes which versions are gone since the last list.  */
+static void
+update_gone (org_service_t *service, cfd_time_t now)
+{
+  for (guint i = service->versions->len; i-- > 0;)
+    {
+      org_version_t *version
+          = &g_array_index (service->versions, org_version_t, i);
+
+      if (!version->is_listed && version->gone_at == CFD_TIME_NEVER)
+        version->gone_at = now;
+      if (!counts (version, now))
+        g_array_remove_index_fast (service->versions, i);
+    }
+}
+
+void
+org_end_versions (org_t *org, cfd_time_t now)
+{
+  GHashTableIter each;
+  void *data;
+  bool becomes_mixed = false;
+
+  g_hash_table_iter_init (&each, org->services);
+  while (g_hash_table_iter_next (&each, NULL, &data))
+    {
+      org_service_t *service = data;
+      bool mixed;
+
+      update_gone (service, now);
+      mixed = is_mixed (service, now);
+      becomes_mixed |= mixed && !service->was_mixed;
+      service->was_mixed = mixed;
+    }
+  if (becomes_mixed)
+    publish_recent (org, now);
+}
+
+void
+org_set_knows_versions (org_t *org, bool knows)
+{
+  org->knows_versions = knows;
+}
+
+bool
+org_knows_versions (const org_t *org)
+{
+  return org->knows_versions;
+}
+
+bool
+org_is_mixed (const org_t *org, cfd_time_t now, const char *service)
+{
+  uint64_t hash = hash_service (service);
+  const org_service_t *found = g_hash_table_lookup (org->services, &hash);
+
+  return found != NULL && is_mixed (found, now);
+}
+
+static org_stream_t *
+get_oldest (const org_t *org)
+{
+  return list_is_empty (&org->order)
+             ? NULL
+             : list_entry (org->order.next, org_stream_t, node);
+}
+
+static void
+add_stream (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin,
+            bool is_own)
+{
+  org_stream_t *stream = g_new0 (org_stream_t, 1);
+
+  if (g_hash_table_size (org->streams) >= MAX_STREAMS)
+    g_hash_table_remove (org->streams, &get_oldest (org)->key);
+  stream->key = key;
+  stream->origin = origin;
+  stream->is_own = is_own;
+  stream->at = now;
+  list_init (&stream->node);
+  g_hash_table_replace (org->streams, &stream->key, stream);
+  list_append (&org->order, &stream->node);
+}
+
+void
+org_add (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin,
+         bool published)
+{
+  add_stream (org, now, key, origin, true);
+  if (published)
+    publish (org, now, key, origin);
+}
+
+void
+org_add_peer (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin)
+{
+  add_stream (org, now, key, origin, false);
+}
+
+org_record_t
+org_find (const org_t *org, cfd_time_t now, uint64_t key)
+{
+  const org_stream_t *stream = g_hash_table_lookup (org->streams, &key);
+  org_record_t record = { .origin = ORG_ANY };
+
+  if (stream == NULL || now - stream->at > STREAM_KEEP_MS)
+    return record;
+  return (org_record_t){ .origin = stream->origin,
+                         .is_own = stream->is_own,
+                         .age_ms = now - stream->at };
+}
+
+const GArray *
+org_updates (org_t *org, cfd_time_t now)
+{
+  guint old = 0;
+
+  while (old < org->updates->len
+         && now - g_array_index (org->updates, org_update_t, old).at
+                > ORG_UPDATE_KEEP_MS)
+    old++;
+  if (old > 0)
+    g_array_remove_range (org->updates, 0, old);
+  return org->updates;
+}
+
+void
+org_foreach_gone (const org_t *org, cfd_time_t now,
+                  void (*each) (void *user, const org_gone_t *gone),
+                  void *user)
+{
+  GHashTableIter iter;
+  void *key;
+  void *data;
+
+  g_hash_table_iter_init (&iter, org->services);
+  while (g_hash_table_iter_next (&iter, &key, &data))
+    {
+      const org_service_t *service = data;
+
+      for (guint i = 0; i < service->versions->len; i++)
+        {
+          const org_version_t *version
+              = &g_array_index (service->versions, org_version_t, i);
+          org_gone_t gone = { .service = *(const uint64_t *)key,
+                              .origin = version->origin,
+                              .gone_ms = now - version->gone_at };
+
+          if (!version->is_listed && counts (version, now))
+            each (user, &gone);
+        }
+    }
+}
+
+void
+org_add_gone (org_t *org, cfd_time_t now, const org_gone_t *gone)
+{
+  org_service_t *service;
+  org_version_t *version;
+
+  if (gone->gone_ms > STREAM_KEEP_MS)
+    return;
+  service = get_or_add_service (org, gone->service);
+  version = get_or_add_version (service, gone->origin);
+  if (!version->is_listed)
+    version->gone_at = MAX (version->gone_at, now - gone->gone_ms);
+}
+
+void
+org_sweep (org_t *org, cfd_time_t now)
+{
+  const org_stream_t *stream = get_oldest (org);
+
+  while (stream != NULL && now - stream->at > STREAM_KEEP_MS)
+    {
+      g_hash_table_remove (org->streams, &stream->key);
+      stream = get_oldest (org);
+    }
+}
+
+unsigned
+org_count_streams (const org_t *org)
+{
+  return g_hash_table_size (org->streams);
+}
--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -8,6 +8,9 @@
 /* Prefixes and refusals are repeated in all full datagrams of this time, since
    datagrams may be lost.  */
 #define RESEND_MS 150
+/* The same for the origins of streams: longer than the interval of the full
+   state.  */
+#define STREAM_RESEND_MS 400
 /* Interval at which the usage of all accounts is sent, for routers that have
    started or missed a datagram.  */
 #define USAGE_REFRESH_MS 1500
@@ -206,6 +209,67 @@
     rol_foreach_own (pal->rol, now, pack_evidence_row, packer);
 }
 
+/* Packs key and origin of each stream.  Those that began lately are sent again
+   with the full state.  */
+static void
+pack_streams (pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+              pal_content_t content)
+{
+  const GArray *updates
+      = pal->org != NULL ? org_updates (pal->org, now) : NULL;
+  uint64_t *last_sent = content == PAL_SUMMARY ? &pal->last_stream_summarized
+                                               : &pal->last_stream_sent;
+  cfd_time_t resent_since
+      = content == PAL_FULL ? now - STREAM_RESEND_MS : CFD_TIME_NEVER;
+  guint count = updates != NULL ? updates->len : 0;
+  guint first = 0;
+
+  while (first < count
+         && g_array_index (updates, org_update_t, first).number <= *last_sent
+         && g_array_index (updates, org_update_t, first).at < resent_since)
+    first++;
+  msgpack_pack_array (packer, (size_t)(count - first) * 2);
+  for (guint i = first; i < count; i++)
+    {
+      const org_update_t *update = &g_array_index (updates, org_update_t, i);
+
+      msgpack_pack_uint64 (packer, update->key);
+      msgpack_pack_uint32 (packer, update->origin);
+      *last_sent = MAX (*last_sent, update->number);
+    }
+}
+
+static void
+count_gone (void *user, const org_gone_t *gone)
+{
+  ++*(guint *)user;
+}
+
+static void
+pack_gone_row (void *user, const org_gone_t *gone)
+{
+  msgpack_packer *packer = user;
+
+  msgpack_pack_uint64 (packer, gone->service);
+  msgpack_pack_uint32 (packer, gone->origin);
+  msgpack_pack_uint64 (packer, (uint64_t)gone->gone_ms);
+}
+
+/* Packs the versions that left service lately.  */
+static void
+pack_gone_versions (const pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+                    pal_content_t content)
+{
+  bool is_sent = content != PAL_CHANGES && pal->org != NULL;
+  guint rows = 0;
+
+  if (is_sent)
+    org_foreach_gone (pal->org, now, count_gone, &rows);
+  msgpack_pack_array (packer, (size_t)rows * 3);
+  if (is_sent)
+    org_foreach_gone (pal->org, now, pack_gone_row, packer);
+}
+
 GByteArray *
 pal_pack (pal_t *pal, cfd_time_t now, pal_content_t content)
 {
@@ -215,7 +279,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 12);
+  msgpack_pack_array (&packer, 14);
   msgpack_pack_uint32 (&packer, STATE_FORMAT);
   pack_text (&packer, content != PAL_CHANGES ? pal->name : "");
   msgpack_pack_uint64 (&packer, pal->incarnation);
@@ -228,6 +292,8 @@
   pack_list_states (pal, &packer, content);
   pack_refusals (pal, &packer, now, content);
   pack_evidence (pal, &packer, now, content);
+  pack_streams (pal, &packer, now, content);
+  pack_gone_versions (pal, &packer, now, content);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -11,7 +11,7 @@
 
 /* First item of each state datagram, by which foreign datagrams and those of
    other versions are recognized and ignored.  */
-#define STATE_FORMAT 0xcfd9
+#define STATE_FORMAT 0xcfda
 /* First item of each update datagram.  */
 #define UPDATE_FORMAT 0xcfe1
 /* Units of pending_prefill and of context_tokens in datagrams.  Small numbers
@@ -27,6 +27,8 @@
 #define MAX_PREFIX_ROWS 16384u
 #define MAX_REFUSAL_ROWS 8192u
 #define MAX_EVIDENCE_ROWS 4096u
+#define MAX_STREAM_ROWS 4096u
+#define MAX_GONE_ROWS 256u
 
 typedef struct
 {
@@ -88,6 +90,7 @@
   pfx_t *pfx;
   ret_t *ret;
   rol_t *rol; /* not owned; may be NULL */
+  org_t *org; /* not owned; may be NULL */
   lag_t *lag; /* not owned; may be NULL */
   int64_t stable_ms;
   int64_t revisions[PAL_LIST_COUNT];
@@ -102,10 +105,12 @@
   char *read_buffer;             /* of several datagrams */
   msgpack_zone *arena; /* of the nodes of the datagram being decoded */
   pal_inbox_t inbox;
-  uint64_t invalid_datagrams; /* received */
-  uint64_t dropped_datagrams; /* not decoded, for lack of time */
-  uint64_t last_prefix_sent;  /* pfx_update_t.number */
-  uint64_t last_refusal_sent; /* ret_update_t.number */
+  uint64_t invalid_datagrams;      /* received */
+  uint64_t dropped_datagrams;      /* not decoded, for lack of time */
+  uint64_t last_prefix_sent;       /* pfx_update_t.number */
+  uint64_t last_refusal_sent;      /* ret_update_t.number */
+  uint64_t last_stream_sent;       /* org_update_t.number */
+  uint64_t last_stream_summarized; /* the same, to other cells */
   void (*on_update) (void *user, unsigned list, int64_t from, int64_t to,
                      const char *events); /* may be NULL */
   void *update_user;
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -75,7 +75,7 @@
 {
   const msg_node_t *items = node->u.items;
 
-  return node->type == MSG_NODE_ARRAY && node->length == 12
+  return node->type == MSG_NODE_ARRAY && node->length == 14
          && is_number (&items[0]) && items[0].u.number == STATE_FORMAT
          && is_text (&items[1]) && is_number (&items[2])
          && is_number (&items[3]) && is_number (&items[4])
@@ -85,7 +85,9 @@
          && (is_number (&items[8]) || items[8].type == MSG_NODE_NEGATIVE)
          && is_number_rows (&items[9], PAL_LIST_COUNT * 2, 1)
          && is_number_rows (&items[10], 3, MAX_REFUSAL_ROWS)
-         && is_number_rows (&items[11], 5, MAX_EVIDENCE_ROWS);
+         && is_number_rows (&items[11], 5, MAX_EVIDENCE_ROWS)
+         && is_number_rows (&items[12], 2, MAX_STREAM_ROWS)
+         && is_number_rows (&items[13], 3, MAX_GONE_ROWS);
 }
 
 static guint
@@ -333,6 +335,29 @@
     }
 }
 
+static void
+receive_streams (pal_t *pal, cfd_time_t now, const msg_node_t *rows)
+{
+  for (unsigned i = 0; pal->org != NULL && i + 1 < rows->length; i += 2)
+    org_add_peer (pal->org, now, rows->u.items[i].u.number,
+                  (org_origin_t)rows->u.items[i + 1].u.number);
+}
+
+static void
+receive_gone_versions (pal_t *pal, cfd_time_t now, const msg_node_t *rows)
+{
+  for (unsigned i = 0; pal->org != NULL && i + 2 < rows->length; i += 3)
+    {
+      org_gone_t gone
+          = { .service = rows->u.items[i].u.number,
+              .origin = (org_origin_t)rows->u.items[i + 1].u.number,
+              .gone_ms
+              = (int64_t)MIN (rows->u.items[i + 2].u.number, MAX_AGE_MS) };
+
+      org_add_gone (pal->org, now, &gone);
+    }
+}
+
 static int64_t
 decode_stable_ms (const msg_node_t *node)
 {
@@ -379,6 +404,8 @@
   receive_list_states (peer, now, &items[9]);
   receive_refusals (pal, now, &items[10]);
   receive_evidence (pal, now, incarnation, &items[11]);
+  receive_streams (pal, now, &items[12]);
+  receive_gone_versions (pal, now, &items[13]);
 }
 
 bool
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -261,6 +261,12 @@
   pal->rol = rol;
 }
 
+void
+pal_set_origins (pal_t *pal, org_t *org)
+{
+  pal->org = org;
+}
+
 void
 pal_set_reader (pal_t *pal, bool is_reader)
 {
@@ -294,10 +300,8 @@
     ev_io_start (pal->loop, &pal->reader);
 }
 
-/* True when datagrams come from less than half of the other routers, so that
-   it may be this router that is partitioned from the rest.  */
-static bool
-may_be_partitioned (const pal_t *pal)
+bool
+pal_may_be_partitioned (const pal_t *pal)
 {
   return pal->member_names != NULL
          && g_hash_table_size (pal->peers) * 2 < pal->member_names->len;
@@ -312,7 +316,7 @@
 unsigned
 pal_estimate_fleet_size (const pal_t *pal)
 {
-  if (may_be_partitioned (pal))
+  if (pal_may_be_partitioned (pal))
     return pal->member_names->len + 1;
   return pal_count_alive (pal);
 }
@@ -324,7 +328,7 @@
 {
   const GPtrArray *names
       = edp->cell_count > 1 ? pal->member_names : pal->near_names;
-  bool all = may_be_partitioned (pal);
+  bool all = pal_may_be_partitioned (pal);
   unsigned rank = 0;
 
   if (pal->member_names == NULL || !edp->is_near)
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -1,7 +1,7 @@
 /* Peers.  Exchanges state between routers over UDP: the load that each router
    puts on each endpoint, the usage of accounts, cached prompt prefixes,
-   refused requests, answers by version during a rollout, and the progress of
-   reading the platform's lists.
+   refused requests, the versions at which streams began, answers by version
+   during a rollout, and the progress of reading the platform's lists.
 
    Datagrams are encoded with msgpack-c and hold absolute values, so that a
    lost, duplicated or reordered one does no harm.  Routers of the same cell
@@ -35,6 +35,9 @@
 /* Exchanges the evidence of ROL, which is not owned.  */
 void pal_set_rollouts (pal_t *pal, rol_t *rol);
 
+/* Exchanges the origins of streams with ORG, which is not owned.  */
+void pal_set_origins (pal_t *pal, org_t *org);
+
 /* Another router, as listed in the platform's store.  */
 typedef struct
 {
@@ -59,6 +62,9 @@
    listed routers: this router may then be partitioned from the rest, and all
    listed routers count.  */
 unsigned pal_estimate_fleet_size (const pal_t *pal);
+/* Returns whether datagrams come from less than half of the listed routers, so
+   that this router may be partitioned from the rest.  */
+bool pal_may_be_partitioned (const pal_t *pal);
 /* Sets this router's rank at each cold endpoint (relay/cold.h).  Must be
    called after the list of endpoints changed, before the next request is
    placed.  */
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -225,10 +225,13 @@
   rly_service_t *service = request->service;
 
   log_info ("relay",
-            "A request is sent once more: request=%s endpoint=%s reason=%s "
-            "attempts=%u last_event=%" G_GINT64_FORMAT ".",
-            request->id, request->edp->report->id, reason, request->attempts,
-            request->answer.events.last_id);
+            "A request is sent once more: request=%s endpoint=%s version=%s "
+            "reason=%s attempts=%u last_event=%" G_GINT64_FORMAT ".",
+            request->id, request->edp->report->id,
+            request->edp->report->version != NULL
+                ? request->edp->report->version
+                : "",
+            reason, request->attempts, request->answer.events.last_id);
   rly_add_failure (request, request->edp);
   rly_detach (request, true);
   rly_answer_reset (&request->answer);
@@ -312,7 +315,8 @@
   rly_count_rollout_answer (request, now, true);
   edp_record_failure (request->edp, now);
   request->may_have_run = true;
-  if (rte_may_retry (request->route) && consume_retry (request, now))
+  if (rte_may_retry (request->route) && rly_can_continue (request)
+      && consume_retry (request, now))
     {
       request->rly->counts.resumed += request->head_sent;
       retry (request, now, reason);
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -46,6 +46,19 @@
     }
 }
 
+static void
+append_take_ups (const rly_counts_t *counts, GString *out)
+{
+  for (unsigned i = 0; i < RLY_TAKE_UPS; i++)
+    {
+      g_autofree char *labels = g_strdup_printf (
+          "outcome=\"%s\"", rly_take_up_name ((rly_take_up_t)i));
+
+      prom_append_sample (out, "cfd_relay_take_ups_total", "counter", labels,
+                          (double)counts->take_ups[i]);
+    }
+}
+
 /* Returns the number of endpoints for which TEST returns true.  */
 static unsigned
 count_endpoints (const rly_t *rly, cfd_time_t now,
@@ -82,6 +95,8 @@
                       count_endpoints (rly, now, edp_is_resting));
   prom_append_sample (out, "cfd_relay_endpoints_cold", "gauge", NULL,
                       count_endpoints (rly, now, edp_is_cold));
+  prom_append_sample (out, "cfd_relay_stream_origins", "gauge", NULL,
+                      rly->org != NULL ? org_count_streams (rly->org) : 0);
   prom_append_sample (out, "cfd_relay_config_version", "gauge", NULL,
                       (double)version);
 }
@@ -103,6 +118,7 @@
 {
   append_counters (&rly->counts, out);
   append_ends (&rly->counts, out);
+  append_take_ups (&rly->counts, out);
   append_state (rly, now, out);
   list_for_each (node, &rly->services)
     {
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -258,6 +258,7 @@
 
   if (edp_set_get_cells (rly->endpoints) == 1 || round->canary_count > 0
       || round->count == RLY_MAX_ENDPOINTS || request->tries > 0
+      || request->origin != ORG_ANY
       || !rly_is_enabled (rly, MECH_PREFIX_AFFINITY)
       || pfx_prompt_get_shared_id (prompt) == 0
       || pfx_prompt_count_shared_tokens (prompt) * round->ms_per_token
@@ -411,13 +412,15 @@
       = edp_set_get_near (round->rly->endpoints, round->service->name);
 
   for (guint i = 0; i < round->count; i++)
-    if (!rly_has_failed_at (request, round->endpoints[i]))
+    if (rly_fits_origin (request, round->endpoints[i])
+        && !rly_has_failed_at (request, round->endpoints[i]))
       return true;
   for (guint i = 0; near != NULL && i < near->len; i++)
     {
       const edp_t *edp = g_ptr_array_index (near, i);
 
       if (edp->standing == EDP_CURRENT && edp_is_serving (edp, round->now)
+          && rly_fits_origin (request, edp)
           && !rly_has_failed_at (request, edp))
         return true;
     }
@@ -431,29 +434,41 @@
          && request->failed_at[request->failed_count - 1] == edp->hash;
 }
 
-/* Excludes the endpoints that failed REQUEST.  An endpoint that fails at once
-   has the least load, so that the request would go there again.  Where all
-   have failed it, those before the last failure are allowed again, and so is a
-   single endpoint.  */
+/* Returns whether endpoint I may not get REQUEST, which it failed.  HAS_OTHER:
+   another endpoint can take it.  IS_SINGLE: no other one may.  */
+static bool
+is_barred_by_failure (const rly_round_t *round, const rly_request_t *request,
+                      guint i, bool has_other, bool is_single)
+{
+  const edp_t *edp = round->endpoints[i];
+
+  if (has_other || i >= round->count)
+    return rly_has_failed_at (request, edp);
+  return !is_single && was_last_failure (request, edp);
+}
+
+/* Excludes the endpoints at which the stream of REQUEST can't go on, and those
+   that failed it.  An endpoint that fails at once has the least load, so that
+   the request would go there again.  Where all have failed it, those before
+   the last failure are allowed again, and so is a single endpoint.  */
 static void
-exclude_failed (rly_round_t *round, const rly_request_t *request)
+exclude_unfit (rly_round_t *round, const rly_request_t *request)
 {
   guint count = count_candidates (round);
   bool is_retry = request->failed_count > 0;
+  bool must_exclude = is_retry || request->origin != ORG_ANY;
   bool has_other = is_retry && has_alternative (round, request);
+  guint fitting = 0;
 
-  if (!is_retry && !round->has_exclusions)
+  if (!must_exclude && !round->has_exclusions)
     return;
+  for (guint i = 0; i < round->count; i++)
+    fitting += rly_fits_origin (request, round->endpoints[i]);
   for (guint i = 0; i < count; i++)
-    {
-      const edp_t *edp = round->endpoints[i];
-
-      round->loads[i].is_excluded
-          = has_other || i >= round->count
-                ? rly_has_failed_at (request, edp)
-                : round->count > 1 && was_last_failure (request, edp);
-    }
-  round->has_exclusions = is_retry;
+    round->loads[i].is_excluded
+        = !rly_fits_origin (request, round->endpoints[i])
+          || is_barred_by_failure (round, request, i, has_other, fitting <= 1);
+  round->has_exclusions = must_exclude;
 }
 
 /* Chooses a canary for REQUEST, which need not cache its prefix: the share of
@@ -513,7 +528,7 @@
     return false;
   round->has_remote = false;
   constraints = make_constraints (round, request);
-  exclude_failed (round, request);
+  exclude_unfit (round, request);
   /* At high load all endpoints are full for most requests.  For these the
      lookup of cached prefixes is skipped.  */
   if (!plc_has_candidate (round->loads, round->count + round->canary_count,
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -60,6 +60,7 @@
   lag_t *lag;       /* not owned; may be NULL */
   const shd_t *shd; /* not owned; may be NULL */
   rol_t *rol;       /* not owned; may be NULL */
+  org_t *org;       /* not owned; may be NULL */
   rte_table_t *table;
   list_node_t services; /* rly_service_t */
   list_node_t running;  /* rly_request_t */
@@ -101,7 +102,12 @@
   double output_tokens; /* expected */
   double cost;          /* in tokens, see use.h */
   bool is_charged;      /* the cost is counted as served */
-  bool started;         /* an endpoint began a successful answer */
+  uint64_t stream_key;  /* of the stream that it begins or takes up */
+  /* Where that began; ORG_ANY: it has no event yet, or it may go on anywhere.
+   */
+  org_origin_t origin;
+  bool origin_noted; /* the first event of this answer was passed on */
+  bool started;      /* an endpoint began a successful answer */
 
   cfd_time_t arrived_at;
   cfd_time_t first_attempt;  /* of its caller, as far as is known */
@@ -147,6 +153,18 @@
    have been answered, or its caller disconnected.  */
 void rly_request_free (rly_request_t *request);
 
+/* rly-origin.c: streams that are taken up or resumed.  */
+/* Binds REQUEST to the version at which the stream that it takes up began.
+   Chooses its service, where the route has several.  */
+rly_take_up_t rly_bind_origin (rly_request_t *request, cfd_time_t now);
+/* To be called when events of REQUEST's answer were passed on: from now on it
+   is bound to the version of its endpoint.  */
+void rly_note_origin (rly_request_t *request, cfd_time_t now);
+/* Returns whether EDP may continue the stream of REQUEST, or begin one.  */
+bool rly_fits_origin (const rly_request_t *request, const edp_t *edp);
+/* Returns whether REQUEST may go on here at all.  */
+bool rly_can_continue (const rly_request_t *request);
+
 /* rly-queue.c: waiting requests.  */
 /* Refuses REQUEST, which may be sent again after DELAY_MS and a random time
    more, so that refused callers don't return all at once.  */
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -154,6 +154,8 @@
       clear_pending_prefill (request);
     }
   rly_handle_body (request, bytes, length);
+  if (request->answer.events.events > 0)
+    rly_note_origin (request, now);
   if (first)
     rly_schedule_dispatch (request->service);
 }
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -182,6 +182,12 @@
   rly->rol = rol;
 }
 
+void
+rly_set_origins (rly_t *rly, org_t *org)
+{
+  rly->org = org;
+}
+
 rly_service_t *
 rly_find_or_add_service (rly_t *rly, const char *name)
 {
@@ -402,19 +408,14 @@
   return request;
 }
 
+/* Refuses a request that takes up a stream and can't go on here.  Its caller
+   may begin anew.  */
 static void
-log_take_up (const rly_request_t *request, const hdr_t *fields)
+refuse_take_up (rly_request_t *request, cfd_time_t now, rly_take_up_t outcome)
 {
-  const rly_names_t *names = &request->rly->names;
-  const char *last_event = hdr_get (fields, names->last_event);
-  const char *resumes = hdr_get (fields, names->resumes);
-
-  if (last_event == NULL || request->route->kind != RTE_STREAM)
-    return;
-  log_info ("relay",
-            "A caller takes up a stream: request=%s resumes=%s "
-            "last_event=%s.",
-            request->id, resumes != NULL ? resumes : "", last_event);
+  rly_refuse_for (
+      request, now,
+      outcome == RLY_TAKE_UP_GONE ? "version-gone" : "version-unknown", 0);
 }
 
 /* Returns whether a new request is refused because this router lacks processor
@@ -435,6 +436,7 @@
   const rte_account_t *account = NULL;
   const rte_route_t *route;
   rly_request_t *request;
+  rly_take_up_t outcome;
   cfd_time_t now = clock_now ();
 
   rly->counts.requests++;
@@ -472,14 +474,16 @@
     }
   request = request_new (rly, call, route, account);
   ent_set_data (call, request);
-  log_take_up (request, &head->fields);
   request->service = rly_find_or_add_service (
       rly, rte_choose_service (route, g_random_double ()));
+  outcome = rly_bind_origin (request, now);
   bud_count_request (&request->service->retry_budget, now);
   use_add_demand (rly->use, now, rly_get_account_name (request),
                   request->cost);
   rly_enqueue (request);
-  if (!rly_refuse_early (request, now))
+  if (outcome == RLY_TAKE_UP_UNKNOWN || outcome == RLY_TAKE_UP_GONE)
+    refuse_take_up (request, now, outcome);
+  else if (!rly_refuse_early (request, now))
     rly_schedule_dispatch (request->service);
 }
 
@@ -530,4 +534,6 @@
   edp_set_sweep (rly->endpoints, now);
   pfx_evict_expired (rly->pfx, now);
   ret_sweep (rly->ret, now);
+  if (rly->org != NULL)
+    org_sweep (rly->org, now);
 }
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -11,6 +11,7 @@
 #include "relay/edp.h"
 #include "relay/end.h"
 #include "relay/ent.h"
+#include "relay/org.h"
 #include "relay/pfx.h"
 #include "relay/ret.h"
 #include "relay/rol.h"
@@ -53,6 +54,19 @@
   unsigned disabled;       /* mech_t bits of disabled mechanisms */
 } rly_settings_t;
 
+/* What became of a request that takes up a stream, when it arrived.  */
+typedef enum
+{
+  RLY_TAKE_UP_ANY,     /* the service has one version */
+  RLY_TAKE_UP_BOUND,   /* goes to the version at which the stream began */
+  RLY_TAKE_UP_UNKNOWN, /* refused: it isn't known where the stream began */
+  RLY_TAKE_UP_GONE,    /* refused: that version has no endpoint */
+  RLY_TAKE_UPS
+} rly_take_up_t;
+
+/* Returns a word for logs and metrics.  */
+const char *rly_take_up_name (rly_take_up_t outcome);
+
 typedef struct
 {
   uint64_t requests;
@@ -64,7 +78,8 @@
   uint64_t resumed;      /* streams resumed at another endpoint */
   uint64_t rest_avoided; /* sent elsewhere or refused for a resting endpoint */
   uint64_t withdrawn;    /* taken back before they were sent */
-  uint64_t cold_requests;   /* sent to endpoints that were cold */
+  uint64_t cold_requests; /* sent to endpoints that were cold */
+  uint64_t take_ups[RLY_TAKE_UPS];
   uint64_t ends[END_KINDS]; /* of exchanges with endpoints */
   unsigned waiting;
   unsigned running;
@@ -83,6 +98,14 @@
 /* Follows the rollouts of ROL, which is not owned.  */
 void rly_set_rollouts (rly_t *rly, rol_t *rol);
 
+/* Lets streams that are taken up go on only at the version at which they
+   began, as ORG knows it, which is not owned.  Without it a caller may take up
+   its stream anywhere.  */
+void rly_set_origins (rly_t *rly, org_t *org);
+/* Records the versions of the endpoints.  Must be called after the list of
+   endpoints changed, before the next request is placed.  */
+void rly_update_versions (rly_t *rly, cfd_time_t now);
+
 /* Callbacks for ent_ops_t; USER is the relay.  */
 void rly_on_request (void *user, ent_call_t *call);
 void rly_on_disconnect (void *user, ent_call_t *call);
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -20,6 +20,7 @@
   use_t *use;
   pfx_t *pfx;
   ret_t *ret;
+  org_t *org;
   pal_t *pal;
 } router_t;
 
@@ -60,6 +61,8 @@
       = pal_new (router.loop, name, draw_incarnation (seed), "127.0.0.1:0",
                  router.endpoints, router.use, router.pfx, router.ret, NULL);
   g_assert_nonnull (router.pal);
+  router.org = org_new ();
+  pal_set_origins (router.pal, router.org);
   return router;
 }
 
@@ -77,6 +80,7 @@
   use_free (router->use);
   pfx_free (router->pfx);
   ret_free (router->ret);
+  org_free (router->org);
   ev_loop_destroy (router->loop);
 }
 
@@ -354,6 +358,58 @@
   router_free (&here);
 }
 
+/* A router that is killed takes its memory along: where a stream began has to
+   be at the others by then, in and out of its cell, also when a datagram was
+   lost.  */
+static void
+test_stream_origins (gconstpointer data)
+{
+  pal_content_t content = GPOINTER_TO_INT (data);
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  g_autoptr (GByteArray) lost = NULL;
+
+  deliver (&one, &here, NOW, PAL_FULL);
+  org_add (one.org, NOW, 77, 5, true);
+  org_add (one.org, NOW, 78, 6, false);
+  deliver (&one, &here, NOW, content);
+  g_assert_cmpuint (org_find (here.org, NOW, 77).origin, ==, 5);
+  g_assert_false (org_find (here.org, NOW, 77).is_own);
+  g_assert_cmpuint (org_find (here.org, NOW, 78).origin, ==, ORG_ANY);
+  org_add (one.org, NOW + 10, 79, 7, true);
+  lost = pal_pack (one.pal, NOW + 10, PAL_CHANGES);
+  deliver (&one, &here, NOW + 300, PAL_FULL);
+  g_assert_cmpuint (org_find (here.org, NOW + 300, 79).origin, ==, 7);
+  router_free (&here);
+  router_free (&one);
+}
+
+/* A router that has just started doesn't know from the list that a version
+   left service a moment ago.  */
+static void
+test_gone_versions (void)
+{
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+
+  org_begin_versions (one.org);
+  org_list_version (one.org, "app", 5);
+  org_list_version (one.org, "app", 6);
+  org_end_versions (one.org, NOW - 100);
+  org_begin_versions (one.org);
+  org_list_version (one.org, "app", 6);
+  org_end_versions (one.org, NOW);
+  org_begin_versions (here.org);
+  org_list_version (here.org, "app", 6);
+  org_end_versions (here.org, NOW);
+  g_assert_false (org_is_mixed (here.org, NOW, "app"));
+  deliver (&one, &here, NOW + 1000, PAL_FULL);
+  g_assert_true (org_is_mixed (here.org, NOW + 1000, "app"));
+  g_assert_false (org_is_mixed (here.org, NOW + 30000, "app"));
+  router_free (&here);
+  router_free (&one);
+}
+
 typedef struct
 {
   unsigned count;
@@ -686,19 +742,19 @@
   g_byte_array_append (bytes, header, sizeof header);
 }
 
-/* Returns a state datagram whose list number LIST (5 to 11) has COUNT items,
+/* Returns a state datagram whose list number LIST (5 to 13) has COUNT items,
    all of them 0, and whose other lists are empty.  */
 static GByteArray *
 pack_long_list (unsigned list, uint32_t count)
 {
   static const guint8 start[]
-      = { 0x9c, 0xcd, 0xcf, 0xd9, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
+      = { 0x9e, 0xcd, 0xcf, 0xda, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
   static const guint8 zero = 0;
   static const guint8 empty = 0x90;
   GByteArray *bytes = g_byte_array_new ();
 
   g_byte_array_append (bytes, start, sizeof start);
-  for (unsigned item = 5; item < 12; item++)
+  for (unsigned item = 5; item < 14; item++)
     {
       bool is_number = item == 8;
 
@@ -727,7 +783,8 @@
   } cases[] = {
     { 5, 4, MAX_LOAD_ROWS },      { 7, 2, MAX_PREFIX_ROWS },
     { 9, PAL_LIST_COUNT * 2, 1 }, { 10, 3, MAX_REFUSAL_ROWS },
-    { 11, 5, MAX_EVIDENCE_ROWS },
+    { 11, 5, MAX_EVIDENCE_ROWS }, { 12, 2, MAX_STREAM_ROWS },
+    { 13, 3, MAX_GONE_ROWS },
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -816,6 +873,11 @@
   g_test_add_func ("/pal/summary", test_summary);
   g_test_add_func ("/pal/cell-changes", test_cell_changes);
   g_test_add_func ("/pal/cold-ranks-in-cells", test_cold_ranks_in_cells);
+  g_test_add_data_func ("/pal/stream-origins/changes",
+                        GINT_TO_POINTER (PAL_CHANGES), test_stream_origins);
+  g_test_add_data_func ("/pal/stream-origins/summary",
+                        GINT_TO_POINTER (PAL_SUMMARY), test_stream_origins);
+  g_test_add_func ("/pal/gone-versions", test_gone_versions);
   g_test_add_func ("/pal/cold-endpoint-of-other-cell",
                    test_cold_endpoint_of_other_cell);
   g_test_add_func ("/pal/no-time", test_no_time);
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -337,6 +337,8 @@
   scene->ret = ret_new ();
   scene->rly = rly_new (scene->loop, &names, &bounds, scene->endpoints,
                         scene->use, scene->pfx, scene->ret);
+  scene->org = org_new ();
+  rly_set_origins (scene->rly, scene->org);
   scene->ent = ent_new (scene->loop, "127.0.0.1:0", &front, scene->rly, NULL);
   g_assert_nonnull (scene->ent);
   for (unsigned i = 0; i < SCENE_ENDPOINTS; i++)
@@ -370,6 +372,7 @@
   use_free (scene->use);
   pfx_free (scene->pfx);
   ret_free (scene->ret);
+  org_free (scene->org);
   ev_loop_destroy (scene->loop);
   for (guint i = 0; i < scene->reserved_fds->len; i++)
     close (g_array_index (scene->reserved_fds, int, i));
@@ -379,6 +382,13 @@
   g_free (scene);
 }
 
+void
+scene_close_connections (scene_t *scene)
+{
+  while (scene->server_cons->len > 0)
+    server_con_free (g_ptr_array_index (scene->server_cons, 0));
+}
+
 static void
 on_caller_bytes (void *user, const char *bytes, size_t length)
 {
--- a/libcoltsfootdrum/relay/test-rly-scene.h
+++ b/libcoltsfootdrum/relay/test-rly-scene.h
@@ -42,6 +42,7 @@
   use_t *use;
   pfx_t *pfx;
   ret_t *ret;
+  org_t *org;
   rly_t *rly;
   ent_t *ent;
   scene_server_t servers[SCENE_ENDPOINTS];
@@ -73,6 +74,9 @@
 /* Lists the last endpoint and COUNT addresses without a listener.  */
 void scene_list_dead (scene_t *scene, unsigned count);
 
+/* Closes all connections at the endpoints.  */
+void scene_close_connections (scene_t *scene);
+
 scene_caller_t *scene_send_request (scene_t *scene, const char *bytes);
 void scene_caller_free (scene_caller_t *caller);
 
--- a/libcoltsfootdrum/relay/test-rly-versions.c
+++ b/libcoltsfootdrum/relay/test-rly-versions.c
@@ -43,6 +43,7 @@
       g_ptr_array_add (reports, report);
     }
   edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
+  rly_update_versions (scene->rly, clock_now ());
 }
 
 /* Sends BYTES, waits for the end of the answer, and returns its status.  */
@@ -69,21 +70,41 @@
   return scene->servers[0].requests == 1 ? 0 : 1;
 }
 
-/* The router resumes a stream itself at an endpoint of another version.  */
+/* The router resumes a stream itself at an endpoint of another version.  It
+   may do so at the one that began it.  */
 static void
 test_resumed_by_router (void)
 {
   static const scene_reply_t replies[]
       = { { EVENTS E1, SCENE_CLOSE }, { EVENTS E2 END, SCENE_KEEP_OPEN } };
   scene_t *scene = scene_new (replies, 2, 4);
-  scene_caller_t *caller;
 
   list_versions (scene, 0, "v1", "v2");
+  g_assert_cmpuint (send_and_wait (scene, CALL ("first", ""), "\r\n" END), ==,
+                    200);
+  g_assert_cmpuint (
+      MIN (scene->servers[0].requests, scene->servers[1].requests), ==, 0);
+  scene_free (scene);
+}
+
+/* An endpoint breaks a stream and leaves, and only another version is left:
+   the caller's connection ends without the end of the stream.  */
+static void
+test_broken_off (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E1, SCENE_KEEP_OPEN }, { EVENTS E2 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 2, 4);
+  scene_caller_t *caller;
+
+  list_versions (scene, 0, "v1", "v1");
   caller = scene_send_request (scene, CALL ("first", ""));
-  scene_wait_for (scene, caller, "\r\n" END);
-  g_assert_nonnull (strstr (caller->text->str, E1));
+  scene_wait_for (scene, caller, E1);
+  list_versions (scene, 0, "v2", "v2");
+  scene_close_connections (scene);
+  scene_wait_for (scene, caller, NULL);
   g_assert_null (strstr (caller->text->str, E2));
-  g_assert_null (strstr (caller->text->str, "\r\n0\r\n\r\n"));
+  g_assert_null (strstr (caller->text->str, "\r\n" END));
   g_assert_cmpuint (scene->requests_received, ==, 1);
   scene_caller_free (caller);
   scene_free (scene);
@@ -143,14 +164,58 @@
   scene_free (scene);
 }
 
+/* The caller names an attempt that no router is known to have begun.  With
+   several versions in service nobody guesses; with one any endpoint will
+   do.  */
+static void
+test_unknown_stream (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E2 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+
+  list_versions (scene, 0, "v1", "v2");
+  g_assert_cmpuint (
+      send_and_wait (scene, TAKE_UP ("again", "other"), "\r\n\r\n"), ==, 503);
+  g_assert_cmpuint (scene->requests_received, ==, 0);
+  /* The version that has left may have begun it.  */
+  list_versions (scene, 1, "v1", "v2");
+  g_assert_cmpuint (
+      send_and_wait (scene, TAKE_UP ("again", "other"), "\r\n\r\n"), ==, 503);
+  scene_free (scene);
+  scene = scene_new (replies, 1, 4);
+  list_versions (scene, 0, "v2", "v2");
+  g_assert_cmpuint (send_and_wait (scene, TAKE_UP ("again", "other"), END), ==,
+                    200);
+  scene_free (scene);
+}
+
+/* A request that begins anew isn't bound, whatever it names.  */
+static void
+test_begins_anew (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E1 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+
+  list_versions (scene, 0, "v1", "v2");
+  g_assert_cmpuint (
+      send_and_wait (scene, CALL ("again", "X-Resumes: other\r\n"), END), ==,
+      200);
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/rly-versions/resumed-by-router", test_resumed_by_router);
+  g_test_add_func ("/rly-versions/broken-off", test_broken_off);
   g_test_add_func ("/rly-versions/resumed-in-one-version",
                    test_resumed_in_one_version);
   g_test_add_func ("/rly-versions/taken-up", test_taken_up);
   g_test_add_func ("/rly-versions/version-is-gone", test_version_is_gone);
+  g_test_add_func ("/rly-versions/unknown-stream", test_unknown_stream);
+  g_test_add_func ("/rly-versions/begins-anew", test_begins_anew);
   return g_test_run ();
 }
