Relay: the record of a stream's version goes out with its first event

A router that is killed takes along what it hasn't sent. The record of a stream's version waited for the next change of load: a stream without prompt parts causes none at its first event, so that the record went out with the next request or full state, up to 100 ms later.

--- a/libcoltsfootdrum/relay/rly-origin.c
+++ b/libcoltsfootdrum/relay/rly-origin.c
@@ -144,16 +144,21 @@
 void
 rly_note_origin (rly_request_t *request, cfd_time_t now)
 {
-  org_t *org = request->rly->org;
+  rly_t *rly = request->rly;
+  bool is_mixed;
 
   if (request->origin_noted)
     return;
   request->origin_noted = true;
   request->origin = request->edp->origin;
-  if (org == NULL || !request->route->resumable || request->stream_key == 0)
+  if (rly->org == NULL || !request->route->resumable
+      || request->stream_key == 0)
     return;
-  org_add (org, now, request->stream_key, request->origin,
-           org_is_mixed (org, now, request->service->name));
+  is_mixed = org_is_mixed (rly->org, now, request->service->name);
+  org_add (rly->org, now, request->stream_key, request->origin, is_mixed);
+  /* The record goes out with the changes of load.  */
+  if (is_mixed)
+    edp_set_note_changed (rly->endpoints, request->edp);
 }
 
 static void
--- a/libcoltsfootdrum/relay/test-rly-versions.c
+++ b/libcoltsfootdrum/relay/test-rly-versions.c
@@ -164,6 +164,31 @@
   scene_free (scene);
 }
 
+static bool
+has_received_one (void *user)
+{
+  return ((scene_t *)user)->requests_received == 1;
+}
+
+/* A router that is killed after a stream's first event takes the record along,
+   if that waits for the next change of its load.  */
+static void
+test_published_at_once (void)
+{
+  static const scene_reply_t replies[] = { { EVENTS E1, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller;
+
+  list_versions (scene, 0, "v1", "v2");
+  caller = scene_send_request (scene, CALL ("first", ""));
+  scene_run (scene, has_received_one, scene);
+  edp_set_clear_changed (scene->endpoints);
+  scene_wait_for (scene, caller, E1);
+  g_assert_true (edp_set_has_changed (scene->endpoints));
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 /* The caller names an attempt that no router is known to have begun.  With
    several versions in service nobody guesses; with one any endpoint will
    do.  */
@@ -215,6 +240,7 @@
                    test_resumed_in_one_version);
   g_test_add_func ("/rly-versions/taken-up", test_taken_up);
   g_test_add_func ("/rly-versions/version-is-gone", test_version_is_gone);
+  g_test_add_func ("/rly-versions/published-at-once", test_published_at_once);
   g_test_add_func ("/rly-versions/unknown-stream", test_unknown_stream);
   g_test_add_func ("/rly-versions/begins-anew", test_begins_anew);
   return g_test_run ();
