Origins: a record that is sent again keeps its age

The full state repeats records for 400 ms in case a datagram was lost; each time the record seemed new, so that log lines gave ages of 27 to 48 ms for streams that had begun 350 ms before. /org/record-age failed before.

--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -325,7 +325,11 @@
 void
 org_add_peer (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin)
 {
-  add_stream (org, now, key, origin, false);
+  const org_stream_t *known = g_hash_table_lookup (org->streams, &key);
+
+  /* A repeated record is as old as the first one.  */
+  if (known == NULL || known->origin != origin)
+    add_stream (org, now, key, origin, false);
 }
 
 org_record_t
--- a/libcoltsfootdrum/relay/test-org.c
+++ b/libcoltsfootdrum/relay/test-org.c
@@ -79,6 +79,22 @@
   org_free (org);
 }
 
+/* Records are sent again with the full state.  One that is repeated seemed to
+   be new each time.  */
+static void
+test_record_age (void)
+{
+  org_t *org = org_new ();
+
+  org_add_peer (org, NOW, 1, 5);
+  org_add_peer (org, NOW + 100, 1, 5);
+  g_assert_cmpint (org_find (org, NOW + 150, 1).age_ms, ==, 150);
+  org_add (org, NOW + 200, 2, 5, true);
+  org_add_peer (org, NOW + 300, 2, 5);
+  g_assert_true (org_find (org, NOW + 300, 2).is_own);
+  org_free (org);
+}
+
 /* A flood of streams takes a bounded amount of memory and of datagrams, and
    the newest are kept.  */
 static void
@@ -119,6 +135,7 @@
     }
   g_test_add_func ("/org/mixed", test_mixed);
   g_test_add_func ("/org/published-later", test_published_later);
+  g_test_add_func ("/org/record-age", test_record_age);
   g_test_add_func ("/org/flood", test_flood);
   g_test_add_func ("/org/hash", test_hash);
   return g_test_run ();
