Tests: what clang-tidy found in the new ones

A stored value that was never read, and a loop that frees from a list while it reads its length, which the analyser takes for a use after free.

--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -378,6 +378,7 @@
   g_assert_cmpuint (org_find (here.org, NOW, 78).origin, ==, ORG_ANY);
   org_add (one.org, NOW + 10, 79, 7, true);
   lost = pal_pack (one.pal, NOW + 10, PAL_CHANGES);
+  g_assert_nonnull (lost);
   deliver (&one, &here, NOW + 300, PAL_FULL);
   g_assert_cmpuint (org_find (here.org, NOW + 300, 79).origin, ==, 7);
   router_free (&here);
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -352,18 +352,23 @@
 }
 
 void
-scene_free (scene_t *scene)
+scene_close_connections (scene_t *scene)
 {
-  g_autoptr (GPtrArray) server_cons = NULL;
+  g_autoptr (GPtrArray) server_cons = g_steal_pointer (&scene->server_cons);
 
+  scene->server_cons = g_ptr_array_new ();
+  for (guint i = 0; i < server_cons->len; i++)
+    server_con_free (g_ptr_array_index (server_cons, i));
+}
+
+void
+scene_free (scene_t *scene)
+{
   ev_timer_stop (scene->loop, &scene->tick);
   rly_free (scene->rly);
   ent_free (scene->ent);
   edp_set_free (scene->endpoints);
-  server_cons = g_steal_pointer (&scene->server_cons);
-  scene->server_cons = g_ptr_array_new ();
-  for (guint i = 0; i < server_cons->len; i++)
-    server_con_free (g_ptr_array_index (server_cons, i));
+  scene_close_connections (scene);
   for (unsigned i = 0; i < SCENE_ENDPOINTS; i++)
     {
       ev_io_stop (scene->loop, &scene->servers[i].listener);
@@ -382,13 +387,6 @@
   g_free (scene);
 }
 
-void
-scene_close_connections (scene_t *scene)
-{
-  while (scene->server_cons->len > 0)
-    server_con_free (g_ptr_array_index (scene->server_cons, 0));
-}
-
 static void
 on_caller_bytes (void *user, const char *bytes, size_t length)
 {
