--- /dev/null
+++ b/libcoltsfootdrum/relay/edp-cold.c
@@ -0,0 +1,151 @@
+/* Endpoints: which are cold, or may be, and the warm-up rate limit.  */
+
+#include "relay/edp-private.h"
+
+#include "base/log.h"
+
+/* Records that EDP is cold for COLD_MS from now on.  */
+void
+edp_set_cold (edp_t *edp, cfd_time_t now, int64_t cold_ms, const char *cause)
+{
+  if (cold_ms <= 0 || now + cold_ms <= edp->cold_until)
+    return;
+  if (now >= edp->cold_until)
+    log_info ("endpoints",
+              "An endpoint is cold: endpoint=%s service=%s zone=%s "
+              "cold_ms=%" G_GINT64_FORMAT " cause=%s "
+              "revision=%" G_GINT64_FORMAT " active=%u peers=%u withdrawn=%d.",
+              edp->report->id, edp->report->service, edp->report->zone,
+              cold_ms, cause, edp->report->revision, edp->active,
+              edp->peer_active, edp->withdrawn);
+  edp->cold_until = now + cold_ms;
+}
+
+void
+edp_suspect_cold (edp_set_t *set, edp_t *edp, cfd_time_t now)
+{
+  edp->suspected_cold_at = now;
+  set->has_suspected = true;
+}
+
+void
+edp_log_suspected (const char *cause, unsigned count)
+{
+  log_info ("endpoints",
+            "Endpoints are suspected to be cold: cause=%s endpoints=%u.",
+            cause, count);
+}
+
+void
+edp_set_suspect_cold (edp_set_t *set, cfd_time_t now, const char *cause)
+{
+  list_for_each (node, &set->list)
+    {
+      edp_suspect_cold (set, list_entry (node, edp_t, node), now);
+    }
+  list_for_each (node, &set->others)
+    {
+      edp_suspect_cold (set, list_entry (node, edp_t, node), now);
+    }
+  edp_log_suspected (cause, edp_set_count (set));
+}
+
+typedef struct
+{
+  unsigned verified;
+  unsigned cold; /* of these */
+  unsigned left;
+  int64_t after_ms; /* the longest */
+} verification_t;
+
+static void
+verify_suspected (const list_node_t *list, cfd_time_t now,
+                  cfd_time_t current_at, verification_t *result)
+{
+  list_for_each (node, list)
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      if (edp->suspected_cold_at == CFD_TIME_NEVER)
+        continue;
+      if (current_at < edp->suspected_cold_at)
+        {
+          result->left++;
+          continue;
+        }
+      result->after_ms = MAX (result->after_ms, now - edp->suspected_cold_at);
+      edp->suspected_cold_at = CFD_TIME_NEVER;
+      result->verified++;
+      result->cold += edp_is_cold (edp, now);
+    }
+}
+
+void
+edp_set_note_current (edp_set_t *set, cfd_time_t now, cfd_time_t current_at)
+{
+  verification_t result = { 0 };
+
+  if (!set->has_suspected || current_at == CFD_TIME_NEVER)
+    return;
+  verify_suspected (&set->list, now, current_at, &result);
+  verify_suspected (&set->others, now, current_at, &result);
+  set->has_suspected = result.left > 0;
+  if (result.verified > 0)
+    log_info ("endpoints",
+              "Suspected endpoints were verified: endpoints=%u cold=%u "
+              "suspected=%u after_ms=%" G_GINT64_FORMAT ".",
+              result.verified, result.cold, result.left, result.after_ms);
+}
+
+static void
+update_warm_up (list_node_t *list,
+                int64_t (*get_ms) (void *user, const char *service),
+                void *user)
+{
+  list_for_each (node, list)
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      edp->warm_up_ms = get_ms (user, edp->report->service);
+    }
+}
+
+void
+edp_set_update_warm_up (edp_set_t *set,
+                        int64_t (*get_ms) (void *user, const char *service),
+                        void *user)
+{
+  update_warm_up (&set->list, get_ms, user);
+  update_warm_up (&set->others, get_ms, user);
+}
+
+bool
+edp_is_cold (const edp_t *edp, cfd_time_t now)
+{
+  return now < edp->cold_until
+         || (edp->suspected_cold_at != CFD_TIME_NEVER
+             && now < edp->suspected_cold_at + edp->warm_up_ms);
+}
+
+bool
+edp_allows_request (edp_t *edp, cfd_time_t now, double per_s)
+{
+  double refill = (double)(now - edp->cold_refilled_at) * per_s / 1000.;
+
+  if (!edp_is_cold (edp, now))
+    return true;
+  if (per_s <= 0.)
+    return false;
+  edp->cold_tokens = MIN (edp->cold_tokens + refill, EDP_COLD_BURST);
+  edp->cold_refilled_at = now;
+  return edp->cold_tokens >= 1.;
+}
+
+void
+edp_count_cold_request (edp_t *edp, cfd_time_t now)
+{
+  if (!edp_is_cold (edp, now))
+    return;
+  edp->cold_tokens -= 1.;
+  INVARIANT ("cold-within-rate", edp->cold_tokens >= 0., edp->report->id);
+}
--- a/libcoltsfootdrum/relay/edp-private.h
+++ b/libcoltsfootdrum/relay/edp-private.h
@@ -28,14 +28,26 @@
   guint unlisted;       /* number of endpoints that the last list lacked */
   unsigned cell;
   unsigned cells;
-  bool must_divide; /* endpoints came or went, or the cell changed */
-  unsigned epoch;   /* see edp_set_get_epoch */
-  bool has_new;     /* endpoints came into use, see edp_set_take_new */
-  bool has_changed; /* the load on an endpoint, since it was last sent */
-  GStrv zones_out;  /* availability zones out of service */
-  bool has_doubts;  /* the warmth of an endpoint may be in doubt */
+  bool must_divide;   /* endpoints came or went, or the cell changed */
+  unsigned epoch;     /* see edp_set_get_epoch */
+  bool has_new;       /* endpoints came into use, see edp_set_take_new */
+  bool has_changed;   /* the load on an endpoint, since it was last sent */
+  GStrv zones_out;    /* availability zones out of service */
+  bool has_suspected; /* an endpoint may be suspected to be cold */
 };
 
+/* Largest burst that one router sends to a cold endpoint.  */
+#define EDP_COLD_BURST 1.
+
+/* edp-cold.c */
+/* Records that EDP is cold for COLD_MS from now on.  */
+void edp_set_cold (edp_t *edp, cfd_time_t now, int64_t cold_ms,
+                   const char *cause);
+/* Records that EDP, of SET, may have turned cold by NOW.  */
+void edp_suspect_cold (edp_set_t *set, edp_t *edp, cfd_time_t now);
+/* Logs that COUNT endpoints are suspected for CAUSE.  */
+void edp_log_suspected (const char *cause, unsigned count);
+
 /* edp-cells.c */
 /* For g_hash_table_new_full.  */
 void edp_service_free (void *service);
--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -7,9 +7,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Largest burst that one router sends to a cold endpoint.  */
-#define COLD_BURST 1.
-
 /* Backoff after a failure, doubled with each consecutive one up to the
    maximum: long enough that a dead endpoint costs few requests, short enough
    that a recovered one is soon used again.  */
@@ -166,8 +163,8 @@
                                     (uint64_t)report->started_ms)
               & HASH_MASK;
   edp->origin = org_hash (report->service, report->version);
-  edp->cold_tokens = COLD_BURST;
-  edp->doubted_at = CFD_TIME_NEVER;
+  edp->cold_tokens = EDP_COLD_BURST;
+  edp->suspected_cold_at = CFD_TIME_NEVER;
   edp->ups = ups_new (set->loop, &addr);
   edp->unlisted_since = CFD_TIME_NEVER;
   edp->listed_revision = report->revision;
@@ -206,23 +203,6 @@
   g_hash_table_insert (set->by_id, report->id, edp);
 }
 
-/* Records that EDP is cold for COLD_MS from now on.  */
-static void
-set_cold (edp_t *edp, cfd_time_t now, int64_t cold_ms, const char *cause)
-{
-  if (cold_ms <= 0 || now + cold_ms <= edp->cold_until)
-    return;
-  if (now >= edp->cold_until)
-    log_info ("endpoints",
-              "An endpoint is cold: endpoint=%s service=%s zone=%s "
-              "cold_ms=%" G_GINT64_FORMAT " cause=%s "
-              "revision=%" G_GINT64_FORMAT " active=%u peers=%u withdrawn=%d.",
-              edp->report->id, edp->report->service, edp->report->zone,
-              cold_ms, cause, edp->report->revision, edp->active,
-              edp->peer_active, edp->withdrawn);
-  edp->cold_until = now + cold_ms;
-}
-
 static void
 apply_report (edp_set_t *set, cfd_time_t now, edp_report_t *report,
               int64_t cold_ms, bool is_first_list)
@@ -248,7 +228,7 @@
   if (is_new && rest_ms > 0)
     edp_record_rest (edp, now, rest_ms);
   edp->listed_in = set->list_number;
-  set_cold (edp, now, cold, is_new ? "listed" : "report");
+  edp_set_cold (edp, now, cold, is_new ? "listed" : "report");
 }
 
 static void
@@ -334,13 +314,6 @@
   set->has_changed = false;
 }
 
-static void
-doubt_warmth (edp_set_t *set, edp_t *edp, cfd_time_t now)
-{
-  edp->doubted_at = now;
-  set->has_doubts = true;
-}
-
 /* Returns the number of endpoints whose zone returned.  */
 static unsigned
 withdraw_zones (edp_set_t *set, list_node_t *list, cfd_time_t now)
@@ -355,20 +328,12 @@
       edp->withdrawn = is_zone_out (set, edp->report->zone);
       if (!was_withdrawn || edp->withdrawn)
         continue;
-      doubt_warmth (set, edp, now);
+      edp_suspect_cold (set, edp, now);
       returned++;
     }
   return returned;
 }
 
-static void
-log_doubt (const char *cause, unsigned count)
-{
-  log_info ("endpoints",
-            "The warmth of endpoints is in doubt: cause=%s endpoints=%u.",
-            cause, count);
-}
-
 void
 edp_set_withdraw_zones (edp_set_t *set, cfd_time_t now,
                         const char *const *zones)
@@ -380,90 +345,7 @@
   returned = withdraw_zones (set, &set->list, now)
              + withdraw_zones (set, &set->others, now);
   if (returned > 0)
-    log_doubt ("zone-returned", returned);
-}
-
-void
-edp_set_doubt (edp_set_t *set, cfd_time_t now, const char *cause)
-{
-  list_for_each (node, &set->list)
-    {
-      doubt_warmth (set, list_entry (node, edp_t, node), now);
-    }
-  list_for_each (node, &set->others)
-    {
-      doubt_warmth (set, list_entry (node, edp_t, node), now);
-    }
-  log_doubt (cause, edp_set_count (set));
-}
-
-typedef struct
-{
-  unsigned ended;
-  unsigned cold; /* of these */
-  unsigned left;
-  int64_t after_ms; /* the longest */
-} doubts_t;
-
-static void
-end_doubts (const list_node_t *list, cfd_time_t now, cfd_time_t current_at,
-            doubts_t *doubts)
-{
-  list_for_each (node, list)
-    {
-      edp_t *edp = list_entry (node, edp_t, node);
-
-      if (edp->doubted_at == CFD_TIME_NEVER)
-        continue;
-      if (current_at < edp->doubted_at)
-        {
-          doubts->left++;
-          continue;
-        }
-      doubts->after_ms = MAX (doubts->after_ms, now - edp->doubted_at);
-      edp->doubted_at = CFD_TIME_NEVER;
-      doubts->ended++;
-      doubts->cold += edp_is_cold (edp, now);
-    }
-}
-
-void
-edp_set_note_current (edp_set_t *set, cfd_time_t now, cfd_time_t current_at)
-{
-  doubts_t doubts = { 0 };
-
-  if (!set->has_doubts || current_at == CFD_TIME_NEVER)
-    return;
-  end_doubts (&set->list, now, current_at, &doubts);
-  end_doubts (&set->others, now, current_at, &doubts);
-  set->has_doubts = doubts.left > 0;
-  if (doubts.ended > 0)
-    log_info ("endpoints",
-              "The warmth of endpoints is known: endpoints=%u cold=%u "
-              "in_doubt=%u after_ms=%" G_GINT64_FORMAT ".",
-              doubts.ended, doubts.cold, doubts.left, doubts.after_ms);
-}
-
-static void
-update_warm_up (list_node_t *list,
-                int64_t (*get_ms) (void *user, const char *service),
-                void *user)
-{
-  list_for_each (node, list)
-    {
-      edp_t *edp = list_entry (node, edp_t, node);
-
-      edp->warm_up_ms = get_ms (user, edp->report->service);
-    }
-}
-
-void
-edp_set_update_warm_up (edp_set_t *set,
-                        int64_t (*get_ms) (void *user, const char *service),
-                        void *user)
-{
-  update_warm_up (&set->list, get_ms, user);
-  update_warm_up (&set->others, get_ms, user);
+    edp_log_suspected ("zone-returned", returned);
 }
 
 void
@@ -554,43 +436,12 @@
          && now >= edp->rest_until;
 }
 
-bool
-edp_is_cold (const edp_t *edp, cfd_time_t now)
-{
-  return now < edp->cold_until
-         || (edp->doubted_at != CFD_TIME_NEVER
-             && now < edp->doubted_at + edp->warm_up_ms);
-}
-
 bool
 edp_is_open (const edp_t *edp, cfd_time_t now)
 {
   return edp_is_serving (edp, now) && now >= edp->full_until;
 }
 
-bool
-edp_allows_request (edp_t *edp, cfd_time_t now, double per_s)
-{
-  double refill = (double)(now - edp->cold_refilled_at) * per_s / 1000.;
-
-  if (!edp_is_cold (edp, now))
-    return true;
-  if (per_s <= 0.)
-    return false;
-  edp->cold_tokens = MIN (edp->cold_tokens + refill, COLD_BURST);
-  edp->cold_refilled_at = now;
-  return edp->cold_tokens >= 1.;
-}
-
-void
-edp_count_cold_request (edp_t *edp, cfd_time_t now)
-{
-  if (!edp_is_cold (edp, now))
-    return;
-  edp->cold_tokens -= 1.;
-  INVARIANT ("cold-within-rate", edp->cold_tokens >= 0., edp->report->id);
-}
-
 void
 edp_record_failure (edp_t *edp, cfd_time_t now)
 {
@@ -643,7 +494,7 @@
   bool begins = !edp_is_resting (edp, now);
 
   edp->rest_until = MAX (edp->rest_until, now + rest_ms);
-  set_cold (edp, now, edp->rest_until + REST_WARM_UP_MS - now, "rest");
+  edp_set_cold (edp, now, edp->rest_until + REST_WARM_UP_MS - now, "rest");
   return begins;
 }
 
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -62,9 +62,9 @@
   unsigned cold_rank; /* this router's rank among those that share the rate */
   cfd_time_t cold_refilled_at;
   int64_t warm_up_ms; /* that a start or return takes; 0: it is never cold */
-  /* By when it may have turned cold without a report here, see edp_set_doubt;
-     CFD_TIME_NEVER: its warmth is not in doubt.  */
-  cfd_time_t doubted_at;
+  /* By when it may have turned cold without a report here, see
+     edp_set_suspect_cold; CFD_TIME_NEVER: it is not suspected.  */
+  cfd_time_t suspected_cold_at;
 
   /* Load of this router.  */
   unsigned active;        /* running requests */
@@ -134,17 +134,17 @@
 /* Returns whether endpoints came into use since the last call.  */
 bool edp_set_take_new (edp_set_t *set);
 
-/* Sets the availability zones that are out of service.  ZONES is copied.  The
-   warmth of endpoints whose zone returns is in doubt (edp_set_doubt): they may
-   turn cold while they get nothing.  */
+/* Sets the availability zones that are out of service.  ZONES is copied.
+   Endpoints whose zone returns are suspected to be cold
+   (edp_set_suspect_cold): they may turn cold while they get nothing.  */
 void edp_set_withdraw_zones (edp_set_t *set, cfd_time_t now,
                              const char *const *zones);
 
-/* Puts the warmth of all endpoints in doubt for CAUSE, a word for logs: each
-   may have turned cold unnoticed.  Until a list that is current as of NOW
-   shows its state, but no longer than it can be cold, an endpoint in doubt
-   gets requests at the warm-up rate.  */
-void edp_set_doubt (edp_set_t *set, cfd_time_t now, const char *cause);
+/* Records for CAUSE, a word for logs, that each endpoint may have turned cold
+   unnoticed.  Until a list that is current as of NOW shows its state, but no
+   longer than it can be cold, a suspected endpoint gets requests at the
+   warm-up rate.  */
+void edp_set_suspect_cold (edp_set_t *set, cfd_time_t now, const char *cause);
 /* Records that the list which was applied last is current as of CURRENT_AT;
    CFD_TIME_NEVER: not known.  */
 void edp_set_note_current (edp_set_t *set, cfd_time_t now,
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -135,7 +135,7 @@
    until a list that is current as of the return has shown its state, or until
    it must be warm.  */
 static void
-test_doubt (void)
+test_suspected_cold (void)
 {
   static const char *const zones_out[] = { "z", NULL };
   static const char *const none[] = { NULL };
@@ -156,12 +156,12 @@
   edp_set_note_current (set, NOW + 30, NOW + 10);
   g_assert_false (is_limited (edp, NOW + 30));
   /* No list can be read.  */
-  edp_set_doubt (set, NOW + 100, "test");
+  edp_set_suspect_cold (set, NOW + 100, "test");
   g_assert_true (is_limited (edp, NOW + 99 + COLD_MS));
   g_assert_false (is_limited (edp, NOW + 100 + COLD_MS));
   /* Endpoints of a service without a warm-up are never cold.  */
   edp->warm_up_ms = 0;
-  edp_set_doubt (set, NOW + 200, "test");
+  edp_set_suspect_cold (set, NOW + 200, "test");
   g_assert_false (is_limited (edp, NOW + 200));
   edp_set_free (set);
   ev_loop_destroy (loop);
@@ -538,7 +538,7 @@
       g_test_add_data_func (path, &cold_cases[i], test_warm_up_rate_of_fleet);
     }
   g_test_add_func ("/edp/zone-out", test_zone_out);
-  g_test_add_func ("/edp/doubt", test_doubt);
+  g_test_add_func ("/edp/suspected-cold", test_suspected_cold);
   g_test_add_func ("/edp/failures", test_failures);
   g_test_add_func ("/edp/gives-back", test_rejections);
   g_test_add_func ("/edp/rest", test_rest);
