--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Time for which a stream may still be taken up: longer than callers wait for
+/* Time for which a stream may still be resumed: longer than callers wait for
    a whole answer.  */
 #define STREAM_KEEP_MS 20000
 /* Limits the memory: some 100 bytes each.  */
@@ -32,7 +32,7 @@
 {
   org_origin_t origin;
   bool is_listed;
-  cfd_time_t gone_at; /* unless it is listed */
+  cfd_time_t retired_at; /* unless it is listed */
 } org_version_t;
 
 typedef struct
@@ -159,7 +159,7 @@
 static bool
 counts (const org_version_t *version, cfd_time_t now)
 {
-  return version->is_listed || now - version->gone_at <= STREAM_KEEP_MS;
+  return version->is_listed || now - version->retired_at <= STREAM_KEEP_MS;
 }
 
 static bool
@@ -215,7 +215,7 @@
               = &g_array_index (service->versions, org_version_t, i);
 
           if (version->is_listed)
-            version->gone_at = CFD_TIME_NEVER;
+            version->retired_at = CFD_TIME_NEVER;
           version->is_listed = false;
         }
     }
@@ -229,17 +229,17 @@
   get_or_add_version (found, origin)->is_listed = true;
 }
 
-/* Notes which versions are gone since the last list.  */
+/* Notes which versions the last list had and this one lacks.  */
 static void
-update_gone (org_service_t *service, cfd_time_t now)
+update_retired (org_service_t *service, cfd_time_t now)
 {
   for (guint i = service->versions->len; i-- > 0;)
     {
       org_version_t *version
           = &g_array_index (service->versions, org_version_t, i);
 
-      if (!version->is_listed && version->gone_at == CFD_TIME_NEVER)
-        version->gone_at = now;
+      if (!version->is_listed && version->retired_at == CFD_TIME_NEVER)
+        version->retired_at = now;
       if (!counts (version, now))
         g_array_remove_index_fast (service->versions, i);
     }
@@ -258,7 +258,7 @@
       org_service_t *service = data;
       bool mixed;
 
-      update_gone (service, now);
+      update_retired (service, now);
       mixed = is_mixed (service, now);
       becomes_mixed |= mixed && !service->was_mixed;
       service->was_mixed = mixed;
@@ -360,9 +360,9 @@
 }
 
 void
-org_foreach_gone (const org_t *org, cfd_time_t now,
-                  void (*each) (void *user, const org_gone_t *gone),
-                  void *user)
+org_foreach_retired (const org_t *org, cfd_time_t now,
+                     void (*each) (void *user, const org_retired_t *retired),
+                     void *user)
 {
   GHashTableIter iter;
   void *key;
@@ -377,28 +377,28 @@
         {
           const org_version_t *version
               = &g_array_index (service->versions, org_version_t, i);
-          org_gone_t gone = { .service = *(const uint64_t *)key,
-                              .origin = version->origin,
-                              .gone_ms = now - version->gone_at };
+          org_retired_t retired = { .service = *(const uint64_t *)key,
+                                    .origin = version->origin,
+                                    .retired_ms = now - version->retired_at };
 
           if (!version->is_listed && counts (version, now))
-            each (user, &gone);
+            each (user, &retired);
         }
     }
 }
 
 void
-org_add_gone (org_t *org, cfd_time_t now, const org_gone_t *gone)
+org_add_retired (org_t *org, cfd_time_t now, const org_retired_t *retired)
 {
   org_service_t *service;
   org_version_t *version;
 
-  if (gone->gone_ms > STREAM_KEEP_MS)
+  if (retired->retired_ms > STREAM_KEEP_MS)
     return;
-  service = get_or_add_service (org, gone->service);
-  version = get_or_add_version (service, gone->origin);
+  service = get_or_add_service (org, retired->service);
+  version = get_or_add_version (service, retired->origin);
   if (!version->is_listed)
-    version->gone_at = MAX (version->gone_at, now - gone->gone_ms);
+    version->retired_at = MAX (version->retired_at, now - retired->retired_ms);
 }
 
 void
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -1,9 +1,9 @@
 /* Origins.  Knows at which software version each stream began, so that a
-   broken one goes on at that version only.
+   broken one is resumed at that version only.
 
    Load pattern: endpoints of several versions of a service serve side by side,
    and a router or an endpoint fails.  All of its streams break at once, and
-   their callers take them up at any router.  What two versions write doesn't
+   their callers resume them at any router.  What two versions write doesn't
    fit together, and endpoints don't check it.
 
    Each router records the origin of the streams that it began.  While a
@@ -29,7 +29,7 @@
 /* Returns the key of the stream that was begun in answer to the request ID. */
 uint64_t org_stream_key (const char *id);
 
-/* What a router concludes for a request that takes up a stream.  */
+/* What a router concludes for a request that resumes a stream.  */
 typedef enum
 {
   ORG_FREE,   /* any endpoint may continue it */
@@ -61,7 +61,7 @@
 void org_set_knows_versions (org_t *org, bool knows);
 bool org_knows_versions (const org_t *org);
 /* Returns whether SERVICE has several versions, or had them while a stream
-   that is taken up now may have begun.  */
+   that is resumed now may have begun.  */
 bool org_is_mixed (const org_t *org, cfd_time_t now, const char *service);
 
 /* Records that this router began stream KEY at ORIGIN.  When PUBLISHED, the
@@ -101,15 +101,17 @@
 {
   uint64_t service; /* hash of its name */
   org_origin_t origin;
-  int64_t gone_ms; /* since it left */
-} org_gone_t;
+  int64_t retired_ms; /* since it left */
+} org_retired_t;
 
 /* Calls EACH for the versions that left service lately.  */
-void org_foreach_gone (const org_t *org, cfd_time_t now,
-                       void (*each) (void *user, const org_gone_t *gone),
-                       void *user);
+void org_foreach_retired (const org_t *org, cfd_time_t now,
+                          void (*each) (void *user,
+                                        const org_retired_t *retired),
+                          void *user);
 /* Records a version that left service, as another router reports.  */
-void org_add_gone (org_t *org, cfd_time_t now, const org_gone_t *gone);
+void org_add_retired (org_t *org, cfd_time_t now,
+                      const org_retired_t *retired);
 
 /* Removes what is too old to be needed.  */
 void org_sweep (org_t *org, cfd_time_t now);
--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -240,34 +240,34 @@
 }
 
 static void
-count_gone (void *user, const org_gone_t *gone)
+count_retired (void *user, const org_retired_t *retired)
 {
   ++*(guint *)user;
 }
 
 static void
-pack_gone_row (void *user, const org_gone_t *gone)
+pack_retired_row (void *user, const org_retired_t *retired)
 {
   msgpack_packer *packer = user;
 
-  msgpack_pack_uint64 (packer, gone->service);
-  msgpack_pack_uint32 (packer, gone->origin);
-  msgpack_pack_uint64 (packer, (uint64_t)gone->gone_ms);
+  msgpack_pack_uint64 (packer, retired->service);
+  msgpack_pack_uint32 (packer, retired->origin);
+  msgpack_pack_uint64 (packer, (uint64_t)retired->retired_ms);
 }
 
 /* Packs the versions that left service lately.  */
 static void
-pack_gone_versions (const pal_t *pal, msgpack_packer *packer, cfd_time_t now,
-                    pal_content_t content)
+pack_retired_versions (const pal_t *pal, msgpack_packer *packer,
+                       cfd_time_t now, pal_content_t content)
 {
   bool is_sent = content != PAL_CHANGES && pal->org != NULL;
   guint rows = 0;
 
   if (is_sent)
-    org_foreach_gone (pal->org, now, count_gone, &rows);
+    org_foreach_retired (pal->org, now, count_retired, &rows);
   msgpack_pack_array (packer, (size_t)rows * 3);
   if (is_sent)
-    org_foreach_gone (pal->org, now, pack_gone_row, packer);
+    org_foreach_retired (pal->org, now, pack_retired_row, packer);
 }
 
 GByteArray *
@@ -293,7 +293,7 @@
   pack_refusals (pal, &packer, now, content);
   pack_evidence (pal, &packer, now, content);
   pack_streams (pal, &packer, now, content);
-  pack_gone_versions (pal, &packer, now, content);
+  pack_retired_versions (pal, &packer, now, content);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -28,7 +28,7 @@
 #define MAX_REFUSAL_ROWS 8192u
 #define MAX_EVIDENCE_ROWS 4096u
 #define MAX_STREAM_ROWS 4096u
-#define MAX_GONE_ROWS 256u
+#define MAX_RETIRED_ROWS 256u
 
 typedef struct
 {
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -87,7 +87,7 @@
          && is_number_rows (&items[10], 3, MAX_REFUSAL_ROWS)
          && is_number_rows (&items[11], 5, MAX_EVIDENCE_ROWS)
          && is_number_rows (&items[12], 2, MAX_STREAM_ROWS)
-         && is_number_rows (&items[13], 3, MAX_GONE_ROWS);
+         && is_number_rows (&items[13], 3, MAX_RETIRED_ROWS);
 }
 
 static guint
@@ -344,17 +344,17 @@
 }
 
 static void
-receive_gone_versions (pal_t *pal, cfd_time_t now, const msg_node_t *rows)
+receive_retired_versions (pal_t *pal, cfd_time_t now, const msg_node_t *rows)
 {
   for (unsigned i = 0; pal->org != NULL && i + 2 < rows->length; i += 3)
     {
-      org_gone_t gone
+      org_retired_t retired
           = { .service = rows->u.items[i].u.number,
               .origin = (org_origin_t)rows->u.items[i + 1].u.number,
-              .gone_ms
+              .retired_ms
               = (int64_t)MIN (rows->u.items[i + 2].u.number, MAX_AGE_MS) };
 
-      org_add_gone (pal->org, now, &gone);
+      org_add_retired (pal->org, now, &retired);
     }
 }
 
@@ -405,7 +405,7 @@
   receive_refusals (pal, now, &items[10]);
   receive_evidence (pal, now, incarnation, &items[11]);
   receive_streams (pal, now, &items[12]);
-  receive_gone_versions (pal, now, &items[13]);
+  receive_retired_versions (pal, now, &items[13]);
 }
 
 bool
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -47,15 +47,15 @@
 }
 
 static void
-append_take_ups (const rly_counts_t *counts, GString *out)
+append_resumptions (const rly_counts_t *counts, GString *out)
 {
-  for (unsigned i = 0; i < RLY_TAKE_UPS; i++)
+  for (unsigned i = 0; i < RLY_RESUME_KINDS; i++)
     {
       g_autofree char *labels = g_strdup_printf (
-          "outcome=\"%s\"", rly_take_up_name ((rly_take_up_t)i));
+          "outcome=\"%s\"", rly_resume_name ((rly_resume_t)i));
 
-      prom_append_sample (out, "cfd_relay_take_ups_total", "counter", labels,
-                          (double)counts->take_ups[i]);
+      prom_append_sample (out, "cfd_relay_resumptions_total", "counter",
+                          labels, (double)counts->resumptions[i]);
     }
 }
 
@@ -118,7 +118,7 @@
 {
   append_counters (&rly->counts, out);
   append_ends (&rly->counts, out);
-  append_take_ups (&rly->counts, out);
+  append_resumptions (&rly->counts, out);
   append_state (rly, now, out);
   list_for_each (node, &rly->services)
     {
--- a/libcoltsfootdrum/relay/rly-origin.c
+++ b/libcoltsfootdrum/relay/rly-origin.c
@@ -1,24 +1,24 @@
-/* The relay of requests: at which software version a stream may go on, whoever
-   takes it up: the router within one response, or its caller.  */
+/* The relay of requests: the software version at which a stream is resumed, by
+   the router within one response or by its caller.  */
 
 #include "relay/rly-private.h"
 
 #include "base/log.h"
 
 const char *
-rly_take_up_name (rly_take_up_t outcome)
+rly_resume_name (rly_resume_t outcome)
 {
   switch (outcome)
     {
-    case RLY_TAKE_UP_ANY:
+    case RLY_RESUME_ANY:
       return "any-version";
-    case RLY_TAKE_UP_BOUND:
+    case RLY_RESUME_BOUND:
       return "same-version";
-    case RLY_TAKE_UP_UNKNOWN:
+    case RLY_RESUME_UNKNOWN:
       return "version-unknown";
-    case RLY_TAKE_UP_GONE:
-      return "version-gone";
-    case RLY_TAKE_UPS:
+    case RLY_RESUME_UNAVAILABLE:
+      return "version-unavailable";
+    case RLY_RESUME_KINDS:
       break;
     }
   return "?";
@@ -59,9 +59,9 @@
   return false;
 }
 
-static rly_take_up_t
-decide_take_up (rly_request_t *request, cfd_time_t now,
-                const org_record_t *record)
+static rly_resume_t
+decide_resumption (rly_request_t *request, cfd_time_t now,
+                   const org_record_t *record)
 {
   const org_t *org = request->rly->org;
   const org_inputs_t inputs
@@ -72,15 +72,15 @@
   switch (org_decide (&inputs))
     {
     case ORG_FREE:
-      return RLY_TAKE_UP_ANY;
+      return RLY_RESUME_ANY;
     case ORG_UNKNOWN:
-      return RLY_TAKE_UP_UNKNOWN;
+      return RLY_RESUME_UNKNOWN;
     case ORG_BOUND:
       break;
     }
   request->origin = record->origin;
-  return choose_service_of_origin (request) ? RLY_TAKE_UP_BOUND
-                                            : RLY_TAKE_UP_GONE;
+  return choose_service_of_origin (request) ? RLY_RESUME_BOUND
+                                            : RLY_RESUME_UNAVAILABLE;
 }
 
 /* Returns the version of an endpoint of ORIGIN, for logs; empty when none is
@@ -109,7 +109,7 @@
   return record->is_own ? "own" : "peer";
 }
 
-rly_take_up_t
+rly_resume_t
 rly_bind_origin (rly_request_t *request, cfd_time_t now)
 {
   const rly_names_t *names = &request->rly->names;
@@ -117,26 +117,26 @@
   const char *last_event = hdr_get (fields, names->last_event);
   const char *first = hdr_get (fields, names->resumes);
   org_record_t record = { .origin = ORG_ANY };
-  rly_take_up_t outcome;
+  rly_resume_t outcome;
 
   if (request->id != NULL)
     request->stream_key = org_stream_key (request->id);
   if (request->rly->org == NULL || last_event == NULL
       || request->route->kind != RTE_STREAM)
-    return RLY_TAKE_UP_ANY;
+    return RLY_RESUME_ANY;
   if (first != NULL)
     {
       request->stream_key = org_stream_key (first);
       record = org_find (request->rly->org, now, request->stream_key);
     }
-  outcome = decide_take_up (request, now, &record);
-  request->rly->counts.take_ups[outcome]++;
+  outcome = decide_resumption (request, now, &record);
+  request->rly->counts.resumptions[outcome]++;
   log_info ("relay",
-            "A caller takes up a stream: request=%s resumes=%s last_event=%s "
+            "A caller resumes a stream: request=%s resumes=%s last_event=%s "
             "outcome=%s version=%s origin=%08x source=%s "
             "age_ms=%" G_GINT64_FORMAT ".",
             request->id, first != NULL ? first : "", last_event,
-            rly_take_up_name (outcome), find_version (request, record.origin),
+            rly_resume_name (outcome), find_version (request, record.origin),
             record.origin, get_source (&record), record.age_ms);
   return outcome;
 }
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -447,10 +447,10 @@
   return !is_single && was_last_failure (request, edp);
 }
 
-/* Excludes the endpoints at which the stream of REQUEST can't go on, and those
-   that failed it.  An endpoint that fails at once has the least load, so that
-   the request would go there again.  Where all have failed it, those before
-   the last failure are allowed again, and so is a single endpoint.  */
+/* Excludes the endpoints at which the stream of REQUEST can't continue, and
+   those that failed it.  An endpoint that fails at once has the least load, so
+   that the request would go there again.  Where all have failed it, those
+   before the last failure are allowed again, and so is a single endpoint.  */
 static void
 exclude_unfit (rly_round_t *round, const rly_request_t *request)
 {
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -102,8 +102,9 @@
   double output_tokens; /* expected */
   double cost;          /* in tokens, see use.h */
   bool is_charged;      /* the cost is counted as served */
-  uint64_t stream_key;  /* of the stream that it begins or takes up */
-  /* Where that began; ORG_ANY: it has no event yet, or it may go on anywhere.
+  uint64_t stream_key;  /* of the stream that it begins or resumes */
+  /* Where that began; ORG_ANY: it has no event yet, or may be resumed
+   * anywhere.
    */
   org_origin_t origin;
   bool origin_noted; /* the first event of this answer was passed on */
@@ -153,16 +154,16 @@
    have been answered, or its caller disconnected.  */
 void rly_request_free (rly_request_t *request);
 
-/* rly-origin.c: streams that are taken up or resumed.  */
-/* Binds REQUEST to the version at which the stream that it takes up began.
+/* rly-origin.c: resumed streams.  */
+/* Binds REQUEST to the version at which the stream that it resumes began.
    Chooses its service, where the route has several.  */
-rly_take_up_t rly_bind_origin (rly_request_t *request, cfd_time_t now);
+rly_resume_t rly_bind_origin (rly_request_t *request, cfd_time_t now);
 /* To be called when events of REQUEST's answer were passed on: from now on it
    is bound to the version of its endpoint.  */
 void rly_note_origin (rly_request_t *request, cfd_time_t now);
 /* Returns whether EDP may continue the stream of REQUEST, or begin one.  */
 bool rly_fits_origin (const rly_request_t *request, const edp_t *edp);
-/* Returns whether REQUEST may go on here at all.  */
+/* Returns whether REQUEST may be sent again here.  */
 bool rly_can_continue (const rly_request_t *request);
 
 /* rly-queue.c: waiting requests.  */
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -408,14 +408,16 @@
   return request;
 }
 
-/* Refuses a request that takes up a stream and can't go on here.  Its caller
-   may begin anew.  */
+/* Refuses a request for a stream that can't be resumed here.  Its caller may
+   start the stream again.  */
 static void
-refuse_take_up (rly_request_t *request, cfd_time_t now, rly_take_up_t outcome)
+refuse_resumption (rly_request_t *request, cfd_time_t now,
+                   rly_resume_t outcome)
 {
-  rly_refuse_for (
-      request, now,
-      outcome == RLY_TAKE_UP_GONE ? "version-gone" : "version-unknown", 0);
+  rly_refuse_for (request, now,
+                  outcome == RLY_RESUME_UNAVAILABLE ? "version-unavailable"
+                                                    : "version-unknown",
+                  0);
 }
 
 /* Returns whether a new request is refused because this router lacks processor
@@ -436,7 +438,7 @@
   const rte_account_t *account = NULL;
   const rte_route_t *route;
   rly_request_t *request;
-  rly_take_up_t outcome;
+  rly_resume_t outcome;
   cfd_time_t now = clock_now ();
 
   rly->counts.requests++;
@@ -481,8 +483,8 @@
   use_add_demand (rly->use, now, rly_get_account_name (request),
                   request->cost);
   rly_enqueue (request);
-  if (outcome == RLY_TAKE_UP_UNKNOWN || outcome == RLY_TAKE_UP_GONE)
-    refuse_take_up (request, now, outcome);
+  if (outcome == RLY_RESUME_UNKNOWN || outcome == RLY_RESUME_UNAVAILABLE)
+    refuse_resumption (request, now, outcome);
   else if (!rly_refuse_early (request, now))
     rly_schedule_dispatch (request->service);
 }
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -54,18 +54,18 @@
   unsigned disabled;       /* mech_t bits of disabled mechanisms */
 } rly_settings_t;
 
-/* What became of a request that takes up a stream, when it arrived.  */
+/* The decision on a request that resumes a stream, at its arrival.  */
 typedef enum
 {
-  RLY_TAKE_UP_ANY,     /* the service has one version */
-  RLY_TAKE_UP_BOUND,   /* goes to the version at which the stream began */
-  RLY_TAKE_UP_UNKNOWN, /* refused: it isn't known where the stream began */
-  RLY_TAKE_UP_GONE,    /* refused: that version has no endpoint */
-  RLY_TAKE_UPS
-} rly_take_up_t;
+  RLY_RESUME_ANY,         /* the service has one version */
+  RLY_RESUME_BOUND,       /* goes to the version at which the stream began */
+  RLY_RESUME_UNKNOWN,     /* refused: it isn't known where the stream began */
+  RLY_RESUME_UNAVAILABLE, /* refused: that version has no endpoint */
+  RLY_RESUME_KINDS
+} rly_resume_t;
 
 /* Returns a word for logs and metrics.  */
-const char *rly_take_up_name (rly_take_up_t outcome);
+const char *rly_resume_name (rly_resume_t outcome);
 
 typedef struct
 {
@@ -79,7 +79,7 @@
   uint64_t rest_avoided; /* sent elsewhere or refused for a resting endpoint */
   uint64_t withdrawn;    /* taken back before they were sent */
   uint64_t cold_requests; /* sent to endpoints that were cold */
-  uint64_t take_ups[RLY_TAKE_UPS];
+  uint64_t resumptions[RLY_RESUME_KINDS];
   uint64_t ends[END_KINDS]; /* of exchanges with endpoints */
   unsigned waiting;
   unsigned running;
@@ -98,8 +98,8 @@
 /* Follows the rollouts of ROL, which is not owned.  */
 void rly_set_rollouts (rly_t *rly, rol_t *rol);
 
-/* Lets streams that are taken up go on only at the version at which they
-   began, as ORG knows it, which is not owned.  Without it a caller may take up
+/* Lets streams be resumed only at the version at which they
+   began, as ORG knows it, which is not owned.  Without it a caller may resume
    its stream anywhere.  */
 void rly_set_origins (rly_t *rly, org_t *org);
 /* Records the versions of the endpoints.  Must be called after the list of
--- a/libcoltsfootdrum/relay/test-org.c
+++ b/libcoltsfootdrum/relay/test-org.c
@@ -41,7 +41,7 @@
   org_end_versions (org, now);
 }
 
-/* A version that left service counts while its streams may be taken up.  */
+/* A version that left service counts while its streams may be resumed.  */
 static void
 test_mixed (void)
 {
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -388,7 +388,7 @@
 /* A router that has just started doesn't know from the list that a version
    left service a moment ago.  */
 static void
-test_gone_versions (void)
+test_retired_versions (void)
 {
   router_t here = router_new ("here");
   router_t one = router_new ("one");
@@ -785,7 +785,7 @@
     { 5, 4, MAX_LOAD_ROWS },      { 7, 2, MAX_PREFIX_ROWS },
     { 9, PAL_LIST_COUNT * 2, 1 }, { 10, 3, MAX_REFUSAL_ROWS },
     { 11, 5, MAX_EVIDENCE_ROWS }, { 12, 2, MAX_STREAM_ROWS },
-    { 13, 3, MAX_GONE_ROWS },
+    { 13, 3, MAX_RETIRED_ROWS },
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -878,7 +878,7 @@
                         GINT_TO_POINTER (PAL_CHANGES), test_stream_origins);
   g_test_add_data_func ("/pal/stream-origins/summary",
                         GINT_TO_POINTER (PAL_SUMMARY), test_stream_origins);
-  g_test_add_func ("/pal/gone-versions", test_gone_versions);
+  g_test_add_func ("/pal/retired-versions", test_retired_versions);
   g_test_add_func ("/pal/cold-endpoint-of-other-cell",
                    test_cold_endpoint_of_other_cell);
   g_test_add_func ("/pal/no-time", test_no_time);
--- a/libcoltsfootdrum/relay/test-rly-versions.c
+++ b/libcoltsfootdrum/relay/test-rly-versions.c
@@ -1,6 +1,6 @@
-/* A stream holds events of one software version of its service, whoever takes
-   it up: the router within one response, or its caller.  Endpoint e0 is of
-   version "v1" and e1 of "v2".  */
+/* A stream holds events of one software version of its service, whoever
+   resumes it: the router within one response, or its caller.  Endpoint e0 is
+   of version "v1" and e1 of "v2".  */
 
 #include "test-rly-scene.h"
 
@@ -17,10 +17,10 @@
   "POST /events/ HTTP/1.1\r\nHost: h\r\nX-Id: " id "\r\n" fields              \
   "X-Deadline: 5000\r\nAuthorization: Bearer key-of-the-mill\r\n"             \
   "Content-Length: 0\r\n\r\n"
-#define TAKE_UP(id, first)                                                    \
+#define RESUME(id, first)                                                     \
   CALL (id, "Last-Event-Id: 1\r\nX-Resumes: " first "\r\n")
 
-#define TAKE_UPS 20
+#define RESUMPTIONS 20
 
 /* Lists the endpoints from FIRST on, e0 of version V1 and e1 of V2.  */
 static void
@@ -110,7 +110,7 @@
   scene_free (scene);
 }
 
-/* The same with endpoints of one version: the stream goes on.  */
+/* The same with endpoints of one version: the stream is resumed.  */
 static void
 test_resumed_in_one_version (void)
 {
@@ -124,10 +124,10 @@
   scene_free (scene);
 }
 
-/* A caller takes up its stream, again and again with the id of the first
+/* A caller resumes its stream, again and again with the id of the first
    attempt: it is never sent to the other version.  */
 static void
-test_taken_up (void)
+test_resumed_by_caller (void)
 {
   static const scene_reply_t replies[]
       = { { EVENTS E1 END, SCENE_KEEP_OPEN },
@@ -137,10 +137,10 @@
 
   list_versions (scene, 0, "v1", "v2");
   origin = begin_stream (scene);
-  for (unsigned i = 0; i < TAKE_UPS; i++)
-    g_assert_cmpuint (send_and_wait (scene, TAKE_UP ("again", "first"), END),
+  for (unsigned i = 0; i < RESUMPTIONS; i++)
+    g_assert_cmpuint (send_and_wait (scene, RESUME ("again", "first"), END),
                       ==, 200);
-  g_assert_cmpuint (scene->servers[origin].requests, ==, 1 + TAKE_UPS);
+  g_assert_cmpuint (scene->servers[origin].requests, ==, 1 + RESUMPTIONS);
   g_assert_cmpuint (scene->servers[1 - origin].requests, ==, 0);
   scene_free (scene);
 }
@@ -148,7 +148,7 @@
 /* The version at which the stream began is gone: the caller is refused at once
    and may begin anew.  */
 static void
-test_version_is_gone (void)
+test_version_unavailable (void)
 {
   static const scene_reply_t replies[]
       = { { EVENTS E1 END, SCENE_KEEP_OPEN },
@@ -159,7 +159,7 @@
   begin_stream (scene);
   list_versions (scene, 0, "v3", "v3");
   g_assert_cmpuint (
-      send_and_wait (scene, TAKE_UP ("again", "first"), "\r\n\r\n"), ==, 503);
+      send_and_wait (scene, RESUME ("again", "first"), "\r\n\r\n"), ==, 503);
   g_assert_cmpuint (scene->requests_received, ==, 1);
   scene_free (scene);
 }
@@ -201,16 +201,16 @@
 
   list_versions (scene, 0, "v1", "v2");
   g_assert_cmpuint (
-      send_and_wait (scene, TAKE_UP ("again", "other"), "\r\n\r\n"), ==, 503);
+      send_and_wait (scene, RESUME ("again", "other"), "\r\n\r\n"), ==, 503);
   g_assert_cmpuint (scene->requests_received, ==, 0);
   /* The version that has left may have begun it.  */
   list_versions (scene, 1, "v1", "v2");
   g_assert_cmpuint (
-      send_and_wait (scene, TAKE_UP ("again", "other"), "\r\n\r\n"), ==, 503);
+      send_and_wait (scene, RESUME ("again", "other"), "\r\n\r\n"), ==, 503);
   scene_free (scene);
   scene = scene_new (replies, 1, 4);
   list_versions (scene, 0, "v2", "v2");
-  g_assert_cmpuint (send_and_wait (scene, TAKE_UP ("again", "other"), END), ==,
+  g_assert_cmpuint (send_and_wait (scene, RESUME ("again", "other"), END), ==,
                     200);
   scene_free (scene);
 }
@@ -238,8 +238,9 @@
   g_test_add_func ("/rly-versions/broken-off", test_broken_off);
   g_test_add_func ("/rly-versions/resumed-in-one-version",
                    test_resumed_in_one_version);
-  g_test_add_func ("/rly-versions/taken-up", test_taken_up);
-  g_test_add_func ("/rly-versions/version-is-gone", test_version_is_gone);
+  g_test_add_func ("/rly-versions/resumed-by-caller", test_resumed_by_caller);
+  g_test_add_func ("/rly-versions/version-unavailable",
+                   test_version_unavailable);
   g_test_add_func ("/rly-versions/published-at-once", test_published_at_once);
   g_test_add_func ("/rly-versions/unknown-stream", test_unknown_stream);
   g_test_add_func ("/rly-versions/begins-anew", test_begins_anew);
