--- a/libcoltsfootdrum/relay/edp-cold.c
+++ b/libcoltsfootdrum/relay/edp-cold.c
@@ -90,6 +90,7 @@
   verify_suspected (&set->list, now, current_at, &result);
   verify_suspected (&set->others, now, current_at, &result);
   set->has_suspected = result.left > 0;
+  set->is_verified |= !set->has_suspected;
   if (result.verified > 0)
     log_info ("endpoints",
               "Suspected endpoints were verified: endpoints=%u cold=%u "
--- a/libcoltsfootdrum/relay/edp-private.h
+++ b/libcoltsfootdrum/relay/edp-private.h
@@ -28,11 +28,12 @@
   guint unlisted;       /* number of endpoints that the last list lacked */
   unsigned cell;
   unsigned cells;
-  bool must_divide;   /* endpoints came or went, or the cell changed */
-  unsigned epoch;     /* see edp_set_get_epoch */
-  bool has_new;       /* endpoints came into use, see edp_set_take_new */
-  bool has_changed;   /* the load on an endpoint, since it was last sent */
-  GStrv zones_out;    /* availability zones out of service */
+  bool must_divide; /* endpoints came or went, or the cell changed */
+  unsigned epoch;   /* see edp_set_get_epoch */
+  bool has_new;     /* endpoints came into use, see edp_set_take_new */
+  bool has_changed; /* the load on an endpoint, since it was last sent */
+  GStrv zones_out;  /* availability zones out of service */
+  bool is_verified; /* a list has been current as of a time after the start */
   bool has_suspected; /* an endpoint may be suspected to be cold */
 };
 
--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -165,6 +165,8 @@
   edp->origin = org_hash (report->service, report->version);
   edp->cold_tokens = EDP_COLD_BURST;
   edp->suspected_cold_at = CFD_TIME_NEVER;
+  if (!set->is_verified)
+    edp_suspect_cold (set, edp, now);
   edp->ups = ups_new (set->loop, &addr);
   edp->unlisted_since = CFD_TIME_NEVER;
   edp->listed_revision = report->revision;
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -141,9 +141,9 @@
                              const char *const *zones);
 
 /* Records for CAUSE, a word for logs, that each endpoint may have turned cold
-   unnoticed.  Until a list that is current as of NOW shows its state, but no
-   longer than it can be cold, a suspected endpoint gets requests at the
-   warm-up rate.  */
+   unnoticed.  The same holds for those of a first list, which may be old.
+   Until a list that is current as of NOW shows its state, but no longer than
+   it can be cold, a suspected endpoint gets requests at the warm-up rate.  */
 void edp_set_suspect_cold (edp_set_t *set, cfd_time_t now, const char *cause);
 /* Records that the list which was applied last is current as of CURRENT_AT;
    CFD_TIME_NEVER: not known.  */
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -146,6 +146,11 @@
   update (set, NOW, report ("e1", 1, 0), true);
   edp_set_update_warm_up (set, get_warm_up_ms, NULL);
   edp = edp_set_find (set, "e1");
+  /* A first list may be old.  */
+  g_assert_true (is_limited (edp, NOW));
+  edp_set_note_current (set, NOW, NOW - 1);
+  g_assert_true (is_limited (edp, NOW));
+  edp_set_note_current (set, NOW, NOW);
   g_assert_false (is_limited (edp, NOW));
   edp_set_withdraw_zones (set, NOW, zones_out);
   edp_set_withdraw_zones (set, NOW + 10, none);
