Origins: reports of retired versions take a bounded amount of memory

A datagram names services by hash; each new one was remembered for good, and each version of it until the next list. Reports of services that aren't listed here are ignored now, and a service remembers 64 versions. Found by reading; /org/retired-flood.

--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -11,6 +11,8 @@
 #define STREAM_KEEP_MS 20000
 /* Limits the memory: some 100 bytes each.  */
 #define MAX_STREAMS 40000
+/* Versions of one service that are remembered, for reports of others.  */
+#define MAX_VERSIONS 64
 /* Updates kept for the other routers, less than fill a datagram.  */
 #define MAX_UPDATES 2048
 /* Streams of this age are published when a second version appears.  */
@@ -395,7 +397,9 @@
 
   if (retired->retired_ms > STREAM_KEEP_MS)
     return;
-  service = get_or_add_service (org, retired->service);
+  service = g_hash_table_lookup (org->services, &retired->service);
+  if (service == NULL || service->versions->len >= MAX_VERSIONS)
+    return;
   version = get_or_add_version (service, retired->origin);
   if (!version->is_listed)
     version->retired_at = MAX (version->retired_at, now - retired->retired_ms);
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -109,7 +109,8 @@
                           void (*each) (void *user,
                                         const org_retired_t *retired),
                           void *user);
-/* Records a version that left service, as another router reports.  */
+/* Records a version that left service, as another router reports.  Ignored for
+   a service that isn't listed here.  */
 void org_add_retired (org_t *org, cfd_time_t now,
                       const org_retired_t *retired);
 
--- a/libcoltsfootdrum/relay/test-org.c
+++ b/libcoltsfootdrum/relay/test-org.c
@@ -113,6 +113,45 @@
   org_free (org);
 }
 
+static void
+count_retired (void *user, const org_retired_t *retired)
+{
+  ++*(unsigned *)user;
+}
+
+static void
+read_service (void *user, const org_retired_t *retired)
+{
+  *(uint64_t *)user = retired->service;
+}
+
+/* Reports of retired versions come from the network: made-up ones take no
+   memory for services that aren't listed, and little for others.  */
+static void
+test_retired_flood (void)
+{
+  org_t *org = org_new ();
+  org_retired_t retired = { .retired_ms = 10 };
+  unsigned count = 0;
+
+  list_versions (org, NOW, 5, 5);
+  for (retired.origin = 100; retired.origin < 10000; retired.origin++)
+    {
+      retired.service = retired.origin;
+      org_add_retired (org, NOW, &retired);
+    }
+  org_foreach_retired (org, NOW, count_retired, &count);
+  g_assert_cmpuint (count, ==, 0);
+  list_versions (org, NOW, 6, 6);
+  org_foreach_retired (org, NOW, read_service, &retired.service);
+  for (retired.origin = 100; retired.origin < 10000; retired.origin++)
+    org_add_retired (org, NOW, &retired);
+  org_foreach_retired (org, NOW, count_retired, &count);
+  g_assert_cmpuint (count, <=, 64);
+  g_assert_true (org_is_mixed (org, NOW, "app"));
+  org_free (org);
+}
+
 static void
 test_hash (void)
 {
@@ -137,6 +176,7 @@
   g_test_add_func ("/org/published-later", test_published_later);
   g_test_add_func ("/org/record-age", test_record_age);
   g_test_add_func ("/org/flood", test_flood);
+  g_test_add_func ("/org/retired-flood", test_retired_flood);
   g_test_add_func ("/org/hash", test_hash);
   return g_test_run ();
 }
