Tests: two runs of the router's tests took the same addresses

The fixture derives its address from the process id, but of 250 ids in a row each 50th had the same one. The two builds are tested side by side, and in one run their ids were so: "Can't listen on 127.64.99.113:7003: Address already in use". All of 800,000 ids in a row now have their own.

--- a/libcoltsfootdrum/router/test-router-fixture.c
+++ b/libcoltsfootdrum/router/test-router-fixture.c
@@ -24,8 +24,8 @@
 {
   unsigned pid = (unsigned)getpid ();
 
-  return g_strdup_printf ("127.%u.%u.%u:%u", 64 + pid / 62500 % 64,
-                          pid / 250 % 250, 4 * (pid % 50) + host, port);
+  return g_strdup_printf ("127.%u.%u.%u:%u", 64 + pid / 12500 % 64,
+                          pid / 50 % 250, 4 * (pid % 50) + host, port);
 }
 
 /* ---- the platform ---- */
