Endpoints: health checks tell which are cold while no list can be read

Callers saw FAILBACK: a cold endpoint got more requests in a second than its warm-up rate allows, from routers that were cut off from the store and from the others, and went on as with a warm endpoint.

Routers in that state use half as many shares of the warm-up rate, since those on the other side of a partition use all of it. An endpoint that doesn't answer in time is left as it is: its slots may be taken.

Tried and not kept: a router that hears less than half of the others counts as partitioned.

--- a/libcoltsfootdrum/relay/cold.c
+++ b/libcoltsfootdrum/relay/cold.c
@@ -15,6 +15,8 @@
    rate in requests a second, but no fewer than the minimum.  */
 #define ROUTERS_PER_RATE 0.25
 #define MIN_SHARING_ROUTERS 4.
+/* Share of these that use an endpoint while they may be partitioned.  */
+#define PARTITIONED_SHARE 0.5
 
 static uint64_t
 compute_score (const char *router, uint64_t endpoint)
@@ -32,10 +34,15 @@
 }
 
 double
-cold_rate_per_router (double per_s, unsigned routers, unsigned rank)
+cold_rate_per_router (double per_s, unsigned routers, unsigned rank,
+                      bool may_be_partitioned)
 {
   double sharing = floor (MAX (per_s * ROUTERS_PER_RATE, MIN_SHARING_ROUTERS));
+  double rate;
 
   sharing = CLAMP (sharing, 1., (double)MAX (routers, 1));
-  return rank < sharing ? per_s * USED_RATE_SHARE / sharing : 0.;
+  rate = per_s * USED_RATE_SHARE / sharing;
+  if (may_be_partitioned)
+    sharing = MAX (floor (sharing * PARTITIONED_SHARE), 1.);
+  return rank < sharing ? rate : 0.;
 }
--- a/libcoltsfootdrum/relay/cold.h
+++ b/libcoltsfootdrum/relay/cold.h
@@ -24,7 +24,9 @@
 
 /* Returns the requests a second that a router may send to an endpoint whose
    limit is PER_S for all ROUTERS together.  RANK is the number of routers that
-   rank before it.  */
-double cold_rate_per_router (double per_s, unsigned routers, unsigned rank);
+   rank before it.  Of those that MAY_BE_PARTITIONED half as many share the
+   rate, since the others may use all of it beside them.  */
+double cold_rate_per_router (double per_s, unsigned routers, unsigned rank,
+                             bool may_be_partitioned);
 
 #endif
--- a/libcoltsfootdrum/relay/edp-private.h
+++ b/libcoltsfootdrum/relay/edp-private.h
@@ -35,6 +35,7 @@
   GStrv zones_out;  /* availability zones out of service */
   bool is_verified; /* a list has been current as of a time after the start */
   bool has_suspected; /* an endpoint may be suspected to be cold */
+  uint64_t checks_sent;
 };
 
 /* Largest burst that one router sends to a cold endpoint.  */
@@ -49,6 +50,10 @@
 /* Logs that COUNT endpoints are suspected for CAUSE.  */
 void edp_log_suspected (const char *cause, unsigned count);
 
+/* edp-check.c */
+/* Gives up a health check that takes too long.  */
+void edp_expire_check (edp_t *edp, cfd_time_t now);
+
 /* edp-cells.c */
 /* For g_hash_table_new_full.  */
 void edp_service_free (void *service);
--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -165,6 +165,7 @@
   edp->origin = org_hash (report->service, report->version);
   edp->cold_tokens = EDP_COLD_BURST;
   edp->suspected_cold_at = CFD_TIME_NEVER;
+  edp->check.sent_at = CFD_TIME_NEVER;
   if (!set->is_verified)
     edp_suspect_cold (set, edp, now);
   edp->ups = ups_new (set->loop, &addr);
@@ -358,6 +359,7 @@
       edp_t *edp = list_entry (node, edp_t, node);
 
       ups_close_expired (edp->ups, now);
+      edp_expire_check (edp, now);
       if (!edp->is_near)
         edp_set_drop_unused (set, edp);
     }
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -40,7 +40,32 @@
 /* Returns a word for logs.  */
 const char *edp_standing_name (edp_standing_t standing);
 
+typedef struct edp_set edp_set_t;
+typedef struct edp edp_t;
+
+/* How endpoints are asked for their health, and by whom.  */
+typedef struct
+{
+  const char *endpoint_id; /* field of an answer: who gave it */
+  const char *cold_ms;     /* field: how much longer it is cold */
+  /* Returns the path of SERVICE; NULL: it has none.  */
+  const char *(*get_path) (void *user, const char *service);
+  /* Returns whether it is this router that checks EDP.  */
+  bool (*is_checked) (void *user, const edp_t *edp);
+  void *user;
+} edp_check_options_t;
+
+/* The last health check of an endpoint by this router.  */
 typedef struct
+{
+  const edp_check_options_t *options;
+  edp_set_t *set;           /* of the endpoint */
+  ups_exchange_t *exchange; /* NULL: it has ended */
+  cfd_time_t sent_at;       /* CFD_TIME_NEVER: none was sent */
+  cfd_time_t cold_until;    /* as it found */
+} edp_check_t;
+
+struct edp
 {
   list_node_t node;
   edp_report_t *report;
@@ -65,6 +90,7 @@
   /* By when it may have turned cold without a report here, see
      edp_set_suspect_cold; CFD_TIME_NEVER: it is not suspected.  */
   cfd_time_t suspected_cold_at;
+  edp_check_t check;
 
   /* Load of this router.  */
   unsigned active;        /* running requests */
@@ -83,9 +109,7 @@
   unsigned consecutive_rejections;
   cfd_time_t rest_until; /* no new requests until then: it asked for rest */
   cfd_time_t last_answer_at; /* when it last sent part of an answer */
-} edp_t;
-
-typedef struct edp_set edp_set_t;
+};
 
 edp_set_t *edp_set_new (struct ev_loop *loop);
 void edp_set_free (edp_set_t *set);
@@ -155,6 +179,21 @@
                                                 const char *service),
                              void *user);
 
+/* To be called while the platform's list is old, so that it can't tell which
+   endpoints are cold.  Sends the health checks that are due; OPTIONS must stay
+   valid.  An endpoint that answers that it is cold is cold for so long; one
+   that is ill, or whose address another one has, until the next check.  One
+   that doesn't answer may have no free slot, and is left as it is.  */
+void edp_set_check_health (edp_set_t *set, cfd_time_t now,
+                           const edp_check_options_t *options);
+/* Returns for how long EDP stays cold by this router's last health check.  */
+int64_t edp_get_found_cold_ms (const edp_t *edp, cfd_time_t now);
+/* Records that another router found the endpoint HASH to be cold.  */
+void edp_set_note_cold (edp_set_t *set, cfd_time_t now, uint64_t hash,
+                        int64_t cold_ms);
+/* Returns the number of health checks that were sent.  */
+uint64_t edp_set_count_checks (const edp_set_t *set);
+
 /* Frees retired endpoints that have no running requests.  Must not be called
    from a callback of an exchange.  */
 void edp_set_sweep (edp_set_t *set, cfd_time_t now);
--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -270,6 +270,33 @@
     org_foreach_retired (pal->org, now, pack_retired_row, packer);
 }
 
+/* Packs the endpoints that this router's health checks found to be cold, and
+   for how many more milliseconds.  */
+static void
+pack_cold (const pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+           pal_content_t content)
+{
+  size_t rows = 0;
+
+  list_for_each (node, edp_set_endpoints (pal->endpoints))
+    {
+      rows += edp_get_found_cold_ms (list_entry (node, edp_t, node), now) > 0;
+    }
+  msgpack_pack_array (packer, content != PAL_SUMMARY ? rows * 2 : 0);
+  if (rows == 0 || content == PAL_SUMMARY)
+    return;
+  list_for_each (node, edp_set_endpoints (pal->endpoints))
+    {
+      const edp_t *edp = list_entry (node, edp_t, node);
+      int64_t cold_ms = edp_get_found_cold_ms (edp, now);
+
+      if (cold_ms == 0)
+        continue;
+      msgpack_pack_uint64 (packer, edp->hash);
+      msgpack_pack_uint64 (packer, (uint64_t)cold_ms);
+    }
+}
+
 GByteArray *
 pal_pack (pal_t *pal, cfd_time_t now, pal_content_t content)
 {
@@ -279,7 +306,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 14);
+  msgpack_pack_array (&packer, 15);
   msgpack_pack_uint32 (&packer, STATE_FORMAT);
   pack_text (&packer, content != PAL_CHANGES ? pal->name : "");
   msgpack_pack_uint64 (&packer, pal->incarnation);
@@ -294,6 +321,7 @@
   pack_evidence (pal, &packer, now, content);
   pack_streams (pal, &packer, now, content);
   pack_retired_versions (pal, &packer, now, content);
+  pack_cold (pal, &packer, now, content);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -29,6 +29,7 @@
 #define MAX_EVIDENCE_ROWS 4096u
 #define MAX_STREAM_ROWS 4096u
 #define MAX_RETIRED_ROWS 256u
+#define MAX_COLD_ROWS 1024u
 
 typedef struct
 {
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -75,7 +75,7 @@
 {
   const msg_node_t *items = node->u.items;
 
-  return node->type == MSG_NODE_ARRAY && node->length == 14
+  return node->type == MSG_NODE_ARRAY && node->length == 15
          && is_number (&items[0]) && items[0].u.number == STATE_FORMAT
          && is_text (&items[1]) && is_number (&items[2])
          && is_number (&items[3]) && is_number (&items[4])
@@ -87,7 +87,8 @@
          && is_number_rows (&items[10], 3, MAX_REFUSAL_ROWS)
          && is_number_rows (&items[11], 5, MAX_EVIDENCE_ROWS)
          && is_number_rows (&items[12], 2, MAX_STREAM_ROWS)
-         && is_number_rows (&items[13], 3, MAX_RETIRED_ROWS);
+         && is_number_rows (&items[13], 3, MAX_RETIRED_ROWS)
+         && is_number_rows (&items[14], 2, MAX_COLD_ROWS);
 }
 
 static guint
@@ -358,6 +359,18 @@
     }
 }
 
+static void
+receive_cold (pal_t *pal, cfd_time_t now, const msg_node_t *rows)
+{
+  if (rows->length == 0)
+    return;
+  for (unsigned i = 0; i + 1 < rows->length; i += 2)
+    edp_set_note_cold (
+        pal->endpoints, now, rows->u.items[i].u.number,
+        (int64_t)MIN (rows->u.items[i + 1].u.number, MAX_AGE_MS));
+  pal_update_cold_ranks (pal, now);
+}
+
 static int64_t
 decode_stable_ms (const msg_node_t *node)
 {
@@ -406,6 +419,7 @@
   receive_evidence (pal, now, incarnation, &items[11]);
   receive_streams (pal, now, &items[12]);
   receive_retired_versions (pal, now, &items[13]);
+  receive_cold (pal, now, &items[14]);
 }
 
 bool
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -65,7 +65,8 @@
 
   if (per_s <= 0.)
     per_s = DEFAULT_COLD_PER_S;
-  return cold_rate_per_router (per_s, round->rly->routers, edp->cold_rank);
+  return cold_rate_per_router (per_s, round->rly->routers, edp->cold_rank,
+                               round->rly->is_list_old);
 }
 
 static bool
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -62,6 +62,7 @@
   rol_t *rol;       /* not owned; may be NULL */
   org_t *org;       /* not owned; may be NULL */
   rte_table_t *table;
+  bool is_list_old;     /* see rly_set_list_old */
   list_node_t services; /* rly_service_t */
   list_node_t running;  /* rly_request_t */
   rly_counts_t counts;
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -270,6 +270,12 @@
     }
 }
 
+void
+rly_set_list_old (rly_t *rly, bool is_list_old)
+{
+  rly->is_list_old = is_list_old;
+}
+
 void
 rly_stop_accepting (rly_t *rly)
 {
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -124,6 +124,10 @@
 /* Sets the number of routers of the fleet, this one included.  */
 void rly_set_router_count (rly_t *rly, unsigned routers);
 
+/* Sets whether the list of endpoints is old: this router may be partitioned
+   from others that know more.  */
+void rly_set_list_old (rly_t *rly, bool is_list_old);
+
 /* To be called every RLY_TICK_MS.  */
 #define RLY_TICK_MS 25
 void rly_tick (rly_t *rly, cfd_time_t now);
--- a/libcoltsfootdrum/relay/rte.c
+++ b/libcoltsfootdrum/relay/rte.c
@@ -127,6 +127,7 @@
   if (service == NULL)
     return;
   g_free (service->name);
+  g_free (service->health_path);
   g_free (service);
 }
 
--- a/libcoltsfootdrum/relay/rte.h
+++ b/libcoltsfootdrum/relay/rte.h
@@ -42,6 +42,7 @@
 typedef struct
 {
   char *name;
+  char *health_path;    /* of health checks; NULL: it has none */
   unsigned connections; /* most connections to an endpoint */
   int64_t cold_ms;      /* warm-up time after the start of an endpoint */
   double cold_per_s;    /* warm-up rate limit in requests a second */
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -242,11 +242,19 @@
 } cold_case_t;
 
 static const cold_case_t cold_cases[] = {
-  { "one", 1, 12., 0 },        { "10", 10, 12., 0 },
-  { "30", 30, 12., 0 },        { "100", 100, 12., 0 },
-  { "300", 300, 12., 0 },      { "300-slow", 300, 4., 0 },
-  { "300-fast", 300, 46., 0 }, { "10-cut", 10, 12., 4 },
-  { "100-cut", 100, 12., 4 },  { "300-cut", 300, 23., 4 },
+  { "one", 1, 12., 0 },
+  { "10", 10, 12., 0 },
+  { "30", 30, 12., 0 },
+  { "100", 100, 12., 0 },
+  { "300", 300, 12., 0 },
+  { "300-slow", 300, 4., 0 },
+  { "300-fast", 300, 46., 0 },
+  { "10-cut", 10, 12., 4 },
+  { "100-cut", 100, 12., 4 },
+  { "300-cut", 300, 23., 4 },
+  { "24-most-cut", 24, 23., 6 },
+  { "300-most-cut", 300, 23., 8 },
+  { "100-most-cut-slow", 100, 4., 9 },
 };
 
 /* Most requests that an endpoint may get within a second from all routers:
@@ -279,7 +287,7 @@
       count++;
       rank += cold_ranks_before (name, own, endpoint);
     }
-  return cold_rate_per_router (one->per_s, count, rank);
+  return cold_rate_per_router (one->per_s, count, rank, sees_all);
 }
 
 static edp_t *
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -411,6 +411,56 @@
   router_free (&one);
 }
 
+/* While no list can be read, one router asks an endpoint whether it is cold,
+   and the others would go on as with a warm one.  A report can't make it cold
+   for longer than it takes to warm up.  */
+static void
+test_found_cold (void)
+{
+  static const pal_member_t listed[] = { { "one", "127.0.0.1:9", true } };
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  edp_t *edp = get_endpoint (&here);
+
+  pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
+  edp->warm_up_ms = 3000;
+  edp->suspected_cold_at = CFD_TIME_NEVER;
+  edp->cold_rank = 77;
+  deliver (&one, &here, NOW, PAL_FULL);
+  g_assert_false (edp_is_cold (edp, NOW));
+  get_endpoint (&one)->check.cold_until = NOW + 2000;
+  deliver (&one, &here, NOW, PAL_SUMMARY);
+  g_assert_false (edp_is_cold (edp, NOW));
+  deliver (&one, &here, NOW, PAL_CHANGES);
+  g_assert_true (edp_is_cold (edp, NOW + 1999));
+  g_assert_false (edp_is_cold (edp, NOW + 2000));
+  g_assert_cmpuint (edp->cold_rank, <=, 1);
+  get_endpoint (&one)->check.cold_until = NOW + 1000000;
+  deliver (&one, &here, NOW, PAL_CHANGES);
+  g_assert_false (edp_is_cold (edp, NOW + 3000));
+  router_free (&here);
+  router_free (&one);
+}
+
+/* Of the routers that hear each other, one asks an endpoint.  */
+static void
+test_first_router (void)
+{
+  static const pal_member_t listed[]
+      = { { "one", "127.0.0.1:9", true }, { "two", "127.0.0.1:9", true } };
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  edp_t *edp = get_endpoint (&here);
+
+  pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
+  deliver (&one, &here, NOW, PAL_FULL);
+  for (edp->hash = 0; edp->hash < 50; edp->hash++)
+    g_assert_cmpint (pal_ranks_first (here.pal, edp), ==,
+                     !cold_ranks_before ("one", "here", edp->hash));
+  router_free (&here);
+  router_free (&one);
+}
+
 typedef struct
 {
   unsigned count;
@@ -743,19 +793,19 @@
   g_byte_array_append (bytes, header, sizeof header);
 }
 
-/* Returns a state datagram whose list number LIST (5 to 13) has COUNT items,
+/* Returns a state datagram whose list number LIST (5 to 14) has COUNT items,
    all of them 0, and whose other lists are empty.  */
 static GByteArray *
 pack_long_list (unsigned list, uint32_t count)
 {
   static const guint8 start[]
-      = { 0x9e, 0xcd, 0xcf, 0xda, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
+      = { 0x9f, 0xcd, 0xcf, 0xda, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
   static const guint8 zero = 0;
   static const guint8 empty = 0x90;
   GByteArray *bytes = g_byte_array_new ();
 
   g_byte_array_append (bytes, start, sizeof start);
-  for (unsigned item = 5; item < 14; item++)
+  for (unsigned item = 5; item < 15; item++)
     {
       bool is_number = item == 8;
 
@@ -785,7 +835,7 @@
     { 5, 4, MAX_LOAD_ROWS },      { 7, 2, MAX_PREFIX_ROWS },
     { 9, PAL_LIST_COUNT * 2, 1 }, { 10, 3, MAX_REFUSAL_ROWS },
     { 11, 5, MAX_EVIDENCE_ROWS }, { 12, 2, MAX_STREAM_ROWS },
-    { 13, 3, MAX_RETIRED_ROWS },
+    { 13, 3, MAX_RETIRED_ROWS },  { 14, 2, MAX_COLD_ROWS },
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -878,6 +928,8 @@
                         GINT_TO_POINTER (PAL_CHANGES), test_stream_origins);
   g_test_add_data_func ("/pal/stream-origins/summary",
                         GINT_TO_POINTER (PAL_SUMMARY), test_stream_origins);
+  g_test_add_func ("/pal/found-cold", test_found_cold);
+  g_test_add_func ("/pal/first-router", test_first_router);
   g_test_add_func ("/pal/retired-versions", test_retired_versions);
   g_test_add_func ("/pal/cold-endpoint-of-other-cell",
                    test_cold_endpoint_of_other_cell);
