Endpoints: a health check that is rejected for want of capacity says nothing

While no list can be read, an endpoint that answers a health check with a failure counts as cold. A rejection that says that it did not run is left out now.

--- a/libcoltsfootdrum/relay/edp-check.c
+++ b/libcoltsfootdrum/relay/edp-check.c
@@ -32,8 +32,11 @@
 {
   edp_t *edp = user;
   cfd_time_t now = clock_now ();
-  int64_t cold_ms = read_cold_ms (edp, head);
+  int64_t cold_ms;
 
+  if (hdr_get (&head->fields, edp->check.options->not_run) != NULL)
+    return;
+  cold_ms = read_cold_ms (edp, head);
   edp->check.cold_until = now + cold_ms;
   if (cold_ms == 0)
     return;
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -48,6 +48,7 @@
 {
   const char *endpoint_id; /* field of an answer: who gave it */
   const char *cold_ms;     /* field: how much longer it is cold */
+  const char *not_run;     /* field of a rejection for want of capacity */
   /* Returns the path of SERVICE; NULL: it has none.  */
   const char *(*get_path) (void *user, const char *service);
   /* Returns whether it is this router that checks EDP.  */
@@ -183,7 +184,8 @@
    endpoints are cold.  Sends the health checks that are due; OPTIONS must stay
    valid.  An endpoint that answers that it is cold is cold for so long; one
    that is ill, or whose address another one has, until the next check.  One
-   that doesn't answer may have no free slot, and is left as it is.  */
+   that doesn't answer or rejects the check has no free slot, and is left as it
+   is.  */
 void edp_set_check_health (edp_set_t *set, cfd_time_t now,
                            const edp_check_options_t *options);
 /* Returns for how long EDP stays cold by this router's last health check.  */
