Tests: processes with neighbouring ids take different addresses

A rehearsal was red once: test-web of the sanitizer build couldn't listen, "Address already in use". Each of its cases adds one to the address that comes from the process id, so that it takes that of the next process, and the two builds start the same test at the same moment. Its cases differ in the second octet now, and the last two are the process's own.

--- a/libcoltsfootdrum/agent/test-scene.c
+++ b/libcoltsfootdrum/agent/test-scene.c
@@ -25,7 +25,7 @@
   unsigned id = (unsigned)getpid ();
 
   return g_strdup_printf ("127.%u.%u.%u:%u", 220 + (id >> 16) % 30,
-                          id >> 8 & 255, 1 + id % 254, (unsigned)port);
+                          id >> 8 & 255, id & 255, (unsigned)port);
 }
 
 static char *
--- a/libcoltsfootdrum/http/test-fetch.c
+++ b/libcoltsfootdrum/http/test-fetch.c
@@ -109,7 +109,7 @@
   int yes = 1;
 
   snprintf (ip, sizeof ip, "127.%u.%u.%u", 100 + (pid >> 16) % 100,
-            (pid >> 8) % 256, pid % 254 + 1);
+            (pid >> 8) % 256, pid % 256);
   snprintf (f->url, sizeof f->url, "http://%s:%d/x", ip, PORT);
   g_assert_cmpint (inet_pton (AF_INET, ip, &address.sin_addr), ==, 1);
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
--- a/libcoltsfootdrum/http/test-web.c
+++ b/libcoltsfootdrum/http/test-web.c
@@ -82,8 +82,9 @@
   unsigned pid = (unsigned)getpid ();
   g_autoptr (GError) error = NULL;
 
-  g_snprintf (f->address, sizeof f->address, "127.41.%u.%u", pid / 250 % 250,
-              1 + (pid + count++) % 250);
+  /* Processes with neighbouring ids run beside each other.  */
+  g_snprintf (f->address, sizeof f->address, "127.%u.%u.%u", 250 + count++ % 5,
+              pid >> 8 & 255, pid & 255);
   f->loop = ev_loop_new (EVFLAG_AUTO);
   g_autofree char *listen = g_strdup_printf ("%s:%d", f->address, PORT);
   f->server = web_server_new (f->loop, listen, &limits, handle, f, &error);
--- a/libcoltsfootdrum/router/test-router-config.c
+++ b/libcoltsfootdrum/router/test-router-config.c
@@ -186,7 +186,7 @@
   f->fake_peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          fake_peer_free);
   snprintf (f->host, sizeof f->host, "127.%u.%u.%u", 200 + (pid >> 16) % 50,
-            (pid >> 8) % 256, pid % 254 + 1);
+            (pid >> 8) % 256, pid % 256);
   publish_instances (f);
   sp_test_write_object (&f->test, ZONE, "z",
                         "{\"schema\":2,\"state\":\"in\"}");
--- a/tests/sp-test.c
+++ b/tests/sp-test.c
@@ -13,7 +13,7 @@
   char address[32];
 
   snprintf (address, sizeof address, "127.%u.%u.%u:7100",
-            100 + (pid >> 16) % 100, (pid >> 8) % 256, pid % 254 + 1);
+            100 + (pid >> 16) % 100, (pid >> 8) % 256, pid % 256);
   snprintf (test->url, sizeof test->url, "http://%s", address);
   test->loop = ev_loop_new (EVFLAG_AUTO);
   test->sp = sp_new (test->loop, SP_TEST_HISTORY);
