Endpoints: log and count processes that ended under requests

Which requests ran as an endpoint ended could not be told from one lost answer, and attempts of one caller could not be told from attempts of others: lines had the id of an attempt alone.

After exchanges with an endpoint broke, it counts as ended if none of the connections from before survived 100 ms and a new one is refused, or doesn't open in 350 ms; a line and a counter tell so, and a line tells of each request that ran there. A request's line of sending has a key, a hash of what is the same in all attempts. No decision depends on either.

--- /dev/null
+++ b/libcoltsfootdrum/relay/edp-break.c
@@ -0,0 +1,143 @@
+/* Endpoints: whether the process of an endpoint has ended when exchanges with
+   it broke.
+
+   A single answer may be lost while the endpoint serves others.  A process
+   that ends closes all of its connections, and a new one is refused.  */
+
+#include "relay/edp-private.h"
+
+#include "base/log.h"
+
+/* Time in which all connections of a process that ended are read as closed.
+   It is longer than an iteration of a loop that is behind.  */
+#define CLOSE_MS 100
+/* Time for the probe's connection to open.  */
+#define PROBE_TIMEOUT_MS 350
+
+bool
+edp_is_break_pending (const edp_t *edp)
+{
+  return edp->broken.first_at != CFD_TIME_NEVER;
+}
+
+void
+edp_settle_break (edp_t *edp, bool has_ended, const char *evidence)
+{
+  edp_set_t *set = edp->broken.set;
+  cfd_time_t first_at = edp->broken.first_at;
+
+  if (!edp_is_break_pending (edp))
+    return;
+  edp->broken.first_at = CFD_TIME_NEVER;
+  con_free (edp->broken.probe);
+  edp->broken.probe = NULL;
+  set->breaks_pending--;
+  set->ended += has_ended;
+  if (has_ended)
+    log_info ("endpoints",
+              "An endpoint ended: endpoint=%s service=%s zone=%s evidence=%s "
+              "active=%u peers=%u.",
+              edp->report->id, edp->report->service, edp->report->zone,
+              evidence, edp->active, edp->peer_active);
+  if (set->on_break != NULL)
+    set->on_break (set->break_user, edp, has_ended, first_at);
+}
+
+static void
+on_probe_connected (void *user)
+{
+  edp_settle_break (user, false, "connected");
+}
+
+static void
+on_probe_bytes (void *user, const char *bytes, size_t length)
+{
+}
+
+static void
+on_probe_ended (void *user, con_end_t end)
+{
+  edp_settle_break (user, end == CON_END_CONNECT_FAILED, "refused");
+}
+
+static void
+open_probe (edp_t *edp, cfd_time_t now)
+{
+  static const con_ops_t ops = { .connected = on_probe_connected,
+                                 .bytes = on_probe_bytes,
+                                 .ended = on_probe_ended };
+  edp_break_t *broken = &edp->broken;
+  addr_t addr;
+
+  broken->probed_at = now;
+  if (addr_parse (edp->report->address, &addr, NULL))
+    broken->probe = con_new_outbound (broken->set->loop, &addr, &ops, edp);
+  if (broken->probe == NULL)
+    edp_settle_break (edp, false, "no-probe");
+}
+
+static void
+check_break (edp_t *edp, cfd_time_t now)
+{
+  const edp_break_t *broken = &edp->broken;
+
+  if (broken->probe != NULL)
+    {
+      if (now - broken->probed_at > PROBE_TIMEOUT_MS)
+        edp_settle_break (edp, true, "unanswered");
+    }
+  else if (broken->is_silent
+           || !ups_has_connection_from_before (edp->ups, broken->first_at))
+    open_probe (edp, now);
+  else if (now - broken->last_at > CLOSE_MS)
+    edp_settle_break (edp, false, "others-open");
+}
+
+static void
+check_breaks (list_node_t *list, cfd_time_t now)
+{
+  list_for_each (node, list)
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      if (edp_is_break_pending (edp))
+        check_break (edp, now);
+    }
+}
+
+void
+edp_set_check_breaks (edp_set_t *set, cfd_time_t now)
+{
+  if (set->breaks_pending == 0)
+    return;
+  check_breaks (&set->list, now);
+  check_breaks (&set->others, now);
+}
+
+void
+edp_set_note_break (edp_set_t *set, edp_t *edp, cfd_time_t now, bool is_silent)
+{
+  edp_break_t *broken = &edp->broken;
+
+  if (!edp_is_break_pending (edp))
+    {
+      *broken = (edp_break_t){ .set = set, .first_at = now };
+      set->breaks_pending++;
+    }
+  broken->last_at = now;
+  broken->is_silent |= is_silent;
+}
+
+void
+edp_set_set_break_callback (edp_set_t *set, edp_break_callback_t callback,
+                            void *user)
+{
+  set->on_break = callback;
+  set->break_user = user;
+}
+
+uint64_t
+edp_set_count_ended (const edp_set_t *set)
+{
+  return set->ended;
+}
--- a/libcoltsfootdrum/relay/edp-private.h
+++ b/libcoltsfootdrum/relay/edp-private.h
@@ -1,6 +1,7 @@
 /* Definitions shared by the files of this module: edp.c (the platform's list,
-   state of each endpoint) and edp-cells.c (endpoints of this router's cell).
- */
+   state of each endpoint), edp-cells.c (endpoints of this router's cell),
+   edp-cold.c (warm-up), edp-check.c (health checks) and edp-break.c (ends of
+   processes).  */
 
 #ifndef RELAY_EDP_PRIVATE_H
 #define RELAY_EDP_PRIVATE_H
@@ -36,6 +37,10 @@
   bool is_verified; /* a list has been current as of a time after the start */
   bool has_suspected; /* an endpoint may be suspected to be cold */
   uint64_t checks_sent;
+  unsigned breaks_pending;
+  uint64_t ended;                /* processes, see edp_set_count_ended */
+  edp_break_callback_t on_break; /* may be NULL */
+  void *break_user;
 };
 
 /* Largest burst that one router sends to a cold endpoint.  */
@@ -54,6 +59,10 @@
 /* Gives up a health check that takes too long.  */
 void edp_expire_check (edp_t *edp, cfd_time_t now);
 
+/* edp-break.c */
+/* Ends what is pending about EDP, which is no longer listed or is freed.  */
+void edp_settle_break (edp_t *edp, bool has_ended, const char *evidence);
+
 /* edp-cells.c */
 /* For g_hash_table_new_full.  */
 void edp_service_free (void *service);
--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -65,6 +65,7 @@
 edp_free (edp_t *edp)
 {
   list_remove (&edp->node);
+  con_free (edp->broken.probe);
   ups_free (edp->ups);
   edp_report_free (edp->report);
   g_free (edp);
@@ -116,6 +117,7 @@
 {
   g_hash_table_remove (set->by_id, edp->report->id);
   g_hash_table_remove (set->by_hash, &edp->hash);
+  edp_settle_break (edp, !edp->report->leaving, "unlisted");
   edp->report->leaving = true;
   set->must_divide = true;
   set->epoch++;
@@ -166,6 +168,7 @@
   edp->cold_tokens = EDP_COLD_BURST;
   edp->suspected_cold_at = CFD_TIME_NEVER;
   edp->check.sent_at = CFD_TIME_NEVER;
+  edp->broken.first_at = CFD_TIME_NEVER;
   if (!set->is_verified)
     edp_suspect_cold (set, edp, now);
   edp->ups = ups_new (set->loop, &addr);
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "relay/con.h"
 #include "relay/org.h"
 #include "relay/ups.h"
 
@@ -66,6 +67,23 @@
   cfd_time_t cold_until;    /* as it found */
 } edp_check_t;
 
+/* Exchanges with an endpoint that broke, until it is known whether its process
+   has ended.  */
+typedef struct
+{
+  edp_set_t *set;
+  cfd_time_t first_at; /* CFD_TIME_NEVER: there are none */
+  cfd_time_t last_at;
+  bool is_silent; /* open connections don't show that the process runs */
+  con_t *probe;   /* NULL: not opened */
+  cfd_time_t probed_at;
+} edp_break_t;
+
+/* Called when it is known whether the process of EDP, whose exchanges broke
+   from FIRST_AT on, HAS_ENDED.  */
+typedef void (*edp_break_callback_t) (void *user, edp_t *edp, bool has_ended,
+                                      cfd_time_t first_at);
+
 struct edp
 {
   list_node_t node;
@@ -92,6 +110,7 @@
      edp_set_suspect_cold; CFD_TIME_NEVER: it is not suspected.  */
   cfd_time_t suspected_cold_at;
   edp_check_t check;
+  edp_break_t broken;
 
   /* Load of this router.  */
   unsigned active;        /* running requests */
@@ -196,6 +215,21 @@
 /* Returns the number of health checks that were sent.  */
 uint64_t edp_set_count_checks (const edp_set_t *set);
 
+/* Records that an exchange with EDP broke; IS_SILENT: the endpoint is only
+   overdue.  The process has ended if no connection survived and a new one
+   can't be opened, which takes some ten milliseconds to tell.  */
+void edp_set_note_break (edp_set_t *set, edp_t *edp, cfd_time_t now,
+                         bool is_silent);
+/* Returns whether that isn't known yet.  */
+bool edp_is_break_pending (const edp_t *edp);
+/* Sets the function that gets the result.  */
+void edp_set_set_break_callback (edp_set_t *set, edp_break_callback_t callback,
+                                 void *user);
+/* Must be called several times a second.  */
+void edp_set_check_breaks (edp_set_t *set, cfd_time_t now);
+/* Returns the number of processes that were found to have ended.  */
+uint64_t edp_set_count_ended (const edp_set_t *set);
+
 /* Frees retired endpoints that have no running requests.  Must not be called
    from a callback of an exchange.  */
 void edp_set_sweep (edp_set_t *set, cfd_time_t now);
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -473,6 +473,7 @@
 {
   end_kind_t kind = rly_note_end (request, end);
 
+  rly_note_break (request, kind, now);
   /* The events before a break are delivered: a resumed stream goes on after
      them.  */
   if (!end_is_whole (kind))
--- /dev/null
+++ b/libcoltsfootdrum/relay/rly-break.c
@@ -0,0 +1,149 @@
+/* The relay of requests: requests whose exchange broke, until it is known
+   whether their endpoint's process ended under them.  */
+
+#include "relay/rly-private.h"
+
+#include "base/log.h"
+#include <inttypes.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Limits the memory while many endpoints fail: some 100 bytes each.  */
+#define MAX_BREAKS 4096
+/* 40 bits keep datagrams short; among some ten thousand requests collisions
+   are unlikely.  */
+#define KEY_MASK UINT64_C (0xffffffffff)
+
+typedef struct
+{
+  list_node_t node;
+  uint64_t endpoint; /* edp_t.hash */
+  char *request;     /* id of the attempt */
+  uint64_t key;      /* rly_request_t.content_key */
+  cfd_time_t sent_at;
+  cfd_time_t broke_at;
+  unsigned events; /* of its answer, received from this endpoint */
+} rly_break_t;
+
+static void
+break_free (rly_t *rly, rly_break_t *broken)
+{
+  list_remove (&broken->node);
+  rly->break_count--;
+  g_free (broken->request);
+  g_free (broken);
+}
+
+static uint64_t
+hash_text (const char *text, uint64_t seed)
+{
+  return text != NULL ? XXH3_64bits_withSeed (text, strlen (text), seed)
+                      : seed;
+}
+
+uint64_t
+rly_compute_content_key (const rly_request_t *request)
+{
+  const rd_head_t *head = ent_get_head (request->call);
+  const GByteArray *body = ent_get_body (request->call);
+  uint64_t key = hash_text (rly_get_account_name (request), 0);
+
+  key = hash_text (head->method, key);
+  key = hash_text (head->target, key);
+  key = hash_text (hdr_get (&head->fields, request->rly->names.prompt), key);
+  return XXH3_64bits_withSeed (body->data, body->len, key) & KEY_MASK;
+}
+
+static void
+add_break (rly_request_t *request, cfd_time_t now)
+{
+  rly_t *rly = request->rly;
+  rly_break_t *broken = g_new0 (rly_break_t, 1);
+
+  if (rly->break_count == MAX_BREAKS)
+    break_free (rly, list_entry (rly->breaks.next, rly_break_t, node));
+  broken->endpoint = request->edp->hash;
+  broken->request = g_strdup (request->id);
+  broken->key = request->content_key;
+  broken->sent_at = request->sent_at;
+  broken->broke_at = now;
+  broken->events = request->answer.events.events - request->events_before;
+  list_init (&broken->node);
+  list_append (&rly->breaks, &broken->node);
+  rly->break_count++;
+}
+
+/* Returns whether an exchange that ended like this may have been ended by the
+   end of the endpoint's process.  */
+static bool
+may_be_process_end (end_kind_t kind)
+{
+  switch (kind)
+    {
+    case END_NO_EVENT:
+    case END_SPLIT_EVENT:
+    case END_TRUNCATED:
+    case END_RESET:
+    case END_NO_ANSWER:
+    case END_TIMED_OUT:
+      return true;
+    case END_LENGTH:
+    case END_CHUNKS:
+    case END_CLOSE:
+    case END_MALFORMED:
+    case END_NOT_CONNECTED:
+    case END_KINDS:
+      break;
+    }
+  return false;
+}
+
+void
+rly_note_break (rly_request_t *request, end_kind_t kind, cfd_time_t now)
+{
+  edp_t *edp = request->edp;
+
+  /* One that leaves ends soon, whatever it runs.  */
+  if (!may_be_process_end (kind) || edp->report->leaving
+      || edp->has_announced_leaving)
+    return;
+  add_break (request, now);
+  edp_set_note_break (request->rly->endpoints, edp, now,
+                      kind == END_TIMED_OUT);
+}
+
+static void
+settle_one (const rly_break_t *broken, const edp_t *edp)
+{
+  log_info ("relay",
+            "A request ran as its endpoint ended: request=%s key=%010" PRIx64
+            " endpoint=%s events=%u ran_ms=%" G_GINT64_FORMAT ".",
+            broken->request, broken->key, edp->report->id, broken->events,
+            broken->broke_at - broken->sent_at);
+}
+
+void
+rly_settle_breaks (void *user, edp_t *edp, bool has_ended, cfd_time_t first_at)
+{
+  rly_t *rly = user;
+
+  list_for_each_safe (node, &rly->breaks)
+    {
+      rly_break_t *broken = list_entry (node, rly_break_t, node);
+
+      if (broken->endpoint != edp->hash)
+        continue;
+      if (has_ended)
+        settle_one (broken, edp);
+      break_free (rly, broken);
+    }
+}
+
+void
+rly_clear_breaks (rly_t *rly)
+{
+  list_for_each_safe (node, &rly->breaks)
+    {
+      break_free (rly, list_entry (node, rly_break_t, node));
+    }
+}
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -99,6 +99,8 @@
                       rly->is_list_old);
   prom_append_sample (out, "cfd_relay_health_checks_total", "counter", NULL,
                       (double)edp_set_count_checks (rly->endpoints));
+  prom_append_sample (out, "cfd_relay_endpoints_ended_total", "counter", NULL,
+                      (double)edp_set_count_ended (rly->endpoints));
   prom_append_sample (out, "cfd_relay_stream_origins", "gauge", NULL,
                       rly->org != NULL ? org_count_streams (rly->org) : 0);
   prom_append_sample (out, "cfd_relay_config_version", "gauge", NULL,
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -65,6 +65,8 @@
   bool is_list_old;     /* see rly_set_list_old */
   list_node_t services; /* rly_service_t */
   list_node_t running;  /* rly_request_t */
+  list_node_t breaks;   /* of rly-break.c */
+  unsigned break_count;
   rly_counts_t counts;
   unsigned routers;
   bool is_draining; /* refuses new requests */
@@ -99,6 +101,7 @@
   const rte_account_t *account; /* NULL: anonymous */
   char *id;
   uint64_t retry_key;   /* identifies the caller's retries; 0: none */
+  uint64_t content_key; /* the same in all attempts of its caller */
   pfx_prompt_t *prompt; /* NULL: no prompt parts given */
   double output_tokens; /* expected */
   double cost;          /* in tokens, see use.h */
@@ -127,6 +130,7 @@
   edp_t *edp; /* NULL unless it runs */
   ups_exchange_t *exchange;
   cfd_time_t sent_at;
+  unsigned events_before; /* events of the answer, of earlier exchanges */
   double prefill_ahead;   /* prefill work before its first token */
   double pending_prefill; /* its own part of it; 0 after the first byte */
   double context_tokens;  /* KV cache that it uses */
@@ -240,6 +244,18 @@
    as all endpoints rest.  */
 void rly_refuse_resting (rly_t *rly, rly_service_t *service, cfd_time_t now);
 
+/* rly-break.c: requests whose exchange broke, until it is known whether their
+   endpoint's process ended under them.  */
+/* Returns a hash of what is the same in all attempts of REQUEST's caller: its
+   account, method, target, prompt field and body.  */
+uint64_t rly_compute_content_key (const rly_request_t *request);
+/* Records that the exchange of REQUEST ended like KIND.  */
+void rly_note_break (rly_request_t *request, end_kind_t kind, cfd_time_t now);
+/* For edp_set_set_break_callback; USER is the relay.  */
+void rly_settle_breaks (void *user, edp_t *edp, bool has_ended,
+                        cfd_time_t first_at);
+void rly_clear_breaks (rly_t *rly);
+
 /* rly-rollout.c: what rollouts need to know of requests.  */
 /* Returns the rollout in progress for the service of REQUEST, or NULL.  */
 rol_rollout_t *rly_find_rollout (const rly_request_t *request);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -3,6 +3,7 @@
 #include "relay/rly-private.h"
 
 #include "base/log.h"
+#include <inttypes.h>
 #include <string.h>
 
 /* Time for a connection to open.  After that another endpoint gets the
@@ -215,6 +216,7 @@
   edp_set_note_used (rly->endpoints, edp);
   request->edp = edp;
   request->sent_at = now;
+  request->events_before = request->answer.events.events;
   request->tries++;
   request->attempts++;
   edp->active++;
@@ -267,11 +269,12 @@
   prom_hist_observe (&request->service->wait_ms, now - request->arrived_at);
   log_info (
       "relay",
-      "A request was sent: request=%s account=%s endpoint=%s version=%s "
-      "active=%u "
+      "A request was sent: request=%s key=%010" PRIx64
+      " account=%s endpoint=%s version=%s active=%u "
       "peers=%u ahead=%.0f own=%.0f expect_ms=%.0f waited_ms=%" G_GINT64_FORMAT
       " source=%s fetch_ms=%.0f canary=%d again=%d.",
-      request->id, rly_get_account_name (request), edp->report->id,
+      request->id, request->content_key, rly_get_account_name (request),
+      edp->report->id,
       edp->report->version != NULL ? edp->report->version : "", edp->active,
       edp->peer_active, request->prefill_ahead, request->pending_prefill,
       estimate_first_byte_ms (request), now - request->arrived_at,
@@ -340,7 +343,7 @@
 
   if (now >= MIN (request->deadline, request->route_deadline))
     {
-      rly_note_end (request, UPS_TIMED_OUT);
+      rly_note_break (request, rly_note_end (request, UPS_TIMED_OUT), now);
       rly_count_rollout_answer (request, now, true);
       rly_fail (request, 504, "timeout");
       return;
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -108,6 +108,8 @@
   rly->ret = ret;
   list_init (&rly->services);
   list_init (&rly->running);
+  list_init (&rly->breaks);
+  edp_set_set_break_callback (endpoints, rly_settle_breaks, rly);
   rly->routers = 1;
   ev_prepare_init (&rly->before_poll, on_before_poll);
   rly->before_poll.data = rly;
@@ -152,6 +154,8 @@
   if (rly == NULL)
     return;
   ev_prepare_stop (rly->loop, &rly->before_poll);
+  edp_set_set_break_callback (rly->endpoints, NULL, NULL);
+  rly_clear_breaks (rly);
   free_requests (&rly->running);
   list_for_each_safe (node, &rly->services)
     {
@@ -410,6 +414,7 @@
   request->answer.body = g_string_new (NULL);
   parse_prompt_fields (request, fields);
   request->cost = compute_cost (request);
+  request->content_key = rly_compute_content_key (request);
   request->first_attempt = find_first_attempt (request, fields);
   return request;
 }
@@ -534,6 +539,7 @@
       use_update_level (rly->use, now);
     }
   update_running (rly, now);
+  edp_set_check_breaks (rly->endpoints, now);
   if (rly->table != NULL)
     update_waiting (rly, now);
   if (now - rly->last_sweep < SWEEP_INTERVAL_MS)
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -36,6 +36,7 @@
   con_t *con;
   rd_t *rd;
   ups_exchange_t *exchange; /* NULL when idle */
+  cfd_time_t opened_at;
   cfd_time_t idle_since;
   int64_t max_idle_ms; /* from the last response */
   bool stale_response; /* the response being read is to another request */
@@ -257,7 +258,7 @@
     = { .bytes = on_bytes, .ended = on_ended };
 
 static ups_connection_t *
-connection_new (ups_t *ups)
+connection_new (ups_t *ups, cfd_time_t now)
 {
   ups_connection_t *connection = g_new0 (ups_connection_t, 1);
 
@@ -269,6 +270,7 @@
       return NULL;
     }
   connection->ups = ups;
+  connection->opened_at = now;
   connection->rd
       = rd_new (RD_RESPONSES, MAX_HEAD_BYTES, &parser_ops, connection);
   list_init (&connection->node);
@@ -336,7 +338,7 @@
   ups_exchange_t *exchange;
 
   if (connection == NULL)
-    connection = connection_new (ups);
+    connection = connection_new (ups, now);
   if (connection == NULL)
     return NULL;
   list_remove (&connection->node);
@@ -400,6 +402,28 @@
   return ups->connection_count;
 }
 
+static bool
+has_connection_from_before (const list_node_t *connections, cfd_time_t time)
+{
+  list_for_each (node, connections)
+    {
+      const ups_connection_t *connection
+          = list_entry (node, ups_connection_t, node);
+
+      if (connection->opened_at < time && !connection->free_pending
+          && con_is_connected (connection->con))
+        return true;
+    }
+  return false;
+}
+
+bool
+ups_has_connection_from_before (const ups_t *ups, cfd_time_t time)
+{
+  return has_connection_from_before (&ups->idle, time)
+         || has_connection_from_before (&ups->used, time);
+}
+
 uint64_t
 ups_count_connects (const ups_t *ups)
 {
