Relay: a request under which endpoints end is quarantined

Callers saw their repeats fail one after the other, and others saw streams break, as one request ended each endpoint that ran it.

Cause: limits kept in the wrong scope. max_attempts and the endpoints that failed a request belong to one attempt, the retry budget to a service; a caller's next attempt has another id, mostly at another router, and starts from nothing.

Routers record ends of endpoints by what is the same in all attempts, and exchange them. After three ends that follow one another the request is refused at once, for 60 s, doubled by each further end; a whole answer clears it. A retry that could be the third end waits for the finding.

It works since the decision depends on content alone, which a caller's attempts share, and on ends, which each router concludes for itself: no router has to be asked, and one that dies has already told what it saw.

--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -8,8 +8,8 @@
 /* Prefixes and refusals are repeated in all full datagrams of this time, since
    datagrams may be lost.  */
 #define RESEND_MS 150
-/* The same for the origins of streams: longer than the interval of the full
-   state.  */
+/* The same for the origins of streams and the ends of endpoints: longer than
+   the interval of the full state.  */
 #define STREAM_RESEND_MS 400
 /* Interval at which the usage of all accounts is sent, for routers that have
    started or missed a datagram.  */
@@ -297,6 +297,37 @@
     }
 }
 
+/* Packs request, endpoint, and the milliseconds since the request was sent and
+   since the endpoint ended.  */
+static void
+pack_quarantine (pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+                 pal_content_t content)
+{
+  uint64_t *last = content == PAL_SUMMARY ? &pal->last_end_summarized
+                                          : &pal->last_end_sent;
+  cfd_time_t resent_since
+      = content == PAL_FULL ? now - STREAM_RESEND_MS : CFD_TIME_NEVER;
+  g_autoptr (GArray) events = NULL;
+
+  if (pal->qua == NULL)
+    {
+      msgpack_pack_array (packer, 0);
+      return;
+    }
+  events = qua_collect (pal->qua, now, last, resent_since,
+                        content != PAL_CHANGES);
+  msgpack_pack_array (packer, (size_t)events->len * 4);
+  for (guint i = 0; i < events->len; i++)
+    {
+      const qua_event_t *event = &g_array_index (events, qua_event_t, i);
+
+      msgpack_pack_uint64 (packer, event->request);
+      msgpack_pack_uint64 (packer, event->endpoint);
+      msgpack_pack_uint64 (packer, (uint64_t)MAX (now - event->sent_at, 0));
+      msgpack_pack_uint64 (packer, (uint64_t)MAX (now - event->at, 0));
+    }
+}
+
 GByteArray *
 pal_pack (pal_t *pal, cfd_time_t now, pal_content_t content)
 {
@@ -306,7 +337,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 15);
+  msgpack_pack_array (&packer, 16);
   msgpack_pack_uint32 (&packer, STATE_FORMAT);
   pack_text (&packer, content != PAL_CHANGES ? pal->name : "");
   msgpack_pack_uint64 (&packer, pal->incarnation);
@@ -322,6 +353,7 @@
   pack_streams (pal, &packer, now, content);
   pack_retired_versions (pal, &packer, now, content);
   pack_cold (pal, &packer, now, content);
+  pack_quarantine (pal, &packer, now, content);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -30,6 +30,7 @@
 #define MAX_STREAM_ROWS 4096u
 #define MAX_RETIRED_ROWS 256u
 #define MAX_COLD_ROWS 1024u
+#define MAX_QUARANTINE_ROWS 4096u
 
 typedef struct
 {
@@ -92,6 +93,7 @@
   ret_t *ret;
   rol_t *rol; /* not owned; may be NULL */
   org_t *org; /* not owned; may be NULL */
+  qua_t *qua; /* not owned; may be NULL */
   lag_t *lag; /* not owned; may be NULL */
   int64_t stable_ms;
   int64_t revisions[PAL_LIST_COUNT];
@@ -112,6 +114,8 @@
   uint64_t last_refusal_sent;      /* ret_update_t.number */
   uint64_t last_stream_sent;       /* org_update_t.number */
   uint64_t last_stream_summarized; /* the same, to other cells */
+  uint64_t last_end_sent;          /* number of qua_collect */
+  uint64_t last_end_summarized;    /* the same, to other cells */
   void (*on_update) (void *user, unsigned list, int64_t from, int64_t to,
                      const char *events); /* may be NULL */
   void *update_user;
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "relay/cold.h"
 #include "wire/msg-tree.h"
+#include <inttypes.h>
 #include <string.h>
 
 /* Received ages of lists and retry delays are capped at this: an older list is
@@ -75,7 +76,7 @@
 {
   const msg_node_t *items = node->u.items;
 
-  return node->type == MSG_NODE_ARRAY && node->length == 15
+  return node->type == MSG_NODE_ARRAY && node->length == 16
          && is_number (&items[0]) && items[0].u.number == STATE_FORMAT
          && is_text (&items[1]) && is_number (&items[2])
          && is_number (&items[3]) && is_number (&items[4])
@@ -88,7 +89,8 @@
          && is_number_rows (&items[11], 5, MAX_EVIDENCE_ROWS)
          && is_number_rows (&items[12], 2, MAX_STREAM_ROWS)
          && is_number_rows (&items[13], 3, MAX_RETIRED_ROWS)
-         && is_number_rows (&items[14], 2, MAX_COLD_ROWS);
+         && is_number_rows (&items[14], 2, MAX_COLD_ROWS)
+         && is_number_rows (&items[15], 4, MAX_QUARANTINE_ROWS);
 }
 
 static guint
@@ -371,6 +373,33 @@
   pal_update_cold_ranks (pal, now);
 }
 
+/* Returns the time AGE_MS ago.  */
+static cfd_time_t
+decode_age (const msg_node_t *age_ms, cfd_time_t now)
+{
+  return now - (cfd_time_t)MIN (age_ms->u.number, MAX_AGE_MS);
+}
+
+static void
+receive_quarantine (pal_t *pal, cfd_time_t now, const msg_node_t *rows)
+{
+  for (unsigned i = 0; pal->qua != NULL && i + 3 < rows->length; i += 4)
+    {
+      const msg_node_t *row = &rows->u.items[i];
+      qua_event_t event = { .request = row[0].u.number,
+                            .endpoint = row[1].u.number,
+                            .sent_at = decode_age (&row[2], now),
+                            .at = decode_age (&row[3], now) };
+
+      if (qua_add_peer (pal->qua, now, &event))
+        log_info ("peers",
+                  "A request is quarantined: key=%010" PRIx64
+                  " endpoint=%08" PRIx64 " source=peer ends=%u.",
+                  event.request, event.endpoint,
+                  qua_find (pal->qua, now, event.request).ends);
+    }
+}
+
 static int64_t
 decode_stable_ms (const msg_node_t *node)
 {
@@ -420,6 +449,7 @@
   receive_streams (pal, now, &items[12]);
   receive_retired_versions (pal, now, &items[13]);
   receive_cold (pal, now, &items[14]);
+  receive_quarantine (pal, now, &items[15]);
 }
 
 bool
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -267,6 +267,12 @@
   pal->org = org;
 }
 
+void
+pal_set_quarantine (pal_t *pal, qua_t *qua)
+{
+  pal->qua = qua;
+}
+
 void
 pal_set_reader (pal_t *pal, bool is_reader)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -1,7 +1,8 @@
 /* Peers.  Exchanges state between routers over UDP: the load that each router
    puts on each endpoint, the usage of accounts, cached prompt prefixes,
-   refused requests, the versions at which streams began, answers by version
-   during a rollout, and the progress of reading the platform's lists.
+   refused requests, the versions at which streams began, the requests under
+   which endpoints ended, answers by version during a rollout, and the progress
+   of reading the platform's lists.
 
    Datagrams are encoded with msgpack-c and hold absolute values, so that a
    lost, duplicated or reordered one does no harm.  Routers of the same cell
@@ -15,6 +16,7 @@
 #include "relay/edp.h"
 #include "relay/lag.h"
 #include "relay/pfx.h"
+#include "relay/qua.h"
 #include "relay/ret.h"
 #include "relay/rol.h"
 #include "relay/use.h"
@@ -38,6 +40,10 @@
 /* Exchanges the origins of streams with ORG, which is not owned.  */
 void pal_set_origins (pal_t *pal, org_t *org);
 
+/* Exchanges the ends of endpoints under requests with QUA, which is not owned.
+ */
+void pal_set_quarantine (pal_t *pal, qua_t *qua);
+
 /* Another router, as listed in the platform's store.  */
 typedef struct
 {
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -315,6 +315,12 @@
   rly_count_rollout_answer (request, now, true);
   edp_record_failure (request->edp, now);
   request->may_have_run = true;
+  if (rly_is_quarantined (request, now))
+    {
+      request->rly->counts.quarantined++;
+      rly_fail (request, 502, "quarantined");
+      return;
+    }
   if (rte_may_retry (request->route) && rly_can_continue (request)
       && consume_retry (request, now))
     {
@@ -397,6 +403,7 @@
       return;
     }
   rly_count_rollout_answer (request, now, answer->status >= 500);
+  rly_add_answer (request, now);
   edp_record_success (request->edp, now);
   if (answer->status / 100 == 2)
     prom_hist_observe (&request->service->total_ms, now - request->arrived_at);
--- a/libcoltsfootdrum/relay/rly-break.c
+++ b/libcoltsfootdrum/relay/rly-break.c
@@ -113,13 +113,19 @@
 }
 
 static void
-settle_one (const rly_break_t *broken, const edp_t *edp)
+settle_one (rly_t *rly, const rly_break_t *broken, edp_t *edp, cfd_time_t now)
 {
+  const qua_event_t end = { .request = broken->key,
+                            .endpoint = edp->hash,
+                            .sent_at = broken->sent_at,
+                            .at = broken->broke_at };
+
   log_info ("relay",
             "A request ran as its endpoint ended: request=%s key=%010" PRIx64
             " endpoint=%s events=%u ran_ms=%" G_GINT64_FORMAT ".",
             broken->request, broken->key, edp->report->id, broken->events,
             broken->broke_at - broken->sent_at);
+  rly_add_end (rly, now, &end, edp);
 }
 
 void
@@ -134,7 +140,7 @@
       if (broken->endpoint != edp->hash)
         continue;
       if (has_ended)
-        settle_one (broken, edp);
+        settle_one (rly, broken, edp, clock_now ());
       break_free (rly, broken);
     }
 }
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -25,6 +25,7 @@
     { "cfd_relay_resumed_total", NULL, counts->resumed },
     { "cfd_relay_rest_avoided_total", NULL, counts->rest_avoided },
     { "cfd_relay_withdrawn_total", NULL, counts->withdrawn },
+    { "cfd_relay_quarantine_refused_total", NULL, counts->quarantined },
     { "cfd_relay_cold_requests_total", NULL, counts->cold_requests },
   };
 
@@ -99,6 +100,8 @@
                       rly->is_list_old);
   prom_append_sample (out, "cfd_relay_health_checks_total", "counter", NULL,
                       (double)edp_set_count_checks (rly->endpoints));
+  prom_append_sample (out, "cfd_relay_quarantined_requests", "gauge", NULL,
+                      rly->qua != NULL ? qua_count_active (rly->qua, now) : 0);
   prom_append_sample (out, "cfd_relay_endpoints_ended_total", "counter", NULL,
                       (double)edp_set_count_ended (rly->endpoints));
   prom_append_sample (out, "cfd_relay_stream_origins", "gauge", NULL,
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -30,8 +30,9 @@
   prom_hist_t total_ms;      /* from arrival to the last byte; successes */
   list_node_t queues;        /* rly_queue_t, none of them empty */
   unsigned waiting;
-  bool dispatch_scheduled; /* at the end of this loop iteration */
-  unsigned rounds;         /* placement rounds since the start */
+  bool dispatch_scheduled;   /* at the end of this loop iteration */
+  unsigned rounds;           /* placement rounds since the start */
+  unsigned quarantine_epoch; /* qua_get_epoch, when it was last applied */
 } rly_service_t;
 
 /* The waiting requests of one client account for one service.  */
@@ -61,6 +62,7 @@
   const shd_t *shd; /* not owned; may be NULL */
   rol_t *rol;       /* not owned; may be NULL */
   org_t *org;       /* not owned; may be NULL */
+  qua_t *qua;       /* not owned; may be NULL */
   rte_table_t *table;
   bool is_list_old;     /* see rly_set_list_old */
   list_node_t services; /* rly_service_t */
@@ -256,6 +258,22 @@
                         cfd_time_t first_at);
 void rly_clear_breaks (rly_t *rly);
 
+/* rly-quarantine.c: requests that are not sent.  */
+bool rly_is_quarantined (const rly_request_t *request, cfd_time_t now);
+/* Returns whether REQUEST must wait, since it isn't known yet whether its last
+   endpoint ended, which would quarantine it.  */
+bool rly_awaits_quarantine (const rly_request_t *request, cfd_time_t now);
+/* Refuses REQUEST, which waits.  */
+void rly_refuse_quarantined (rly_request_t *request, cfd_time_t now);
+/* Refuses the waiting requests of SERVICE that were quarantined since the last
+   call.  */
+void rly_apply_quarantine (rly_service_t *service, rly_t *rly, cfd_time_t now);
+/* Records that an endpoint ended while it ran a request.  */
+void rly_add_end (rly_t *rly, cfd_time_t now, const qua_event_t *end,
+                  const edp_t *edp);
+/* Records that REQUEST got a whole answer.  */
+void rly_add_answer (const rly_request_t *request, cfd_time_t now);
+
 /* rly-rollout.c: what rollouts need to know of requests.  */
 /* Returns the rollout in progress for the service of REQUEST, or NULL.  */
 rol_rollout_t *rly_find_rollout (const rly_request_t *request);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -209,6 +209,8 @@
   INVARIANT ("at-most-once",
              !request->may_have_run || rte_may_retry (request->route),
              request->id);
+  INVARIANT ("not-quarantined", !rly_is_quarantined (request, now),
+             request->id);
   INVARIANT ("endpoint-open", edp_is_open (edp, now), edp->report->id);
   rly_dequeue (request);
   list_append (&rly->running, &request->node);
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -494,7 +494,9 @@
   use_add_demand (rly->use, now, rly_get_account_name (request),
                   request->cost);
   rly_enqueue (request);
-  if (outcome == RLY_RESUME_UNKNOWN || outcome == RLY_RESUME_UNAVAILABLE)
+  if (rly_is_quarantined (request, now))
+    rly_refuse_quarantined (request, now);
+  else if (outcome == RLY_RESUME_UNKNOWN || outcome == RLY_RESUME_UNAVAILABLE)
     refuse_resumption (request, now, outcome);
   else if (!rly_refuse_early (request, now))
     rly_schedule_dispatch (request->service);
@@ -550,4 +552,6 @@
   ret_sweep (rly->ret, now);
   if (rly->org != NULL)
     org_sweep (rly->org, now);
+  if (rly->qua != NULL)
+    qua_sweep (rly->qua, now);
 }
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -13,6 +13,7 @@
 #include "relay/ent.h"
 #include "relay/org.h"
 #include "relay/pfx.h"
+#include "relay/qua.h"
 #include "relay/ret.h"
 #include "relay/rol.h"
 #include "relay/rte.h"
@@ -79,6 +80,7 @@
   uint64_t rest_avoided; /* sent elsewhere or refused for a resting endpoint */
   uint64_t withdrawn;    /* taken back before they were sent */
   uint64_t cold_requests; /* sent to endpoints that were cold */
+  uint64_t quarantined;   /* refused, or not sent again */
   uint64_t resumptions[RLY_RESUME_KINDS];
   uint64_t ends[END_KINDS]; /* of exchanges with endpoints */
   unsigned waiting;
@@ -106,6 +108,9 @@
    endpoints changed, before the next request is placed.  */
 void rly_update_versions (rly_t *rly, cfd_time_t now);
 
+/* Doesn't send requests that QUA quarantines, which is not owned.  */
+void rly_set_quarantine (rly_t *rly, qua_t *qua);
+
 /* Callbacks for ent_ops_t; USER is the relay.  */
 void rly_on_request (void *user, ent_call_t *call);
 void rly_on_disconnect (void *user, ent_call_t *call);
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -10,6 +10,8 @@
 #define COLD_MS 0
 /* Incarnations that the bytes of a datagram are changed for.  */
 #define STRAY_SEEDS 256
+/* Items of a state datagram.  */
+#define ITEMS 16
 /* Datagrams with random changes.  */
 #define MUTATIONS 20000
 
@@ -21,6 +23,7 @@
   pfx_t *pfx;
   ret_t *ret;
   org_t *org;
+  qua_t *qua;
   pal_t *pal;
 } router_t;
 
@@ -63,6 +66,8 @@
   g_assert_nonnull (router.pal);
   router.org = org_new ();
   pal_set_origins (router.pal, router.org);
+  router.qua = qua_new ();
+  pal_set_quarantine (router.pal, router.qua);
   return router;
 }
 
@@ -81,6 +86,7 @@
   pfx_free (router->pfx);
   ret_free (router->ret);
   org_free (router->org);
+  qua_free (router->qua);
   ev_loop_destroy (router->loop);
 }
 
@@ -799,13 +805,13 @@
 pack_long_list (unsigned list, uint32_t count)
 {
   static const guint8 start[]
-      = { 0x9f, 0xcd, 0xcf, 0xda, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
+      = { 0xdc, 0, ITEMS, 0xcd, 0xcf, 0xda, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
   static const guint8 zero = 0;
   static const guint8 empty = 0x90;
   GByteArray *bytes = g_byte_array_new ();
 
   g_byte_array_append (bytes, start, sizeof start);
-  for (unsigned item = 5; item < 15; item++)
+  for (unsigned item = 5; item < ITEMS; item++)
     {
       bool is_number = item == 8;
 
@@ -821,6 +827,39 @@
   return bytes;
 }
 
+/* Two ends at one router and a third at another quarantine a request at both,
+   and at one that starts later, whatever datagrams of it come.  */
+static void
+test_quarantine (gconstpointer data)
+{
+  pal_content_t content = GPOINTER_TO_INT (data);
+  router_t one = router_new ("one");
+  router_t two = router_new ("two");
+  router_t late = router_new ("late");
+  cfd_time_t now = NOW + 1000;
+
+  deliver (&one, &two, NOW, PAL_FULL);
+  deliver (&two, &one, NOW, PAL_FULL);
+  for (unsigned i = 1; i <= 3; i++)
+    {
+      qua_event_t end = { .request = 7,
+                          .endpoint = i,
+                          .sent_at = NOW + 100 * i - 50,
+                          .at = NOW + 100 * i };
+
+      qua_add (i < 3 ? one.qua : two.qua, now, &end);
+    }
+  deliver (&one, &two, now, content);
+  deliver (&two, &one, now, content);
+  g_assert_true (qua_find (one.qua, now, 7).is_active);
+  g_assert_true (qua_find (two.qua, now, 7).is_active);
+  deliver (&one, &late, now + 20000, PAL_FULL);
+  g_assert_true (qua_find (late.qua, now + 20000, 7).is_active);
+  router_free (&one);
+  router_free (&two);
+  router_free (&late);
+}
+
 /* A datagram with more rows than any router sends makes the receiver work
    through all of them.  */
 static void
@@ -832,10 +871,11 @@
     uint32_t columns;
     uint32_t max_rows;
   } cases[] = {
-    { 5, 4, MAX_LOAD_ROWS },      { 7, 2, MAX_PREFIX_ROWS },
-    { 9, PAL_LIST_COUNT * 2, 1 }, { 10, 3, MAX_REFUSAL_ROWS },
-    { 11, 5, MAX_EVIDENCE_ROWS }, { 12, 2, MAX_STREAM_ROWS },
-    { 13, 3, MAX_RETIRED_ROWS },  { 14, 2, MAX_COLD_ROWS },
+    { 5, 4, MAX_LOAD_ROWS },        { 7, 2, MAX_PREFIX_ROWS },
+    { 9, PAL_LIST_COUNT * 2, 1 },   { 10, 3, MAX_REFUSAL_ROWS },
+    { 11, 5, MAX_EVIDENCE_ROWS },   { 12, 2, MAX_STREAM_ROWS },
+    { 13, 3, MAX_RETIRED_ROWS },    { 14, 2, MAX_COLD_ROWS },
+    { 15, 4, MAX_QUARANTINE_ROWS },
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -928,6 +968,10 @@
                         GINT_TO_POINTER (PAL_CHANGES), test_stream_origins);
   g_test_add_data_func ("/pal/stream-origins/summary",
                         GINT_TO_POINTER (PAL_SUMMARY), test_stream_origins);
+  g_test_add_data_func ("/pal/quarantine/changes",
+                        GINT_TO_POINTER (PAL_CHANGES), test_quarantine);
+  g_test_add_data_func ("/pal/quarantine/summary",
+                        GINT_TO_POINTER (PAL_SUMMARY), test_quarantine);
   g_test_add_func ("/pal/found-cold", test_found_cold);
   g_test_add_func ("/pal/first-router", test_first_router);
   g_test_add_func ("/pal/retired-versions", test_retired_versions);
