Relay: log the prompt of a request that ran as its endpoint ended

Which part of prompts several ends have in common could not be told: the line had the request's key alone. It has the first 240 bytes of the prompt field and whether the endpoint was cold now. No decision changes.

--- a/libcoltsfootdrum/relay/rly-break.c
+++ b/libcoltsfootdrum/relay/rly-break.c
@@ -10,6 +10,8 @@
 
 /* Limits the memory while many endpoints fail: some 100 bytes each.  */
 #define MAX_BREAKS 4096
+/* Of a prompt, for the log.  */
+#define MAX_LOGGED_PROMPT 240
 /* 40 bits keep datagrams short; among some ten thousand requests collisions
    are unlikely.  */
 #define KEY_MASK UINT64_C (0xffffffffff)
@@ -23,6 +25,7 @@
   cfd_time_t sent_at;
   cfd_time_t broke_at;
   unsigned events; /* of its answer, received from this endpoint */
+  char *prompt;    /* the first parts, as the caller gave them */
 } rly_break_t;
 
 static void
@@ -31,6 +34,7 @@
   list_remove (&broken->node);
   rly->break_count--;
   g_free (broken->request);
+  g_free (broken->prompt);
   g_free (broken);
 }
 
@@ -54,6 +58,18 @@
   return XXH3_64bits_withSeed (body->data, body->len, key) & KEY_MASK;
 }
 
+static char *
+copy_prompt (const rly_request_t *request)
+{
+  const char *prompt = hdr_get (&ent_get_head (request->call)->fields,
+                                request->rly->names.prompt);
+
+  /* A space would end the value in the log.  */
+  return g_strcanon (
+      g_strndup (prompt != NULL ? prompt : "", MAX_LOGGED_PROMPT),
+      G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS ":,", '_');
+}
+
 static void
 add_break (rly_request_t *request, cfd_time_t now)
 {
@@ -68,6 +84,7 @@
   broken->sent_at = request->sent_at;
   broken->broke_at = now;
   broken->events = request->answer.events.events - request->events_before;
+  broken->prompt = copy_prompt (request);
   list_init (&broken->node);
   list_append (&rly->breaks, &broken->node);
   rly->break_count++;
@@ -122,9 +139,11 @@
 
   log_info ("relay",
             "A request ran as its endpoint ended: request=%s key=%010" PRIx64
-            " endpoint=%s events=%u ran_ms=%" G_GINT64_FORMAT ".",
+            " endpoint=%s events=%u ran_ms=%" G_GINT64_FORMAT " cold=%d "
+            "prompt=%s.",
             broken->request, broken->key, edp->report->id, broken->events,
-            broken->broke_at - broken->sent_at);
+            broken->broke_at - broken->sent_at, edp_is_cold (edp, now),
+            broken->prompt);
   rly_add_end (rly, now, &end, edp);
 }
 
