Relay: prompts with a part that ends endpoints are quarantined

Callers of quick-query lost half of their answers while requests with one part in their prompts ended an engine every 0.7 s: each is another request, so that the quarantine of requests never counts to three (BUDGET).

Cause: what a part of prompts does was known nowhere. Routers knew parts only by a hash of them and all before them, to estimate caches, and parts after the 64th not at all.

An end counts against the parts of requests whose answer had not gone on, and an answer that goes on clears its parts. Ends at one moment, or under one request, are one; those at canaries and at leaving endpoints don't count. A part without an answer is quarantined after three ends if no other one has all of them, after five and 1.5 s if parts can't be told apart or were answered lately. Its ends then no longer count against others. Waiting requests are refused (503, not run), running ones broken off before their endpoint begins. After two minutes, doubled by each further end, one request is sent as a trial. Routers exchange ends, answers and trials and conclude alike; what counts is kept in the full state for routers that start.

It works since a lethal part is the one thing that all ends share and no answer has, whichever routers saw them.

--- a/libcoltsfootdrum/relay/edp-break.c
+++ b/libcoltsfootdrum/relay/edp-break.c
@@ -7,6 +7,7 @@
 #include "relay/edp-private.h"
 
 #include "base/log.h"
+#include <inttypes.h>
 
 /* Time in which all connections of a process that ended are read as closed.
    It is longer than an iteration of a loop that is behind.  */
@@ -35,10 +36,10 @@
   set->ended += has_ended;
   if (has_ended)
     log_info ("endpoints",
-              "An endpoint ended: endpoint=%s service=%s zone=%s evidence=%s "
-              "active=%u peers=%u.",
-              edp->report->id, edp->report->service, edp->report->zone,
-              evidence, edp->active, edp->peer_active);
+              "An endpoint ended: endpoint=%s hash=%08" PRIx64
+              " service=%s zone=%s evidence=%s active=%u peers=%u.",
+              edp->report->id, edp->hash, edp->report->service,
+              edp->report->zone, evidence, edp->active, edp->peer_active);
   if (set->on_break != NULL)
     set->on_break (set->break_user, edp, has_ended, first_at);
 }
--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -328,6 +328,37 @@
     }
 }
 
+/* Packs kind, part, endpoint, request and the age of each end or answer.  */
+static void
+pack_parts (pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+            pal_content_t content)
+{
+  uint64_t *last = content == PAL_SUMMARY ? &pal->last_part_summarized
+                                          : &pal->last_part_sent;
+  cfd_time_t resent_since
+      = content == PAL_FULL ? now - STREAM_RESEND_MS : CFD_TIME_NEVER;
+  g_autoptr (GArray) events = NULL;
+
+  if (pal->prt == NULL)
+    {
+      msgpack_pack_array (packer, 0);
+      return;
+    }
+  events = prt_collect (pal->prt, now, last, resent_since,
+                        content != PAL_CHANGES);
+  msgpack_pack_array (packer, (size_t)events->len * 5);
+  for (guint i = 0; i < events->len; i++)
+    {
+      const prt_event_t *event = &g_array_index (events, prt_event_t, i);
+
+      msgpack_pack_uint8 (packer, (uint8_t)event->kind);
+      msgpack_pack_uint64 (packer, event->part);
+      msgpack_pack_uint64 (packer, event->endpoint);
+      msgpack_pack_uint64 (packer, event->request);
+      msgpack_pack_uint64 (packer, (uint64_t)MAX (now - event->at, 0));
+    }
+}
+
 GByteArray *
 pal_pack (pal_t *pal, cfd_time_t now, pal_content_t content)
 {
@@ -337,7 +368,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 16);
+  msgpack_pack_array (&packer, 17);
   msgpack_pack_uint32 (&packer, STATE_FORMAT);
   pack_text (&packer, content != PAL_CHANGES ? pal->name : "");
   msgpack_pack_uint64 (&packer, pal->incarnation);
@@ -354,6 +385,7 @@
   pack_retired_versions (pal, &packer, now, content);
   pack_cold (pal, &packer, now, content);
   pack_quarantine (pal, &packer, now, content);
+  pack_parts (pal, &packer, now, content);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -31,6 +31,7 @@
 #define MAX_RETIRED_ROWS 256u
 #define MAX_COLD_ROWS 1024u
 #define MAX_QUARANTINE_ROWS 4096u
+#define MAX_PART_ROWS 4096u
 
 typedef struct
 {
@@ -94,6 +95,7 @@
   rol_t *rol; /* not owned; may be NULL */
   org_t *org; /* not owned; may be NULL */
   qua_t *qua; /* not owned; may be NULL */
+  prt_t *prt; /* not owned; may be NULL */
   lag_t *lag; /* not owned; may be NULL */
   int64_t stable_ms;
   int64_t revisions[PAL_LIST_COUNT];
@@ -116,6 +118,8 @@
   uint64_t last_stream_summarized; /* the same, to other cells */
   uint64_t last_end_sent;          /* number of qua_collect */
   uint64_t last_end_summarized;    /* the same, to other cells */
+  uint64_t last_part_sent;         /* number of prt_collect */
+  uint64_t last_part_summarized;   /* the same, to other cells */
   void (*on_update) (void *user, unsigned list, int64_t from, int64_t to,
                      const char *events); /* may be NULL */
   void *update_user;
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -76,7 +76,7 @@
 {
   const msg_node_t *items = node->u.items;
 
-  return node->type == MSG_NODE_ARRAY && node->length == 16
+  return node->type == MSG_NODE_ARRAY && node->length == 17
          && is_number (&items[0]) && items[0].u.number == STATE_FORMAT
          && is_text (&items[1]) && is_number (&items[2])
          && is_number (&items[3]) && is_number (&items[4])
@@ -90,7 +90,8 @@
          && is_number_rows (&items[12], 2, MAX_STREAM_ROWS)
          && is_number_rows (&items[13], 3, MAX_RETIRED_ROWS)
          && is_number_rows (&items[14], 2, MAX_COLD_ROWS)
-         && is_number_rows (&items[15], 4, MAX_QUARANTINE_ROWS);
+         && is_number_rows (&items[15], 4, MAX_QUARANTINE_ROWS)
+         && is_number_rows (&items[16], 5, MAX_PART_ROWS);
 }
 
 static guint
@@ -400,6 +401,24 @@
     }
 }
 
+static void
+receive_parts (pal_t *pal, cfd_time_t now, const msg_node_t *rows)
+{
+  for (unsigned i = 0; pal->prt != NULL && i + 4 < rows->length; i += 5)
+    {
+      const msg_node_t *row = &rows->u.items[i];
+      prt_event_t event = { .part = row[1].u.number,
+                            .endpoint = row[2].u.number,
+                            .request = row[3].u.number,
+                            .at = decode_age (&row[4], now) };
+
+      if (row[0].u.number >= PRT_KINDS)
+        continue;
+      event.kind = (prt_kind_t)row[0].u.number;
+      prt_add_peer (pal->prt, now, &event);
+    }
+}
+
 static int64_t
 decode_stable_ms (const msg_node_t *node)
 {
@@ -450,6 +469,7 @@
   receive_retired_versions (pal, now, &items[13]);
   receive_cold (pal, now, &items[14]);
   receive_quarantine (pal, now, &items[15]);
+  receive_parts (pal, now, &items[16]);
 }
 
 bool
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -273,6 +273,12 @@
   pal->qua = qua;
 }
 
+void
+pal_set_parts (pal_t *pal, prt_t *prt)
+{
+  pal->prt = prt;
+}
+
 void
 pal_set_reader (pal_t *pal, bool is_reader)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -1,8 +1,8 @@
 /* Peers.  Exchanges state between routers over UDP: the load that each router
    puts on each endpoint, the usage of accounts, cached prompt prefixes,
-   refused requests, the versions at which streams began, the requests under
-   which endpoints ended, answers by version during a rollout, and the progress
-   of reading the platform's lists.
+   refused requests, the versions at which streams began, the requests and
+   the parts of prompts under which endpoints ended, answers by version during
+   a rollout, and the progress of reading the platform's lists.
 
    Datagrams are encoded with msgpack-c and hold absolute values, so that a
    lost, duplicated or reordered one does no harm.  Routers of the same cell
@@ -16,6 +16,7 @@
 #include "relay/edp.h"
 #include "relay/lag.h"
 #include "relay/pfx.h"
+#include "relay/prt.h"
 #include "relay/qua.h"
 #include "relay/ret.h"
 #include "relay/rol.h"
@@ -44,6 +45,10 @@
  */
 void pal_set_quarantine (pal_t *pal, qua_t *qua);
 
+/* Exchanges ends and answers by part of prompts with PRT, which is not owned.
+ */
+void pal_set_parts (pal_t *pal, prt_t *prt);
+
 /* Another router, as listed in the platform's store.  */
 typedef struct
 {
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -404,6 +404,8 @@
     }
   rly_count_rollout_answer (request, now, answer->status >= 500);
   rly_add_answer (request, now);
+  if (answer->status / 100 == 2)
+    rly_note_answer_went_on (request, now);
   edp_record_success (request->edp, now);
   if (answer->status / 100 == 2)
     prom_hist_observe (&request->service->total_ms, now - request->arrived_at);
--- a/libcoltsfootdrum/relay/rly-break.c
+++ b/libcoltsfootdrum/relay/rly-break.c
@@ -26,6 +26,7 @@
   cfd_time_t broke_at;
   unsigned events; /* of its answer, received from this endpoint */
   char *prompt;    /* the first parts, as the caller gave them */
+  GArray *parts;   /* NULL: the end doesn't count against them */
 } rly_break_t;
 
 static void
@@ -35,6 +36,8 @@
   rly->break_count--;
   g_free (broken->request);
   g_free (broken->prompt);
+  if (broken->parts != NULL)
+    g_array_unref (broken->parts);
   g_free (broken);
 }
 
@@ -85,6 +88,9 @@
   broken->broke_at = now;
   broken->events = request->answer.events.events - request->events_before;
   broken->prompt = copy_prompt (request);
+  /* A bad version may end under any prompt.  */
+  if (request->parts != NULL && !request->went_on && !request->is_canary)
+    broken->parts = g_array_ref (request->parts);
   list_init (&broken->node);
   list_append (&rly->breaks, &broken->node);
   rly->break_count++;
@@ -145,6 +151,7 @@
             broken->broke_at - broken->sent_at, edp_is_cold (edp, now),
             broken->prompt);
   rly_add_end (rly, now, &end, edp);
+  rly_add_part_ends (rly, now, broken->parts, &end);
 }
 
 void
@@ -162,6 +169,7 @@
         settle_one (rly, broken, edp, clock_now ());
       break_free (rly, broken);
     }
+  rly_decide_parts (rly, clock_now ());
 }
 
 void
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -26,6 +26,7 @@
     { "cfd_relay_rest_avoided_total", NULL, counts->rest_avoided },
     { "cfd_relay_withdrawn_total", NULL, counts->withdrawn },
     { "cfd_relay_quarantine_refused_total", NULL, counts->quarantined },
+    { "cfd_relay_part_refused_total", NULL, counts->part_refused },
     { "cfd_relay_cold_requests_total", NULL, counts->cold_requests },
   };
 
@@ -102,6 +103,10 @@
                       (double)edp_set_count_checks (rly->endpoints));
   prom_append_sample (out, "cfd_relay_quarantined_requests", "gauge", NULL,
                       rly->qua != NULL ? qua_count_active (rly->qua, now) : 0);
+  prom_append_sample (out, "cfd_relay_suspect_parts", "gauge", NULL,
+                      rly->prt != NULL ? prt_count (rly->prt) : 0);
+  prom_append_sample (out, "cfd_relay_quarantined_parts", "gauge", NULL,
+                      rly->prt != NULL ? prt_count_active (rly->prt) : 0);
   prom_append_sample (out, "cfd_relay_endpoints_ended_total", "counter", NULL,
                       (double)edp_set_count_ended (rly->endpoints));
   prom_append_sample (out, "cfd_relay_stream_origins", "gauge", NULL,
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -33,6 +33,7 @@
   bool dispatch_scheduled;   /* at the end of this loop iteration */
   unsigned rounds;           /* placement rounds since the start */
   unsigned quarantine_epoch; /* qua_get_epoch, when it was last applied */
+  unsigned part_epoch;       /* prt_get_epoch, likewise */
 } rly_service_t;
 
 /* The waiting requests of one client account for one service.  */
@@ -63,6 +64,7 @@
   rol_t *rol;       /* not owned; may be NULL */
   org_t *org;       /* not owned; may be NULL */
   qua_t *qua;       /* not owned; may be NULL */
+  prt_t *prt;       /* not owned; may be NULL */
   rte_table_t *table;
   bool is_list_old;     /* see rly_set_list_old */
   list_node_t services; /* rly_service_t */
@@ -105,6 +107,7 @@
   uint64_t retry_key;   /* identifies the caller's retries; 0: none */
   uint64_t content_key; /* the same in all attempts of its caller */
   pfx_prompt_t *prompt; /* NULL: no prompt parts given */
+  GArray *parts;        /* of prt_parse; NULL: none are shared */
   double output_tokens; /* expected */
   double cost;          /* in tokens, see use.h */
   bool is_charged;      /* the cost is counted as served */
@@ -115,6 +118,7 @@
   org_origin_t origin;
   bool origin_noted; /* the first event of this answer was passed on */
   bool started;      /* an endpoint began a successful answer */
+  bool went_on;      /* this exchange's answer cleared the parts */
 
   cfd_time_t arrived_at;
   cfd_time_t first_attempt;  /* of its caller, as far as is known */
@@ -274,6 +278,27 @@
 /* Records that REQUEST got a whole answer.  */
 void rly_add_answer (const rly_request_t *request, cfd_time_t now);
 
+/* rly-part.c: prompts with a part under which endpoints end.  */
+/* Returns what holds for the prompt of REQUEST; PART, which may be NULL, gets
+   the index of the part that decides.  */
+prt_state_t rly_find_part (const rly_request_t *request, cfd_time_t now,
+                           guint *part);
+/* Refuses REQUEST, which waits.  */
+void rly_refuse_part (rly_request_t *request, cfd_time_t now);
+/* Refuses the waiting requests of SERVICE with parts that were quarantined
+   since the last call, and breaks off those of which no answer has begun.  */
+void rly_apply_parts (rly_service_t *service, rly_t *rly, cfd_time_t now);
+/* Records the send of a trial, if REQUEST is one.  */
+void rly_note_trial (rly_request_t *request, cfd_time_t now);
+/* Records that an endpoint ended before it went on with an answer to a prompt
+   with PARTS.  */
+void rly_add_part_ends (rly_t *rly, cfd_time_t now, const GArray *parts,
+                        const qua_event_t *end);
+/* Records that the answer to REQUEST goes on, or is whole.  */
+void rly_note_answer_went_on (rly_request_t *request, cfd_time_t now);
+/* Decides what follows from the ends that were added.  */
+void rly_decide_parts (rly_t *rly, cfd_time_t now);
+
 /* rly-rollout.c: what rollouts need to know of requests.  */
 /* Returns the rollout in progress for the service of REQUEST, or NULL.  */
 rol_rollout_t *rly_find_rollout (const rly_request_t *request);
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -344,6 +344,7 @@
   service->dispatch_scheduled = false;
   service->rounds++;
   rly_apply_quarantine (service, rly, now);
+  rly_apply_parts (service, rly, now);
   if (service->waiting == 0)
     return;
   rly_begin_round (&round, rly, service, now);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -13,6 +13,8 @@
 /* Time beyond the expected one without a first byte.  After that a request
    that may be retried is sent to another endpoint.  */
 #define SILENCE_TIMEOUT_MS 1500
+/* Events of an answer that show that its endpoint survived its beginning.  */
+#define EVENTS_THAT_GO_ON 2
 
 static bool
 is_reserved (const rly_names_t *names, const char *name)
@@ -157,6 +159,9 @@
   rly_handle_body (request, bytes, length);
   if (request->answer.events.events > 0)
     rly_note_origin (request, now);
+  if (request->answer.events.events - request->events_before
+      >= EVENTS_THAT_GO_ON)
+    rly_note_answer_went_on (request, now);
   if (first)
     rly_schedule_dispatch (request->service);
 }
@@ -209,7 +214,10 @@
   INVARIANT ("at-most-once",
              !request->may_have_run || rte_may_retry (request->route),
              request->id);
-  INVARIANT ("not-quarantined", !rly_is_quarantined (request, now),
+  INVARIANT ("not-quarantined",
+             !rly_is_quarantined (request, now)
+                 && rly_find_part (request, now, NULL).verdict
+                        != PRT_QUARANTINED,
              request->id);
   INVARIANT ("endpoint-open", edp_is_open (edp, now), edp->report->id);
   rly_dequeue (request);
@@ -219,6 +227,7 @@
   request->edp = edp;
   request->sent_at = now;
   request->events_before = request->answer.events.events;
+  request->went_on = false;
   request->tries++;
   request->attempts++;
   edp->active++;
@@ -227,6 +236,7 @@
   rly->counts.cold_requests += edp_is_cold (edp, now);
   edp_count_cold_request (edp, now);
   edp_set_note_changed (rly->endpoints, edp);
+  rly_note_trial (request, now);
   rly_count_rollout_send (request, now);
   if (request->prompt != NULL)
     pfx_record (rly->pfx, now, edp->hash, request->prompt);
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -302,6 +302,8 @@
   list_remove (&request->node);
   rly_answer_clear (&request->answer);
   pfx_prompt_free (request->prompt);
+  if (request->parts != NULL)
+    g_array_unref (request->parts);
   rte_table_unref (request->table);
   g_free (request->id);
   g_free (request);
@@ -419,6 +421,17 @@
   return request;
 }
 
+/* To be called once the service of REQUEST is known.  */
+static void
+parse_parts (rly_request_t *request)
+{
+  const char *prompt = hdr_get (&ent_get_head (request->call)->fields,
+                                request->rly->names.prompt);
+
+  if (prompt != NULL)
+    request->parts = prt_parse (request->service->name, prompt);
+}
+
 /* Refuses a request for a stream that can't be resumed here.  Its caller may
    start the stream again.  */
 static void
@@ -490,12 +503,15 @@
   request->service = rly_find_or_add_service (
       rly, rte_choose_service (route, g_random_double ()));
   outcome = rly_bind_origin (request, now);
+  parse_parts (request);
   bud_count_request (&request->service->retry_budget, now);
   use_add_demand (rly->use, now, rly_get_account_name (request),
                   request->cost);
   rly_enqueue (request);
   if (rly_is_quarantined (request, now))
     rly_refuse_quarantined (request, now);
+  else if (rly_find_part (request, now, NULL).verdict == PRT_QUARANTINED)
+    rly_refuse_part (request, now);
   else if (outcome == RLY_RESUME_UNKNOWN || outcome == RLY_RESUME_UNAVAILABLE)
     refuse_resumption (request, now, outcome);
   else if (!rly_refuse_early (request, now))
@@ -542,6 +558,7 @@
     }
   update_running (rly, now);
   edp_set_check_breaks (rly->endpoints, now);
+  rly_decide_parts (rly, now);
   if (rly->table != NULL)
     update_waiting (rly, now);
   if (now - rly->last_sweep < SWEEP_INTERVAL_MS)
@@ -554,4 +571,6 @@
     org_sweep (rly->org, now);
   if (rly->qua != NULL)
     qua_sweep (rly->qua, now);
+  if (rly->prt != NULL)
+    prt_sweep (rly->prt, now);
 }
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -13,6 +13,7 @@
 #include "relay/ent.h"
 #include "relay/org.h"
 #include "relay/pfx.h"
+#include "relay/prt.h"
 #include "relay/qua.h"
 #include "relay/ret.h"
 #include "relay/rol.h"
@@ -81,6 +82,7 @@
   uint64_t withdrawn;    /* taken back before they were sent */
   uint64_t cold_requests; /* sent to endpoints that were cold */
   uint64_t quarantined;   /* refused, or not sent again */
+  uint64_t part_refused;  /* the same, for a part of their prompt */
   uint64_t resumptions[RLY_RESUME_KINDS];
   uint64_t ends[END_KINDS]; /* of exchanges with endpoints */
   unsigned waiting;
@@ -111,6 +113,10 @@
 /* Doesn't send requests that QUA quarantines, which is not owned.  */
 void rly_set_quarantine (rly_t *rly, qua_t *qua);
 
+/* Doesn't send prompts with a part that PRT quarantines, which is not owned.
+ */
+void rly_set_parts (rly_t *rly, prt_t *prt);
+
 /* Callbacks for ent_ops_t; USER is the relay.  */
 void rly_on_request (void *user, ent_call_t *call);
 void rly_on_disconnect (void *user, ent_call_t *call);
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -11,7 +11,7 @@
 /* Incarnations that the bytes of a datagram are changed for.  */
 #define STRAY_SEEDS 256
 /* Items of a state datagram.  */
-#define ITEMS 16
+#define ITEMS 17
 /* Datagrams with random changes.  */
 #define MUTATIONS 20000
 
@@ -24,6 +24,7 @@
   ret_t *ret;
   org_t *org;
   qua_t *qua;
+  prt_t *prt;
   pal_t *pal;
 } router_t;
 
@@ -68,6 +69,8 @@
   pal_set_origins (router.pal, router.org);
   router.qua = qua_new ();
   pal_set_quarantine (router.pal, router.qua);
+  router.prt = prt_new (name);
+  pal_set_parts (router.pal, router.prt);
   return router;
 }
 
@@ -87,6 +90,7 @@
   ret_free (router->ret);
   org_free (router->org);
   qua_free (router->qua);
+  prt_free (router->prt);
   ev_loop_destroy (router->loop);
 }
 
@@ -860,6 +864,56 @@
   router_free (&late);
 }
 
+static void
+ignore_part (void *user, uint64_t part, const prt_state_t *state)
+{
+}
+
+static bool
+is_part_quarantined (router_t *router, cfd_time_t now)
+{
+  prt_decide (router->prt, now, ignore_part, NULL);
+  return prt_find (router->prt, now, 7).verdict == PRT_QUARANTINED;
+}
+
+/* Ends at two routers quarantine a part at both and at one that starts later,
+   and an answer at one clears it at all.  */
+static void
+test_parts (gconstpointer data)
+{
+  pal_content_t content = GPOINTER_TO_INT (data);
+  router_t one = router_new ("one");
+  router_t two = router_new ("two");
+  router_t late = router_new ("late");
+  cfd_time_t now = NOW + 2000;
+  prt_event_t answer = { .kind = PRT_ANSWER, .part = 7, .at = now + 21000 };
+
+  deliver (&one, &two, NOW, PAL_FULL);
+  deliver (&two, &one, NOW, PAL_FULL);
+  for (unsigned i = 1; i <= 3; i++)
+    {
+      prt_event_t end = { .kind = PRT_END,
+                          .part = 7,
+                          .endpoint = i,
+                          .request = 100 + i,
+                          .at = NOW + 500 * i };
+
+      prt_add (i < 3 ? one.prt : two.prt, now, &end);
+    }
+  deliver (&one, &two, now, content);
+  deliver (&two, &one, now, content);
+  g_assert_true (is_part_quarantined (&one, now));
+  g_assert_true (is_part_quarantined (&two, now));
+  deliver (&one, &late, now + 20000, PAL_FULL);
+  g_assert_true (is_part_quarantined (&late, now + 20000));
+  prt_add (late.prt, answer.at, &answer);
+  deliver (&late, &one, answer.at, PAL_FULL);
+  g_assert_false (is_part_quarantined (&one, answer.at));
+  router_free (&one);
+  router_free (&two);
+  router_free (&late);
+}
+
 /* A datagram with more rows than any router sends makes the receiver work
    through all of them.  */
 static void
@@ -875,7 +929,7 @@
     { 9, PAL_LIST_COUNT * 2, 1 },   { 10, 3, MAX_REFUSAL_ROWS },
     { 11, 5, MAX_EVIDENCE_ROWS },   { 12, 2, MAX_STREAM_ROWS },
     { 13, 3, MAX_RETIRED_ROWS },    { 14, 2, MAX_COLD_ROWS },
-    { 15, 4, MAX_QUARANTINE_ROWS },
+    { 15, 4, MAX_QUARANTINE_ROWS }, { 16, 5, MAX_PART_ROWS },
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -972,6 +1026,10 @@
                         GINT_TO_POINTER (PAL_CHANGES), test_quarantine);
   g_test_add_data_func ("/pal/quarantine/summary",
                         GINT_TO_POINTER (PAL_SUMMARY), test_quarantine);
+  g_test_add_data_func ("/pal/parts/changes", GINT_TO_POINTER (PAL_CHANGES),
+                        test_parts);
+  g_test_add_data_func ("/pal/parts/summary", GINT_TO_POINTER (PAL_SUMMARY),
+                        test_parts);
   g_test_add_func ("/pal/found-cold", test_found_cold);
   g_test_add_func ("/pal/first-router", test_first_router);
   g_test_add_func ("/pal/retired-versions", test_retired_versions);
