Relay: a silent endpoint's end counts if it answered after the send

A request that got no answer in time was counted as one under which its endpoint ended, although the endpoint may have been gone before the request was sent; and the ends of a rack that goes dark seemed spread over the seconds in which its requests ran out of time, so that they counted as several.

The end of a silent endpoint is now dated by its last answer to this router, and counts only against requests that were sent before that.

--- a/libcoltsfootdrum/relay/rly-break.c
+++ b/libcoltsfootdrum/relay/rly-break.c
@@ -73,8 +73,9 @@
       G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS ":,", '_');
 }
 
+/* AT is when the endpoint ended, if it did.  */
 static void
-add_break (rly_request_t *request, cfd_time_t now)
+add_break (rly_request_t *request, cfd_time_t at)
 {
   rly_t *rly = request->rly;
   rly_break_t *broken = g_new0 (rly_break_t, 1);
@@ -85,7 +86,7 @@
   broken->request = g_strdup (request->id);
   broken->key = request->content_key;
   broken->sent_at = request->sent_at;
-  broken->broke_at = now;
+  broken->broke_at = at;
   broken->events = request->answer.events.events - request->events_before;
   broken->prompt = copy_prompt (request);
   /* A bad version may end under any prompt.  */
@@ -125,14 +126,19 @@
 rly_note_break (rly_request_t *request, end_kind_t kind, cfd_time_t now)
 {
   edp_t *edp = request->edp;
+  bool is_silent = kind == END_TIMED_OUT;
 
   /* One that leaves ends soon, whatever it runs.  */
   if (!may_be_process_end (kind) || edp->report->leaving
       || edp->has_announced_leaving)
     return;
-  add_break (request, now);
-  edp_set_note_break (request->rly->endpoints, edp, now,
-                      kind == END_TIMED_OUT);
+  /* A silent one ended at some time after its last answer, which may have been
+     before the request was sent.  */
+  if (!is_silent)
+    add_break (request, now);
+  else if (edp->last_answer_at > request->sent_at)
+    add_break (request, edp->last_answer_at);
+  edp_set_note_break (request->rly->endpoints, edp, now, is_silent);
 }
 
 static void
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -339,6 +339,8 @@
                         scene->use, scene->pfx, scene->ret);
   scene->org = org_new ();
   rly_set_origins (scene->rly, scene->org);
+  scene->qua = qua_new ();
+  rly_set_quarantine (scene->rly, scene->qua);
   scene->ent = ent_new (scene->loop, "127.0.0.1:0", &front, scene->rly, NULL);
   g_assert_nonnull (scene->ent);
   for (unsigned i = 0; i < SCENE_ENDPOINTS; i++)
@@ -378,6 +380,7 @@
   pfx_free (scene->pfx);
   ret_free (scene->ret);
   org_free (scene->org);
+  qua_free (scene->qua);
   ev_loop_destroy (scene->loop);
   for (guint i = 0; i < scene->reserved_fds->len; i++)
     close (g_array_index (scene->reserved_fds, int, i));
--- a/libcoltsfootdrum/relay/test-rly-scene.h
+++ b/libcoltsfootdrum/relay/test-rly-scene.h
@@ -43,6 +43,7 @@
   pfx_t *pfx;
   ret_t *ret;
   org_t *org;
+  qua_t *qua;
   rly_t *rly;
   ent_t *ent;
   scene_server_t servers[SCENE_ENDPOINTS];
