Prompt parts: those that were answered until now are found in time

Other findings on the way: a request that was sent as a trial could be sent again by its own router, against the invariant that nothing quarantined is sent; and requests that had come when a trial was due were sent beside it.

A part that was answered lately is now quarantined after four ends, if they are two thirds of all ends since its first, as a part that many prompts share is near many ends. The first trial of such a part is due after 15 s, of any other after two minutes. A trial is one send, and only its request passes.

--- a/libcoltsfootdrum/relay/prt.c
+++ b/libcoltsfootdrum/relay/prt.c
@@ -18,7 +18,7 @@
 #define TRIAL_MS 10000
 /* Share of a quarantine over which the routers' trials are spread.  */
 #define TRIAL_SPREAD 0.25
-/* Ends of one part that are remembered.  */
+/* Ends of one part that are remembered, and the last ones of all.  */
 #define MAX_ENDS 16u
 /* Limits the memory: some 700 and 100 bytes each.  */
 #define MAX_RECORDS 4096u
@@ -75,6 +75,7 @@
   list_node_t answered_order;
   GArray *updates; /* prt_update_t, the oldest first */
   uint64_t last_number;
+  GArray *unexplained;  /* prt_end_t, the last ends without a known cause */
   list_node_t active;   /* prt_record_t */
   cfd_time_t decide_at; /* when a verdict may be due; CFD_TIME_NEVER: none */
   unsigned epoch;
@@ -114,6 +115,7 @@
                                          answered_free);
   list_init (&prt->answered_order);
   prt->updates = g_array_new (FALSE, FALSE, sizeof (prt_update_t));
+  prt->unexplained = g_array_new (FALSE, FALSE, sizeof (prt_end_t));
   return prt;
 }
 
@@ -125,6 +127,7 @@
   g_hash_table_unref (prt->records);
   g_hash_table_unref (prt->answered);
   g_array_unref (prt->updates);
+  g_array_unref (prt->unexplained);
   g_free (prt);
 }
 
@@ -292,6 +295,26 @@
   list_append (&prt->order, &record->node);
 }
 
+/* Records that the endpoint of EVENT ended.  Returns when: routers that are
+   behind notice it later than others.  */
+static cfd_time_t
+note_unexplained (prt_t *prt, const prt_event_t *event)
+{
+  prt_end_t end = { .endpoint = event->endpoint, .at = event->at };
+
+  for (guint i = 0; i < prt->unexplained->len; i++)
+    {
+      const prt_end_t *known = &g_array_index (prt->unexplained, prt_end_t, i);
+
+      if (known->endpoint == event->endpoint)
+        return known->at;
+    }
+  if (prt->unexplained->len == MAX_ENDS)
+    g_array_remove_index (prt->unexplained, 0);
+  g_array_append_val (prt->unexplained, end);
+  return event->at;
+}
+
 /* Returns whether a quarantined part accounts for the end of ENDPOINT.  */
 static bool
 is_explained (const prt_t *prt, uint64_t endpoint)
@@ -309,6 +332,10 @@
 static void
 explain_ends (prt_t *prt, const prt_record_t *cause)
 {
+  for (guint i = prt->unexplained->len; i-- > 0;)
+    if (has_end (cause,
+                 g_array_index (prt->unexplained, prt_end_t, i).endpoint))
+      g_array_remove_index (prt->unexplained, i);
   list_for_each (node, &prt->order)
     {
       prt_record_t *record = list_entry (node, prt_record_t, node);
@@ -327,6 +354,7 @@
 apply_end (prt_t *prt, cfd_time_t now, const prt_event_t *event)
 {
   prt_record_t *record = g_hash_table_lookup (prt->records, &event->part);
+  prt_event_t dated = *event;
 
   if ((record == NULL || !record->is_active)
       && is_explained (prt, event->endpoint))
@@ -337,7 +365,8 @@
       || (record->answered_at != CFD_TIME_NEVER
           && event->at <= record->answered_at))
     return false;
-  insert_end (record, event);
+  dated.at = note_unexplained (prt, event);
+  insert_end (record, &dated);
   record->trial_at = CFD_TIME_NEVER;
   touch (prt, record, now);
   prt->decide_at = now;
@@ -475,10 +504,12 @@
 static int64_t
 compute_length_ms (const prt_record_t *record)
 {
-  unsigned further
-      = record->counted > PRT_MAX_ENDS ? record->counted - PRT_MAX_ENDS : 0;
+  bool was_answered = record->answered_at != CFD_TIME_NEVER;
+  unsigned needed = was_answered ? PRT_MAX_ENDS_ANSWERED : PRT_MAX_ENDS;
+  unsigned further = record->counted > needed ? record->counted - needed : 0;
+  int64_t length_ms = was_answered ? PRT_MIN_ANSWERED_MS : PRT_MIN_MS;
 
-  return MIN ((int64_t)PRT_MIN_MS << further, PRT_MAX_MS);
+  return MIN (length_ms << further, PRT_MAX_MS);
 }
 
 /* Returns when this router may send a trial.  The routers' times differ, so
@@ -528,20 +559,44 @@
   return state;
 }
 
+/* Returns whether the part was near two thirds of the ends since its first. */
+static bool
+is_in_most_ends (const prt_t *prt, const prt_record_t *record)
+{
+  cfd_time_t since = get_counted_at (record, 1);
+  unsigned all = 0;
+  unsigned own = 0;
+
+  for (guint i = 0; i < prt->unexplained->len; i++)
+    {
+      const prt_end_t *end = &g_array_index (prt->unexplained, prt_end_t, i);
+
+      if (end->at < since)
+        continue;
+      all++;
+      own += has_end (record, end->endpoint);
+    }
+  return own * 3 >= all * 2;
+}
+
 /* Returns whether enough ends count against the part, if no other one has as
    many.  */
 static bool
-is_suspect (const prt_record_t *record)
+is_suspect (const prt_t *prt, const prt_record_t *record)
 {
-  return !record->is_active && record->counted >= PRT_MAX_ENDS
-         && record->answered_at == CFD_TIME_NEVER;
+  if (record->is_active || record->counted < PRT_MAX_ENDS)
+    return false;
+  if (record->answered_at == CFD_TIME_NEVER)
+    return true;
+  return record->counted >= PRT_MAX_ENDS_ANSWERED
+         && is_in_most_ends (prt, record);
 }
 
 /* The same whatever counts against others.  */
 static bool
-is_convicted (const prt_record_t *record, cfd_time_t now)
+is_convicted (const prt_t *prt, const prt_record_t *record, cfd_time_t now)
 {
-  return !record->is_active && record->counted >= PRT_MAX_ENDS_IN_DOUBT
+  return is_suspect (prt, record) && record->counted >= PRT_MAX_ENDS_IN_DOUBT
          && now - get_counted_at (record, PRT_MAX_ENDS_IN_DOUBT)
                 >= PRT_DOUBT_MS;
 }
@@ -564,7 +619,7 @@
     {
       const prt_record_t *other = list_entry (node, prt_record_t, node);
 
-      if (other != record && is_suspect (other)
+      if (other != record && is_suspect (prt, other)
           && has_all_ends (other, record))
         return true;
     }
@@ -580,7 +635,7 @@
     {
       prt_record_t *record = list_entry (node, prt_record_t, node);
 
-      if (is_suspect (record) && !has_rival (prt, record))
+      if (is_suspect (prt, record) && !has_rival (prt, record))
         return record;
     }
   return NULL;
@@ -617,7 +672,7 @@
     {
       prt_record_t *record = list_entry (node, prt_record_t, node);
 
-      if (is_convicted (record, now))
+      if (is_convicted (prt, record, now))
         quarantine (prt, now, record, listener);
     }
   if (prt->epoch == before)
--- a/libcoltsfootdrum/relay/prt.h
+++ b/libcoltsfootdrum/relay/prt.h
@@ -9,10 +9,11 @@
    An end counts against the parts of requests whose answer had not gone on,
    and an answer that goes on clears its parts of all earlier ends.  Ends at
    one moment are one, and so are ends under one request.  What is left against
-   a part that was never answered is enough after a few ends; one that was
-   answered lately has more to it, as many prompts begin alike.  Of parts that
-   the same ends count against, that with the most is the cause of them, and
-   they no longer count against the others.
+   a part that was never answered is enough after a few ends.  One that was
+   answered lately needs more, and most of all ends since its first: parts that
+   many prompts share are near many ends.  Of parts that the same ends count
+   against, that with the most is the cause of them, and they no longer count
+   against the others.
 
    Routers exchange ends and answers (relay/pal.h), and each concludes the same
    from them.  A part counts by itself, whatever precedes it, and for one
@@ -27,17 +28,20 @@
 #include <stdint.h>
 
 /* Ends after which a part is quarantined: one that was not answered lately,
-   and any other.  */
+   one that was, and one that shares them with another part.  */
 #define PRT_MAX_ENDS 3u
+#define PRT_MAX_ENDS_ANSWERED 4u
 #define PRT_MAX_ENDS_IN_DOUBT 5u
 /* Time for an answer to clear a part in doubt, from the last of these ends.
    Less than the time in which a router counts as in touch.  */
 #define PRT_DOUBT_MS 1500
 /* Ends within this time are one.  */
-#define PRT_MOMENT_MS 250
-/* Time until one request is sent as a trial; it doubles with each further
+#define PRT_MOMENT_MS 150
+/* Time until one request is sent as a trial, and the same for a part that was
+   answered lately, which may be a sound one.  It doubles with each further
    end.  */
 #define PRT_MIN_MS 120000
+#define PRT_MIN_ANSWERED_MS 15000
 #define PRT_MAX_MS 3600000
 /* Parts of one prompt that an end counts against, and an answer clears.  */
 #define PRT_MAX_PARTS 256u
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -321,6 +321,12 @@
       rly_fail (request, 502, "quarantined");
       return;
     }
+  /* A trial is one send.  */
+  if (request->is_trial)
+    {
+      rly_fail (request, 502, reason);
+      return;
+    }
   if (rte_may_retry (request->route) && rly_can_continue (request)
       && consume_retry (request, now))
     {
--- a/libcoltsfootdrum/relay/rly-part.c
+++ b/libcoltsfootdrum/relay/rly-part.c
@@ -19,7 +19,8 @@
   const prt_t *prt = request->rly->prt;
   prt_state_t worst = { .verdict = PRT_FREE };
 
-  if (prt == NULL || request->parts == NULL || !prt_has_active (prt))
+  if (prt == NULL || request->parts == NULL || request->is_trial
+      || !prt_has_active (prt))
     return worst;
   for (guint i = 0; i < request->parts->len; i++)
     {
@@ -36,6 +37,12 @@
   return worst;
 }
 
+bool
+rly_is_part_quarantined (const rly_request_t *request, cfd_time_t now)
+{
+  return rly_find_part (request, now, NULL).verdict == PRT_QUARANTINED;
+}
+
 void
 rly_refuse_part (rly_request_t *request, cfd_time_t now)
 {
@@ -55,12 +62,6 @@
   rly_refuse (request, now, "part-quarantined", state.left_ms);
 }
 
-static bool
-is_quarantined (const rly_request_t *request, cfd_time_t now)
-{
-  return rly_find_part (request, now, NULL).verdict == PRT_QUARANTINED;
-}
-
 /* Refuses one waiting request.  Returns false when there is none to refuse. */
 static bool
 refuse_one (rly_service_t *service, cfd_time_t now)
@@ -74,7 +75,7 @@
           rly_request_t *request
               = list_entry (inner_node, rly_request_t, node);
 
-          if (!is_quarantined (request, now))
+          if (!rly_is_part_quarantined (request, now))
             continue;
           rly_refuse_part (request, now);
           return true;
@@ -93,7 +94,7 @@
       rly_request_t *request = list_entry (node, rly_request_t, node);
 
       if (request->service != service || request->went_on
-          || !is_quarantined (request, now))
+          || !rly_is_part_quarantined (request, now))
         continue;
       rly->counts.part_refused++;
       rly_fail (request, 502, "part-quarantined");
@@ -103,11 +104,14 @@
 void
 rly_apply_parts (rly_service_t *service, rly_t *rly, cfd_time_t now)
 {
-  if (rly->prt == NULL || service->part_epoch == prt_get_epoch (rly->prt))
+  if (rly->prt == NULL || !prt_has_active (rly->prt))
     return;
-  service->part_epoch = prt_get_epoch (rly->prt);
+  /* Also those that came when a trial was due, which another one is now.  */
   while (refuse_one (service, now))
     ;
+  if (service->part_epoch == prt_get_epoch (rly->prt))
+    return;
+  service->part_epoch = prt_get_epoch (rly->prt);
   break_off (service, rly, now);
 }
 
@@ -120,6 +124,7 @@
 
   if (rly_find_part (request, now, &part).verdict != PRT_ON_TRIAL)
     return;
+  request->is_trial = true;
   trial.part = g_array_index (request->parts, uint64_t, part);
   prt_add (rly->prt, now, &trial);
   log_info ("relay",
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -119,6 +119,7 @@
   bool origin_noted; /* the first event of this answer was passed on */
   bool started;      /* an endpoint began a successful answer */
   bool went_on;      /* this exchange's answer cleared the parts */
+  bool is_trial;     /* of a quarantined part */
 
   cfd_time_t arrived_at;
   cfd_time_t first_attempt;  /* of its caller, as far as is known */
@@ -283,10 +284,12 @@
    the index of the part that decides.  */
 prt_state_t rly_find_part (const rly_request_t *request, cfd_time_t now,
                            guint *part);
+/* Returns whether REQUEST must not be sent.  */
+bool rly_is_part_quarantined (const rly_request_t *request, cfd_time_t now);
 /* Refuses REQUEST, which waits.  */
 void rly_refuse_part (rly_request_t *request, cfd_time_t now);
-/* Refuses the waiting requests of SERVICE with parts that were quarantined
-   since the last call, and breaks off those of which no answer has begun.  */
+/* Refuses the waiting requests of SERVICE with quarantined parts, and breaks
+   off those of which no answer has begun.  */
 void rly_apply_parts (rly_service_t *service, rly_t *rly, cfd_time_t now);
 /* Records the send of a trial, if REQUEST is one.  */
 void rly_note_trial (rly_request_t *request, cfd_time_t now);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -216,8 +216,7 @@
              request->id);
   INVARIANT ("not-quarantined",
              !rly_is_quarantined (request, now)
-                 && rly_find_part (request, now, NULL).verdict
-                        != PRT_QUARANTINED,
+                 && !rly_is_part_quarantined (request, now),
              request->id);
   INVARIANT ("endpoint-open", edp_is_open (edp, now), edp->report->id);
   rly_dequeue (request);
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -510,7 +510,7 @@
   rly_enqueue (request);
   if (rly_is_quarantined (request, now))
     rly_refuse_quarantined (request, now);
-  else if (rly_find_part (request, now, NULL).verdict == PRT_QUARANTINED)
+  else if (rly_is_part_quarantined (request, now))
     rly_refuse_part (request, now);
   else if (outcome == RLY_RESUME_UNKNOWN || outcome == RLY_RESUME_UNAVAILABLE)
     refuse_resumption (request, now, outcome);
--- a/libcoltsfootdrum/relay/test-prt.c
+++ b/libcoltsfootdrum/relay/test-prt.c
@@ -143,22 +143,39 @@
   g_assert_true (is_quarantined (prt, get_time (10), OTHER));
 }
 
-/* A part that was answered until lately: nothing but more ends without an
-   answer in between convicts it.  */
+/* A part that was answered until lately needs one end more.  */
 static void
 test_answered_before (void)
 {
   g_autoptr (prt_t) prt = prt_new ("one");
 
   add_answer (prt, LETHAL, NOW);
-  for (unsigned step = 1; step <= 5; step++)
+  for (unsigned step = 1; step <= 4; step++)
     {
+      g_assert_false (is_quarantined (prt, get_time (step), LETHAL));
       add_end (prt, LETHAL, step);
       decide (prt, get_time (step));
     }
-  g_assert_false (is_quarantined (prt, get_time (5), LETHAL));
-  decide (prt, get_time (5) + PRT_DOUBT_MS);
-  g_assert_true (is_quarantined (prt, get_time (5) + PRT_DOUBT_MS, LETHAL));
+  g_assert_true (is_quarantined (prt, get_time (4), LETHAL));
+}
+
+/* Endpoints end for another reason all the time, and a part that was answered
+   lately is in a few of the ends.  */
+static void
+test_by_chance (void)
+{
+  g_autoptr (prt_t) prt = prt_new ("one");
+
+  add_answer (prt, SHARED, NOW);
+  for (unsigned step = 1; step <= 20; step++)
+    {
+      add_end (prt, 1000 + step, step);
+      if (step % 3 == 0)
+        add_end (prt, SHARED, step);
+      decide (prt, get_time (step));
+    }
+  decide (prt, get_time (30));
+  g_assert_cmpuint (prt_count_active (prt), ==, 0);
 }
 
 /* An answer between two ends: endpoints end for other reasons.  */
@@ -292,7 +309,7 @@
   uint64_t last[2] = { 0 };
 
   add_answer (knows, SHARED, NOW);
-  for (unsigned step = 1; step <= 4; step++)
+  for (unsigned step = 1; step <= PRT_MAX_ENDS; step++)
     {
       cfd_time_t now = get_time (step);
       g_autoptr (GArray) ends = NULL;
@@ -364,6 +381,7 @@
   g_test_add_func ("/prt/rivals", test_rivals);
   g_test_add_func ("/prt/inseparable", test_inseparable);
   g_test_add_func ("/prt/answered-before", test_answered_before);
+  g_test_add_func ("/prt/by-chance", test_by_chance);
   g_test_add_func ("/prt/answered-between", test_answered_between);
   g_test_add_func ("/prt/one-cause", test_one_cause);
   g_test_add_func ("/prt/shared-with-quarantined",
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -341,6 +341,8 @@
   rly_set_origins (scene->rly, scene->org);
   scene->qua = qua_new ();
   rly_set_quarantine (scene->rly, scene->qua);
+  scene->prt = prt_new ("router");
+  rly_set_parts (scene->rly, scene->prt);
   scene->ent = ent_new (scene->loop, "127.0.0.1:0", &front, scene->rly, NULL);
   g_assert_nonnull (scene->ent);
   for (unsigned i = 0; i < SCENE_ENDPOINTS; i++)
@@ -381,6 +383,7 @@
   ret_free (scene->ret);
   org_free (scene->org);
   qua_free (scene->qua);
+  prt_free (scene->prt);
   ev_loop_destroy (scene->loop);
   for (guint i = 0; i < scene->reserved_fds->len; i++)
     close (g_array_index (scene->reserved_fds, int, i));
--- a/libcoltsfootdrum/relay/test-rly-scene.h
+++ b/libcoltsfootdrum/relay/test-rly-scene.h
@@ -44,6 +44,7 @@
   ret_t *ret;
   org_t *org;
   qua_t *qua;
+  prt_t *prt;
   rly_t *rly;
   ent_t *ent;
   scene_server_t servers[SCENE_ENDPOINTS];
