--- a/libcoltsfootdrum/relay/prt.c
+++ b/libcoltsfootdrum/relay/prt.c
@@ -23,8 +23,8 @@
 /* Limits the memory: some 700 and 100 bytes each.  */
 #define MAX_RECORDS 4096u
 #define MAX_ANSWERED 16384u
-/* For the other routers, less than fill a datagram.  */
-#define MAX_UPDATES 2048u
+/* For the other routers, a quarter of a datagram.  */
+#define MAX_UPDATES 768u
 /* Updates are kept for the intervals at which they are sent.  */
 #define UPDATE_KEEP_MS 4000
 
--- a/libcoltsfootdrum/relay/qua.c
+++ b/libcoltsfootdrum/relay/qua.c
@@ -11,8 +11,8 @@
 #define MAX_EVENTS 8u
 /* Limits the memory: some 300 bytes each.  */
 #define MAX_RECORDS 8192u
-/* For the other routers, less than fill a datagram.  */
-#define MAX_UPDATES 2048u
+/* For the other routers, a quarter of a datagram.  */
+#define MAX_UPDATES 768u
 /* Updates are kept for the intervals at which they are sent.  */
 #define UPDATE_KEEP_MS 4000
 
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -275,7 +275,7 @@
 void rly_apply_quarantine (rly_service_t *service, rly_t *rly, cfd_time_t now);
 /* Records that an endpoint ended while it ran a request.  */
 void rly_add_end (rly_t *rly, cfd_time_t now, const qua_event_t *end,
-                  const edp_t *edp);
+                  edp_t *edp);
 /* Records that REQUEST got a whole answer.  */
 void rly_add_answer (const rly_request_t *request, cfd_time_t now);
 
--- a/libcoltsfootdrum/relay/rly-quarantine.c
+++ b/libcoltsfootdrum/relay/rly-quarantine.c
@@ -82,8 +82,7 @@
 }
 
 void
-rly_add_end (rly_t *rly, cfd_time_t now, const qua_event_t *end,
-             const edp_t *edp)
+rly_add_end (rly_t *rly, cfd_time_t now, const qua_event_t *end, edp_t *edp)
 {
   if (rly->qua == NULL)
     return;
@@ -94,7 +93,7 @@
               end->request, edp->report->id,
               qua_find (rly->qua, now, end->request).ends);
   /* The event goes out with the changes of load.  */
-  edp_set_note_changed (rly->endpoints, (edp_t *)edp);
+  edp_set_note_changed (rly->endpoints, edp);
 }
 
 void
--- a/libcoltsfootdrum/relay/test-prt.c
+++ b/libcoltsfootdrum/relay/test-prt.c
@@ -368,7 +368,7 @@
   g_assert_cmpuint (prt_count (prt), <=, 4096);
   g_assert_true (is_quarantined (prt, get_time (3) + PRT_MIN_MS - 1, LETHAL));
   events = prt_collect (prt, now, &last, CFD_TIME_NEVER, true);
-  g_assert_cmpuint (events->len, <=, 2048 + PRT_MAX_KEPT);
+  g_assert_cmpuint (events->len, <=, 768 + PRT_MAX_KEPT);
   g_assert_true (g_array_index (events, prt_event_t, 0).part != 0);
 }
 
--- a/tests/bench-parts.c
+++ b/tests/bench-parts.c
@@ -310,8 +310,8 @@
     {
       double expected = run->fleet->kinds[kind].per_s * TICK_MS / 1000.;
 
-      for (; expected > 0.; expected -= 1.)
-        if (g_rand_double (run->random) < MIN (expected, 1.))
+      for (unsigned i = 0; i < expected; i++)
+        if (g_rand_double (run->random) < MIN (expected - i, 1.))
           arrive (run, kind, false, now);
     }
   if (has_begun && happens (run, run->incident->lethal_per_s))
