Quarantine: copies of a request that are sent at once count each

Ends at one moment counted as one for every request, so that three copies which a caller sends at once, each repeated by its router, could end seven endpoints before the request was quarantined.

Only requests without body and prompt, which different callers may well send alike, need ends that follow one another. A bit of the key tells which.

Measured: relay-qua copies-at-once is red with the rule as it was.

--- a/libcoltsfootdrum/relay/qua.c
+++ b/libcoltsfootdrum/relay/qua.c
@@ -4,6 +4,10 @@
 
 #include "base/list.h"
 
+/* 40 bits keep datagrams short; among some ten thousand requests collisions
+   are unlikely.  The lowest one tells whether requests may coincide.  */
+#define KEY_MASK UINT64_C (0xfffffffffe)
+#define COINCIDENCE_BIT UINT64_C (1)
 /* A repeat may seem to have been sent this much before the end that it
    follows: its router measured other delays.  */
 #define ORDER_SLACK_MS 50
@@ -111,9 +115,16 @@
                    + compute_length_ms (record) + QUA_MIN_MS;
 }
 
+uint64_t
+qua_make_key (uint64_t hash, bool may_coincide)
+{
+  return (hash & KEY_MASK) | (may_coincide ? COINCIDENCE_BIT : 0);
+}
+
 static void
 count_ends (qua_record_t *record)
 {
+  bool may_coincide = (record->request & COINCIDENCE_BIT) != 0;
   cfd_time_t last_at = 0;
 
   record->counted = 0;
@@ -121,7 +132,8 @@
     {
       const qua_end_t *end = &record->ends[i];
 
-      if (record->counted > 0 && end->sent_at + ORDER_SLACK_MS < last_at)
+      if (may_coincide && record->counted > 0
+          && end->sent_at + ORDER_SLACK_MS < last_at)
         continue;
       record->counted++;
       last_at = end->at;
--- a/libcoltsfootdrum/relay/qua.h
+++ b/libcoltsfootdrum/relay/qua.h
@@ -7,9 +7,12 @@
    the request itself every attempt ends further endpoints, with all that runs
    there.
 
-   Ends count when they follow one another: a repeat that was sent after the
-   end before it.  Several at one moment, as when a rack fails, are one.  An
-   answer to the request shows that it wasn't the cause.  Routers exchange ends
+   A caller may send several copies at once, and each end counts.  Requests
+   without a body and a prompt may coincide: several callers look up the same
+   thing.  Of these, ends count when they follow one another, each under a
+   repeat that was sent after the end before it; several at one moment, as when
+   a rack fails, are one.  An answer to the request shows that it wasn't the
+   cause.  Routers exchange ends
    and answers (relay/pal.h), and each concludes the same from them.  */
 
 #ifndef RELAY_QUA_H
@@ -33,11 +36,15 @@
 void qua_free (qua_t *qua);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (qua_t, qua_free)
 
+/* Returns the key of requests whose content has HASH; MAY_COINCIDE: different
+   callers may send the same content.  */
+uint64_t qua_make_key (uint64_t hash, bool may_coincide);
+
 /* A process that ended while it ran a request; or an answer to the request,
    which clears it of all earlier ends.  */
 typedef struct
 {
-  uint64_t request;  /* hash of what is the same in all attempts */
+  uint64_t request;  /* of qua_make_key: the same in all attempts */
   uint64_t endpoint; /* hash of its id and start time; 0: an answer */
   cfd_time_t sent_at;
   cfd_time_t at; /* of the end, or of the answer */
--- a/libcoltsfootdrum/relay/rly-break.c
+++ b/libcoltsfootdrum/relay/rly-break.c
@@ -12,9 +12,6 @@
 #define MAX_BREAKS 4096
 /* Of a prompt, for the log.  */
 #define MAX_LOGGED_PROMPT 240
-/* 40 bits keep datagrams short; among some ten thousand requests collisions
-   are unlikely.  */
-#define KEY_MASK UINT64_C (0xffffffffff)
 
 typedef struct
 {
@@ -53,12 +50,14 @@
 {
   const rd_head_t *head = ent_get_head (request->call);
   const GByteArray *body = ent_get_body (request->call);
+  const char *prompt = hdr_get (&head->fields, request->rly->names.prompt);
   uint64_t key = hash_text (rly_get_account_name (request), 0);
 
   key = hash_text (head->method, key);
   key = hash_text (head->target, key);
-  key = hash_text (hdr_get (&head->fields, request->rly->names.prompt), key);
-  return XXH3_64bits_withSeed (body->data, body->len, key) & KEY_MASK;
+  key = hash_text (prompt, key);
+  key = XXH3_64bits_withSeed (body->data, body->len, key);
+  return qua_make_key (key, prompt == NULL && body->len == 0);
 }
 
 static char *
--- a/libcoltsfootdrum/relay/test-qua.c
+++ b/libcoltsfootdrum/relay/test-qua.c
@@ -4,7 +4,8 @@
 #include "relay/qua.h"
 
 #define NOW 1000000
-#define REQUEST 7u
+#define REQUEST 7u     /* one that may coincide */
+#define OWN_REQUEST 8u /* one that may not */
 /* From one end to the next.  */
 #define STEP_MS 200
 
@@ -93,6 +94,24 @@
   g_assert_cmpuint (qua_find (qua, NOW + 1000, REQUEST + 1).ends, ==, 0);
 }
 
+/* A caller that lost an answer sends three copies at once: each of the ends is
+   one of its request.  */
+static void
+test_copies_at_once (void)
+{
+  g_autoptr (qua_t) qua = qua_new ();
+
+  for (unsigned i = 1; i <= QUA_MAX_ENDS; i++)
+    {
+      qua_event_t end = make_end (OWN_REQUEST, i, NOW, NOW + 100 + i);
+
+      qua_add (qua, end.at, &end);
+    }
+  g_assert_true (qua_find (qua, NOW + 200, OWN_REQUEST).is_active);
+  g_assert_cmpuint (qua_make_key (REQUEST, true), ==, REQUEST);
+  g_assert_cmpuint (qua_make_key (REQUEST, false), !=, REQUEST);
+}
+
 /* The third end quarantines, once.  */
 static void
 test_begins (void)
@@ -250,6 +269,7 @@
 
       g_test_add_data_func (path, &cases[i], test_counted);
     }
+  g_test_add_func ("/qua/copies-at-once", test_copies_at_once);
   g_test_add_func ("/qua/begins", test_begins);
   g_test_add_func ("/qua/lasts", test_lasts);
   g_test_add_func ("/qua/answered", test_answered);
