--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -10,6 +10,8 @@
 #define COLD_MS 0
 /* Incarnations that the bytes of a datagram are changed for.  */
 #define STRAY_SEEDS 256
+/* Largest payload of a UDP datagram.  */
+#define MAX_DATAGRAM_BYTES 65507u
 /* Items of a state datagram.  */
 #define ITEMS 17
 /* Datagrams with random changes.  */
@@ -914,6 +916,40 @@
   router_free (&late);
 }
 
+/* Endpoints end under very many requests with many parts: all that is sent of
+   it fits a datagram.  */
+static void
+test_ends_fit_datagram (void)
+{
+  router_t here = router_new ("here");
+
+  for (unsigned i = 0; i < 4096; i++)
+    {
+      const uint64_t key = UINT64_C (0x8000000000) + i / 3;
+      const uint64_t endpoint = 0x80000000u + i % 3;
+      cfd_time_t at = NOW - 1000 + 200 * (i % 3);
+      qua_event_t end = {
+        .request = key, .endpoint = endpoint, .sent_at = at - 100, .at = at
+      };
+      prt_event_t part = { .kind = PRT_END,
+                           .part = key,
+                           .endpoint = endpoint,
+                           .request = key,
+                           .at = at };
+
+      qua_add (here.qua, NOW, &end);
+      prt_add (here.prt, NOW, &part);
+    }
+  for (unsigned content = PAL_CHANGES; content <= PAL_SUMMARY; content++)
+    {
+      g_autoptr (GByteArray) bytes
+          = pal_pack (here.pal, NOW, (pal_content_t)content);
+
+      g_assert_cmpuint (bytes->len, <, MAX_DATAGRAM_BYTES);
+    }
+  router_free (&here);
+}
+
 /* A datagram with more rows than any router sends makes the receiver work
    through all of them.  */
 static void
@@ -1026,6 +1062,7 @@
                         GINT_TO_POINTER (PAL_CHANGES), test_quarantine);
   g_test_add_data_func ("/pal/quarantine/summary",
                         GINT_TO_POINTER (PAL_SUMMARY), test_quarantine);
+  g_test_add_func ("/pal/ends-fit-datagram", test_ends_fit_datagram);
   g_test_add_data_func ("/pal/parts/changes", GINT_TO_POINTER (PAL_CHANGES),
                         test_parts);
   g_test_add_data_func ("/pal/parts/summary", GINT_TO_POINTER (PAL_SUMMARY),
