--- a/libcoltsfootdrum/relay/edp-break.c
+++ b/libcoltsfootdrum/relay/edp-break.c
@@ -9,8 +9,8 @@
 #include "base/log.h"
 #include <inttypes.h>
 
-/* Time in which all connections of a process that ended are read as closed.
-   It is longer than an iteration of a loop that is behind.  */
+/* Time in which the closing of all connections of an ended process is noticed,
+   also by an overloaded event loop.  */
 #define CLOSE_MS 100
 /* Time for the probe's connection to open.  */
 #define PROBE_TIMEOUT_MS 350
--- a/libcoltsfootdrum/relay/prt.c
+++ b/libcoltsfootdrum/relay/prt.c
@@ -11,8 +11,8 @@
 #define KEY_MASK UINT64_C (0xffffffffff)
 /* An answer shows for this time that a part is sound, unless ends follow.  */
 #define ANSWER_KEEP_MS 60000
-/* Ends without a verdict are kept for this time: rare prompts take long to
-   show a cause.  */
+/* Lifetime of ends without a verdict: rare prompts take long to show a cause.
+ */
 #define END_KEEP_MS 300000
 /* Time in which a trial has its outcome.  */
 #define TRIAL_MS 10000
@@ -25,7 +25,7 @@
 #define MAX_ANSWERED 16384u
 /* For the other routers, a quarter of a datagram.  */
 #define MAX_UPDATES 768u
-/* Updates are kept for the intervals at which they are sent.  */
+/* Lifetime of updates: longer than the intervals at which they are sent.  */
 #define UPDATE_KEEP_MS 4000
 
 typedef struct
@@ -207,7 +207,7 @@
   record->count--;
 }
 
-/* Makes room for an end.  One that doesn't count is needed least.  */
+/* Frees the slot of one end, if possible of one that doesn't count.  */
 static void
 drop_end (prt_record_t *record)
 {
@@ -295,8 +295,8 @@
   list_append (&prt->order, &record->node);
 }
 
-/* Records that the endpoint of EVENT ended.  Returns when: routers that are
-   behind notice it later than others.  */
+/* Records that the endpoint of EVENT ended.  Returns the time that was
+   recorded first: overloaded routers notice the end later than others.  */
 static cfd_time_t
 note_unexplained (prt_t *prt, const prt_event_t *event)
 {
@@ -462,8 +462,8 @@
   list_append (&prt->answered_order, &answered->node);
 }
 
-/* Tells the others that a part which ends count against was answered lately,
-   which only this router may know.  */
+/* Publishes that a part which ends count against was answered lately: this
+   router may be the only one to have seen it.  */
 static void
 publish_remembered (prt_t *prt, cfd_time_t now, uint64_t part)
 {
@@ -793,7 +793,7 @@
 /* Appends the parts that are quarantined, then those that another end may
    quarantine, the newest first.  */
 static void
-collect_kept (const prt_t *prt, bool is_active, guint limit, GArray *out)
+collect_unsettled (const prt_t *prt, bool is_active, guint limit, GArray *out)
 {
   for (const list_node_t *node = prt->order.prev;
        node != &prt->order && out->len + MAX_ENDS + 2 <= limit;
@@ -809,7 +809,7 @@
 
 GArray *
 prt_collect (prt_t *prt, cfd_time_t now, uint64_t *last,
-             cfd_time_t resent_since, bool with_kept)
+             cfd_time_t resent_since, bool with_unsettled)
 {
   GArray *out = g_array_new (FALSE, FALSE, sizeof (prt_event_t));
   guint limit;
@@ -825,11 +825,11 @@
       append_event (out, &update->event);
       *last = MAX (*last, update->number);
     }
-  limit = out->len + PRT_MAX_KEPT;
-  if (!with_kept)
+  limit = out->len + PRT_MAX_UNSETTLED;
+  if (!with_unsettled)
     return out;
-  collect_kept (prt, true, limit, out);
-  collect_kept (prt, false, limit, out);
+  collect_unsettled (prt, true, limit, out);
+  collect_unsettled (prt, false, limit, out);
   return out;
 }
 
--- a/libcoltsfootdrum/relay/prt.h
+++ b/libcoltsfootdrum/relay/prt.h
@@ -115,11 +115,11 @@
 
 /* Returns the events to send to the other routers, a prt_event_t each: this
    router's own since number *LAST, which is advanced, and from RESENT_SINCE
-   on.  WITH_KEPT: also those of parts that are quarantined or soon may be, for
-   routers that have just started.  Free with g_array_unref.  */
-#define PRT_MAX_KEPT 256u
+   on.  WITH_UNSETTLED: also those of parts that are quarantined or soon may
+   be, for routers that have just started.  Free with g_array_unref.  */
+#define PRT_MAX_UNSETTLED 256u
 GArray *prt_collect (prt_t *prt, cfd_time_t now, uint64_t *last,
-                     cfd_time_t resent_since, bool with_kept);
+                     cfd_time_t resent_since, bool with_unsettled);
 
 /* Removes what is too old to be needed.  */
 void prt_sweep (prt_t *prt, cfd_time_t now);
--- a/libcoltsfootdrum/relay/qua.c
+++ b/libcoltsfootdrum/relay/qua.c
@@ -17,7 +17,7 @@
 #define MAX_RECORDS 8192u
 /* For the other routers, a quarter of a datagram.  */
 #define MAX_UPDATES 768u
-/* Updates are kept for the intervals at which they are sent.  */
+/* Lifetime of updates: longer than the intervals at which they are sent.  */
 #define UPDATE_KEEP_MS 4000
 
 typedef struct
@@ -349,9 +349,9 @@
 
 /* Appends the requests that another end would quarantine, the newest first. */
 static void
-collect_kept (const qua_t *qua, GArray *out)
+collect_unsettled (const qua_t *qua, GArray *out)
 {
-  guint limit = out->len + QUA_MAX_KEPT;
+  guint limit = out->len + QUA_MAX_UNSETTLED;
 
   for (const list_node_t *node = qua->order.prev;
        node != &qua->order && out->len + MAX_EVENTS <= limit;
@@ -366,7 +366,7 @@
 
 GArray *
 qua_collect (qua_t *qua, cfd_time_t now, uint64_t *last,
-             cfd_time_t resent_since, bool with_kept)
+             cfd_time_t resent_since, bool with_unsettled)
 {
   GArray *out = g_array_new (FALSE, FALSE, sizeof (qua_event_t));
 
@@ -381,8 +381,8 @@
       g_array_append_val (out, update->event);
       *last = MAX (*last, update->number);
     }
-  if (with_kept)
-    collect_kept (qua, out);
+  if (with_unsettled)
+    collect_unsettled (qua, out);
   return out;
 }
 
--- a/libcoltsfootdrum/relay/qua.h
+++ b/libcoltsfootdrum/relay/qua.h
@@ -1,4 +1,4 @@
-/* Quarantine.  Knows under which requests endpoints ended, so that a request
+/* Quarantine.  Records under which requests endpoints ended, so that a request
    that ends each endpoint that runs it isn't sent again.
 
    Load pattern: a request makes the process of an endpoint end, and its caller
@@ -75,11 +75,11 @@
 
 /* Returns the events to send to the other routers, a qua_event_t each: this
    router's own since number *LAST, which is advanced, and from RESENT_SINCE
-   on.  WITH_KEPT: also the events of all requests that another end would
+   on.  WITH_UNSETTLED: also the events of all requests that another end would
    quarantine, for routers that have just started.  Free with g_array_unref. */
-#define QUA_MAX_KEPT 256u
+#define QUA_MAX_UNSETTLED 256u
 GArray *qua_collect (qua_t *qua, cfd_time_t now, uint64_t *last,
-                     cfd_time_t resent_since, bool with_kept);
+                     cfd_time_t resent_since, bool with_unsettled);
 
 /* Removes what is too old to be needed.  */
 void qua_sweep (qua_t *qua, cfd_time_t now);
--- a/libcoltsfootdrum/relay/rly-part.c
+++ b/libcoltsfootdrum/relay/rly-part.c
@@ -57,7 +57,7 @@
             g_array_index (request->parts, uint64_t, part), part, state.ends,
             now - state.last_at, state.left_ms);
   request->rly->counts.part_refused++;
-  /* It isn't to be preferred when it comes back.  */
+  /* Its retry gets no precedence.  */
   request->retry_key = 0;
   rly_refuse (request, now, "part-quarantined", state.left_ms);
 }
--- a/libcoltsfootdrum/relay/rly-quarantine.c
+++ b/libcoltsfootdrum/relay/rly-quarantine.c
@@ -43,7 +43,7 @@
             request->id, request->content_key, rly_get_account_name (request),
             state.ends, now - state.last_at, state.left_ms);
   rly->counts.quarantined++;
-  /* It isn't to be preferred when it comes back.  */
+  /* Its retry gets no precedence.  */
   request->retry_key = 0;
   rly_refuse (request, now, "quarantined", state.left_ms);
 }
--- a/libcoltsfootdrum/relay/test-prt.c
+++ b/libcoltsfootdrum/relay/test-prt.c
@@ -273,7 +273,7 @@
   g_assert_cmpuint (prt_count_active (prt), ==, 0);
 }
 
-/* Routers try at different times, and know of each other's trial.  */
+/* Routers send trials at different times, and learn of each other's.  */
 static void
 test_trials_spread (void)
 {
@@ -300,7 +300,7 @@
     }
 }
 
-/* What one router knows of answers, the others need before they judge.  */
+/* Answers at one router count at another before it decides.  */
 static void
 test_answers_elsewhere (void)
 {
@@ -368,7 +368,7 @@
   g_assert_cmpuint (prt_count (prt), <=, 4096);
   g_assert_true (is_quarantined (prt, get_time (3) + PRT_MIN_MS - 1, LETHAL));
   events = prt_collect (prt, now, &last, CFD_TIME_NEVER, true);
-  g_assert_cmpuint (events->len, <=, 768 + PRT_MAX_KEPT);
+  g_assert_cmpuint (events->len, <=, 768 + PRT_MAX_UNSETTLED);
   g_assert_true (g_array_index (events, prt_event_t, 0).part != 0);
 }
 
--- a/libcoltsfootdrum/relay/test-qua.c
+++ b/libcoltsfootdrum/relay/test-qua.c
@@ -255,7 +255,7 @@
   g_assert_cmpuint (qua_count (qua), <=, 8192);
   g_assert_true (is_active (qua, NOW + 3000));
   events = qua_collect (qua, NOW + 3000, &last, CFD_TIME_NEVER, true);
-  g_assert_cmpuint (events->len, <=, 768 + QUA_MAX_KEPT);
+  g_assert_cmpuint (events->len, <=, 768 + QUA_MAX_UNSETTLED);
 }
 
 int
--- a/tests/bench-parts.c
+++ b/tests/bench-parts.c
@@ -1,7 +1,7 @@
 /* Simulates fleets in which requests with one part in their prompts end
    endpoints, beside ends of other causes, and prints how many endpoints a
    lethal part ends until relay/prt.h finds it, and how many sound parts it
-   takes for lethal.  All routers are assumed to know the same.
+   takes for lethal.  All routers are assumed to have the same records.
 
    Usage: bench-parts [RUNS]  */
 
@@ -26,7 +26,7 @@
 #define FIRST_SIGMA 0.7
 #define NEXT_MS 40
 #define DOWN_MS 3500
-/* Routers notice an end at once, but for those that are behind.  */
+/* Routers notice an end at once, except overloaded ones.  */
 #define LATE_SHARE 0.1
 #define MAX_LATENESS_MS 200
 /* A request that broke is sent again once, after this time.  */
