Endpoints: log closed connections, start times and what was sent before a turn to cold

No decision changes. To tell a restart under the same id (connections close, and requests precede what is learned) from a turn to cold while an endpoint serves (none closes) and from too many routers that share the warm-up rate.

--- a/libcoltsfootdrum/relay/edp-break.c
+++ b/libcoltsfootdrum/relay/edp-break.c
@@ -15,6 +15,39 @@
 /* Time for the probe's connection to open.  */
 #define PROBE_TIMEOUT_MS 350
 
+/* Returns whether the endpoint closed several connections at once, and none
+   from before is open.  */
+static bool
+are_all_closed (const edp_t *edp)
+{
+  return edp->closing.count > 1
+         && !ups_has_connection_from_before (edp->ups, edp->closing.first_at);
+}
+
+static void
+on_connection_closed (void *user)
+{
+  edp_t *edp = user;
+  cfd_time_t now = clock_now ();
+
+  if (now - edp->closing.first_at > CLOSE_MS)
+    edp->closing = (edp_closing_t){ .first_at = now };
+  edp->closing.count++;
+  if (are_all_closed (edp))
+    log_info ("endpoints",
+              "All connections to an endpoint were closed: endpoint=%s "
+              "connections=%u active=%u peers=%u sent=%u cold=%d.",
+              edp->report->id, edp->closing.count, edp->active,
+              edp->peer_active, edp_count_recent_sends (edp, now),
+              edp_is_cold (edp, now));
+}
+
+void
+edp_watch_connections (edp_t *edp)
+{
+  ups_set_closed_callback (edp->ups, on_connection_closed, edp);
+}
+
 bool
 edp_is_break_pending (const edp_t *edp)
 {
--- a/libcoltsfootdrum/relay/edp-cold.c
+++ b/libcoltsfootdrum/relay/edp-cold.c
@@ -4,6 +4,19 @@
 
 #include "base/log.h"
 
+#define SENDS_SPAN_MS 1000
+
+unsigned
+edp_count_recent_sends (const edp_t *edp, cfd_time_t now)
+{
+  int64_t age_ms = now - edp->sends.since;
+
+  if (age_ms >= 2 * SENDS_SPAN_MS)
+    return 0;
+  return edp->sends.present
+         + (age_ms < SENDS_SPAN_MS ? edp->sends.previous : 0);
+}
+
 /* Records that EDP is cold for COLD_MS from now on.  */
 void
 edp_set_cold (edp_t *edp, cfd_time_t now, int64_t cold_ms, const char *cause)
@@ -14,10 +27,12 @@
     log_info ("endpoints",
               "An endpoint is cold: endpoint=%s service=%s zone=%s "
               "cold_ms=%" G_GINT64_FORMAT " cause=%s "
-              "revision=%" G_GINT64_FORMAT " active=%u peers=%u withdrawn=%d.",
+              "revision=%" G_GINT64_FORMAT
+              " active=%u peers=%u sent=%u withdrawn=%d.",
               edp->report->id, edp->report->service, edp->report->zone,
               cold_ms, cause, edp->report->revision, edp->active,
-              edp->peer_active, edp->withdrawn);
+              edp->peer_active, edp_count_recent_sends (edp, now),
+              edp->withdrawn);
   edp->cold_until = now + cold_ms;
 }
 
@@ -142,9 +157,23 @@
   return edp->cold_tokens >= 1.;
 }
 
+static void
+count_send (edp_sends_t *sends, cfd_time_t now)
+{
+  int64_t age_ms = now - sends->since;
+
+  if (age_ms >= SENDS_SPAN_MS)
+    *sends = (edp_sends_t){
+      .since = now,
+      .previous = age_ms < 2 * SENDS_SPAN_MS ? sends->present : 0
+    };
+  sends->present++;
+}
+
 void
-edp_count_cold_request (edp_t *edp, cfd_time_t now)
+edp_count_request (edp_t *edp, cfd_time_t now)
 {
+  count_send (&edp->sends, now);
   if (!edp_is_cold (edp, now))
     return;
   edp->cold_tokens -= 1.;
--- a/libcoltsfootdrum/relay/edp-private.h
+++ b/libcoltsfootdrum/relay/edp-private.h
@@ -52,6 +52,9 @@
                    const char *cause);
 /* Records that EDP, of SET, may have turned cold by NOW.  */
 void edp_suspect_cold (edp_set_t *set, edp_t *edp, cfd_time_t now);
+/* Returns how many requests this router sent to EDP in the last one to two
+   seconds.  */
+unsigned edp_count_recent_sends (const edp_t *edp, cfd_time_t now);
 /* Logs that COUNT endpoints are suspected for CAUSE.  */
 void edp_log_suspected (const char *cause, unsigned count);
 
@@ -60,6 +63,8 @@
 void edp_expire_check (edp_t *edp, cfd_time_t now);
 
 /* edp-break.c */
+/* Sets up EDP so that closed connections are noticed.  */
+void edp_watch_connections (edp_t *edp);
 /* Ends what is pending about EDP, which is no longer listed or is freed.  */
 void edp_settle_break (edp_t *edp, bool has_ended, const char *evidence);
 
--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -172,6 +172,7 @@
   if (!set->is_verified)
     edp_suspect_cold (set, edp, now);
   edp->ups = ups_new (set->loop, &addr);
+  edp_watch_connections (edp);
   edp->unlisted_since = CFD_TIME_NEVER;
   edp->listed_revision = report->revision;
   edp->withdrawn = is_zone_out (set, report->zone);
@@ -188,10 +189,11 @@
   g_hash_table_replace (set->by_hash, &edp->hash, edp);
   log_info ("endpoints",
             "An endpoint is listed: endpoint=%s service=%s zone=%s "
-            "address=%s version=%s slots=%u cold_ms=%" G_GINT64_FORMAT ".",
+            "address=%s version=%s slots=%u cold_ms=%" G_GINT64_FORMAT
+            " started_ms=%" G_GINT64_FORMAT ".",
             report->id, report->service, report->zone, report->address,
             report->version != NULL ? report->version : "", report->slots,
-            report->cold_ms);
+            report->cold_ms, report->started_ms);
   return edp;
 }
 
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -79,6 +79,22 @@
   cfd_time_t probed_at;
 } edp_break_t;
 
+/* Connections of an endpoint that it closed or reset one shortly after the
+   other.  */
+typedef struct
+{
+  cfd_time_t first_at;
+  unsigned count;
+} edp_closing_t;
+
+/* Requests that this router sent to an endpoint, by spans of a second.  */
+typedef struct
+{
+  cfd_time_t since; /* the start of the present span */
+  unsigned present;
+  unsigned previous;
+} edp_sends_t;
+
 /* Called when it is known whether the process of EDP, whose exchanges broke
    from FIRST_AT on, HAS_ENDED.  */
 typedef void (*edp_break_callback_t) (void *user, edp_t *edp, bool has_ended,
@@ -111,6 +127,8 @@
   cfd_time_t suspected_cold_at;
   edp_check_t check;
   edp_break_t broken;
+  edp_closing_t closing;
+  edp_sends_t sends;
 
   /* Load of this router.  */
   unsigned active;        /* running requests */
@@ -264,8 +282,8 @@
    second from all routers together and crashes well above that rate.  PER_S is
    this router's part of the rate.  */
 bool edp_allows_request (edp_t *edp, cfd_time_t now, double per_s);
-/* Counts a request that was sent against the warm-up rate limit.  */
-void edp_count_cold_request (edp_t *edp, cfd_time_t now);
+/* Counts a request that was sent, also against the warm-up rate limit.  */
+void edp_count_request (edp_t *edp, cfd_time_t now);
 
 /* Record the outcome of an exchange.  */
 void edp_record_failure (edp_t *edp, cfd_time_t now);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -233,7 +233,7 @@
   edp->pending_prefill += request->pending_prefill;
   edp->context_tokens += request->context_tokens;
   rly->counts.cold_requests += edp_is_cold (edp, now);
-  edp_count_cold_request (edp, now);
+  edp_count_request (edp, now);
   edp_set_note_changed (rly->endpoints, edp);
   rly_note_trial (request, now);
   rly_count_rollout_send (request, now);
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -86,7 +86,7 @@
   for (cfd_time_t now = NOW; now < NOW + 2000; now += 5)
     if (edp_allows_request (edp, now, 4.))
       {
-        edp_count_cold_request (edp, now);
+        edp_count_request (edp, now);
         sent++;
       }
   g_assert_cmpuint (sent, >=, 7);
@@ -324,7 +324,7 @@
       for (unsigned ms = 0; ms < COLD_MS; ms++)
         if (edp_allows_request (edp, NOW + ms, rate))
           {
-            edp_count_cold_request (edp, NOW + ms);
+            edp_count_request (edp, NOW + ms);
             sent[ms]++;
           }
       edp_set_free (set);
@@ -520,7 +520,7 @@
                    NOW + 3000);
   g_assert_true (edp_is_open (edp, NOW + 3000));
   g_assert_true (edp_allows_request (edp, NOW + 3000, 4.));
-  edp_count_cold_request (edp, NOW + 3000);
+  edp_count_request (edp, NOW + 3000);
   g_assert_false (edp_allows_request (edp, NOW + 3100, 4.));
   /* The process that asked may be the new one, started before it is listed. */
   update (set, NOW + 400, report ("e1", 2, 0), true);
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -27,6 +27,8 @@
   list_node_t used;
   unsigned connection_count;
   uint64_t connects;
+  void (*on_closed) (void *user); /* may be NULL */
+  void *closed_user;
 };
 
 typedef struct
@@ -246,12 +248,15 @@
 on_ended (void *user, con_end_t end)
 {
   ups_connection_t *connection = user;
+  ups_t *ups = connection->ups;
 
   connection->in_callback = true;
   if (connection->exchange != NULL)
     end_exchange (connection, classify_end (connection, end));
   connection->in_callback = false;
   connection_free (connection);
+  if (end != CON_END_CONNECT_FAILED && ups->on_closed != NULL)
+    ups->on_closed (ups->closed_user);
 }
 
 static const con_ops_t connection_ops
@@ -305,6 +310,13 @@
   return ups;
 }
 
+void
+ups_set_closed_callback (ups_t *ups, void (*callback) (void *user), void *user)
+{
+  ups->on_closed = callback;
+  ups->closed_user = user;
+}
+
 static void
 free_connections (list_node_t *connections)
 {
--- a/libcoltsfootdrum/relay/ups.h
+++ b/libcoltsfootdrum/relay/ups.h
@@ -57,6 +57,11 @@
 /* Closes all connections.  Callbacks of pending exchanges are not called.  */
 void ups_free (ups_t *ups);
 
+/* Sets a function that is called after the other side closed or reset an
+   established connection, idle or not.  It must not free UPS.  */
+void ups_set_closed_callback (ups_t *ups, void (*callback) (void *user),
+                              void *user);
+
 /* Sends REQUEST on an idle or a new connection.  Returns NULL when no
    connection can be started.  The callbacks are called only after it has
    returned.  */
