--- a/libcoltsfootdrum/relay/edp-cold.c
+++ b/libcoltsfootdrum/relay/edp-cold.c
@@ -164,8 +164,7 @@
 
   if (age_ms >= SENDS_SPAN_MS)
     *sends = (edp_sends_t){
-      .since = now,
-      .previous = age_ms < 2 * SENDS_SPAN_MS ? sends->present : 0
+      .since = now, .previous = age_ms < 2 * SENDS_SPAN_MS ? sends->present : 0
     };
   sends->present++;
 }
