Endpoints: the age of a proof of warmth is bounded

What callers saw: an endpoint that starts again under its id and address, or turns cold while it serves, gets 44 to 56 requests in one second where 39 are allowed, and may end under them.

Cause: warmth is concluded from knowledge older than the event. The entry of an endpoint tells of a turn to cold a heartbeat and a read later, and until then it counts as warm, however its connections ended. A process that is back at once isn't even found to have ended, since the probe connects.

One router of each cell asks each endpoint by a health check every 0.4 s, not only while no list can be read. Closed or refused connections limit an endpoint at once; its own answer ends that, not a list, which may have the report of the process that ended. Once an endpoint is found to be cold, three routers ask the others at once: the one that asks may be gone, and the load moves to those that count as warm. The warm-up bucket is empty when an endpoint turns cold in service.

--- a/libcoltsfootdrum/relay/edp-break.c
+++ b/libcoltsfootdrum/relay/edp-break.c
@@ -1,5 +1,5 @@
 /* Endpoints: whether the process of an endpoint has ended when exchanges with
-   it broke.
+   it broke or it closed its connections.
 
    A single answer may be lost while the endpoint serves others.  A process
    that ends closes all of its connections, and a new one is refused.  */
@@ -14,32 +14,23 @@
 #define CLOSE_MS 100
 /* Time for the probe's connection to open.  */
 #define PROBE_TIMEOUT_MS 350
+/* Endpoints may close connections that were idle for longer.  */
+#define MAX_ACTIVE_IDLE_MS 100
 
-/* Returns whether the endpoint closed several connections at once, and none
-   from before is open.  */
-static bool
-are_all_closed (const edp_t *edp)
-{
-  return edp->closing.count > 1
-         && !ups_has_connection_from_before (edp->ups, edp->closing.first_at);
-}
-
+/* Called when EDP closed a connection that was idle for IDLE_MS.  */
 static void
-on_connection_closed (void *user)
+on_connection_closed (void *user, int64_t idle_ms)
 {
   edp_t *edp = user;
+  edp_closing_t *closing = &edp->closing;
   cfd_time_t now = clock_now ();
 
-  if (now - edp->closing.first_at > CLOSE_MS)
-    edp->closing = (edp_closing_t){ .first_at = now };
-  edp->closing.count++;
-  if (are_all_closed (edp))
-    log_info ("endpoints",
-              "All connections to an endpoint were closed: endpoint=%s "
-              "connections=%u active=%u peers=%u sent=%u cold=%d.",
-              edp->report->id, edp->closing.count, edp->active,
-              edp->peer_active, edp_count_recent_sends (edp, now),
-              edp_is_cold (edp, now));
+  if (now - closing->first_at > CLOSE_MS)
+    *closing = (edp_closing_t){ .first_at = now };
+  closing->was_active |= idle_ms < MAX_ACTIVE_IDLE_MS;
+  if (closing->was_active
+      && !ups_has_connection_from_before (edp->ups, closing->first_at))
+    edp_suspect_ended (edp, now, "closed");
 }
 
 void
@@ -57,7 +48,7 @@
 void
 edp_settle_break (edp_t *edp, bool has_ended, const char *evidence)
 {
-  edp_set_t *set = edp->broken.set;
+  edp_set_t *set = edp->set;
   cfd_time_t first_at = edp->broken.first_at;
 
   if (!edp_is_break_pending (edp))
@@ -77,6 +68,14 @@
     set->on_break (set->break_user, edp, has_ended, first_at);
 }
 
+/* No connection survived, and a new one can't be opened.  */
+static void
+settle_ended (edp_t *edp, const char *evidence)
+{
+  edp_suspect_ended (edp, clock_now (), evidence);
+  edp_settle_break (edp, true, evidence);
+}
+
 static void
 on_probe_connected (void *user)
 {
@@ -91,7 +90,10 @@
 static void
 on_probe_ended (void *user, con_end_t end)
 {
-  edp_settle_break (user, end == CON_END_CONNECT_FAILED, "refused");
+  if (end == CON_END_CONNECT_FAILED)
+    settle_ended (user, "refused");
+  else
+    edp_settle_break (user, false, "connected");
 }
 
 static void
@@ -105,7 +107,7 @@
 
   broken->probed_at = now;
   if (addr_parse (edp->report->address, &addr, NULL))
-    broken->probe = con_new_outbound (broken->set->loop, &addr, &ops, edp);
+    broken->probe = con_new_outbound (edp->set->loop, &addr, &ops, edp);
   if (broken->probe == NULL)
     edp_settle_break (edp, false, "no-probe");
 }
@@ -118,7 +120,7 @@
   if (broken->probe != NULL)
     {
       if (now - broken->probed_at > PROBE_TIMEOUT_MS)
-        edp_settle_break (edp, true, "unanswered");
+        settle_ended (edp, "unanswered");
     }
   else if (broken->is_silent
            || !ups_has_connection_from_before (edp->ups, broken->first_at))
@@ -155,13 +157,20 @@
 
   if (!edp_is_break_pending (edp))
     {
-      *broken = (edp_break_t){ .set = set, .first_at = now };
+      *broken = (edp_break_t){ .first_at = now };
       set->breaks_pending++;
     }
   broken->last_at = now;
   broken->is_silent |= is_silent;
 }
 
+void
+edp_note_unreachable (edp_t *edp, cfd_time_t now)
+{
+  if (!ups_has_connection_from_before (edp->ups, now))
+    edp_suspect_ended (edp, now, "unreachable");
+}
+
 void
 edp_set_set_break_callback (edp_set_t *set, edp_break_callback_t callback,
                             void *user)
--- a/libcoltsfootdrum/relay/edp-check.c
+++ b/libcoltsfootdrum/relay/edp-check.c
@@ -1,30 +1,46 @@
 /* Endpoints: health checks, by which routers learn from the endpoints
-   themselves whether they are cold, while the platform's list can't be read.
- */
+   themselves whether they are cold.  */
 
 #include "relay/edp-private.h"
 
 #include "base/log.h"
 #include "relay/cold.h"
 
-#define CHECK_INTERVAL_MS 400
 #define CHECK_TIMEOUT_MS 1000
 /* Time for which an endpoint that is ill, or whose address another one has,
-   counts as cold: until the answer to the next check is due.  */
-#define ILL_MS (2 * CHECK_INTERVAL_MS)
+   counts as cold while the list is old: until the answer to the next check is
+   due.  */
+#define ILL_MS (2 * WRM_ASK_INTERVAL_MS)
 #define STATUS_OK 200
 
-/* Returns how long the endpoint that was asked stays cold, by its answer.  */
+/* Returns how long the endpoint that was asked stays cold, by its answer; -1:
+   the answer doesn't tell.  */
 static int64_t
 read_cold_ms (const edp_t *edp, const rd_head_t *head)
 {
   const edp_check_options_t *options = edp->check.options;
   const char *id = hdr_get (&head->fields, options->endpoint_id);
   const char *cold_ms = hdr_get (&head->fields, options->cold_ms);
+  int64_t warm_up_ms = edp->warmth.warm_up_ms;
 
-  if (head->status != STATUS_OK || g_strcmp0 (id, edp->report->id) != 0)
-    return MIN (ILL_MS, edp->warm_up_ms);
-  return (int64_t)hdr_parse_number (cold_ms, (double)edp->warm_up_ms, 0.);
+  if (hdr_get (&head->fields, options->not_run) != NULL)
+    return -1;
+  if (head->status == STATUS_OK && g_strcmp0 (id, edp->report->id) == 0)
+    return (int64_t)hdr_parse_number (cold_ms, (double)warm_up_ms, 0.);
+  return edp->set->is_list_old ? MIN (ILL_MS, warm_up_ms) : -1;
+}
+
+/* Has the other endpoints asked too, at most once an interval.  */
+static void
+alert_all (edp_set_t *set, cfd_time_t now)
+{
+  if (now - set->alerted_at < WRM_ASK_INTERVAL_MS)
+    return;
+  set->alerted_at = now;
+  list_for_each (node, &set->list)
+    {
+      wrm_alert (&list_entry (node, edp_t, node)->warmth, now);
+    }
 }
 
 static void
@@ -32,19 +48,25 @@
 {
   edp_t *edp = user;
   cfd_time_t now = clock_now ();
-  int64_t cold_ms;
+  int64_t cold_ms = read_cold_ms (edp, head);
+  bool was_cold = edp_is_cold (edp, now);
 
-  if (hdr_get (&head->fields, edp->check.options->not_run) != NULL)
+  if (cold_ms < 0)
     return;
-  cold_ms = read_cold_ms (edp, head);
-  edp->check.cold_until = now + cold_ms;
+  if (edp_set_cold (edp, now, cold_ms, "health-check"))
+    alert_all (edp->set, now);
+  if (wrm_note_answer (&edp->warmth, now, cold_ms))
+    log_info ("endpoints",
+              "An endpoint said whether it is cold: endpoint=%s "
+              "cold_ms=%" G_GINT64_FORMAT " after_ms=%" G_GINT64_FORMAT ".",
+              edp->report->id, cold_ms, now - edp->warmth.suspected_at);
   if (cold_ms == 0)
     return;
   /* Until it is computed.  */
-  if (!edp_is_cold (edp, now))
+  if (!was_cold)
     edp->cold_rank = COLD_RANK_UNKNOWN;
-  edp_set_cold (edp, now, cold_ms, "health-check");
-  edp_set_note_changed (edp->check.set, edp);
+  edp->set->has_newly_cold = true;
+  edp_set_note_changed (edp->set, edp);
 }
 
 static void
@@ -55,7 +77,11 @@
 static void
 on_ended (void *user, ups_end_t end)
 {
-  ((edp_t *)user)->check.exchange = NULL;
+  edp_t *edp = user;
+
+  edp->check.exchange = NULL;
+  if (end == UPS_CONNECT_FAILED)
+    edp_note_unreachable (edp, clock_now ());
 }
 
 static void
@@ -74,41 +100,59 @@
                           edp->report->address);
   request.bytes = text;
   request.length = strlen (text);
-  edp->check.set = set;
   edp->check.options = options;
   edp->check.sent_at = now;
+  wrm_note_asked (&edp->warmth, now);
   edp->check.exchange = ups_send (edp->ups, now, &request, &ops, edp);
   set->checks_sent++;
 }
 
+void
+edp_cancel_check (edp_t *edp)
+{
+  if (edp->check.exchange != NULL)
+    ups_cancel (edp->check.exchange);
+  edp->check.exchange = NULL;
+}
+
 void
 edp_expire_check (edp_t *edp, cfd_time_t now)
 {
+  bool is_connected;
+
   if (edp->check.exchange == NULL
       || now - edp->check.sent_at <= CHECK_TIMEOUT_MS)
     return;
-  ups_cancel (edp->check.exchange);
-  edp->check.exchange = NULL;
+  is_connected = ups_is_connected (edp->check.exchange);
+  edp_cancel_check (edp);
+  if (!is_connected)
+    edp_note_unreachable (edp, now);
 }
 
+/* Returns whether EDP can be asked, and it may be this router's turn.  */
 static bool
-is_due (const edp_t *edp, cfd_time_t now)
+is_considered (const edp_t *edp, cfd_time_t now)
 {
-  return edp->warm_up_ms > 0 && edp->is_near && !edp->withdrawn
-         && !edp->report->leaving && edp->check.exchange == NULL
-         && (edp->check.sent_at == CFD_TIME_NEVER
-             || now - edp->check.sent_at >= CHECK_INTERVAL_MS);
+  return edp->warmth.warm_up_ms > 0 && edp->is_near && edp_is_usable (edp)
+         && !edp_is_resting (edp, now) && edp->check.exchange == NULL
+         && (wrm_is_urgent (&edp->warmth, now)
+             || now - edp->check.considered_at >= WRM_ASK_INTERVAL_MS);
 }
 
 void
 edp_set_check_health (edp_set_t *set, cfd_time_t now,
-                      const edp_check_options_t *options)
+                      const edp_check_options_t *options, bool is_old)
 {
+  set->is_list_old = is_old;
   list_for_each (node, &set->list)
     {
       edp_t *edp = list_entry (node, edp_t, node);
 
-      if (is_due (edp, now) && options->is_checked (options->user, edp))
+      if (!is_considered (edp, now))
+        continue;
+      edp->check.considered_at = now;
+      if (wrm_must_ask (&edp->warmth, now,
+                        options->get_rank (options->user, edp)))
         send_check (set, edp, now, options);
     }
 }
@@ -116,7 +160,7 @@
 int64_t
 edp_get_found_cold_ms (const edp_t *edp, cfd_time_t now)
 {
-  return MAX (edp->check.cold_until - now, 0);
+  return MAX (edp->warmth.found_cold_until - now, 0);
 }
 
 void
@@ -125,8 +169,10 @@
 {
   edp_t *edp = edp_set_find_by_hash (set, hash);
 
-  if (edp != NULL)
-    edp_set_cold (edp, now, MIN (cold_ms, edp->warm_up_ms), "peer");
+  if (edp != NULL
+      && edp_set_cold (edp, now, MIN (cold_ms, edp->warmth.warm_up_ms),
+                       "peer"))
+    alert_all (set, now);
 }
 
 uint64_t
--- a/libcoltsfootdrum/relay/edp-cold.c
+++ b/libcoltsfootdrum/relay/edp-cold.c
@@ -3,6 +3,7 @@
 #include "relay/edp-private.h"
 
 #include "base/log.h"
+#include "relay/cold.h"
 
 #define SENDS_SPAN_MS 1000
 
@@ -17,32 +18,77 @@
          + (age_ms < SENDS_SPAN_MS ? edp->sends.previous : 0);
 }
 
-/* Records that EDP is cold for COLD_MS from now on.  */
-void
+/* Begins the warm-up rate limit of an endpoint that was used at the full rate.
+ */
+static void
+empty_bucket (edp_t *edp, cfd_time_t now)
+{
+  edp->cold_tokens = 0.;
+  edp->cold_refilled_at = now;
+}
+
+bool
 edp_set_cold (edp_t *edp, cfd_time_t now, int64_t cold_ms, const char *cause)
 {
-  if (cold_ms <= 0 || now + cold_ms <= edp->cold_until)
-    return;
-  if (now >= edp->cold_until)
-    log_info ("endpoints",
-              "An endpoint is cold: endpoint=%s service=%s zone=%s "
-              "cold_ms=%" G_GINT64_FORMAT " cause=%s "
-              "revision=%" G_GINT64_FORMAT
-              " active=%u peers=%u sent=%u withdrawn=%d.",
-              edp->report->id, edp->report->service, edp->report->zone,
-              cold_ms, cause, edp->report->revision, edp->active,
-              edp->peer_active, edp_count_recent_sends (edp, now),
-              edp->withdrawn);
-  edp->cold_until = now + cold_ms;
+  bool was_cold = edp_is_cold (edp, now);
+  bool was_known_cold = now < edp->warmth.cold_until;
+
+  if (!wrm_set_cold (&edp->warmth, now, cold_ms))
+    return false;
+  if (!was_cold)
+    empty_bucket (edp, now);
+  if (was_known_cold)
+    return false;
+  log_info ("endpoints",
+            "An endpoint is cold: endpoint=%s service=%s zone=%s "
+            "cold_ms=%" G_GINT64_FORMAT " cause=%s "
+            "revision=%" G_GINT64_FORMAT
+            " active=%u peers=%u sent=%u withdrawn=%d.",
+            edp->report->id, edp->report->service, edp->report->zone, cold_ms,
+            cause, edp->report->revision, edp->active, edp->peer_active,
+            edp_count_recent_sends (edp, now), edp->withdrawn);
+  return true;
 }
 
 void
 edp_suspect_cold (edp_set_t *set, edp_t *edp, cfd_time_t now)
 {
-  edp->suspected_cold_at = now;
+  wrm_suspect (&edp->warmth, now, WRM_UNCONFIRMED);
   set->has_suspected = true;
 }
 
+void
+edp_suspect_ended (edp_t *edp, cfd_time_t now, const char *evidence)
+{
+  bool was_cold = edp_is_cold (edp, now);
+
+  if (edp->warmth.warm_up_ms == 0
+      || !wrm_suspect (&edp->warmth, now, WRM_ENDED))
+    return;
+  edp_cancel_check (edp);
+  edp->set->has_newly_cold = true;
+  if (!was_cold)
+    {
+      empty_bucket (edp, now);
+      /* Until it is computed.  */
+      edp->cold_rank = COLD_RANK_UNKNOWN;
+    }
+  log_info ("endpoints",
+            "An endpoint may have started again: endpoint=%s evidence=%s "
+            "connections=%u active=%u peers=%u sent=%u.",
+            edp->report->id, evidence, ups_count_connections (edp->ups),
+            edp->active, edp->peer_active, edp_count_recent_sends (edp, now));
+}
+
+bool
+edp_set_take_newly_cold (edp_set_t *set)
+{
+  bool has_newly_cold = set->has_newly_cold;
+
+  set->has_newly_cold = false;
+  return has_newly_cold;
+}
+
 void
 edp_log_suspected (const char *cause, unsigned count)
 {
@@ -81,15 +127,15 @@
     {
       edp_t *edp = list_entry (node, edp_t, node);
 
-      if (edp->suspected_cold_at == CFD_TIME_NEVER)
+      if (edp->warmth.suspicion != WRM_UNCONFIRMED)
         continue;
-      if (current_at < edp->suspected_cold_at)
+      if (!wrm_confirm (&edp->warmth, current_at))
         {
           result->left++;
           continue;
         }
-      result->after_ms = MAX (result->after_ms, now - edp->suspected_cold_at);
-      edp->suspected_cold_at = CFD_TIME_NEVER;
+      result->after_ms
+          = MAX (result->after_ms, now - edp->warmth.suspected_at);
       result->verified++;
       result->cold += edp_is_cold (edp, now);
     }
@@ -122,7 +168,7 @@
     {
       edp_t *edp = list_entry (node, edp_t, node);
 
-      edp->warm_up_ms = get_ms (user, edp->report->service);
+      edp->warmth.warm_up_ms = get_ms (user, edp->report->service);
     }
 }
 
@@ -138,9 +184,7 @@
 bool
 edp_is_cold (const edp_t *edp, cfd_time_t now)
 {
-  return now < edp->cold_until
-         || (edp->suspected_cold_at != CFD_TIME_NEVER
-             && now < edp->suspected_cold_at + edp->warm_up_ms);
+  return wrm_is_cold (&edp->warmth, now);
 }
 
 bool
--- a/libcoltsfootdrum/relay/edp-private.h
+++ b/libcoltsfootdrum/relay/edp-private.h
@@ -35,7 +35,10 @@
   bool has_changed; /* the load on an endpoint, since it was last sent */
   GStrv zones_out;  /* availability zones out of service */
   bool is_verified; /* a list has been current as of a time after the start */
-  bool has_suspected; /* an endpoint may be suspected to be cold */
+  bool has_suspected;    /* an endpoint may be suspected to be cold */
+  bool has_newly_cold;   /* see edp_set_take_newly_cold */
+  bool is_list_old;      /* see edp_set_check_health */
+  cfd_time_t alerted_at; /* see wrm_alert */
   uint64_t checks_sent;
   unsigned breaks_pending;
   uint64_t ended;                /* processes, see edp_set_count_ended */
@@ -43,22 +46,31 @@
   void *break_user;
 };
 
+/* edp.c: returns whether EDP is to get requests at all, at some time.  */
+bool edp_is_usable (const edp_t *edp);
+
 /* Largest burst that one router sends to a cold endpoint.  */
 #define EDP_COLD_BURST 1.
 
 /* edp-cold.c */
-/* Records that EDP is cold for COLD_MS from now on.  */
-void edp_set_cold (edp_t *edp, cfd_time_t now, int64_t cold_ms,
+/* Records that EDP is cold for COLD_MS from now on.  Returns whether it wasn't
+   known to be cold.  */
+bool edp_set_cold (edp_t *edp, cfd_time_t now, int64_t cold_ms,
                    const char *cause);
 /* Records that EDP, of SET, may have turned cold by NOW.  */
 void edp_suspect_cold (edp_set_t *set, edp_t *edp, cfd_time_t now);
 /* Returns how many requests this router sent to EDP in the last one to two
    seconds.  */
 unsigned edp_count_recent_sends (const edp_t *edp, cfd_time_t now);
+/* Records, and logs, EVIDENCE that the process of EDP may have ended and
+   another one started in its place.  */
+void edp_suspect_ended (edp_t *edp, cfd_time_t now, const char *evidence);
 /* Logs that COUNT endpoints are suspected for CAUSE.  */
 void edp_log_suspected (const char *cause, unsigned count);
 
 /* edp-check.c */
+/* Gives up the health check of EDP, if there is one.  */
+void edp_cancel_check (edp_t *edp);
 /* Gives up a health check that takes too long.  */
 void edp_expire_check (edp_t *edp, cfd_time_t now);
 
--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -165,9 +165,9 @@
                                     (uint64_t)report->started_ms)
               & HASH_MASK;
   edp->origin = org_hash (report->service, report->version);
+  edp->set = set;
   edp->cold_tokens = EDP_COLD_BURST;
-  edp->suspected_cold_at = CFD_TIME_NEVER;
-  edp->check.sent_at = CFD_TIME_NEVER;
+  wrm_init (&edp->warmth);
   edp->broken.first_at = CFD_TIME_NEVER;
   if (!set->is_verified)
     edp_suspect_cold (set, edp, now);
@@ -216,6 +216,7 @@
               int64_t cold_ms, bool is_first_list)
 {
   edp_t *edp = g_hash_table_lookup (set->by_id, report->id);
+  bool was_known = edp != NULL;
   bool is_new = edp == NULL || is_different_process (edp->report, report);
   int64_t cold = report->cold_ms;
   /* The new process may have asked for it before it was listed.  */
@@ -237,6 +238,8 @@
     edp_record_rest (edp, now, rest_ms);
   edp->listed_in = set->list_number;
   edp_set_cold (edp, now, cold, is_new ? "listed" : "report");
+  if (is_new && !was_known)
+    edp->cold_tokens = EDP_COLD_BURST;
 }
 
 static void
@@ -413,9 +416,8 @@
   return set->unlisted > 0;
 }
 
-/* Returns whether EDP is to get requests at all, at some time.  */
-static bool
-is_usable (const edp_t *edp)
+bool
+edp_is_usable (const edp_t *edp)
 {
   return (edp->standing == EDP_CURRENT || edp->standing == EDP_CANARY)
          && !edp->report->leaving && !edp->has_announced_leaving
@@ -432,7 +434,7 @@
     {
       const edp_t *edp = g_ptr_array_index (near, i);
 
-      if (edp->origin == origin && is_usable (edp))
+      if (edp->origin == origin && edp_is_usable (edp))
         return true;
     }
   return false;
@@ -441,7 +443,7 @@
 bool
 edp_is_serving (const edp_t *edp, cfd_time_t now)
 {
-  return is_usable (edp) && now >= edp->backoff_until
+  return edp_is_usable (edp) && now >= edp->backoff_until
          && now >= edp->rest_until;
 }
 
@@ -524,7 +526,7 @@
     {
       const edp_t *edp = g_ptr_array_index (all, i);
 
-      if (is_usable (edp))
+      if (edp_is_usable (edp))
         first = MIN (first, edp->rest_until);
     }
   return first == CFD_TIME_NEVER ? now : MAX (first, now);
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -10,6 +10,7 @@
 #include "relay/con.h"
 #include "relay/org.h"
 #include "relay/ups.h"
+#include "relay/wrm.h"
 
 /* The platform's report about one endpoint.  */
 typedef struct
@@ -52,8 +53,8 @@
   const char *not_run;     /* field of a rejection for want of capacity */
   /* Returns the path of SERVICE; NULL: it has none.  */
   const char *(*get_path) (void *user, const char *service);
-  /* Returns whether it is this router that checks EDP.  */
-  bool (*is_checked) (void *user, const edp_t *edp);
+  /* Returns the number of routers that rank before this one to check EDP.  */
+  unsigned (*get_rank) (void *user, const edp_t *edp);
   void *user;
 } edp_check_options_t;
 
@@ -61,17 +62,15 @@
 typedef struct
 {
   const edp_check_options_t *options;
-  edp_set_t *set;           /* of the endpoint */
   ups_exchange_t *exchange; /* NULL: it has ended */
-  cfd_time_t sent_at;       /* CFD_TIME_NEVER: none was sent */
-  cfd_time_t cold_until;    /* as it found */
+  cfd_time_t sent_at;
+  cfd_time_t considered_at; /* whether this router sends it */
 } edp_check_t;
 
 /* Exchanges with an endpoint that broke, until it is known whether its process
    has ended.  */
 typedef struct
 {
-  edp_set_t *set;
   cfd_time_t first_at; /* CFD_TIME_NEVER: there are none */
   cfd_time_t last_at;
   bool is_silent; /* open connections don't show that the process runs */
@@ -84,7 +83,7 @@
 typedef struct
 {
   cfd_time_t first_at;
-  unsigned count;
+  bool was_active; /* one of them was in use, or a moment before */
 } edp_closing_t;
 
 /* Requests that this router sent to an endpoint, by spans of a second.  */
@@ -103,6 +102,7 @@
 struct edp
 {
   list_node_t node;
+  edp_set_t *set;
   edp_report_t *report;
   uint64_t hash;       /* of its id and start time */
   org_origin_t origin; /* of the streams that it begins */
@@ -117,14 +117,10 @@
   int64_t listed_revision; /* of the store, at its first listing */
   bool is_verified;        /* no order named its version when it was listed */
   cfd_time_t unlisted_since; /* CFD_TIME_NEVER while it is listed */
-  cfd_time_t cold_until;
+  wrm_t warmth;
   double cold_tokens; /* token bucket of the warm-up rate limit */
   unsigned cold_rank; /* this router's rank among those that share the rate */
   cfd_time_t cold_refilled_at;
-  int64_t warm_up_ms; /* that a start or return takes; 0: it is never cold */
-  /* By when it may have turned cold without a report here, see
-     edp_set_suspect_cold; CFD_TIME_NEVER: it is not suspected.  */
-  cfd_time_t suspected_cold_at;
   edp_check_t check;
   edp_break_t broken;
   edp_closing_t closing;
@@ -217,14 +213,16 @@
                                                 const char *service),
                              void *user);
 
-/* To be called while the platform's list is old, so that it can't tell which
-   endpoints are cold.  Sends the health checks that are due; OPTIONS must stay
-   valid.  An endpoint that answers that it is cold is cold for so long; one
-   that is ill, or whose address another one has, until the next check.  One
-   that doesn't answer or rejects the check has no free slot, and is left as it
-   is.  */
+/* Sends the health checks that are due (relay/wrm.h); OPTIONS must stay valid.
+   An endpoint that answers that it is cold is cold for so long.  While the
+   platform's list IS_OLD, so is one that is ill, or whose address another one
+   has, until the next check.  One that doesn't answer or rejects the check has
+   no free slot, and is left as it is.  */
 void edp_set_check_health (edp_set_t *set, cfd_time_t now,
-                           const edp_check_options_t *options);
+                           const edp_check_options_t *options, bool is_old);
+/* Returns whether endpoints were found to be cold, or may have ended, since
+   the last call, so that this router's ranks for them have to be computed.  */
+bool edp_set_take_newly_cold (edp_set_t *set);
 /* Returns for how long EDP stays cold by this router's last health check.  */
 int64_t edp_get_found_cold_ms (const edp_t *edp, cfd_time_t now);
 /* Records that another router found the endpoint HASH to be cold.  */
@@ -238,6 +236,8 @@
    can't be opened, which takes some ten milliseconds to tell.  */
 void edp_set_note_break (edp_set_t *set, edp_t *edp, cfd_time_t now,
                          bool is_silent);
+/* Records that a connection to EDP could not be opened.  */
+void edp_note_unreachable (edp_t *edp, cfd_time_t now);
 /* Returns whether that isn't known yet.  */
 bool edp_is_break_pending (const edp_t *edp);
 /* Sets the function that gets the result.  */
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -356,18 +356,19 @@
   return rank;
 }
 
-bool
-pal_ranks_first (const pal_t *pal, const edp_t *edp)
+unsigned
+pal_get_rank (const pal_t *pal, const edp_t *edp)
 {
+  unsigned rank = 0;
+
   for (guint i = 0; pal->near_names != NULL && i < pal->near_names->len; i++)
     {
       const char *name = g_ptr_array_index (pal->near_names, i);
 
-      if (g_hash_table_contains (pal->peers, name)
-          && cold_ranks_before (name, pal->name, edp->hash))
-        return false;
+      rank += g_hash_table_contains (pal->peers, name)
+              && cold_ranks_before (name, pal->name, edp->hash);
     }
-  return true;
+  return rank;
 }
 
 static void
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -343,6 +343,7 @@
 {
   rly_count_rollout_answer (request, now, true);
   edp_record_failure (request->edp, now);
+  edp_note_unreachable (request->edp, now);
   /* Nothing was sent, so this is no attempt.  */
   request->attempts--;
   if (request->tries < RLY_MAX_TRIES)
--- a/libcoltsfootdrum/relay/test-edp-break.c
+++ b/libcoltsfootdrum/relay/test-edp-break.c
@@ -7,6 +7,9 @@
 
 #define TIMEOUT_MS 5000
 #define TICK_MS 10
+#define WARM_UP_MS 20000
+/* Idle for longer than a connection that was in use a moment before.  */
+#define IDLE_MS 150
 #define REQUEST "GET / HTTP/1.1\r\nHost: h\r\nX-Id: %u\r\n\r\n"
 
 typedef enum
@@ -24,6 +27,7 @@
   GPtrArray *calls; /* ent_call_t, at the server */
   finding_t finding;
   unsigned answered;
+  cfd_time_t wait_end;
 } scene_t;
 
 static void
@@ -60,6 +64,12 @@
   edp_set_update (scene->set, clock_now (), reports, true, 0);
 }
 
+static int64_t
+get_warm_up_ms (void *user, const char *service)
+{
+  return WARM_UP_MS;
+}
+
 static scene_t *
 scene_new (void)
 {
@@ -73,6 +83,8 @@
   scene->set = edp_set_new (scene->loop);
   edp_set_set_break_callback (scene->set, on_break, scene);
   list_endpoint (scene, false);
+  edp_set_update_warm_up (scene->set, get_warm_up_ms, NULL);
+  edp_set_note_current (scene->set, clock_now (), clock_now ());
   return scene;
 }
 
@@ -92,6 +104,12 @@
   return edp_set_find (scene->set, "e");
 }
 
+static bool
+is_cold (const scene_t *scene)
+{
+  return edp_is_cold (get_endpoint (scene), clock_now ());
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -168,6 +186,25 @@
   g_assert_cmpuint (scene->calls->len, ==, 2);
 }
 
+static bool
+has_two_answers (const scene_t *scene)
+{
+  return scene->answered == 2;
+}
+
+static bool
+is_over (const scene_t *scene)
+{
+  return clock_now () >= scene->wait_end;
+}
+
+static void
+wait_ms (scene_t *scene, int64_t ms)
+{
+  scene->wait_end = clock_now () + ms;
+  run_until (scene, is_over);
+}
+
 static void
 end_server (scene_t *scene)
 {
@@ -187,6 +224,7 @@
   run_until (scene, has_finding);
   g_assert_cmpint (scene->finding, ==, ENDED);
   g_assert_cmpuint (edp_set_count_ended (scene->set), ==, 1);
+  g_assert_true (is_cold (scene));
   scene_free (scene);
 }
 
@@ -201,6 +239,7 @@
   run_until (scene, has_finding);
   g_assert_cmpint (scene->finding, ==, RUNS);
   g_assert_cmpuint (edp_set_count_ended (scene->set), ==, 0);
+  g_assert_false (is_cold (scene));
   scene_free (scene);
 }
 
@@ -215,6 +254,69 @@
   ent_abort (g_ptr_array_steal_index (scene->calls, 0));
   run_until (scene, has_finding);
   g_assert_cmpint (scene->finding, ==, RUNS);
+  /* Another process may have taken its place at once.  */
+  g_assert_true (is_cold (scene));
+  scene_free (scene);
+}
+
+static bool
+has_no_connection (const scene_t *scene)
+{
+  return ups_count_connections (get_endpoint (scene)->ups) == 0;
+}
+
+/* Connections that were idle for long are closed, as servers do.  */
+static void
+test_idle_connections_closed (void)
+{
+  scene_t *scene = scene_new ();
+
+  send_two (scene);
+  ent_respond (g_ptr_array_steal_index (scene->calls, 1), 200, NULL, "", 0);
+  ent_respond (g_ptr_array_steal_index (scene->calls, 0), 200, NULL, "", 0);
+  run_until (scene, has_two_answers);
+  wait_ms (scene, IDLE_MS);
+  ent_close_idle (scene->server);
+  run_until (scene, has_no_connection);
+  g_assert_true (has_no_connection (scene));
+  g_assert_false (is_cold (scene));
+  scene_free (scene);
+}
+
+/* The response tells that its connection is closed after it.  */
+static void
+test_close_announced (void)
+{
+  scene_t *scene = scene_new ();
+
+  send_two (scene);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      ent_call_t *call = g_ptr_array_steal_index (scene->calls, 0);
+
+      ent_close_after (call);
+      ent_respond (call, 200, NULL, "", 0);
+    }
+  run_until (scene, has_no_connection);
+  g_assert_cmpuint (scene->answered, ==, 2);
+  g_assert_false (is_cold (scene));
+  scene_free (scene);
+}
+
+/* A process that can't be reached may be another one when it can.  */
+static void
+test_unreachable (void)
+{
+  scene_t *scene = scene_new ();
+
+  send_two (scene);
+  edp_note_unreachable (get_endpoint (scene), clock_now ());
+  g_assert_false (is_cold (scene));
+  end_server (scene);
+  run_until (scene, has_no_connection);
+  get_endpoint (scene)->warmth.suspicion = WRM_CONFIRMED;
+  edp_note_unreachable (get_endpoint (scene), clock_now ());
+  g_assert_true (is_cold (scene));
   scene_free (scene);
 }
 
@@ -265,6 +367,10 @@
   g_test_add_func ("/edp-break/process-ends", test_process_ends);
   g_test_add_func ("/edp-break/one-answer-lost", test_one_answer_lost);
   g_test_add_func ("/edp-break/all-answers-lost", test_all_answers_lost);
+  g_test_add_func ("/edp-break/idle-connections-closed",
+                   test_idle_connections_closed);
+  g_test_add_func ("/edp-break/close-announced", test_close_announced);
+  g_test_add_func ("/edp-break/unreachable", test_unreachable);
   g_test_add_func ("/edp-break/silent", test_silent);
   g_test_add_data_func ("/edp-break/unlisted", GINT_TO_POINTER (0),
                         test_unlisted);
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -165,7 +165,7 @@
   g_assert_true (is_limited (edp, NOW + 99 + COLD_MS));
   g_assert_false (is_limited (edp, NOW + 100 + COLD_MS));
   /* Endpoints of a service without a warm-up are never cold.  */
-  edp->warm_up_ms = 0;
+  edp->warmth.warm_up_ms = 0;
   edp_set_suspect_cold (set, NOW + 200, "test");
   g_assert_false (is_limited (edp, NOW + 200));
   edp_set_free (set);
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -243,7 +243,7 @@
   router_t two = router_new ("two");
   edp_t *edp = get_endpoint (&here);
 
-  edp->cold_until = NOW + 3000;
+  edp->warmth.cold_until = NOW + 3000;
   pal_update_cold_ranks (here.pal, NOW);
   g_assert_cmpuint (edp->cold_rank, ==, COLD_RANK_UNKNOWN);
   pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
@@ -329,7 +329,7 @@
   edp_t *edp = get_endpoint (&here);
 
   pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
-  edp->cold_until = NOW + 3000;
+  edp->warmth.cold_until = NOW + 3000;
   for (edp->hash = 0; edp->hash < 50; edp->hash++)
     {
       unsigned expected = cold_ranks_before ("one", "here", edp->hash);
@@ -357,7 +357,7 @@
   edp_t *edp = get_endpoint (&here);
 
   pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
-  edp->cold_until = NOW + 3000;
+  edp->warmth.cold_until = NOW + 3000;
   edp->is_near = false;
   pal_update_cold_ranks (here.pal, NOW);
   g_assert_cmpuint (edp->cold_rank, ==, COLD_RANK_UNKNOWN);
@@ -435,19 +435,19 @@
   edp_t *edp = get_endpoint (&here);
 
   pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
-  edp->warm_up_ms = 3000;
-  edp->suspected_cold_at = CFD_TIME_NEVER;
+  edp->warmth.warm_up_ms = 3000;
+  edp->warmth.suspicion = WRM_CONFIRMED;
   edp->cold_rank = 77;
   deliver (&one, &here, NOW, PAL_FULL);
   g_assert_false (edp_is_cold (edp, NOW));
-  get_endpoint (&one)->check.cold_until = NOW + 2000;
+  get_endpoint (&one)->warmth.found_cold_until = NOW + 2000;
   deliver (&one, &here, NOW, PAL_SUMMARY);
   g_assert_false (edp_is_cold (edp, NOW));
   deliver (&one, &here, NOW, PAL_CHANGES);
   g_assert_true (edp_is_cold (edp, NOW + 1999));
   g_assert_false (edp_is_cold (edp, NOW + 2000));
   g_assert_cmpuint (edp->cold_rank, <=, 1);
-  get_endpoint (&one)->check.cold_until = NOW + 1000000;
+  get_endpoint (&one)->warmth.found_cold_until = NOW + 1000000;
   deliver (&one, &here, NOW, PAL_CHANGES);
   g_assert_false (edp_is_cold (edp, NOW + 3000));
   router_free (&here);
@@ -467,7 +467,7 @@
   pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
   deliver (&one, &here, NOW, PAL_FULL);
   for (edp->hash = 0; edp->hash < 50; edp->hash++)
-    g_assert_cmpint (pal_ranks_first (here.pal, edp), ==,
+    g_assert_cmpint (pal_get_rank (here.pal, edp) == 0, ==,
                      !cold_ranks_before ("one", "here", edp->hash));
   router_free (&here);
   router_free (&one);
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -27,7 +27,7 @@
   list_node_t used;
   unsigned connection_count;
   uint64_t connects;
-  void (*on_closed) (void *user); /* may be NULL */
+  void (*on_closed) (void *user, int64_t idle_ms); /* may be NULL */
   void *closed_user;
 };
 
@@ -244,19 +244,35 @@
     connection_free (connection);
 }
 
+/* Returns whether the end of the connection is that of its response, or was
+   announced by it.  */
+static bool
+is_close_expected (const ups_connection_t *connection)
+{
+  const rd_head_t *head = rd_get_head (connection->rd);
+
+  return connection->exchange != NULL && connection->exchange->response_started
+         && (!head->keep_alive || head->framing == RD_UNTIL_CLOSE);
+}
+
 static void
 on_ended (void *user, con_end_t end)
 {
   ups_connection_t *connection = user;
   ups_t *ups = connection->ups;
+  int64_t idle_ms = connection->exchange == NULL
+                        ? clock_now () - connection->idle_since
+                        : 0;
+  bool is_noted = end != CON_END_CONNECT_FAILED && ups->on_closed != NULL
+                  && !is_close_expected (connection);
 
   connection->in_callback = true;
   if (connection->exchange != NULL)
     end_exchange (connection, classify_end (connection, end));
   connection->in_callback = false;
   connection_free (connection);
-  if (end != CON_END_CONNECT_FAILED && ups->on_closed != NULL)
-    ups->on_closed (ups->closed_user);
+  if (is_noted)
+    ups->on_closed (ups->closed_user, idle_ms);
 }
 
 static const con_ops_t connection_ops
@@ -311,7 +327,9 @@
 }
 
 void
-ups_set_closed_callback (ups_t *ups, void (*callback) (void *user), void *user)
+ups_set_closed_callback (ups_t *ups,
+                         void (*callback) (void *user, int64_t idle_ms),
+                         void *user)
 {
   ups->on_closed = callback;
   ups->closed_user = user;
--- a/libcoltsfootdrum/relay/ups.h
+++ b/libcoltsfootdrum/relay/ups.h
@@ -57,9 +57,11 @@
 /* Closes all connections.  Callbacks of pending exchanges are not called.  */
 void ups_free (ups_t *ups);
 
-/* Sets a function that is called after the other side closed or reset an
-   established connection, idle or not.  It must not free UPS.  */
-void ups_set_closed_callback (ups_t *ups, void (*callback) (void *user),
+/* Sets a function that is called after the endpoint closed or reset an
+   established connection, which was idle for IDLE_MS; 0: it was in use.  Not
+   called when the response announced or needs that.  It must not free UPS.  */
+void ups_set_closed_callback (ups_t *ups,
+                              void (*callback) (void *user, int64_t idle_ms),
                               void *user);
 
 /* Sends REQUEST on an idle or a new connection.  Returns NULL when no
