--- a/libcoltsfootdrum/relay/edp-check.c
+++ b/libcoltsfootdrum/relay/edp-check.c
@@ -152,7 +152,7 @@
         continue;
       edp->check.considered_at = now;
       if (wrm_must_ask (&edp->warmth, now,
-                        options->get_rank (options->user, edp)))
+                        options->get_rank (options->user, now, edp)))
         send_check (set, edp, now, options);
     }
 }
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -54,7 +54,7 @@
   /* Returns the path of SERVICE; NULL: it has none.  */
   const char *(*get_path) (void *user, const char *service);
   /* Returns the number of routers that rank before this one to check EDP.  */
-  unsigned (*get_rank) (void *user, const edp_t *edp);
+  unsigned (*get_rank) (void *user, cfd_time_t now, const edp_t *edp);
   void *user;
 } edp_check_options_t;
 
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -37,6 +37,9 @@
    are sent to.  With N routers each change takes N datagrams, and small
    machines would spend all their time on them.  */
 #define CHANGES_INTERVAL_MS_PER_ROUTER 1
+/* Intervals of the full state after which a silent router may have failed, so
+   that others ask endpoints in its place.  */
+#define MAX_SILENT_INTERVALS 2.5
 /* Datagrams read per wakeup: more than the socket's buffer holds, so that none
    waits for a later iteration of an event loop that is behind.  */
 #define MAX_READS_PER_WAKEUP 1024
@@ -356,21 +359,6 @@
   return rank;
 }
 
-unsigned
-pal_get_rank (const pal_t *pal, const edp_t *edp)
-{
-  unsigned rank = 0;
-
-  for (guint i = 0; pal->near_names != NULL && i < pal->near_names->len; i++)
-    {
-      const char *name = g_ptr_array_index (pal->near_names, i);
-
-      rank += g_hash_table_contains (pal->peers, name)
-              && cold_ranks_before (name, pal->name, edp->hash);
-    }
-  return rank;
-}
-
 static void
 update_cold_ranks (const pal_t *pal, list_node_t *endpoints, cfd_time_t now)
 {
@@ -635,6 +623,24 @@
                 MIN_FULL_INTERVAL_MS, MAX_FULL_INTERVAL_MS);
 }
 
+unsigned
+pal_get_rank (const pal_t *pal, cfd_time_t now, const edp_t *edp)
+{
+  int64_t max_silence_ms
+      = (int64_t)(get_full_interval_ms (pal) * MAX_SILENT_INTERVALS);
+  unsigned rank = 0;
+
+  for (guint i = 0; pal->near_names != NULL && i < pal->near_names->len; i++)
+    {
+      const char *name = g_ptr_array_index (pal->near_names, i);
+      const pal_peer_t *peer = g_hash_table_lookup (pal->peers, name);
+
+      rank += peer != NULL && now - peer->last_received_at <= max_silence_ms
+              && cold_ranks_before (name, pal->name, edp->hash);
+    }
+  return rank;
+}
+
 void
 pal_tick (pal_t *pal, cfd_time_t now)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -76,9 +76,9 @@
 /* Returns whether datagrams come from less than half of the listed routers, so
    that this router may be partitioned from the rest.  */
 bool pal_may_be_partitioned (const pal_t *pal);
-/* Returns this router's rank for EDP among those of its cell from which
-   datagrams come; 0: it is the first.  */
-unsigned pal_get_rank (const pal_t *pal, const edp_t *edp);
+/* Returns this router's rank for EDP among those of its cell whose last
+   datagram came a moment ago; 0: it is the first.  */
+unsigned pal_get_rank (const pal_t *pal, cfd_time_t now, const edp_t *edp);
 /* Sets this router's rank at each cold endpoint (relay/cold.h).  Must be
    called after the list of endpoints changed, before the next request is
    placed.  */
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 #define NOW 1000000
+/* Several intervals of the full state, less than until a peer times out.  */
+#define SILENCE_MS 400
 #define COLD_MS 0
 /* Incarnations that the bytes of a datagram are changed for.  */
 #define STRAY_SEEDS 256
@@ -467,8 +469,12 @@
   pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
   deliver (&one, &here, NOW, PAL_FULL);
   for (edp->hash = 0; edp->hash < 50; edp->hash++)
-    g_assert_cmpint (pal_get_rank (here.pal, edp) == 0, ==,
-                     !cold_ranks_before ("one", "here", edp->hash));
+    {
+      g_assert_cmpint (pal_get_rank (here.pal, NOW, edp) == 0, ==,
+                       !cold_ranks_before ("one", "here", edp->hash));
+      /* Another router asks before it is known that the first one is gone.  */
+      g_assert_cmpuint (pal_get_rank (here.pal, NOW + SILENCE_MS, edp), ==, 0);
+    }
   router_free (&here);
   router_free (&one);
 }
