Endpoints: the more requests an endpoint gets, the more often it is asked

What callers saw: an endpoint that gets more than some 70 requests a second (a burst while a zone is out of service, or the only warm one) and turns cold in service gets more than the bound before the next check.

Cause: the age of the proof was bounded in time, the rule counts requests.

Change: the interval of the checks is that in which 20 requests come, 0.4 s at most and 50 ms at least, by this router's sends of the last one to two seconds times the routers that share the endpoint.

--- a/libcoltsfootdrum/relay/edp-check.c
+++ b/libcoltsfootdrum/relay/edp-check.c
@@ -131,12 +131,12 @@
 
 /* Returns whether EDP can be asked, and it may be this router's turn.  */
 static bool
-is_considered (const edp_t *edp, cfd_time_t now)
+is_considered (const edp_t *edp, cfd_time_t now, int64_t interval_ms)
 {
   return edp->warmth.warm_up_ms > 0 && edp->is_near && edp_is_usable (edp)
          && !edp_is_resting (edp, now) && edp->check.exchange == NULL
          && (wrm_is_urgent (&edp->warmth, now)
-             || now - edp->check.considered_at >= WRM_ASK_INTERVAL_MS);
+             || now - edp->check.considered_at >= interval_ms);
 }
 
 void
@@ -147,12 +147,16 @@
   list_for_each (node, &set->list)
     {
       edp_t *edp = list_entry (node, edp_t, node);
+      unsigned routers = options->count_routers (options->user, edp);
+      int64_t interval_ms
+          = wrm_get_interval_ms (edp_estimate_rate (edp, now) * routers);
 
-      if (!is_considered (edp, now))
+      if (!is_considered (edp, now, interval_ms))
         continue;
       edp->check.considered_at = now;
       if (wrm_must_ask (&edp->warmth, now,
-                        options->get_rank (options->user, now, edp)))
+                        options->get_rank (options->user, now, edp),
+                        interval_ms))
         send_check (set, edp, now, options);
     }
 }
--- a/libcoltsfootdrum/relay/edp-cold.c
+++ b/libcoltsfootdrum/relay/edp-cold.c
@@ -18,6 +18,15 @@
          + (age_ms < SENDS_SPAN_MS ? edp->sends.previous : 0);
 }
 
+double
+edp_estimate_rate (const edp_t *edp, cfd_time_t now)
+{
+  int64_t age_ms = MIN (now - edp->sends.since, SENDS_SPAN_MS);
+
+  return (double)edp_count_recent_sends (edp, now) * 1000.
+         / (double)(SENDS_SPAN_MS + age_ms);
+}
+
 /* Begins the warm-up rate limit of an endpoint that was used at the full rate.
  */
 static void
--- a/libcoltsfootdrum/relay/edp-private.h
+++ b/libcoltsfootdrum/relay/edp-private.h
@@ -62,6 +62,8 @@
 /* Returns how many requests this router sent to EDP in the last one to two
    seconds.  */
 unsigned edp_count_recent_sends (const edp_t *edp, cfd_time_t now);
+/* Returns this router's requests a second to EDP in that time.  */
+double edp_estimate_rate (const edp_t *edp, cfd_time_t now);
 /* Records, and logs, EVIDENCE that the process of EDP may have ended and
    another one started in its place.  */
 void edp_suspect_ended (edp_t *edp, cfd_time_t now, const char *evidence);
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -55,6 +55,8 @@
   const char *(*get_path) (void *user, const char *service);
   /* Returns the number of routers that rank before this one to check EDP.  */
   unsigned (*get_rank) (void *user, cfd_time_t now, const edp_t *edp);
+  /* Returns the number of routers that send requests to EDP.  */
+  unsigned (*count_routers) (void *user, const edp_t *edp);
   void *user;
 } edp_check_options_t;
 
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -623,6 +623,14 @@
                 MIN_FULL_INTERVAL_MS, MAX_FULL_INTERVAL_MS);
 }
 
+unsigned
+pal_count_sharing (const pal_t *pal, const edp_t *edp)
+{
+  unsigned others = pal->near_names != NULL ? pal->near_names->len : 0;
+
+  return (others + 1) * edp->cell_count;
+}
+
 unsigned
 pal_get_rank (const pal_t *pal, cfd_time_t now, const edp_t *edp)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -76,6 +76,9 @@
 /* Returns whether datagrams come from less than half of the listed routers, so
    that this router may be partitioned from the rest.  */
 bool pal_may_be_partitioned (const pal_t *pal);
+/* Returns the number of listed routers that send requests to EDP: those of the
+   cells that share it.  */
+unsigned pal_count_sharing (const pal_t *pal, const edp_t *edp);
 /* Returns this router's rank for EDP among those of its cell whose last
    datagram came a moment ago; 0: it is the first.  */
 unsigned pal_get_rank (const pal_t *pal, cfd_time_t now, const edp_t *edp);
--- a/libcoltsfootdrum/relay/test-wrm.c
+++ b/libcoltsfootdrum/relay/test-wrm.c
@@ -102,7 +102,7 @@
   wrm.warm_up_ms = 0;
   wrm_suspect (&wrm, NOW + 3000, WRM_ENDED);
   g_assert_false (wrm_is_cold (&wrm, NOW + 3000));
-  g_assert_false (wrm_must_ask (&wrm, NOW + 3000, 0));
+  g_assert_false (wrm_must_ask (&wrm, NOW + 3000, 0, WRM_ASK_INTERVAL_MS));
 }
 
 /* Returns the first time at which a router of RANK asks, from NOW on.  */
@@ -110,7 +110,7 @@
 find_first_question (const wrm_t *wrm, unsigned rank)
 {
   for (int64_t ms = 0; ms < 2 * WARM_UP_MS; ms++)
-    if (wrm_must_ask (wrm, NOW + ms, rank))
+    if (wrm_must_ask (wrm, NOW + ms, rank, WRM_ASK_INTERVAL_MS))
       return ms;
   return -1;
 }
@@ -128,6 +128,22 @@
   g_assert_cmpint (find_first_question (&wrm, 0), ==, 0);
 }
 
+/* No more than 20 requests come in one interval, down to the shortest.  */
+static void
+test_interval_by_rate (void)
+{
+  wrm_t wrm = make_warm ();
+
+  g_assert_cmpint (wrm_get_interval_ms (0.), ==, WRM_ASK_INTERVAL_MS);
+  g_assert_cmpint (wrm_get_interval_ms (50.), ==, WRM_ASK_INTERVAL_MS);
+  g_assert_cmpint (wrm_get_interval_ms (100.), ==, 200);
+  g_assert_cmpint (wrm_get_interval_ms (400.), ==, 50);
+  g_assert_cmpint (wrm_get_interval_ms (4000.), ==, 50);
+  wrm_note_asked (&wrm, NOW);
+  g_assert_false (wrm_must_ask (&wrm, NOW + 199, 0, 200));
+  g_assert_true (wrm_must_ask (&wrm, NOW + 200, 0, 200));
+}
+
 /* One that may have ended is asked at once by the first router that knows, and
    by the others only if they haven't learned that it is cold by then.  */
 static void
@@ -192,6 +208,7 @@
                    test_stronger_suspicion_stays);
   g_test_add_func ("/wrm/cold-time", test_cold_time);
   g_test_add_func ("/wrm/asked-at-intervals", test_asked_at_intervals);
+  g_test_add_func ("/wrm/interval-by-rate", test_interval_by_rate);
   g_test_add_func ("/wrm/asked-after-end", test_asked_after_end);
   g_test_add_func ("/wrm/asked-after-alert", test_asked_after_alert);
   return g_test_run ();
--- a/libcoltsfootdrum/relay/wrm.c
+++ b/libcoltsfootdrum/relay/wrm.c
@@ -9,6 +9,9 @@
 #define RANK_DELAY_MS 25
 /* Ranks beyond it ask together with it.  */
 #define MAX_DELAYED_RANK 20
+/* Shortest interval of questions, and the requests that may come in one.  */
+#define MIN_ASK_INTERVAL_MS 50
+#define MAX_UNPROVEN_REQUESTS 20.
 /* Routers that ask after an alert.  */
 #define ALERTED_ROUTERS 3
 
@@ -90,8 +93,19 @@
          && now - wrm->alerted_at < WRM_ASK_INTERVAL_MS;
 }
 
+int64_t
+wrm_get_interval_ms (double per_s)
+{
+  double interval_ms
+      = MAX_UNPROVEN_REQUESTS * 1000. / MAX (per_s, MAX_UNPROVEN_REQUESTS);
+
+  return CLAMP ((int64_t)interval_ms, MIN_ASK_INTERVAL_MS,
+                WRM_ASK_INTERVAL_MS);
+}
+
 bool
-wrm_must_ask (const wrm_t *wrm, cfd_time_t now, unsigned rank)
+wrm_must_ask (const wrm_t *wrm, cfd_time_t now, unsigned rank,
+              int64_t interval_ms)
 {
   if (wrm->warm_up_ms <= 0 || wrm->cold_until - now > WRM_ASK_INTERVAL_MS)
     return false;
@@ -101,7 +115,7 @@
     return false;
   if (wrm->asked_at == 0)
     return is_in_turn (wrm->suspected_at, now, rank);
-  return now - wrm->asked_at >= WRM_ASK_INTERVAL_MS;
+  return now - wrm->asked_at >= interval_ms;
 }
 
 bool
--- a/libcoltsfootdrum/relay/wrm.h
+++ b/libcoltsfootdrum/relay/wrm.h
@@ -24,7 +24,7 @@
 #include "base/clock.h"
 #include <stdbool.h>
 
-/* Interval at which one router of a cell asks each endpoint.  */
+/* Longest interval at which one router of a cell asks each endpoint.  */
 #define WRM_ASK_INTERVAL_MS 400
 
 typedef enum
@@ -64,12 +64,17 @@
    longer gets comes here.  */
 void wrm_alert (wrm_t *wrm, cfd_time_t now);
 
+/* Returns the interval at which an endpoint that gets PER_S requests a second
+   from all routers is asked, so that few come between its turn to cold and its
+   answer.  */
+int64_t wrm_get_interval_ms (double per_s);
 /* Returns whether this router has to ask it now; RANK is the number of routers
    of the cell that rank before this one.  Usually the first one asks.  After
    an alert a few do, as the first may have failed.  While its process may have
    ended, each router that has evidence of that asks.  They ask one after the
    other, so that most learn the answer from another.  */
-bool wrm_must_ask (const wrm_t *wrm, cfd_time_t now, unsigned rank);
+bool wrm_must_ask (const wrm_t *wrm, cfd_time_t now, unsigned rank,
+                   int64_t interval_ms);
 /* Returns whether that may change within an interval.  */
 bool wrm_is_urgent (const wrm_t *wrm, cfd_time_t now);
 /* Records that it is asked.  */
