Endpoints: fifteen requests may come between two checks, not twenty

Cause: with 20, the delay of a tick, the checks themselves and the warm-up rate in the rest of the second come to the bound: 37 in one second, 39 allowed, in one of 56 cases of pf-turn-cold beside a load of 20 (90 requests a second to each endpoint, sanitizer build).

--- a/libcoltsfootdrum/relay/test-wrm.c
+++ b/libcoltsfootdrum/relay/test-wrm.c
@@ -128,16 +128,16 @@
   g_assert_cmpint (find_first_question (&wrm, 0), ==, 0);
 }
 
-/* No more than 20 requests come in one interval, down to the shortest.  */
+/* No more than 15 requests come in one interval, down to the shortest.  */
 static void
 test_interval_by_rate (void)
 {
   wrm_t wrm = make_warm ();
 
   g_assert_cmpint (wrm_get_interval_ms (0.), ==, WRM_ASK_INTERVAL_MS);
-  g_assert_cmpint (wrm_get_interval_ms (50.), ==, WRM_ASK_INTERVAL_MS);
-  g_assert_cmpint (wrm_get_interval_ms (100.), ==, 200);
-  g_assert_cmpint (wrm_get_interval_ms (400.), ==, 50);
+  g_assert_cmpint (wrm_get_interval_ms (30.), ==, WRM_ASK_INTERVAL_MS);
+  g_assert_cmpint (wrm_get_interval_ms (100.), ==, 150);
+  g_assert_cmpint (wrm_get_interval_ms (300.), ==, 50);
   g_assert_cmpint (wrm_get_interval_ms (4000.), ==, 50);
   wrm_note_asked (&wrm, NOW);
   g_assert_false (wrm_must_ask (&wrm, NOW + 199, 0, 200));
--- a/libcoltsfootdrum/relay/wrm.c
+++ b/libcoltsfootdrum/relay/wrm.c
@@ -11,7 +11,7 @@
 #define MAX_DELAYED_RANK 20
 /* Shortest interval of questions, and the requests that may come in one.  */
 #define MIN_ASK_INTERVAL_MS 50
-#define MAX_UNPROVEN_REQUESTS 20.
+#define MAX_UNPROVEN_REQUESTS 15.
 /* Routers that ask after an alert.  */
 #define ALERTED_ROUTERS 3
 
