Endpoints: one that can't be reached is asked again soon

Cause: the router that noticed the end asked at once, was refused, and asked again only after the usual interval.

Change: the first three routers that have evidence ask every 50 ms while the endpoint refuses connections.

--- a/libcoltsfootdrum/relay/test-wrm.c
+++ b/libcoltsfootdrum/relay/test-wrm.c
@@ -165,13 +165,16 @@
   wrm_set_cold (&wrm, NOW, WARM_UP_MS);
   g_assert_cmpint (find_first_question (&wrm, 0), ==,
                    WARM_UP_MS - WRM_ASK_INTERVAL_MS);
-  /* One that can't be reached is asked again, no more often.  */
+  /* One that can't be reached is asked again soon by the first ones.  */
   wrm = make_warm ();
   wrm_suspect (&wrm, NOW, WRM_ENDED);
   wrm_note_asked (&wrm, NOW);
   wrm_suspect (&wrm, NOW, WRM_ENDED);
-  g_assert_cmpint (find_first_question (&wrm, 0), ==, WRM_ASK_INTERVAL_MS);
+  g_assert_cmpint (find_first_question (&wrm, 0), ==, 50);
   g_assert_cmpint (find_first_question (&wrm, 3), ==, WRM_ASK_INTERVAL_MS);
+  /* One that can, but rejects the question, isn't.  */
+  wrm_note_asked (&wrm, NOW + 1);
+  g_assert_cmpint (find_first_question (&wrm, 0), ==, WRM_ASK_INTERVAL_MS + 1);
 }
 
 /* A few ask as soon as another endpoint is found to be cold: the first one may
--- a/libcoltsfootdrum/relay/wrm.c
+++ b/libcoltsfootdrum/relay/wrm.c
@@ -12,7 +12,7 @@
 /* Shortest interval of questions, and the requests that may come in one.  */
 #define MIN_ASK_INTERVAL_MS 50
 #define MAX_UNPROVEN_REQUESTS 15.
-/* Routers that ask after an alert.  */
+/* Routers that ask after an alert, and often one that can't be reached.  */
 #define ALERTED_ROUTERS 3
 
 void
@@ -115,6 +115,10 @@
     return false;
   if (wrm->asked_at == 0)
     return is_in_turn (wrm->suspected_at, now, rank);
+  /* It couldn't be reached, and is cold from the moment that it can.  */
+  if (rank < ALERTED_ROUTERS && may_have_ended (wrm, now)
+      && wrm->asked_at <= wrm->suspected_at)
+    interval_ms = MIN_ASK_INTERVAL_MS;
   return now - wrm->asked_at >= interval_ms;
 }
 
