--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -241,9 +241,9 @@
      routers; the others receive each other's datagrams and count the isolated
      ones as gone.  */
   unsigned isolated_in_ten;
-  /* Of each ten pairs of the others, how many hear nothing of each other, as
-     some start or datagrams are lost.  */
-  unsigned unheard_in_ten;
+  /* Of each ten pairs of routers, how many receive no datagrams from each
+     other, as some start or datagrams are lost.  */
+  unsigned disconnected_in_ten;
 } cold_case_t;
 
 static const cold_case_t cold_cases[] = {
@@ -263,9 +263,9 @@
   { "24-lossy", 24, 23., 0, 2 },
   { "100-lossy", 100, 23., 0, 2 },
   { "355-lossy", 355, 23., 0, 2 },
-  { "24-half-heard", 24, 23., 0, 4 },
-  { "100-half-heard", 100, 23., 0, 4 },
-  { "355-half-heard", 355, 23., 0, 4 },
+  { "24-most-connected", 24, 23., 0, 4 },
+  { "100-most-connected", 100, 23., 0, 4 },
+  { "355-most-connected", 355, 23., 0, 4 },
 };
 
 /* Most requests that an endpoint may get within a second from all routers:
@@ -280,11 +280,11 @@
 }
 
 static bool
-is_unheard (const cold_case_t *one, unsigned a, unsigned b)
+is_disconnected (const cold_case_t *one, unsigned a, unsigned b)
 {
   unsigned pair[] = { MIN (a, b), MAX (a, b) };
 
-  return XXH3_64bits (pair, sizeof pair) % 10 < one->unheard_in_ten;
+  return XXH3_64bits (pair, sizeof pair) % 10 < one->disconnected_in_ten;
 }
 
 /* The rate that ROUTER may use, from the number of routers that it counts and
@@ -302,7 +302,7 @@
       g_autofree char *name = g_strdup_printf ("router-%u", i);
 
       if (i == router || (!sees_all && is_isolated (one, i))
-          || is_unheard (one, i, router))
+          || is_disconnected (one, i, router))
         continue;
       count++;
       rank += cold_ranks_before (name, own, endpoint);
@@ -362,7 +362,7 @@
                   max_per_second, total);
   g_assert_cmpfloat (max_per_second, <=,
                      one->per_s * COLD_MULTIPLIER + COLD_SLACK_REQUESTS);
-  if (one->isolated_in_ten == 0 && one->unheard_in_ten == 0)
+  if (one->isolated_in_ten == 0 && one->disconnected_in_ten == 0)
     g_assert_cmpfloat (total, >=, one->per_s * COLD_MS / 1000. * 0.7);
   ev_loop_destroy (loop);
 }
