Peers, routes: optional items of the state datagram, allowed pauses

Cause: endpoint speeds and the routers' processor time are to be exchanged, and placement needs the longest pause that the routes of a service allow. A state datagram had exactly 17 items, so that routers of two versions would have ignored each other.

--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -368,7 +368,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 17);
+  msgpack_pack_array (&packer, STATE_ITEMS);
   msgpack_pack_uint32 (&packer, STATE_FORMAT);
   pack_text (&packer, content != PAL_CHANGES ? pal->name : "");
   msgpack_pack_uint64 (&packer, pal->incarnation);
@@ -386,6 +386,8 @@
   pack_cold (pal, &packer, now, content);
   pack_quarantine (pal, &packer, now, content);
   pack_parts (pal, &packer, now, content);
+  msgpack_pack_array (&packer, 0); /* SPEEDS_ITEM */
+  msgpack_pack_array (&packer, 0); /* CAPACITY_ITEM */
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -32,6 +32,14 @@
 #define MAX_COLD_ROWS 1024u
 #define MAX_QUARANTINE_ROWS 4096u
 #define MAX_PART_ROWS 4096u
+#define MAX_SPEED_ROWS 4096u
+
+/* Items of a state datagram.  The ones from SPEEDS_ITEM on may be missing:
+   routers of an earlier version don't send them.  */
+#define REQUIRED_ITEMS 17
+#define SPEEDS_ITEM 17   /* endpoint, observed and expected milliseconds */
+#define CAPACITY_ITEM 18 /* processor share, busy share, readiness */
+#define STATE_ITEMS 19
 
 typedef struct
 {
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -71,12 +71,23 @@
   return true;
 }
 
+/* Returns whether item INDEX of a state is missing, as routers of an earlier
+   version send it, or consists of rows of WIDTH numbers, MAX_ROWS at most.  */
+static bool
+is_optional_rows (const msg_node_t *state, uint32_t index, uint32_t width,
+                  uint32_t max_rows)
+{
+  return state->length <= index
+         || is_number_rows (&state->u.items[index], width, max_rows);
+}
+
 static bool
 is_state (const msg_node_t *node)
 {
   const msg_node_t *items = node->u.items;
 
-  return node->type == MSG_NODE_ARRAY && node->length == 17
+  /* A later version may append further items.  */
+  return node->type == MSG_NODE_ARRAY && node->length >= REQUIRED_ITEMS
          && is_number (&items[0]) && items[0].u.number == STATE_FORMAT
          && is_text (&items[1]) && is_number (&items[2])
          && is_number (&items[3]) && is_number (&items[4])
@@ -91,7 +102,9 @@
          && is_number_rows (&items[13], 3, MAX_RETIRED_ROWS)
          && is_number_rows (&items[14], 2, MAX_COLD_ROWS)
          && is_number_rows (&items[15], 4, MAX_QUARANTINE_ROWS)
-         && is_number_rows (&items[16], 5, MAX_PART_ROWS);
+         && is_number_rows (&items[16], 5, MAX_PART_ROWS)
+         && is_optional_rows (node, SPEEDS_ITEM, 3, MAX_SPEED_ROWS)
+         && is_optional_rows (node, CAPACITY_ITEM, 3, 1);
 }
 
 static guint
--- a/libcoltsfootdrum/relay/rte.c
+++ b/libcoltsfootdrum/relay/rte.c
@@ -12,6 +12,7 @@
   GHashTable *hosts;    /* host to GPtrArray of rte_route_t */
   GHashTable *services; /* name to rte_service_t */
   GHashTable *keys;     /* key to rte_account_t */
+  GHashTable *pauses;   /* service to int64_t, the shortest allowed pause */
   GPtrArray *accounts;
   guint routes;
 };
@@ -56,6 +57,8 @@
   table->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
   table->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  table->pauses
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   table->accounts = g_ptr_array_new_with_free_func (free_account);
   return table;
 }
@@ -75,6 +78,7 @@
   g_hash_table_unref (table->hosts);
   g_hash_table_unref (table->services);
   g_hash_table_unref (table->keys);
+  g_hash_table_unref (table->pauses);
   g_ptr_array_unref (table->accounts);
   g_free (table);
 }
@@ -131,6 +135,26 @@
   g_free (service);
 }
 
+static void
+note_max_pause (rte_table_t *table, const char *service, int64_t pause_ms)
+{
+  int64_t *shortest_ms = g_hash_table_lookup (table->pauses, service);
+
+  if (shortest_ms == NULL)
+    g_hash_table_insert (table->pauses, g_strdup (service),
+                         g_memdup2 (&pause_ms, sizeof pause_ms));
+  else
+    *shortest_ms = MIN (*shortest_ms, pause_ms);
+}
+
+int64_t
+rte_get_max_pause_ms (const rte_table_t *table, const char *service)
+{
+  const int64_t *shortest_ms = g_hash_table_lookup (table->pauses, service);
+
+  return shortest_ms != NULL ? *shortest_ms : 0;
+}
+
 void
 rte_table_add_route (rte_table_t *table, rte_route_t *route)
 {
@@ -144,6 +168,12 @@
     }
   g_ptr_array_add (routes, route);
   table->routes++;
+  for (guint i = 0; route->max_pause_ms > 0 && i < route->traffic_shares->len;
+       i++)
+    note_max_pause (
+        table,
+        g_array_index (route->traffic_shares, rte_traffic_share_t, i).service,
+        route->max_pause_ms);
 }
 
 void
--- a/libcoltsfootdrum/relay/rte.h
+++ b/libcoltsfootdrum/relay/rte.h
@@ -32,6 +32,7 @@
   GArray *traffic_shares; /* rte_traffic_share_t, at least one */
   int64_t timeout_ms;
   int64_t target_latency_ms; /* for the first byte; 0: not set */
+  int64_t max_pause_ms;      /* between events of a stream; 0: not set */
   unsigned max_attempts;
   int rank;              /* priority, 0 is the most urgent */
   bool allows_anonymous; /* no key is needed */
@@ -103,6 +104,9 @@
                                    const char *target);
 const rte_service_t *rte_find_service (const rte_table_t *table,
                                        const char *name);
+/* Returns the shortest pause between events that the routes to SERVICE allow,
+   in milliseconds; 0: they set none.  */
+int64_t rte_get_max_pause_ms (const rte_table_t *table, const char *service);
 /* Returns NULL for an unknown key.  */
 const rte_account_t *rte_find_account (const rte_table_t *table,
                                        const char *key);
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -15,7 +15,7 @@
 /* Largest payload of a UDP datagram.  */
 #define MAX_DATAGRAM_BYTES 65507u
 /* Items of a state datagram.  */
-#define ITEMS 17
+#define ITEMS 19
 /* Datagrams with random changes.  */
 #define MUTATIONS 20000
 
