Placement: a limit of prefill work by pauses, and endpoint speeds

Nothing read target_gap_ms, one estimate of prefill time served all endpoints, and the estimate was taken from endpoints that had other prompts pending, so that it was about half of the true time.

Change: each endpoint gets no more prefill work in a window than the pauses of its streams allow (relay/pau.h); accounts above the fair level use a part of that budget, so that others find room at once.

--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -9,6 +9,8 @@
 #include "base/list.h"
 #include "relay/con.h"
 #include "relay/org.h"
+#include "relay/pau.h"
+#include "relay/spd.h"
 #include "relay/ups.h"
 #include "relay/wrm.h"
 
@@ -138,6 +140,10 @@
   double peer_context_tokens;
   bool has_peer_totals; /* the sums over the other routers are valid */
 
+  pau_recent_t finished_prefill; /* of all routers */
+  double pause_window_ms;        /* of its service, see relay/pau.h */
+  spd_t speed;
+
   bool changed; /* own load changed since it was last sent to other routers */
   cfd_time_t backoff_until; /* no new requests until then, after failures */
   unsigned consecutive_failures;
--- a/libcoltsfootdrum/relay/mech.c
+++ b/libcoltsfootdrum/relay/mech.c
@@ -34,6 +34,11 @@
     "it isn't ready" },
   { "load-shedding", MECH_LOAD_SHEDDING,
     "a router without processor time refuses some new requests at once" },
+  { "pause-limit", MECH_PAUSE_LIMIT,
+    "an endpoint gets no more prefill work than the pauses of its streams "
+    "allow" },
+  { "endpoint-speed", MECH_ENDPOINT_SPEED,
+    "estimates for an endpoint account for its measured speed" },
   { "peer-updates", MECH_PEER_UPDATES,
     "changes of the store's lists come from the router that read them" },
 };
--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -14,6 +14,8 @@
 /* Interval at which the usage of all accounts is sent, for routers that have
    started or missed a datagram.  */
 #define USAGE_REFRESH_MS 1500
+/* Interval at which the speeds of endpoints are sent.  */
+#define SPEEDS_INTERVAL_MS 1000
 
 static void
 pack_text (msgpack_packer *packer, const char *text)
@@ -359,6 +361,37 @@
     }
 }
 
+/* Packs endpoint, observed and expected milliseconds of the endpoints whose
+   speed this router has measured.  */
+static void
+pack_speeds (pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+             pal_content_t content)
+{
+  bool is_due
+      = content == PAL_FULL && now - pal->speeds_sent_at >= SPEEDS_INTERVAL_MS;
+  size_t rows = 0;
+
+  list_for_each (node, edp_set_endpoints (pal->endpoints))
+    {
+      rows += spd_is_measured (&list_entry (node, edp_t, node)->speed, now);
+    }
+  msgpack_pack_array (packer, is_due ? rows * 3 : 0);
+  if (!is_due)
+    return;
+  pal->speeds_sent_at = now;
+  list_for_each (node, edp_set_endpoints (pal->endpoints))
+    {
+      const edp_t *edp = list_entry (node, edp_t, node);
+      spd_sums_t own = spd_get_own (&edp->speed, now);
+
+      if (!spd_is_measured (&edp->speed, now))
+        continue;
+      msgpack_pack_uint64 (packer, edp->hash);
+      msgpack_pack_uint64 (packer, (uint64_t)own.observed);
+      msgpack_pack_uint64 (packer, (uint64_t)own.expected);
+    }
+}
+
 GByteArray *
 pal_pack (pal_t *pal, cfd_time_t now, pal_content_t content)
 {
@@ -386,7 +419,7 @@
   pack_cold (pal, &packer, now, content);
   pack_quarantine (pal, &packer, now, content);
   pack_parts (pal, &packer, now, content);
-  msgpack_pack_array (&packer, 0); /* SPEEDS_ITEM */
+  pack_speeds (pal, &packer, now, content);
   msgpack_pack_array (&packer, 0); /* CAPACITY_ITEM */
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -33,6 +33,8 @@
 #define MAX_QUARANTINE_ROWS 4096u
 #define MAX_PART_ROWS 4096u
 #define MAX_SPEED_ROWS 4096u
+/* Largest sum of a speed that is accepted.  */
+#define MAX_SPEED_MS UINT64_C (1000000)
 
 /* Items of a state datagram.  The ones from SPEEDS_ITEM on may be missing:
    routers of an earlier version don't send them.  */
@@ -55,8 +57,16 @@
   bool precedes[PAL_LIST_COUNT];
   bool sends_summaries; /* its cell is another one */
   GHashTable *loads;    /* hash of the endpoint to pal_load_t */
+  GHashTable *speeds;   /* hash of the endpoint to pal_speed_t */
 } pal_peer_t;
 
+/* Speed of one endpoint, as one peer measured it.  */
+typedef struct
+{
+  uint64_t endpoint;
+  spd_sums_t sums;
+} pal_speed_t;
+
 /* Load that one peer puts on one endpoint.  */
 typedef struct
 {
@@ -114,6 +124,7 @@
   cfd_time_t summary_sent_at;
   cfd_time_t silence_checked_at;
   cfd_time_t usage_sent_at;
+  cfd_time_t speeds_sent_at;
   cfd_time_t usage_refreshed_at; /* the usage of all accounts was sent */
   char *read_buffer;             /* of several datagrams */
   msgpack_zone *arena; /* of the nodes of the datagram being decoded */
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -130,6 +130,8 @@
   peer->name = g_strdup (name);
   peer->loads
       = g_hash_table_new_full (hash_endpoint, equal_endpoint, NULL, g_free);
+  peer->speeds
+      = g_hash_table_new_full (hash_endpoint, equal_endpoint, NULL, g_free);
   for (unsigned i = 0; i < PAL_LIST_COUNT; i++)
     {
       peer->ages[i] = -1;
@@ -216,6 +218,58 @@
     }
 }
 
+static void
+apply_speed (pal_t *pal, uint64_t endpoint, const spd_sums_t *was,
+             const spd_sums_t *is)
+{
+  edp_t *edp = edp_set_find_by_hash (pal->endpoints, endpoint);
+
+  if (edp != NULL)
+    spd_update_peer (&edp->speed, was, is);
+}
+
+static void
+subtract_speeds (pal_t *pal, pal_peer_t *peer)
+{
+  static const spd_sums_t none = { 0 };
+  GHashTableIter each;
+  void *data;
+
+  g_hash_table_iter_init (&each, peer->speeds);
+  while (g_hash_table_iter_next (&each, NULL, &data))
+    {
+      const pal_speed_t *speed = data;
+
+      apply_speed (pal, speed->endpoint, &speed->sums, &none);
+    }
+  g_hash_table_remove_all (peer->speeds);
+}
+
+static void
+receive_speeds (pal_t *pal, pal_peer_t *peer, const msg_node_t *rows)
+{
+  for (unsigned i = 0; i + 2 < rows->length; i += 3)
+    {
+      const msg_node_t *row = &rows->u.items[i];
+      pal_speed_t received
+          = { .endpoint = row[0].u.number,
+              .sums
+              = { .observed = (double)MIN (row[1].u.number, MAX_SPEED_MS),
+                  .expected = (double)MIN (row[2].u.number, MAX_SPEED_MS) } };
+      pal_speed_t *speed
+          = g_hash_table_lookup (peer->speeds, &received.endpoint);
+
+      if (speed == NULL)
+        {
+          speed = g_new0 (pal_speed_t, 1);
+          speed->endpoint = received.endpoint;
+          g_hash_table_insert (peer->speeds, &speed->endpoint, speed);
+        }
+      apply_speed (pal, received.endpoint, &speed->sums, &received.sums);
+      *speed = received;
+    }
+}
+
 void
 pal_subtract_peer (pal_t *pal, pal_peer_t *peer)
 {
@@ -226,10 +280,26 @@
   while (g_hash_table_iter_next (&each, NULL, &load))
     apply_load (pal, load, -1);
   g_hash_table_remove_all (peer->loads);
+  subtract_speeds (pal, peer);
 }
 
+/* Adds the prefill work that IS lacks of WAS to what the endpoint finished. */
 static void
-receive_load (pal_t *pal, pal_peer_t *peer, const msg_node_t *row)
+note_finished (pal_t *pal, cfd_time_t now, const pal_load_t *was,
+               const pal_load_t *is)
+{
+  edp_t *edp = edp_set_find_by_hash (pal->endpoints, was->endpoint);
+  double finished
+      = was->pending_prefill - (is != NULL ? is->pending_prefill : 0.);
+
+  if (edp != NULL && finished > 0.)
+    pau_add_finished (&edp->finished_prefill, now, edp->pause_window_ms,
+                      finished);
+}
+
+static void
+receive_load (pal_t *pal, pal_peer_t *peer, cfd_time_t now,
+              const msg_node_t *row)
 {
   pal_load_t received
       = { .endpoint = row[0].u.number,
@@ -240,7 +310,10 @@
   pal_load_t *load = g_hash_table_lookup (peer->loads, &received.endpoint);
 
   if (load != NULL)
-    apply_load (pal, load, -1);
+    {
+      apply_load (pal, load, -1);
+      note_finished (pal, now, load, &received);
+    }
   /* Before it is added to the table, from which totals may be summed up.  */
   apply_load (pal, &received, 1);
   if (load != NULL)
@@ -254,7 +327,7 @@
 
 /* Removes the loads that the newest datagram of PEER, a full state, lacks.  */
 static void
-remove_missing_loads (pal_t *pal, pal_peer_t *peer)
+remove_missing_loads (pal_t *pal, pal_peer_t *peer, cfd_time_t now)
 {
   GHashTableIter each;
   void *data;
@@ -267,17 +340,19 @@
       if (load->datagram == peer->number)
         continue;
       apply_load (pal, load, -1);
+      note_finished (pal, now, load, NULL);
       g_hash_table_iter_remove (&each);
     }
 }
 
 static void
-receive_loads (pal_t *pal, pal_peer_t *peer, const msg_node_t *rows, bool full)
+receive_loads (pal_t *pal, pal_peer_t *peer, cfd_time_t now,
+               const msg_node_t *rows, bool full)
 {
   for (unsigned i = 0; i + 3 < rows->length; i += 4)
-    receive_load (pal, peer, &rows->u.items[i]);
+    receive_load (pal, peer, now, &rows->u.items[i]);
   if (full)
-    remove_missing_loads (pal, peer);
+    remove_missing_loads (pal, peer, now);
 }
 
 static void
@@ -450,7 +525,8 @@
 }
 
 static void
-apply_state (pal_t *pal, cfd_time_t now, const msg_node_t *items)
+apply_state (pal_t *pal, cfd_time_t now, const msg_node_t *items,
+             uint32_t count)
 {
   g_autofree char *name = copy_text (&items[1]);
   uint64_t incarnation = items[2].u.number;
@@ -471,7 +547,7 @@
   if (content != PAL_CHANGES)
     peer->sends_summaries = content == PAL_SUMMARY;
   peer->last_received_at = now;
-  receive_loads (pal, peer, &items[5], content != PAL_CHANGES);
+  receive_loads (pal, peer, now, &items[5], content != PAL_CHANGES);
   receive_usage (pal, peer, now, &items[6]);
   receive_prefixes (pal, now, &items[7]);
   peer->stable_ms = decode_stable_ms (&items[8]);
@@ -483,6 +559,8 @@
   receive_cold (pal, now, &items[14]);
   receive_quarantine (pal, now, &items[15]);
   receive_parts (pal, now, &items[16]);
+  if (count > SPEEDS_ITEM)
+    receive_speeds (pal, peer, &items[SPEEDS_ITEM]);
 }
 
 bool
@@ -494,6 +572,6 @@
   if (!msg_tree_parse (pal->arena, bytes, length, MAX_NODES, &tree)
       || !is_state (&tree.root))
     return false;
-  apply_state (pal, now, tree.root.u.items);
+  apply_state (pal, now, tree.root.u.items, tree.root.length);
   return true;
 }
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -60,6 +60,7 @@
 
   g_free (peer->name);
   g_hash_table_unref (peer->loads);
+  g_hash_table_unref (peer->speeds);
   g_free (peer);
 }
 
--- a/libcoltsfootdrum/relay/plc.c
+++ b/libcoltsfootdrum/relay/plc.c
@@ -2,6 +2,8 @@
 
 #include "relay/plc.h"
 
+#include "relay/pau.h"
+
 /* Pairs of tokens whose attention takes as long as one token does without
    attention: 4 x layers x width operations a pair against 2 x parameters a
    token, for dense models of some billion parameters.  */
@@ -43,7 +45,7 @@
                              const plc_request_t *request)
 {
   return request->base_ms + endpoint->fetch_ms
-         + request->ms_per_token
+         + request->ms_per_token * endpoint->slowness
                * (endpoint->pending_prefill + endpoint->own_prefill);
 }
 
@@ -52,7 +54,8 @@
 estimate_queueing_ms (const plc_endpoint_t *endpoint,
                       const plc_request_t *request)
 {
-  return request->ms_per_token * endpoint->pending_prefill;
+  return request->ms_per_token * endpoint->slowness
+         * endpoint->pending_prefill;
 }
 
 /* Returns whether the first token is in time; for a prompt that can't be in
@@ -71,6 +74,20 @@
                     <= request->time_left_ms * LONG_PROMPT_QUEUEING_SHARE);
 }
 
+bool
+plc_allows_pauses (const plc_endpoint_t *endpoint,
+                   const plc_request_t *request)
+{
+  pau_endpoint_t state
+      = { .level = endpoint->pending_prefill + endpoint->recent_prefill,
+          .budget = endpoint->prefill_budget };
+  pau_prompt_t prompt = { .own = endpoint->own_prefill,
+                          .share = request->budget_share,
+                          .max_budget = request->max_budget };
+
+  return endpoint->active == 0 || pau_admits (&state, &prompt);
+}
+
 /* Load as the larger used share of slots and of KV cache.  */
 static double
 compute_load (const plc_endpoint_t *endpoint)
@@ -146,6 +163,7 @@
 
       if (!has_capacity (&endpoints[i], request)
           || lacks_prefix (&endpoints[i], request)
+          || !plc_allows_pauses (&endpoints[i], request)
           || !meets_target (&endpoints[i], request))
         continue;
       cost = compute_cost (&endpoints[i], request);
--- a/libcoltsfootdrum/relay/plc.h
+++ b/libcoltsfootdrum/relay/plc.h
@@ -25,6 +25,9 @@
   unsigned slots;            /* concurrent requests that it runs; 0: none */
   double pending_prefill;    /* prefill work sent there and not done yet */
   double own_prefill;        /* prefill work of this request */
+  double recent_prefill;     /* prefill work finished there lately */
+  double prefill_budget;     /* see pau_endpoint_t */
+  double slowness;           /* ratio of its times to the average */
   double missing_tokens;     /* tokens of the shared prefix not cached there */
   double fetch_ms;           /* time to copy a cached prefix from elsewhere */
   double context_tokens;     /* KV cache used by running requests */
@@ -41,6 +44,8 @@
   double base_ms;            /* time to first token without prefill */
   double ms_per_token;       /* time for each token of prefill work */
   double time_left_ms;       /* until the first token is late */
+  double budget_share;       /* of prefill_budget, see pau_prompt_t */
+  double max_budget;         /* the largest prefill_budget */
   double max_queueing_ms;    /* longest prefill of other requests before it */
   double capacity_share;     /* share of slots and KV cache it may fill */
   double needed_tokens;      /* KV cache that it will use */
@@ -58,6 +63,11 @@
 double plc_estimate_first_token_ms (const plc_endpoint_t *endpoint,
                                     const plc_request_t *request);
 
+/* Returns whether the streams that run at ENDPOINT don't pause for too long
+   when it gets REQUEST.  */
+bool plc_allows_pauses (const plc_endpoint_t *endpoint,
+                        const plc_request_t *request);
+
 /* Returns whether any of COUNT endpoints may have capacity for REQUEST,
    whatever they cache.  When false, plc_choose_endpoint would return -1.  */
 bool plc_has_candidate (const plc_endpoint_t *endpoints, guint count,
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -91,8 +91,16 @@
           = (edp->pending_prefill + edp->peer_pending_prefill) * cells,
           .context_tokens
           = (edp->context_tokens + edp->peer_context_tokens) * cells,
+          .slowness = 1.,
           .in_other_zone = is_in_other_zone (round, edp) };
 
+  if (rly_is_enabled (round->rly, MECH_ENDPOINT_SPEED))
+    load.slowness = spd_get_slowness (&edp->speed, round->now);
+  edp->pause_window_ms = round->pauses.window_ms;
+  load.prefill_budget = pau_compute_budget (&round->pauses, load.slowness);
+  load.recent_prefill = pau_get_recent (&edp->finished_prefill, round->now,
+                                        round->pauses.window_ms)
+                        * cells;
   if (edp_allows_request (edp, round->now, compute_cold_rate (round, edp)))
     load.slots = get_slots (edp, round->config);
   if (round->config != NULL)
@@ -108,6 +116,9 @@
   round->endpoints[i] = edp;
   round->loads[i] = collect_load (round, edp);
   round->has_free_slot |= round->loads[i].active < round->loads[i].slots;
+  if (round->loads[i].slots > 0)
+    round->max_budget
+        = MAX (round->max_budget, round->loads[i].prefill_budget);
 }
 
 /* Adds those of ENDPOINTS that are of STANDING and open.  */
@@ -168,6 +179,21 @@
     }
 }
 
+/* Returns what limits the pauses of streams of SERVICE.  */
+static pau_service_t
+get_pause_limit (const rly_t *rly, const rly_service_t *service)
+{
+  const rte_service_t *config = rte_find_service (rly->table, service->name);
+  pau_service_t pauses = { .event_ms = service->event_ms,
+                           .ms_per_token = fit_slope (&service->prefill_fit) };
+
+  if (config != NULL && config->is_engine
+      && rly_is_enabled (rly, MECH_PAUSE_LIMIT))
+    pauses.window_ms = pau_compute_window_ms (
+        rte_get_max_pause_ms (rly->table, service->name));
+  return pauses;
+}
+
 void
 rly_begin_round (rly_round_t *round, rly_t *rly, rly_service_t *service,
                  cfd_time_t now)
@@ -180,6 +206,8 @@
   round->now = now;
   round->base_ms = fit_base (&service->first_token_fit);
   round->ms_per_token = fit_slope (&service->first_token_fit);
+  round->pauses = get_pause_limit (rly, service);
+  round->max_budget = 0.;
   round->has_free_slot = false;
   round->has_resting = false;
   round->has_exclusions = false;
@@ -195,6 +223,22 @@
   compute_means (round);
 }
 
+/* Returns the share of the usual queueing time and capacity that REQUEST may
+   use.  */
+static double
+get_allowance (const rly_request_t *request)
+{
+  return request->is_late ? request->queue->late_allowance
+                          : request->queue->allowance;
+}
+
+static double
+get_budget_share (const rly_request_t *request)
+{
+  return pau_compute_share (get_allowance (request),
+                            request->queue->is_underserved);
+}
+
 /* Returns the cost of sending REQUEST and its answer between availability
    zones.  */
 static double
@@ -318,6 +362,29 @@
   load->fetch_ms = copy_ms;
 }
 
+/* Returns whether an endpoint caches most of the SHARED tokens of REQUEST, and
+   could get it if it prefilled nothing else.  REQUEST would wait in vain for
+   one that is too slow for it.  */
+static bool
+is_cached_in_reach (const rly_round_t *round, const rly_request_t *request,
+                    double shared)
+{
+  plc_request_t constraints = { .budget_share = get_budget_share (request),
+                                .max_budget = round->max_budget };
+
+  for (guint i = 0; i < round->count; i++)
+    {
+      plc_endpoint_t idle = round->loads[i];
+
+      idle.pending_prefill = 0.;
+      idle.recent_prefill = 0.;
+      if (round->cached_tokens[i] >= shared * (1. - MAX_MISSING_SHARE)
+          && plc_allows_pauses (&idle, &constraints))
+        return true;
+    }
+  return false;
+}
+
 /* Sets the prefill work of REQUEST at each endpoint.  Returns whether an
    endpoint caches most of its shared prefix.  */
 static bool
@@ -354,9 +421,7 @@
       round->loads[round->count].missing_tokens = 0.;
       round->loads[round->count].is_preferred = true;
     }
-  return round->count > 0
-         && round->cached_tokens[round->source]
-                >= shared * (1. - MAX_MISSING_SHARE);
+  return is_cached_in_reach (round, request, shared);
 }
 
 /* Returns how many tokens of its shared prefix may be missing at the endpoint
@@ -379,8 +444,7 @@
    */
   bool restarts_clock = request->tries > 0 || request->is_late;
   int64_t waited = restarts_clock ? 0 : round->now - request->first_attempt;
-  double allowed = request->is_late ? request->queue->late_allowance
-                                    : request->queue->allowance;
+  double allowed = get_allowance (request);
   plc_request_t constraints
       = { .time_left_ms
           = (double)request->target_latency_ms * TARGET_LATENCY_SHARE
@@ -398,6 +462,8 @@
   constraints.capacity_share = 1. - THROTTLED_RESERVE_SHARE * (1. - allowed);
   if (request->is_late)
     constraints.capacity_share = LATE_CAPACITY_SHARE;
+  constraints.max_budget = round->max_budget;
+  constraints.budget_share = get_budget_share (request);
   constraints.base_ms = round->base_ms;
   constraints.ms_per_token = round->ms_per_token;
   constraints.needed_tokens = request->prompt->tokens + request->output_tokens;
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -25,6 +25,8 @@
   char *name;
   bud_t retry_budget;
   fit_t first_token_fit;     /* time to first token by prefill work, in ms */
+  fit_t prefill_fit;         /* the same where nothing else is prefilled */
+  double event_ms;           /* time of an event while nothing is prefilled */
   prom_hist_t wait_ms;       /* from arrival until sent */
   prom_hist_t first_byte_ms; /* from arrival to the first byte; successes */
   prom_hist_t total_ms;      /* from arrival to the last byte; successes */
@@ -147,6 +149,8 @@
   bool is_warming_up;     /* the endpoint was cold when it was sent */
   double expected_ms;     /* time to the first byte, at the time of sending */
   cfd_time_t first_byte_at; /* of this exchange; 0: none yet */
+  cfd_time_t last_event_at; /* of this exchange; 0: none yet */
+  bool was_undisturbed;     /* nothing was to be prefilled at that time */
   bool head_sent;           /* the answer's head was sent to the caller */
   bool may_have_run;        /* sent to an endpoint that did not reject it */
   bool read_paused;         /* the caller reads too slowly */
@@ -206,6 +210,8 @@
   cfd_time_t now;
   double base_ms; /* time to first token without prefill */
   double ms_per_token;
+  pau_service_t pauses;
+  double max_budget;      /* of prefill work in a window, of all endpoints */
   bool has_free_slot;     /* at any endpoint */
   bool has_resting;       /* an endpoint of the cell rests */
   bool has_exclusions;    /* of the last request */
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -15,6 +15,11 @@
 #define SILENCE_TIMEOUT_MS 1500
 /* Events of an answer that show that its endpoint survived its beginning.  */
 #define EVENTS_THAT_GO_ON 2
+/* Weight of one sample in the average time of an event.  */
+#define EVENT_WEIGHT 0.02
+/* Less prefill work takes about as long as the rest of a first token, and
+   doesn't show the speed of an endpoint.  */
+#define MIN_SPEED_TOKENS 1000.
 
 static bool
 is_reserved (const rly_names_t *names, const char *name)
@@ -99,13 +104,34 @@
   request->pending_prefill = 0.;
 }
 
+/* Learns the speed of the endpoint of REQUEST, which prefilled nothing else.
+ */
+static void
+record_idle_first_token (rly_request_t *request, cfd_time_t now,
+                         double observed_ms)
+{
+  fit_t *fit = &request->service->prefill_fit;
+  spd_t *speed = &request->edp->speed;
+
+  if (request->prefill_ahead > MIN_SPEED_TOKENS)
+    spd_add (speed, now, observed_ms,
+             fit_base (fit) + fit_slope (fit) * request->prefill_ahead);
+  fit_add (fit, request->prefill_ahead,
+           observed_ms / spd_get_slowness (speed, now));
+}
+
 static void
 record_first_token (rly_request_t *request, cfd_time_t now)
 {
+  double observed_ms = (double)(now - request->sent_at) - request->fetch_ms;
+
   if (request->is_canary || request->is_remote)
     return;
+  if (request->prefill_ahead <= request->pending_prefill
+      && !request->is_warming_up)
+    record_idle_first_token (request, now, observed_ms);
   fit_add (&request->service->first_token_fit, request->prefill_ahead,
-           (double)(now - request->sent_at) - request->fetch_ms);
+           observed_ms);
 }
 
 static void
@@ -133,11 +159,29 @@
   return answer->is_valid && !answer->not_run && answer->status / 100 == 2;
 }
 
+/* Learns the time of an event while the endpoint prefills nothing.  */
+static void
+note_event (rly_request_t *request, cfd_time_t now)
+{
+  const edp_t *edp = request->edp;
+  rly_service_t *service = request->service;
+  bool undisturbed = edp->pending_prefill + edp->peer_pending_prefill <= 0.;
+
+  if (undisturbed && request->was_undisturbed && request->last_event_at > 0)
+    service->event_ms += ((double)(now - request->last_event_at)
+                              / spd_get_slowness (&edp->speed, now)
+                          - service->event_ms)
+                         * EVENT_WEIGHT;
+  request->was_undisturbed = undisturbed;
+  request->last_event_at = now;
+}
+
 static void
 handle_body (rly_request_t *request, cfd_time_t now, const char *bytes,
              size_t length)
 {
   bool first = request->pending_prefill > 0.;
+  unsigned events;
 
   if (request->first_byte_at == 0)
     request->first_byte_at = now;
@@ -154,9 +198,15 @@
     {
       edp_record_acceptance (request->edp);
       record_first_token (request, now);
+      pau_add_finished (&request->edp->finished_prefill, now,
+                        request->edp->pause_window_ms,
+                        request->pending_prefill);
       clear_pending_prefill (request);
     }
+  events = request->answer.events.events;
   rly_handle_body (request, bytes, length);
+  if (request->answer.events.events > events)
+    note_event (request, now);
   if (request->answer.events.events > 0)
     rly_note_origin (request, now);
   if (request->answer.events.events - request->events_before
@@ -227,6 +277,7 @@
   request->sent_at = now;
   request->events_before = request->answer.events.events;
   request->went_on = false;
+  request->last_event_at = 0;
   request->tries++;
   request->attempts++;
   edp->active++;
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -11,6 +11,8 @@
    A slow estimate makes a new router send too little rather than too much.  */
 #define INITIAL_BASE_MS 50.
 #define INITIAL_MS_PER_TOKEN (1. / 80.)
+#define INITIAL_IDLE_BASE_MS 10. /* where nothing else is prefilled */
+#define INITIAL_EVENT_MS 50.
 /* Retry-After while there is no configuration.  */
 #define NO_CONFIG_RETRY_MS 500
 /* Retry-After of a request that is refused for lack of processor time: the
@@ -206,6 +208,8 @@
   service = g_new0 (rly_service_t, 1);
   service->name = g_strdup (name);
   fit_init (&service->first_token_fit, INITIAL_BASE_MS, INITIAL_MS_PER_TOKEN);
+  service->event_ms = INITIAL_EVENT_MS;
+  fit_init (&service->prefill_fit, INITIAL_IDLE_BASE_MS, INITIAL_MS_PER_TOKEN);
   list_init (&service->queues);
   bud_init (&service->retry_budget, rly->settings.retry_window_ms,
             rly->settings.retry_ratio * RETRY_BUDGET_SHARE,
--- a/libcoltsfootdrum/relay/test-plc.c
+++ b/libcoltsfootdrum/relay/test-plc.c
@@ -24,7 +24,9 @@
     .max_missing_tokens = HUGE_VAL                                            \
   }
 
-#define FREE_ENDPOINT .slots = 64, .kv_capacity_tokens = 400000.
+/* Of average speed, and with streams whose pauses aren't limited.  */
+#define UNLIMITED .slowness = 1., .prefill_budget = HUGE_VAL
+#define FREE_ENDPOINT .slots = 64, .kv_capacity_tokens = 400000., UNLIMITED
 
 static const case_t cases[] = {
   { "idle-home",
@@ -134,16 +136,16 @@
     { .time_left_ms = 150.,
       .max_queueing_ms = HUGE_VAL,
       .capacity_share = 1. },
-    { { .active = 3, .slots = 6 },
-      { .active = 1, .slots = 6 },
-      { .active = 2, .slots = 6 } },
+    { { .active = 3, .slots = 6, UNLIMITED },
+      { .active = 1, .slots = 6, UNLIMITED },
+      { .active = 2, .slots = 6, UNLIMITED } },
     3,
     1 },
   { "plain-full",
     { .time_left_ms = 150.,
       .max_queueing_ms = HUGE_VAL,
       .capacity_share = 1. },
-    { { .active = 6, .slots = 6 } },
+    { { .active = 6, .slots = 6, UNLIMITED } },
     1,
     NO_ENDPOINT },
   /* An account above its fair share leaves some of the slots to others.  */
@@ -250,7 +252,7 @@
 {
   plc_request_t request = REQUEST (300., 150.);
   plc_endpoint_t endpoints[3]
-      = { { .slots = 4, .active = 4 },
+      = { { .slots = 4, .active = 4, UNLIMITED },
           { FREE_ENDPOINT, .active = 1, .context_tokens = 399000. },
           { FREE_ENDPOINT, .pending_prefill = 15001. } };
 
