Load balance: weak routers leave the rotation while strong ones have time

Cause: the platform assigns connections by a hash of the client, whatever a router's share of a processor. Three routers of 0.068 cores get nearly all callers of their zone for seconds, while routers with seven times their share are idle. Readiness by load reacts after a second of overload, and doesn't know whether others have time.

Change: bal.c decides from the processor share, busy share and readiness that routers report in item 19 of the full state and of summaries. A router that is busy leaves if routers of twice its share have twice the time needed, and if half of the zone's listed routers and one more rank above it and are ready. Rank is by share and name, which don't change, so that the bound doesn't depend on late or lost figures. While out, it closes callers' connections after their responses, 40 a second, from when the platform has noticed. It returns when idle, when the others are full, and when too few are ready.

--- a/libcoltsfootdrum/relay/ent-private.h
+++ b/libcoltsfootdrum/relay/ent-private.h
@@ -21,6 +21,8 @@
   unsigned accepted; /* since the start */
   bool backlogged;   /* since the last query */
   bool draining;
+  unsigned closes_left;  /* see ent_allow_closes */
+  unsigned closes;       /* of these, since the start */
   cfd_time_t checked_at; /* time-outs */
   size_t unsent_budget;  /* see ent_set_unsent_budget */
   size_t unsent_total;   /* at the last check */
--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -335,6 +335,18 @@
     }
 }
 
+void
+ent_allow_closes (ent_t *ent, unsigned count)
+{
+  ent->closes_left = count;
+}
+
+unsigned
+ent_count_allowed_closes (const ent_t *ent)
+{
+  return ent->closes;
+}
+
 void
 ent_drain (ent_t *ent)
 {
@@ -470,11 +482,27 @@
   return !call->reusable || call->ent->draining;
 }
 
+/* Marks the connection as one of those that may be closed.  While input is
+   being parsed, a further request may follow in it.  */
+static void
+use_allowed_close (ent_call_t *call)
+{
+  ent_t *ent = call->ent;
+
+  if (ent->closes_left == 0 || will_close (call) || call->parsing
+      || call->pipelined->len > 0)
+    return;
+  ent->closes_left--;
+  ent->closes++;
+  call->reusable = false;
+}
+
 static GString *
 build_head (ent_call_t *call, unsigned status, const char *fields)
 {
   GString *text = g_string_sized_new (512);
 
+  use_allowed_close (call);
   g_string_append_printf (text, "HTTP/1.1 %u %s\r\n", status,
                           http_status_str (status));
   if (fields != NULL)
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -64,6 +64,13 @@
    sent to it: fewer, the more wait for all.  */
 size_t ent_get_unsent_limit (const ent_call_t *call);
 
+/* Sets how many connections may be closed after their next responses, until
+   the next call.  Those on which a further request was received already stay
+   open.  */
+void ent_allow_closes (ent_t *ent, unsigned count);
+/* Returns the number of connections that were so closed since the start.  */
+unsigned ent_count_allowed_closes (const ent_t *ent);
+
 /* Closes each connection after its next response, from now on.  */
 void ent_drain (ent_t *ent);
 /* Closes the listening socket, so that new connections are refused.  */
--- a/libcoltsfootdrum/relay/mech.c
+++ b/libcoltsfootdrum/relay/mech.c
@@ -34,6 +34,9 @@
     "it isn't ready" },
   { "load-shedding", MECH_LOAD_SHEDDING,
     "a router without processor time refuses some new requests at once" },
+  { "load-balance", MECH_LOAD_BALANCE,
+    "a busy router leaves the rotation while much stronger ones of its zone "
+    "have time for its callers" },
   { "peer-updates", MECH_PEER_UPDATES,
     "changes of the store's lists come from the router that read them" },
 };
--- a/libcoltsfootdrum/relay/mech.h
+++ b/libcoltsfootdrum/relay/mech.h
@@ -19,7 +19,8 @@
   MECH_EARLY_REJECT = 1u << 7,
   MECH_LOAD_READINESS = 1u << 8,
   MECH_PEER_UPDATES = 1u << 9,
-  MECH_LOAD_SHEDDING = 1u << 10
+  MECH_LOAD_SHEDDING = 1u << 10,
+  MECH_LOAD_BALANCE = 1u << 13
 } mech_t;
 
 /* Parses NAMES, separated by commas, into BITS; NULL stands for none.  Returns
--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -359,6 +359,26 @@
     }
 }
 
+/* Packs processor share, busy share and readiness of this router.  Routers of
+   its zone may be in other cells.  */
+static void
+pack_capacity (const pal_t *pal, msgpack_packer *packer, pal_content_t content)
+{
+  bal_figures_t own = { 0 };
+
+  if (content != PAL_CHANGES && pal->bal != NULL)
+    own = bal_get_figures (pal->bal);
+  if (own.share == 0)
+    {
+      msgpack_pack_array (packer, 0);
+      return;
+    }
+  msgpack_pack_array (packer, 3);
+  msgpack_pack_uint32 (packer, own.share);
+  msgpack_pack_uint32 (packer, own.busy);
+  msgpack_pack_uint8 (packer, own.is_ready);
+}
+
 GByteArray *
 pal_pack (pal_t *pal, cfd_time_t now, pal_content_t content)
 {
@@ -387,7 +407,7 @@
   pack_quarantine (pal, &packer, now, content);
   pack_parts (pal, &packer, now, content);
   msgpack_pack_array (&packer, 0); /* SPEEDS_ITEM */
-  msgpack_pack_array (&packer, 0); /* CAPACITY_ITEM */
+  pack_capacity (pal, &packer, content);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -104,6 +104,7 @@
   org_t *org; /* not owned; may be NULL */
   qua_t *qua; /* not owned; may be NULL */
   prt_t *prt; /* not owned; may be NULL */
+  bal_t *bal; /* not owned; may be NULL */
   lag_t *lag; /* not owned; may be NULL */
   int64_t stable_ms;
   int64_t revisions[PAL_LIST_COUNT];
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -432,6 +432,22 @@
     }
 }
 
+static void
+receive_capacity (pal_t *pal, const pal_peer_t *peer, cfd_time_t now,
+                  const msg_node_t *row)
+{
+  bal_figures_t figures;
+
+  if (pal->bal == NULL || row->length < 3)
+    return;
+  figures = (bal_figures_t){
+    .share = (unsigned)MIN (row->u.items[0].u.number, UINT32_MAX),
+    .busy = (unsigned)MIN (row->u.items[1].u.number, UINT32_MAX),
+    .is_ready = row->u.items[2].u.number == 1
+  };
+  bal_set_figures (pal->bal, now, peer->name, &figures);
+}
+
 static int64_t
 decode_stable_ms (const msg_node_t *node)
 {
@@ -450,8 +466,9 @@
 }
 
 static void
-apply_state (pal_t *pal, cfd_time_t now, const msg_node_t *items)
+apply_state (pal_t *pal, cfd_time_t now, const msg_node_t *state)
 {
+  const msg_node_t *items = state->u.items;
   g_autofree char *name = copy_text (&items[1]);
   uint64_t incarnation = items[2].u.number;
   uint64_t number = items[3].u.number;
@@ -483,6 +500,8 @@
   receive_cold (pal, now, &items[14]);
   receive_quarantine (pal, now, &items[15]);
   receive_parts (pal, now, &items[16]);
+  if (state->length > CAPACITY_ITEM)
+    receive_capacity (pal, peer, now, &items[CAPACITY_ITEM]);
 }
 
 bool
@@ -494,6 +513,6 @@
   if (!msg_tree_parse (pal->arena, bytes, length, MAX_NODES, &tree)
       || !is_state (&tree.root))
     return false;
-  apply_state (pal, now, tree.root.u.items);
+  apply_state (pal, now, &tree.root);
   return true;
 }
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -282,6 +282,12 @@
   pal->prt = prt;
 }
 
+void
+pal_set_balance (pal_t *pal, bal_t *bal)
+{
+  pal->bal = bal;
+}
+
 void
 pal_set_reader (pal_t *pal, bool is_reader)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -13,6 +13,7 @@
 #ifndef RELAY_PAL_H
 #define RELAY_PAL_H
 
+#include "relay/bal.h"
 #include "relay/edp.h"
 #include "relay/lag.h"
 #include "relay/pfx.h"
@@ -49,6 +50,9 @@
  */
 void pal_set_parts (pal_t *pal, prt_t *prt);
 
+/* Exchanges the routers' processor time with BAL, which is not owned.  */
+void pal_set_balance (pal_t *pal, bal_t *bal);
+
 /* Another router, as listed in the platform's store.  */
 typedef struct
 {
--- /dev/null
+++ b/libcoltsfootdrum/relay/test-bal.c
@@ -0,0 +1,526 @@
+/* Tests of load balance: a simulated zone whose routers exchange their figures
+   late, lossily or not at all, and the platform's readiness checks.  */
+
+#include "relay/bal.h"
+
+#include <string.h>
+
+#define TICK_MS 25
+#define EXCHANGE_MS 100
+#define CHECK_MS 1000
+#define MAX_ROUTERS 9
+/* Exchanges that are kept, as delays may reach 1.5 s.  */
+#define KEPT 16
+/* Connections that a router closes in a second.  */
+#define CLOSES_PER_S 40.
+#define CONNECTIONS 265.
+
+typedef struct
+{
+  bal_t *bal;
+  unsigned share;
+  double demand; /* of the callers whose hash chooses it, millicores */
+  double moved;  /* share of them that is at others */
+  bal_figures_t sent[KEPT];
+  unsigned negatives; /* readiness checks in a row */
+  bool is_silent;
+} router_t;
+
+typedef struct
+{
+  router_t routers[MAX_ROUTERS];
+  unsigned count;
+  cfd_time_t now;
+  double served; /* millicores x ms */
+  unsigned min_in_rotation;
+  /* Number of exchanges by which figures are late on their way between two
+     routers; -1: they are lost.  NULL: they are never late.  */
+  int (*get_delay) (void *user, unsigned from, unsigned to);
+  void *user;
+} zone_t;
+
+static void
+zone_init (zone_t *zone, const unsigned *shares, unsigned count)
+{
+  *zone = (zone_t){ .count = count, .now = 1000000, .min_in_rotation = count };
+  for (unsigned i = 0; i < count; i++)
+    {
+      g_auto (GStrv) names = g_new0 (char *, count + 1);
+      g_autofree char *name = g_strdup_printf ("front-%u", i);
+      unsigned others = 0;
+
+      for (unsigned k = 0; k < count; k++)
+        if (k != i)
+          names[others++] = g_strdup_printf ("front-%u", k);
+      zone->routers[i].share = shares[i];
+      zone->routers[i].bal = bal_new (name, shares[i]);
+      bal_set_zone (zone->routers[i].bal, (const char *const *)names);
+    }
+}
+
+static void
+zone_clear (zone_t *zone)
+{
+  for (unsigned i = 0; i < zone->count; i++)
+    bal_free (zone->routers[i].bal);
+}
+
+static unsigned
+count_out (const zone_t *zone)
+{
+  unsigned out = 0;
+
+  for (unsigned i = 0; i < zone->count; i++)
+    out += bal_is_out (zone->routers[i].bal);
+  return out;
+}
+
+static void
+exchange (zone_t *zone)
+{
+  unsigned slot = (unsigned)(zone->now / EXCHANGE_MS);
+
+  for (unsigned i = 0; i < zone->count; i++)
+    zone->routers[i].sent[slot % KEPT]
+        = bal_get_figures (zone->routers[i].bal);
+  for (unsigned from = 0; from < zone->count; from++)
+    for (unsigned to = 0; to < zone->count; to++)
+      {
+        int delay = zone->get_delay != NULL
+                        ? zone->get_delay (zone->user, from, to)
+                        : 0;
+        g_autofree char *name = g_strdup_printf ("front-%u", from);
+
+        if (delay >= 0 && !zone->routers[from].is_silent)
+          bal_set_figures (
+              zone->routers[to].bal, zone->now, name,
+              &zone->routers[from].sent[(slot - (unsigned)delay) % KEPT]);
+      }
+}
+
+/* Asks the routers whether they are ready; two negative answers take one out
+   of rotation.  */
+static void
+check_readiness (zone_t *zone)
+{
+  unsigned in_rotation = 0;
+
+  for (unsigned i = 0; i < zone->count; i++)
+    {
+      router_t *router = &zone->routers[i];
+
+      router->negatives = bal_is_out (router->bal) ? router->negatives + 1 : 0;
+      in_rotation += router->negatives < 2;
+    }
+  zone->min_in_rotation = MIN (zone->min_in_rotation, in_rotation);
+}
+
+/* Returns the demand of the callers that are not at their own router.  */
+static double
+sum_moved (const zone_t *zone)
+{
+  double sum = 0.;
+
+  for (unsigned i = 0; i < zone->count; i++)
+    sum += zone->routers[i].demand * zone->routers[i].moved;
+  return sum;
+}
+
+static void
+tick_router (zone_t *zone, router_t *router, double moved)
+{
+  double demand = router->demand * (1. - router->moved);
+  double share = MAX (router->share, 1);
+  double busy;
+  bal_sample_t sample;
+
+  if (router->negatives < 2)
+    demand += moved;
+  busy = MIN (demand / share, 1.);
+  sample = (bal_sample_t){ .busy_ms = busy * TICK_MS,
+                           .idle_ms = (1. - busy) * TICK_MS,
+                           .is_ready = true };
+  zone->served += busy * share * TICK_MS;
+  bal_update (router->bal, zone->now, &sample);
+  if (bal_must_close (router->bal, zone->now) && router->negatives >= 2)
+    router->moved = MIN (
+        router->moved + CLOSES_PER_S / CONNECTIONS * TICK_MS / 1000., 1.);
+}
+
+static void
+zone_run (zone_t *zone, int64_t ms)
+{
+  for (cfd_time_t end = zone->now + ms; zone->now < end;)
+    {
+      double moved = sum_moved (zone);
+      unsigned in_rotation = 0;
+
+      zone->now += TICK_MS;
+      if (zone->now % EXCHANGE_MS == 0)
+        exchange (zone);
+      if (zone->now % CHECK_MS == 0)
+        check_readiness (zone);
+      for (unsigned i = 0; i < zone->count; i++)
+        in_rotation += zone->routers[i].negatives < 2;
+      for (unsigned i = 0; i < zone->count; i++)
+        tick_router (zone, &zone->routers[i], moved / MAX (in_rotation, 1));
+    }
+}
+
+static void
+set_demands (zone_t *zone, const unsigned *demands)
+{
+  for (unsigned i = 0; i < zone->count; i++)
+    zone->routers[i].demand = demands[i];
+}
+
+typedef struct
+{
+  const char *name;
+  unsigned count;
+  unsigned shares[MAX_ROUTERS];
+  unsigned demands[MAX_ROUTERS]; /* millicores, for WAVE_MS */
+  unsigned out;                  /* routers that leave */
+  double min_gain;               /* work done, by that without balance */
+} replay_case_t;
+
+#define WAVE_MS 20000
+
+static const replay_case_t replay_cases[] = {
+  /* Callers of the weakest are served late while others of the zone idle.  */
+  { "page",
+    7,
+    { 68, 68, 68, 500, 500, 500, 500 },
+    { 204, 204, 204, 40, 40, 40, 40 },
+    2,
+    1.3 },
+  /* Idle routers leave, or the weakest one can't while others are idle.  */
+  { "one",
+    7,
+    { 68, 68, 68, 220, 220, 500, 500 },
+    { 204, 10, 10, 30, 30, 40, 40 },
+    1,
+    1.3 },
+  /* Callers are moved to routers that have no time either.  */
+  { "all-full",
+    7,
+    { 68, 68, 68, 220, 220, 500, 500 },
+    { 204, 10, 10, 180, 180, 420, 420 },
+    0,
+    1. },
+  /* The zone's only router leaves.  */
+  { "single", 1, { 68 }, { 204 }, 0, 1. },
+  /* In a small zone the loss of one more would make the platform use all.  */
+  { "three", 3, { 68, 500, 500 }, { 204, 10, 10 }, 0, 1. },
+  /* Deployments with equal routers are no longer served as before.  */
+  { "equal",
+    7,
+    { 90, 90, 90, 90, 90, 90, 90 },
+    { 270, 270, 10, 10, 10, 10, 10 },
+    0,
+    1. },
+  { "nearly-equal",
+    7,
+    { 90, 90, 170, 170, 170, 170, 170 },
+    { 270, 270, 10, 10, 10, 10, 10 },
+    0,
+    1. },
+  /* A router whose share isn't known leaves, or counts as a strong one.  */
+  { "unknown",
+    7,
+    { 0, 0, 68, 220, 220, 500, 500 },
+    { 204, 204, 204, 30, 30, 40, 40 },
+    0,
+    1. },
+  /* Routers are out of rotation without need.  */
+  { "steady",
+    7,
+    { 68, 68, 68, 220, 220, 500, 500 },
+    { 30, 30, 30, 80, 80, 200, 200 },
+    0,
+    1. },
+};
+
+static double
+sum_without_balance (const replay_case_t *test)
+{
+  double sum = 0.;
+
+  for (unsigned i = 0; i < test->count; i++)
+    sum += MIN (test->demands[i], MAX (test->shares[i], 1)) * (double)WAVE_MS;
+  return sum;
+}
+
+/* Guards against the failure that its row names.  */
+static void
+test_replay (gconstpointer data)
+{
+  const replay_case_t *test = data;
+  unsigned idle[MAX_ROUTERS] = { 0 };
+  zone_t zone;
+  unsigned most_out = 0;
+
+  zone_init (&zone, test->shares, test->count);
+  zone_run (&zone, 2000);
+  zone.served = 0.;
+  set_demands (&zone, test->demands);
+  for (unsigned i = 0; i < WAVE_MS / CHECK_MS; i++)
+    {
+      zone_run (&zone, CHECK_MS);
+      most_out = MAX (most_out, count_out (&zone));
+    }
+  g_test_message ("gain=%.3f", zone.served / sum_without_balance (test));
+  g_assert_cmpuint (most_out, ==, test->out);
+  g_assert_cmpuint (zone.min_in_rotation, ==, test->count - test->out);
+  g_assert_cmpfloat (zone.served, >=,
+                     test->min_gain * sum_without_balance (test) * 0.999);
+  /* After the wave no router stays out.  */
+  set_demands (&zone, idle);
+  zone_run (&zone, 6000);
+  g_assert_cmpuint (count_out (&zone), ==, 0);
+  zone_clear (&zone);
+}
+
+static const unsigned page_shares[] = { 68, 68, 68, 500, 500, 500, 500 };
+static const unsigned page_demands[] = { 204, 204, 204, 40, 40, 40, 40 };
+
+/* Brings the page's zone to the state in which two routers are out.  */
+static void
+zone_init_wave (zone_t *zone)
+{
+  zone_init (zone, page_shares, G_N_ELEMENTS (page_shares));
+  zone_run (zone, 2000);
+  set_demands (zone, page_demands);
+  zone_run (zone, 4000);
+  g_assert_cmpuint (count_out (zone), ==, 2);
+}
+
+/* Guards against a zone in which too many leave, or all wait for another one,
+   as routers judge the same figures differently: with the same figures exactly
+   the weakest leave, those with equal shares in the order of their names.  */
+static void
+test_agreement (void)
+{
+  zone_t zone;
+
+  zone_init_wave (&zone);
+  for (unsigned i = 0; i < zone.count; i++)
+    {
+      g_assert_cmpint (bal_is_out (zone.routers[i].bal), ==, i < 2);
+      g_assert_cmpint (bal_get_figures (zone.routers[i].bal).is_ready, ==,
+                       i >= 2);
+    }
+  zone_clear (&zone);
+}
+
+/* Guards against routers that stay out of rotation while their neighbours are
+   dead: the figures of these expire after a second.  */
+static void
+test_neighbors_die (void)
+{
+  zone_t zone;
+
+  zone_init_wave (&zone);
+  for (unsigned i = 3; i < zone.count; i++)
+    zone.routers[i].is_silent = true;
+  zone_run (&zone, 1300);
+  g_assert_cmpuint (count_out (&zone), ==, 0);
+  g_assert_cmpint (bal_get_reason (zone.routers[0].bal), ==, BAL_FEW);
+  zone_clear (&zone);
+}
+
+/* The same while the neighbours are full.  They don't change their minds with
+   each datagram.  */
+static void
+test_neighbors_full (void)
+{
+  zone_t zone;
+
+  zone_init_wave (&zone);
+  for (unsigned i = 3; i < zone.count; i++)
+    zone.routers[i].demand = 2000.;
+  zone_run (&zone, 1500);
+  g_assert_cmpuint (count_out (&zone), ==, 0);
+  g_assert_cmpint (bal_get_reason (zone.routers[0].bal), ==, BAL_FULL);
+  set_demands (&zone, page_demands);
+  zone_run (&zone, 500);
+  g_assert_cmpuint (count_out (&zone), ==, 0);
+  zone_clear (&zone);
+}
+
+/* Guards against routers that leave by figures that are no longer true.  */
+static void
+test_stale_figures (void)
+{
+  zone_t zone;
+
+  zone_init (&zone, page_shares, G_N_ELEMENTS (page_shares));
+  zone_run (&zone, 2000);
+  for (unsigned i = 0; i < zone.count; i++)
+    zone.routers[i].is_silent = true;
+  zone_run (&zone, 1000);
+  set_demands (&zone, page_demands);
+  zone_run (&zone, 2000);
+  g_assert_cmpuint (count_out (&zone), ==, 0);
+  zone_clear (&zone);
+}
+
+/* Guards against routers that are out of rotation longer than they have to,
+   and against callers who send them out again and again.  */
+static void
+test_hold (void)
+{
+  static const unsigned idle[MAX_ROUTERS] = { 0 };
+  zone_t zone;
+  bal_t *first;
+
+  zone_init_wave (&zone);
+  first = zone.routers[0].bal;
+  g_assert_cmpint (bal_get_hold_ms (first), ==, 5000);
+  set_demands (&zone, idle);
+  zone_run (&zone, 2500);
+  g_assert_false (bal_is_out (first));
+  for (unsigned i = 0; i < zone.count; i++)
+    zone.routers[i].moved = 0.;
+  set_demands (&zone, page_demands);
+  zone_run (&zone, 2000);
+  g_assert_true (bal_is_out (first));
+  g_assert_cmpint (bal_get_hold_ms (first), ==, 10000);
+  set_demands (&zone, idle);
+  zone_run (&zone, 25000);
+  set_demands (&zone, page_demands);
+  zone_run (&zone, 2000);
+  g_assert_cmpint (bal_get_hold_ms (first), ==, 5000);
+  zone_clear (&zone);
+}
+
+/* Guards against connections that are closed before the platform has noticed
+   that the router left: they would come back to it.  */
+static void
+test_notice (void)
+{
+  zone_t zone;
+
+  zone_init (&zone, page_shares, G_N_ELEMENTS (page_shares));
+  zone_run (&zone, 2000);
+  set_demands (&zone, page_demands);
+  while (!bal_is_out (zone.routers[0].bal))
+    zone_run (&zone, TICK_MS);
+  zone_run (&zone, 2400);
+  g_assert_false (bal_must_close (zone.routers[0].bal, zone.now));
+  zone_run (&zone, 200);
+  g_assert_true (bal_must_close (zone.routers[0].bal, zone.now));
+  zone_clear (&zone);
+}
+
+typedef struct
+{
+  GRand *random;
+  int delays[MAX_ROUTERS][MAX_ROUTERS];
+  unsigned sides[MAX_ROUTERS]; /* of a partition */
+  double loss;
+} network_t;
+
+static int
+get_random_delay (void *user, unsigned from, unsigned to)
+{
+  const network_t *network = user;
+
+  if (network->sides[from] != network->sides[to]
+      || g_rand_double (network->random) < network->loss)
+    return -1;
+  return network->delays[from][to];
+}
+
+static void
+draw_network (network_t *network)
+{
+  GRand *random = network->random;
+  bool is_split = g_rand_boolean (random);
+
+  network->loss = g_rand_double_range (random, 0., 0.9);
+  for (unsigned i = 0; i < MAX_ROUTERS; i++)
+    {
+      network->sides[i]
+          = is_split ? (unsigned)g_rand_int_range (random, 0, 2) : 0;
+      for (unsigned k = 0; k < MAX_ROUTERS; k++)
+        network->delays[i][k] = g_rand_int_range (random, 0, KEPT);
+    }
+}
+
+static void
+draw_demands (zone_t *zone, GRand *random)
+{
+  for (unsigned i = 0; i < zone->count; i++)
+    {
+      zone->routers[i].demand = zone->routers[i].share * g_rand_double (random)
+                                * (g_rand_boolean (random) ? 3. : 0.5);
+      zone->routers[i].is_silent = g_rand_int_range (random, 0, 10) == 0;
+    }
+}
+
+/* Guards against a zone of which so many leave that the platform sends callers
+   to all of its routers again.  Half of the routers and one more stay,
+   whatever figures are up to 1.5 s late, lost, or don't cross a partition, and
+   whichever routers are silent.  */
+static void
+test_bound (void)
+{
+  static const unsigned kinds[] = { 0, 68, 68, 90, 220, 500 };
+  network_t network = { .random = g_rand_new_with_seed (29) };
+  unsigned left = 0;
+
+  for (unsigned round = 0; round < 300; round++)
+    {
+      unsigned shares[MAX_ROUTERS];
+      unsigned count
+          = (unsigned)g_rand_int_range (network.random, 1, MAX_ROUTERS + 1);
+      zone_t zone;
+
+      for (unsigned i = 0; i < count; i++)
+        shares[i] = kinds[g_rand_int_range (network.random, 0,
+                                            G_N_ELEMENTS (kinds))];
+      zone_init (&zone, shares, count);
+      zone.get_delay = get_random_delay;
+      zone.user = &network;
+      for (unsigned step = 0; step < 200; step++)
+        {
+          unsigned out;
+
+          if (step % 20 == 0)
+            {
+              draw_network (&network);
+              draw_demands (&zone, network.random);
+            }
+          zone_run (&zone, EXCHANGE_MS);
+          out = count_out (&zone);
+          left += out;
+          if (out > 0)
+            g_assert_cmpuint (2 * (count - out), >=, count + 2);
+        }
+      zone_clear (&zone);
+    }
+  g_assert_cmpuint (left, >, 1000);
+  g_rand_free (network.random);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (replay_cases); i++)
+    {
+      g_autofree char *path
+          = g_strdup_printf ("/bal/replay/%s", replay_cases[i].name);
+
+      g_test_add_data_func (path, &replay_cases[i], test_replay);
+    }
+  g_test_add_func ("/bal/agreement", test_agreement);
+  g_test_add_func ("/bal/neighbors-die", test_neighbors_die);
+  g_test_add_func ("/bal/neighbors-full", test_neighbors_full);
+  g_test_add_func ("/bal/stale-figures", test_stale_figures);
+  g_test_add_func ("/bal/hold", test_hold);
+  g_test_add_func ("/bal/closed-too-early", test_notice);
+  g_test_add_func ("/bal/bound", test_bound);
+  return g_test_run ();
+}
--- a/libcoltsfootdrum/relay/test-ent.c
+++ b/libcoltsfootdrum/relay/test-ent.c
@@ -179,6 +179,83 @@
   fixture_clear (&fixture);
 }
 
+static void
+send_request (fixture_t *fixture, int fd, const char *text)
+{
+  g_assert_cmpint (send (fd, text, strlen (text), MSG_NOSIGNAL), ==,
+                   strlen (text));
+  run_for (fixture, 1000);
+}
+
+static void
+on_held_request (void *user, ent_call_t *call)
+{
+  *(ent_call_t **)user = call;
+}
+
+/* Returns whether the response that arrived at FD announces a close.  */
+static bool
+announces_close (int fd)
+{
+  char text[512] = { 0 };
+
+  g_assert_cmpint (recv (fd, text, sizeof text - 1, 0), >, 0);
+  g_assert_true (g_str_has_prefix (text, "HTTP/1.1 200"));
+  return strstr (text, "Connection: close") != NULL;
+}
+
+/* Guards against a router out of rotation that closes connections on which a
+   request was received and not answered, before the whole response, without
+   announcing it, or all at once.  */
+static void
+test_allowed_closes (void)
+{
+  static const ent_ops_t ops = { on_held_request, on_disconnected };
+  static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  fixture_t fixture = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  ent_call_t *call = NULL;
+  g_autofree char *address = NULL;
+  char byte;
+  int fd;
+
+  fixture.ent = ent_new (fixture.loop, "127.0.0.1:0", &ops, &call, NULL);
+  address = g_strdup_printf ("127.0.0.1:%u", ent_get_port (fixture.ent));
+  g_assert_true (addr_parse (address, &fixture.address, NULL));
+  fd = addr_connect (&fixture.address);
+  run_for (&fixture, 1000);
+  /* Two requests in a row: the second one is answered too.  */
+  send_request (&fixture, fd, request);
+  send_request (&fixture, fd, request);
+  ent_allow_closes (fixture.ent, 1);
+  ent_respond (call, 200, NULL, NULL, 0);
+  g_assert_false (announces_close (fd));
+  run_for (&fixture, 1000);
+  ent_allow_closes (fixture.ent, 0);
+  ent_respond (call, 200, NULL, NULL, 0);
+  g_assert_false (announces_close (fd));
+  send_request (&fixture, fd, request);
+  ent_allow_closes (fixture.ent, 1);
+  ent_begin_response (call, 200, NULL, 2);
+  ent_send_body (call, "a", 1);
+  run_for (&fixture, 1000);
+  g_assert_true (announces_close (fd));
+  ent_finish_response (call, "b", 1);
+  run_for (&fixture, 1000);
+  g_assert_cmpint (recv (fd, &byte, 1, 0), ==, 1);
+  g_assert_cmpint (byte, ==, 'b');
+  g_assert_cmpint (recv (fd, &byte, 1, 0), ==, 0);
+  g_assert_cmpuint (ent_count_allowed_closes (fixture.ent), ==, 1);
+  close (fd);
+  /* No further one until more are allowed.  */
+  fd = addr_connect (&fixture.address);
+  run_for (&fixture, 1000);
+  send_request (&fixture, fd, request);
+  ent_respond (call, 200, NULL, NULL, 0);
+  g_assert_false (announces_close (fd));
+  close (fd);
+  fixture_clear (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -186,5 +263,6 @@
   g_test_add_func ("/ent/burst", test_burst);
   g_test_add_func ("/ent/left-waiting", test_left_waiting);
   g_test_add_func ("/ent/slow-clients", test_slow_clients);
+  g_test_add_func ("/ent/allowed-closes", test_allowed_closes);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -801,6 +801,42 @@
   router_free (&one);
 }
 
+/* Guards against routers that don't know how much processor time others of
+   their zone have: those of other cells report it in summaries.  A datagram of
+   an earlier version, or of a router that doesn't know its share, has no
+   figures.  */
+static void
+test_processor_time (void)
+{
+  static const char *const zone[] = { "one", NULL };
+  static const bal_sample_t sample
+      = { .busy_ms = 250., .idle_ms = 750., .is_ready = true };
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  g_autoptr (bal_t) near = bal_new ("here", 68);
+  g_autoptr (bal_t) far = bal_new ("one", 500);
+  g_autoptr (bal_t) unknown = bal_new ("one", 0);
+
+  pal_set_balance (here.pal, near);
+  bal_set_zone (near, zone);
+  bal_update (far, NOW, &sample);
+  deliver (&one, &here, NOW, PAL_FULL);
+  pal_set_balance (one.pal, unknown);
+  deliver (&one, &here, NOW, PAL_FULL);
+  pal_set_balance (one.pal, far);
+  deliver (&one, &here, NOW, PAL_CHANGES);
+  bal_update (near, NOW, &sample);
+  g_assert_cmpuint (bal_get_zone (near).above, ==, 0);
+  deliver (&one, &here, NOW, PAL_SUMMARY);
+  bal_update (near, NOW + 100, &sample);
+  g_assert_cmpuint (bal_get_zone (near).above, ==, 1);
+  /* 0.8 of 500 less what it uses.  */
+  g_assert_cmpuint (bal_get_zone (near).room, >, 250);
+  g_assert_cmpuint (bal_get_zone (near).room, <, 400);
+  router_free (&here);
+  router_free (&one);
+}
+
 /* Appends the header of a list of COUNT items.  */
 static void
 append_array (GByteArray *bytes, uint32_t count)
@@ -1092,5 +1128,6 @@
   g_test_add_func ("/pal/list-limits", test_list_limits);
   g_test_add_func ("/pal/update", test_update);
   g_test_add_func ("/pal/usage-refresh", test_usage_refresh);
+  g_test_add_func ("/pal/processor-time", test_processor_time);
   return g_test_run ();
 }
