--- a/libcoltsfootdrum/relay/mech.c
+++ b/libcoltsfootdrum/relay/mech.c
@@ -39,6 +39,9 @@
     "allow" },
   { "endpoint-speed", MECH_ENDPOINT_SPEED,
     "estimates for an endpoint account for its measured speed" },
+  { "load-balance", MECH_LOAD_BALANCE,
+    "a busy router leaves the rotation while much stronger ones of its zone "
+    "have time for its callers" },
   { "peer-updates", MECH_PEER_UPDATES,
     "changes of the store's lists come from the router that read them" },
 };
--- a/libcoltsfootdrum/relay/mech.h
+++ b/libcoltsfootdrum/relay/mech.h
@@ -21,7 +21,8 @@
   MECH_PEER_UPDATES = 1u << 9,
   MECH_LOAD_SHEDDING = 1u << 10,
   MECH_PAUSE_LIMIT = 1u << 11,
-  MECH_ENDPOINT_SPEED = 1u << 12
+  MECH_ENDPOINT_SPEED = 1u << 12,
+  MECH_LOAD_BALANCE = 1u << 13
 } mech_t;
 
 /* Parses NAMES, separated by commas, into BITS; NULL stands for none.  Returns
