Relay, store client: bounds for bytes without end

An endpoint that sent interim responses, chunk extensions, a plain body of any size, late answers to other requests, or comments, blank lines and repeated events was read until the request's deadline; events of any size were read until the next tick.

The reader of HTTP messages counts what is neither head nor body, and header fields; plain bodies of over 8 MB and streams without an event in 1 MB are broken off at the end of the read; skipped late answers and the bodies of health checks have limits. The connection is closed, and one failure counts against the endpoint. Comparing fields with Connection no longer allocates.

--- a/libcoltsfootdrum/http/fetch.c
+++ b/libcoltsfootdrum/http/fetch.c
@@ -11,6 +11,9 @@
 #include <string.h>
 
 #define MAX_BODY_BYTES (32u * 1024 * 1024)
+/* Size of a response's header lines, with those of interim responses and with
+   trailers.  libcurl limits single lines alone.  */
+#define MAX_HEAD_BYTES (256u * 1024)
 
 struct fetch_pool
 {
@@ -39,7 +42,8 @@
   bool is_cancelled;    /* will be freed by the DEFERRED timer */
   bool send_denied;     /* not sent, because may_send returned false */
   bool timed_out_idle;  /* exceeded idle_timeout_ms */
-  bool too_large;       /* the body exceeded MAX_BODY_BYTES */
+  size_t head_bytes;    /* see MAX_HEAD_BYTES */
+  bool too_large;       /* the head or body exceeded its limit */
   bool finished;        /* the done callback has been reached */
   bool has_head;        /* the final response head is complete */
   bool pause_requested; /* by fetch_pause */
@@ -326,6 +330,10 @@
 
   if (fetch->is_cancelled)
     return 0;
+  fetch->head_bytes += length;
+  fetch->too_large |= fetch->head_bytes > MAX_HEAD_BYTES;
+  if (fetch->too_large)
+    return 0;
   restart_idle_timer (fetch);
   if (fetch->has_head)
     return length; /* a trailer */
--- a/libcoltsfootdrum/http/test-fetch.c
+++ b/libcoltsfootdrum/http/test-fetch.c
@@ -32,6 +32,8 @@
   ev_io connection;
   char url[64];
   const char *script;
+  const char *repeat; /* sent until the client closes; NULL: none */
+  size_t repeated_bytes;
   after_script_t after;
   unsigned requests;
   /* Results reported by the client.  */
@@ -60,6 +62,30 @@
   f->connection.fd = -1;
 }
 
+static void
+on_writable (struct ev_loop *loop, ev_io *io, int revents)
+{
+  fixture_t *f = io->data;
+  g_autoptr (GString) text = g_string_new (NULL);
+  ssize_t length;
+
+  while (text->len < 65536)
+    g_string_append (text, f->repeat);
+  length = send (io->fd, text->str, text->len, MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (length < 0 && errno != EAGAIN)
+    close_connection (f);
+  f->repeated_bytes += length > 0 ? (size_t)length : 0;
+}
+
+static void
+start_repeating (fixture_t *f)
+{
+  ev_io_stop (f->loop, &f->connection);
+  ev_io_init (&f->connection, on_writable, f->connection.fd, EV_WRITE);
+  f->connection.data = f;
+  ev_io_start (f->loop, &f->connection);
+}
+
 static void
 on_request (struct ev_loop *loop, ev_io *io, int revents)
 {
@@ -75,6 +101,11 @@
   f->requests++;
   g_assert_cmpint (write (io->fd, f->script, strlen (f->script)), ==,
                    (ssize_t)strlen (f->script));
+  if (f->repeat != NULL)
+    {
+      start_repeating (f);
+      return;
+    }
   if (f->after == RESET_CONNECTION)
     {
       struct linger none = { .l_onoff = 1, .l_linger = 0 };
@@ -380,6 +411,73 @@
   g_assert_cmpstr (f->body->str, ==, "hi");
 }
 
+/* Longest iteration of the event loop beside an endless response.  */
+#define MAX_ITERATION_MS 250
+/* Time limit of the whole response, as calls to the store have one.  */
+#define TOTAL_TIMEOUT_MS 700
+/* Bytes that may come in a head or in trailers, and in a body, with those in
+   the buffers of both sides.  */
+#define MAX_HEAD_BYTES (16u * 1024 * 1024)
+#define MAX_BODY_BYTES (64u * 1024 * 1024)
+
+typedef struct
+{
+  const char *script;
+  const char *repeat;
+  size_t max_bytes; /* 0: bounded by the time limit alone */
+} endless_t;
+
+/* Guards against a server, such as the platform's store, that sends without
+   end and takes the client's memory or delays its other connections.  */
+static void
+test_endless (fixture_t *f, gconstpointer data)
+{
+  static const endless_t endless[] = {
+    { "", "HTTP/1.1 100 Continue\r\n\r\n", MAX_HEAD_BYTES },
+    { OK_HEAD, "X-A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
+      MAX_HEAD_BYTES },
+    { OK_HEAD "X-A: ", "aaaaaaaaaaaaaaaaaaaaaaaaaaa", MAX_HEAD_BYTES },
+    { "", "\r\n", MAX_HEAD_BYTES },
+    { OK_HEAD "\r\n", "aaaaaaaaaaaaaaaaaaaaaaaaaaaaa", MAX_BODY_BYTES },
+    { OK_HEAD "Content-Length: 99999999999\r\n\r\n", "aaaaaaaaaaa",
+      MAX_BODY_BYTES },
+    { OK_HEAD "Transfer-Encoding: chunked\r\n\r\n", "a\r\naaaaaaaaaa\r\n",
+      MAX_BODY_BYTES },
+    { OK_HEAD "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n",
+      "X-T: aaaaaaaaaaaaaaaaaa\r\n", MAX_HEAD_BYTES },
+    { OK_HEAD "Transfer-Encoding: chunked\r\n\r\n1;", "a=b;", 0 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (endless); i++)
+    {
+      fetch_request_t request = request_of (f, "GET", TOTAL_TIMEOUT_MS, 0);
+      cfd_time_t start = clock_now ();
+      cfd_time_t last = start;
+
+      g_test_message ("row %u", i);
+      f->script = endless[i].script;
+      f->repeat = endless[i].repeat;
+      f->repeated_bytes = 0;
+      request.data = NULL;
+      fetch_start (f->pool, &request);
+      while (f->done_calls == i)
+        {
+          ev_run (f->loop, EVRUN_ONCE);
+          if (f->repeated_bytes > 0)
+            g_assert_cmpint (clock_now () - last, <, MAX_ITERATION_MS);
+          last = clock_now ();
+        }
+      g_test_message ("%zu bytes in %" G_GINT64_FORMAT " ms",
+                      f->repeated_bytes, last - start);
+      g_assert_cmpint (last - start, <, TOTAL_TIMEOUT_MS + MAX_ITERATION_MS);
+      g_assert_cmpint (f->result, !=, FETCH_COMPLETE);
+      if (endless[i].max_bytes > 0)
+        g_assert_cmpuint (f->repeated_bytes, <=, endless[i].max_bytes);
+      while (f->connection.fd >= 0)
+        ev_run (f->loop, EVRUN_ONCE);
+    }
+}
+
 static bool
 count_and_decide (void *user)
 {
@@ -427,5 +525,6 @@
   add ("/fetch/inside-callbacks", test_inside_callbacks);
   add ("/fetch/pause", test_pause);
   add ("/fetch/send-denied", test_send_denied);
+  add ("/fetch/endless", test_endless);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/edp-check.c
+++ b/libcoltsfootdrum/relay/edp-check.c
@@ -12,6 +12,17 @@
    due.  */
 #define ILL_MS (2 * WRM_ASK_INTERVAL_MS)
 #define STATUS_OK 200
+/* Largest body of an answer that is read.  It isn't used, and an endpoint may
+   send without end.  */
+#define MAX_BODY_BYTES 65536u
+
+void
+edp_cancel_check (edp_t *edp)
+{
+  if (edp->check.exchange != NULL)
+    ups_cancel (edp->check.exchange);
+  edp->check.exchange = NULL;
+}
 
 /* Returns how long the endpoint that was asked stays cold, by its answer; -1:
    the answer doesn't tell.  */
@@ -72,6 +83,31 @@
 static void
 on_body (void *user, const char *bytes, size_t length)
 {
+  edp_t *edp = user;
+
+  edp->check.body_bytes += length;
+}
+
+/* Counts a failure of EDP, whose answer to a check is none or has no end.  */
+static void
+record_bad_answer (edp_t *edp)
+{
+  log_warn ("endpoints",
+            "The answer to a health check is invalid or too large: "
+            "endpoint=%s body_bytes=%zu.",
+            edp->report->id, edp->check.body_bytes);
+  edp_record_failure (edp, clock_now ());
+}
+
+static void
+on_read_end (void *user)
+{
+  edp_t *edp = user;
+
+  if (edp->check.body_bytes <= MAX_BODY_BYTES)
+    return;
+  edp_cancel_check (edp);
+  record_bad_answer (edp);
 }
 
 static void
@@ -80,6 +116,8 @@
   edp_t *edp = user;
 
   edp->check.exchange = NULL;
+  if (end == UPS_MALFORMED)
+    record_bad_answer (edp);
   if (end == UPS_CONNECT_FAILED)
     edp_note_unreachable (edp, clock_now ());
 }
@@ -88,8 +126,10 @@
 send_check (edp_set_t *set, edp_t *edp, cfd_time_t now,
             const edp_check_options_t *options)
 {
-  static const ups_ops_t ops
-      = { .head = on_head, .body = on_body, .ended = on_ended };
+  static const ups_ops_t ops = { .head = on_head,
+                                 .body = on_body,
+                                 .read_end = on_read_end,
+                                 .ended = on_ended };
   const char *path = options->get_path (options->user, edp->report->service);
   g_autofree char *text = NULL;
   ups_request_t request = { .id_field = "", .id = "" };
@@ -102,19 +142,12 @@
   request.length = strlen (text);
   edp->check.options = options;
   edp->check.sent_at = now;
+  edp->check.body_bytes = 0;
   wrm_note_asked (&edp->warmth, now);
   edp->check.exchange = ups_send (edp->ups, now, &request, &ops, edp);
   set->checks_sent++;
 }
 
-void
-edp_cancel_check (edp_t *edp)
-{
-  if (edp->check.exchange != NULL)
-    ups_cancel (edp->check.exchange);
-  edp->check.exchange = NULL;
-}
-
 void
 edp_expire_check (edp_t *edp, cfd_time_t now)
 {
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -67,6 +67,7 @@
   ups_exchange_t *exchange; /* NULL: it has ended */
   cfd_time_t sent_at;
   cfd_time_t considered_at; /* whether this router sends it */
+  size_t body_bytes;        /* of its answer */
 } edp_check_t;
 
 /* Exchanges with an endpoint that broke, until it is known whether its process
--- a/libcoltsfootdrum/relay/evs.c
+++ b/libcoltsfootdrum/relay/evs.c
@@ -13,7 +13,9 @@
   stream->bytes = g_byte_array_new ();
   stream->scanned = 0;
   stream->is_too_long = false;
+  stream->idle_bytes = 0;
   stream->last_id = -1;
+  stream->seen_id = -1;
   stream->events = 0;
 }
 
@@ -96,6 +98,32 @@
   return -1;
 }
 
+/* Returns whether TEXT has a line that is neither blank nor a comment.  */
+static bool
+has_field (const char *text, size_t length)
+{
+  for (size_t i = 0; i < length; i++)
+    {
+      bool starts_line = i == 0 || text[i - 1] == '\n' || text[i - 1] == '\r';
+
+      if (starts_line && text[i] != ':' && text[i] != '\n' && text[i] != '\r')
+        return true;
+    }
+  return false;
+}
+
+/* Counts the bytes of an event with ID, -1 for none, unless it brings the
+   stream forward.  An endpoint that repeats the stream from its beginning does
+   that too.  */
+static void
+count_idle_bytes (evs_t *stream, const char *text, size_t length, int64_t id)
+{
+  bool goes_on = id >= 0 ? id > stream->seen_id : has_field (text, length);
+
+  stream->idle_bytes = goes_on ? 0 : stream->idle_bytes + length;
+  stream->seen_id = MAX (stream->seen_id, id);
+}
+
 unsigned
 evs_feed (evs_t *stream, const char *bytes, size_t length, GString *out)
 {
@@ -118,6 +146,7 @@
         break;
       id = parse_event_id (text, size);
       consumed += size;
+      count_idle_bytes (stream, text, size, id);
       if (id >= 0 && id <= stream->last_id)
         continue;
       if (id >= 0)
@@ -128,7 +157,8 @@
   if (consumed > 0)
     g_byte_array_remove_range (stream->bytes, 0, (guint)consumed);
   stream->events += events;
-  if (stream->bytes->len > EVS_MAX_EVENT_BYTES)
+  if (stream->bytes->len > EVS_MAX_EVENT_BYTES
+      || stream->idle_bytes > EVS_MAX_IDLE_BYTES)
     {
       evs_discard_partial (stream);
       stream->is_too_long = true;
@@ -161,6 +191,8 @@
   g_byte_array_set_size (stream->bytes, 0);
   stream->scanned = 0;
   stream->is_too_long = false;
+  stream->idle_bytes = 0;
+  stream->seen_id = -1;
 }
 
 void
--- a/libcoltsfootdrum/relay/evs.h
+++ b/libcoltsfootdrum/relay/evs.h
@@ -11,14 +11,23 @@
 
 /* Longest event.  */
 #define EVS_MAX_EVENT_BYTES 1048576u
+/* Most bytes of comments, blank lines and events that were received before,
+   with nothing else between them.  */
+#define EVS_MAX_IDLE_BYTES 1048576u
 
 typedef struct
 {
   GByteArray *bytes; /* the start of an incomplete event */
   size_t scanned;    /* number of these bytes in which no event ends */
-  bool is_too_long;  /* an event exceeded the limit; all bytes are dropped */
+  /* An event, or what came instead of one, exceeded its limit; all bytes are
+     dropped.  */
+  bool is_too_long;
+  size_t idle_bytes; /* see EVS_MAX_IDLE_BYTES */
   int64_t last_id;   /* of the last event passed on; -1: none */
-  unsigned events;   /* number of events passed on */
+  /* Of the last event received since the start or the last interruption, also
+     when it was dropped; -1: none.  */
+  int64_t seen_id;
+  unsigned events; /* number of events passed on */
 } evs_t;
 
 void evs_init (evs_t *stream);
@@ -26,7 +35,7 @@
 
 /* Adds BYTES to the stream and appends the events that are now complete to
    OUT.  Events whose id was passed on before are dropped.  Returns the number
-   of events appended.  After an event that is too long, appends nothing.  */
+   of events appended.  After one that is too long, appends nothing.  */
 unsigned evs_feed (evs_t *stream, const char *bytes, size_t length,
                    GString *out);
 
--- a/libcoltsfootdrum/relay/hdr.c
+++ b/libcoltsfootdrum/relay/hdr.c
@@ -122,15 +122,27 @@
   return CLAMP ((int64_t)date * 1000 - wall_ms, 0, HDR_MAX_RETRY_AFTER_MS);
 }
 
-/* Returns whether the comma-separated LIST contains ITEM, ignoring case.  */
+/* Returns whether the comma-separated LIST contains ITEM, ignoring case.  It
+   is called for each field, so that it must not allocate: a peer may send
+   hundreds of fields and a list of thousands of items.  */
 static bool
 list_contains (const char *list, const char *item)
 {
-  g_auto (GStrv) parts = g_strsplit (list, ",", -1);
+  size_t length = strlen (item);
 
-  for (char **part = parts; *part != NULL; part++)
-    if (g_ascii_strcasecmp (g_strstrip (*part), item) == 0)
-      return true;
+  while (*list != '\0')
+    {
+      size_t part = strcspn (list, ",");
+      size_t start = MIN (strspn (list, " \t"), part);
+      size_t end = part;
+
+      while (end > start && g_ascii_isspace (list[end - 1]))
+        end--;
+      if (end - start == length
+          && g_ascii_strncasecmp (list + start, item, length) == 0)
+        return true;
+      list += part + (list[part] == ',');
+    }
   return false;
 }
 
--- a/libcoltsfootdrum/relay/rd.c
+++ b/libcoltsfootdrum/relay/rd.c
@@ -13,6 +13,8 @@
   void *user;
   size_t max_head_bytes;
   size_t head_bytes;
+  uint64_t read_bytes; /* of the message, interim responses included */
+  uint64_t body_bytes;
   GString *target;
   GString *name;
   GString *value;
@@ -53,6 +55,18 @@
   rd->in_value = false;
 }
 
+/* Returns whether the message has more bytes that don't belong to its body
+   than any useful one.  Without that limit a sender of interim
+   responses or chunk extensions would be read without end.  */
+static bool
+is_excessive (const rd_t *rd)
+{
+  uint64_t overhead = rd->read_bytes - MIN (rd->body_bytes, rd->read_bytes);
+
+  return overhead > (uint64_t)rd->max_head_bytes * RD_OVERHEAD_PER_HEAD_BYTE
+                        + rd->body_bytes * RD_OVERHEAD_PER_BODY_BYTE;
+}
+
 static int
 on_begin (http_parser *parser)
 {
@@ -75,6 +89,9 @@
   rd_t *rd = get_reader (parser);
 
   store_field (rd);
+  rd->too_large |= hdr_count (&rd->head.fields) >= RD_MAX_FIELDS;
+  if (rd->too_large)
+    return 1;
   g_string_append_len (rd->name, at, (gssize)length);
   return count_head_bytes (rd, length) ? 0 : 1;
 }
@@ -147,6 +164,7 @@
 {
   rd_t *rd = get_reader (parser);
 
+  rd->body_bytes += length;
   rd->ops->body (rd->user, at, length);
   return 0;
 }
@@ -218,6 +236,9 @@
                     rd->kind == RD_REQUESTS ? HTTP_REQUEST : HTTP_RESPONSE);
   rd->parser.data = rd;
   rd->head_bytes = 0;
+  rd->read_bytes = 0;
+  rd->body_bytes = 0;
+  rd->too_large = false;
   rd->in_value = false;
   rd->head_done = false;
   rd->started = false;
@@ -233,9 +254,10 @@
 rd_feed (rd_t *rd, const char *bytes, size_t length, size_t *used)
 {
   *used = http_parser_execute (&rd->parser, &callbacks, bytes, length);
+  rd->read_bytes += *used;
   if (rd->complete)
     return RD_COMPLETE;
-  if (rd->too_large)
+  if (rd->too_large || is_excessive (rd))
     return RD_TOO_LARGE;
   if (HTTP_PARSER_ERRNO (&rd->parser) != HPE_OK)
     return RD_INVALID;
--- a/libcoltsfootdrum/relay/rd.h
+++ b/libcoltsfootdrum/relay/rd.h
@@ -22,7 +22,7 @@
   RD_INCOMPLETE, /* the message continues */
   RD_COMPLETE,   /* the message ended; further bytes were not read */
   RD_INVALID,    /* not HTTP/1.1, or rejected by a callback */
-  RD_TOO_LARGE   /* the head exceeds its limit */
+  RD_TOO_LARGE   /* the head or the framing of chunks exceeds its limit */
 } rd_result_t;
 
 /* What marks the end of a message.  */
@@ -52,7 +52,17 @@
   void (*body) (void *user, const char *bytes, size_t length);
 } rd_ops_t;
 
-/* MAX_HEAD_BYTES limits the size of a message's start line and fields.  */
+/* Most header fields of a message, trailers included.  */
+#define RD_MAX_FIELDS 512u
+/* Bytes of a message that are not part of its body, such as blank lines,
+   interim responses and the framing of chunks, per byte of the head's limit
+   and per byte of the body.  A chunk of one byte takes up to 12 when its size
+   is padded to 8 digits.  */
+#define RD_OVERHEAD_PER_HEAD_BYTE 4u
+#define RD_OVERHEAD_PER_BODY_BYTE 16u
+
+/* MAX_HEAD_BYTES limits the size of a message's start line and fields, and,
+   with the size of the body, that of everything else.  */
 rd_t *rd_new (rd_kind_t kind, size_t max_head_bytes, const rd_ops_t *ops,
               void *user);
 void rd_free (rd_t *rd);
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -22,6 +22,7 @@
   answer->is_stream = false;
   answer->not_run = false;
   answer->is_valid = false;
+  answer->is_too_large = false;
   answer->framing = RD_LENGTH;
   answer->received_bytes = 0;
   g_string_truncate (answer->fields, 0);
@@ -201,14 +202,23 @@
       if (answer->body->len + length <= MAX_BODY_BYTES)
         g_string_append_len (answer->body, bytes, (gssize)length);
       else
-        answer->is_valid = false;
-      return;
+        answer->is_too_large = true;
+    }
+  else
+    {
+      evs_feed (&answer->events, bytes, length, answer->body);
+      answer->is_too_large |= answer->events.is_too_long;
     }
-  evs_feed (&answer->events, bytes, length, answer->body);
-  if (answer->events.is_too_long)
+  if (answer->is_too_large)
     answer->is_valid = false;
 }
 
+bool
+rly_is_excessive (const rly_request_t *request)
+{
+  return request->answer.is_too_large;
+}
+
 /* Returns whether REQUEST may be sent to another endpoint, apart from the
    retry budget and its deadline.  */
 static bool
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -86,9 +86,10 @@
   GString *fields; /* header lines for the caller */
   GString *body;   /* bytes not forwarded to the caller yet */
   evs_t events;
-  bool is_stream; /* forwarded event by event as it arrives */
-  bool not_run;   /* the endpoint rejected the request */
-  bool is_valid;  /* may be forwarded to the caller */
+  bool is_stream;    /* forwarded event by event as it arrives */
+  bool not_run;      /* the endpoint rejected the request */
+  bool is_valid;     /* may be forwarded to the caller */
+  bool is_too_large; /* exceeded a limit; the rest must not be read */
   rd_framing_t framing;
   uint64_t received_bytes; /* of the body */
 } rly_answer_t;
@@ -337,6 +338,9 @@
 /* Forwards the events that were received since the last call, in one write:
    several arrive in one read when the loop is behind.  */
 void rly_forward (rly_request_t *request);
+/* Returns whether the answer exceeded a limit, so that the exchange must be
+   broken off.  */
+bool rly_is_excessive (const rly_request_t *request);
 /* Counts and logs the end of an exchange.  */
 end_kind_t rly_note_end (rly_request_t *request, ups_end_t end);
 void rly_handle_end (rly_request_t *request, ups_end_t end, cfd_time_t now);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -177,6 +177,29 @@
   lag_leave (lag, before, 1);
 }
 
+static void
+abort_exchange (rly_request_t *request, cfd_time_t now, ups_end_t end)
+{
+  ups_exchange_t *exchange = request->exchange;
+
+  request->exchange = NULL;
+  ups_cancel (exchange);
+  rly_handle_end (request, end, now);
+}
+
+/* Breaks off an answer that exceeds its limits: its endpoint may send without
+   end.  */
+static void
+abort_excessive (rly_request_t *request, cfd_time_t now)
+{
+  log_warn ("relay",
+            "An answer exceeds its limits and is broken off: request=%s "
+            "endpoint=%s stream=%d bytes=%" G_GUINT64_FORMAT ".",
+            request->id, request->edp->report->id, request->answer.is_stream,
+            request->answer.received_bytes);
+  abort_exchange (request, now, UPS_MALFORMED);
+}
+
 static void
 on_read_end (void *user)
 {
@@ -185,6 +208,8 @@
   lag_kind_t before = lag_enter (lag, LAG_ENDPOINTS);
 
   rly_forward (request);
+  if (rly_is_excessive (request))
+    abort_excessive (request, clock_now ());
   lag_leave (lag, before, 0);
 }
 
@@ -337,16 +362,6 @@
   return SILENCE_TIMEOUT_MS + (int64_t)(2. * estimate_first_byte_ms (request));
 }
 
-static void
-abort_exchange (rly_request_t *request, cfd_time_t now, ups_end_t end)
-{
-  ups_exchange_t *exchange = request->exchange;
-
-  request->exchange = NULL;
-  ups_cancel (exchange);
-  rly_handle_end (request, end, now);
-}
-
 void
 rly_check_timeouts (rly_request_t *request, cfd_time_t now)
 {
@@ -359,11 +374,6 @@
       rly_fail (request, 504, "timeout");
       return;
     }
-  if (request->answer.events.is_too_long)
-    {
-      abort_exchange (request, now, UPS_MALFORMED);
-      return;
-    }
   if (!ups_is_connected (request->exchange))
     {
       if (since_sent > CONNECT_TIMEOUT_MS)
--- a/libcoltsfootdrum/relay/test-evs.c
+++ b/libcoltsfootdrum/relay/test-evs.c
@@ -120,6 +120,68 @@
   evs_clear (&stream);
 }
 
+/* Feeds REPEATED until it has LENGTH bytes.  */
+static void
+feed_repeatedly (evs_t *stream, const char *repeated, size_t length)
+{
+  g_autoptr (GString) out = g_string_new (NULL);
+
+  for (size_t fed = 0; fed < length; fed += strlen (repeated))
+    {
+      evs_feed (stream, repeated, strlen (repeated), out);
+      g_string_truncate (out, 0);
+    }
+}
+
+/* Guards against a stream that is read without end, though it brings nothing
+   but comments, blank lines or events that were received before.  */
+static void
+test_idle (void)
+{
+  static const char *const idle[]
+      = { ": a\n\n", "\n\n", "\r\n\r\n", ":\r: b\r\r", "id: 1\ndata: a\n\n" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (idle); i++)
+    {
+      evs_t stream;
+
+      evs_init (&stream);
+      feed_repeatedly (&stream, "id: 1\n\n", 1);
+      feed_repeatedly (&stream, idle[i], EVS_MAX_IDLE_BYTES - 64);
+      g_assert_false (stream.is_too_long);
+      feed_repeatedly (&stream, "data: a\n\n", 1);
+      feed_repeatedly (&stream, idle[i], EVS_MAX_IDLE_BYTES - 64);
+      g_assert_false (stream.is_too_long);
+      feed_repeatedly (&stream, idle[i], 128);
+      g_assert_true (stream.is_too_long);
+      evs_clear (&stream);
+    }
+}
+
+/* Guards against a long stream that is taken for an endless one, since its
+   endpoint begins it anew instead of resuming it.  */
+static void
+test_begun_anew (void)
+{
+  g_autoptr (GString) out = g_string_new (NULL);
+  evs_t stream;
+
+  evs_init (&stream);
+  for (unsigned pass = 0; pass < 2; pass++)
+    {
+      for (unsigned id = 1; id <= EVS_MAX_IDLE_BYTES / 8; id++)
+        {
+          g_autofree char *event = g_strdup_printf ("id: %u\n\n", id);
+
+          evs_feed (&stream, event, strlen (event), out);
+        }
+      g_assert_false (stream.is_too_long);
+      g_assert_cmpint (stream.last_id, ==, EVS_MAX_IDLE_BYTES / 8);
+      evs_discard_partial (&stream);
+    }
+  evs_clear (&stream);
+}
+
 /* Pieces of one byte give the same events as the whole.  */
 static void
 test_single_bytes (void)
@@ -148,6 +210,8 @@
     }
   g_test_add_func ("/evs/goes-on-elsewhere", test_goes_on_elsewhere);
   g_test_add_func ("/evs/too-long", test_too_long);
+  g_test_add_func ("/evs/idle", test_idle);
+  g_test_add_func ("/evs/begun-anew", test_begun_anew);
   g_test_add_func ("/evs/single-bytes", test_single_bytes);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-rd.c
+++ b/libcoltsfootdrum/relay/test-rd.c
@@ -174,6 +174,82 @@
   g_string_free (parsed.body, TRUE);
 }
 
+/* What a peer repeats, and after how many bytes at most it is rejected.  */
+typedef struct
+{
+  rd_kind_t kind;
+  const char *begin;
+  const char *repeat;
+  size_t max_bytes; /* 0: it is accepted */
+} repeated_t;
+
+#define CHUNKED_RESP "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define OVERHEAD_BYTES (MAX_HEAD_BYTES * RD_OVERHEAD_PER_HEAD_BYTE)
+
+/* Guards against a peer that is read without end, though it sends nothing that
+   counts as head or body; and against a body in small chunks that is
+   rejected.  */
+static void
+test_overhead (void)
+{
+  static const repeated_t rows[] = {
+    { RESP, "", "HTTP/1.1 100 Continue\r\n\r\n", OVERHEAD_BYTES + 64 },
+    { RESP, "", "\r\n", OVERHEAD_BYTES + 64 },
+    { RESP, CHUNKED_RESP, "1;aaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\nx\r\n",
+      OVERHEAD_BYTES * 3 },
+    { REQ, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "1;aaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\nx\r\n", OVERHEAD_BYTES * 3 },
+    { RESP, CHUNKED_RESP, "1\r\nx\r\n", 0 },
+    { RESP, CHUNKED_RESP, "00000001\r\nx\r\n", 0 },
+  };
+  static const rd_ops_t ops = { on_head, on_body };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      parsed_t parsed
+          = { .head = g_string_new (NULL), .body = g_string_new (NULL) };
+      g_autoptr (rd_t) rd
+          = rd_new (rows[i].kind, MAX_HEAD_BYTES, &ops, &parsed);
+      size_t done;
+      size_t total = 0;
+      rd_result_t result = feed_all (rd, rows[i].begin, 4096, &done);
+
+      while (result == RD_INCOMPLETE && total < 100u * OVERHEAD_BYTES)
+        {
+          result = feed_all (rd, rows[i].repeat, 4096, &done);
+          total += done;
+        }
+      g_test_message ("row %zu: %zu bytes", i, total);
+      g_assert_cmpint (result, ==,
+                       rows[i].max_bytes > 0 ? RD_TOO_LARGE : RD_INCOMPLETE);
+      if (rows[i].max_bytes > 0)
+        g_assert_cmpuint (total, <=, rows[i].max_bytes);
+      g_string_free (parsed.head, TRUE);
+      g_string_free (parsed.body, TRUE);
+    }
+}
+
+/* Guards against a head of thousands of tiny fields, for each of which all are
+   searched.  */
+static void
+test_many_fields (void)
+{
+  static const rd_ops_t ops = { on_head, on_body };
+  parsed_t parsed
+      = { .head = g_string_new (NULL), .body = g_string_new (NULL) };
+  g_autoptr (rd_t) rd = rd_new (REQ, MAX_HEAD_BYTES * 16, &ops, &parsed);
+  size_t done;
+  unsigned fields = 0;
+  rd_result_t result = feed_all (rd, "GET / HTTP/1.1\r\n", 4096, &done);
+
+  for (; result == RD_INCOMPLETE && fields < RD_MAX_FIELDS * 2; fields++)
+    result = feed_all (rd, "a:\r\n", 4096, &done);
+  g_assert_cmpint (result, ==, RD_TOO_LARGE);
+  g_assert_cmpuint (fields, ==, RD_MAX_FIELDS + 1);
+  g_string_free (parsed.head, TRUE);
+  g_string_free (parsed.body, TRUE);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -186,5 +262,7 @@
     }
   g_test_add_func ("/rd/unframed-end", test_unframed_end);
   g_test_add_func ("/rd/large-head", test_large_head);
+  g_test_add_func ("/rd/overhead", test_overhead);
+  g_test_add_func ("/rd/many-fields", test_many_fields);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -11,6 +11,9 @@
 /* Time after which a test fails.  */
 #define TIMEOUT_S 30.
 #define MAX_HEAD_BYTES 16384
+/* SCENE_REPEAT: interval of writes, and the output that is kept buffered.  */
+#define REPEAT_INTERVAL_MS 1
+#define REPEAT_BUFFER_BYTES 262144u
 
 /* A connection at an endpoint.  */
 typedef struct
@@ -20,6 +23,8 @@
   rd_t *rd;
   GString *body;
   char *id;
+  ev_timer repeater;
+  GString *repeated; /* a multiple of the text to repeat; NULL: none */
 } server_con_t;
 
 static const char *const reserved_fields[] = { "X-Hold", NULL };
@@ -46,9 +51,12 @@
 server_con_free (server_con_t *server_con)
 {
   g_ptr_array_remove_fast (server_con->server->scene->server_cons, server_con);
+  ev_timer_stop (server_con->server->scene->loop, &server_con->repeater);
   con_free (server_con->con);
   rd_free (server_con->rd);
   g_string_free (server_con->body, TRUE);
+  if (server_con->repeated != NULL)
+    g_string_free (server_con->repeated, TRUE);
   g_free (server_con->id);
   g_free (server_con);
 }
@@ -75,6 +83,30 @@
   g_string_append_len (((server_con_t *)user)->body, bytes, (gssize)length);
 }
 
+static void
+on_repeat (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  server_con_t *server_con = timer->data;
+  const GString *text = server_con->repeated;
+
+  while (con_get_unsent_bytes (server_con->con) < REPEAT_BUFFER_BYTES)
+    {
+      con_write (server_con->con, text->str, text->len);
+      server_con->server->scene->repeated_bytes += text->len;
+    }
+}
+
+/* Sends TEXT until the peer closes the connection.  */
+static void
+start_repeating (server_con_t *server_con, const char *text)
+{
+  server_con->repeated = g_string_new (NULL);
+  while (server_con->repeated->len < REPEAT_BUFFER_BYTES)
+    g_string_append (server_con->repeated, text);
+  server_con->repeater.data = server_con;
+  ev_timer_start (server_con->server->scene->loop, &server_con->repeater);
+}
+
 static void
 reply (server_con_t *server_con)
 {
@@ -93,6 +125,8 @@
   con_write (server_con->con, text, strlen (text));
   if (next->then == SCENE_CLOSE)
     con_shutdown_after_flush (server_con->con);
+  if (next->then == SCENE_REPEAT)
+    start_repeating (server_con, scene->repeat);
 }
 
 static bool
@@ -152,6 +186,8 @@
     return;
   server_con = g_new0 (server_con_t, 1);
   server_con->server = watcher->data;
+  ev_timer_init (&server_con->repeater, on_repeat, 0.,
+                 REPEAT_INTERVAL_MS / 1000.);
   server_con->body = g_string_new (NULL);
   server_con->rd = rd_new (RD_REQUESTS, MAX_HEAD_BYTES, &reader, server_con);
   server_con->con = con_new_accepted (loop, fd, &wire, server_con);
--- a/libcoltsfootdrum/relay/test-rly-scene.h
+++ b/libcoltsfootdrum/relay/test-rly-scene.h
@@ -18,7 +18,8 @@
   {
     SCENE_KEEP_OPEN,
     SCENE_CLOSE,
-    SCENE_RESET
+    SCENE_RESET,
+    SCENE_REPEAT /* sends scene_t.repeat until the connection is closed */
   } then;
 } scene_reply_t;
 
@@ -50,8 +51,10 @@
   scene_server_t servers[SCENE_ENDPOINTS];
   const scene_reply_t *replies;
   unsigned reply_count;        /* the last one is repeated */
+  const char *repeat;          /* see SCENE_REPEAT */
   unsigned requests_received;  /* by all endpoints */
   unsigned closed_connections; /* as seen by endpoints */
+  uint64_t repeated_bytes;     /* written by SCENE_REPEAT */
   GString *last_request;       /* as its endpoint received it */
   GPtrArray *server_cons;      /* open connections at endpoints */
   GArray *reserved_fds;        /* int: sockets of ports without a listener */
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -9,6 +9,9 @@
 
 /* Limit of a response's head: endpoints send few header fields.  */
 #define MAX_HEAD_BYTES 32768
+/* Most bytes of late responses to earlier requests, with their heads, that are
+   skipped before a response: two of the largest plain answers.  */
+#define MAX_STALE_BYTES 16777216u
 /* Idle time of connections to an endpoint that announces no Keep-Alive
    timeout. Servers commonly close idle connections after 5 s or later.  A
    request that is sent while the endpoint closes its connection has an unknown
@@ -42,6 +45,7 @@
   cfd_time_t idle_since;
   int64_t max_idle_ms; /* from the last response */
   bool stale_response; /* the response being read is to another request */
+  size_t stale_bytes;  /* of such responses, since the last request */
   bool in_callback;    /* freeing is deferred */
   bool free_pending;
   bool aborted; /* its request was cancelled */
@@ -210,6 +214,10 @@
         }
       bytes += used;
       length -= MIN (used, length);
+      if (connection->stale_response)
+        connection->stale_bytes += used;
+      if (connection->stale_bytes > MAX_STALE_BYTES)
+        result = RD_TOO_LARGE;
       if (result == RD_INCOMPLETE)
         return;
       if (result != RD_COMPLETE)
@@ -380,6 +388,7 @@
   exchange->id_field = g_strdup (request->id_field);
   exchange->id = g_strdup (request->id);
   connection->exchange = exchange;
+  connection->stale_bytes = 0;
   rd_expect_no_body (connection->rd, request->no_body);
   con_write (connection->con, request->bytes, request->length);
   return exchange;
