Relay: answers to slow callers are drained, silent callers disconnected

A stream whose caller reads slowly was left unread until the caller had read all that waited for it. With a caller that reads nothing that took 2.7 s, until the kernel gave the connection up; endpoints cut off such answers. The memory of plain answers was bounded one by one only.

slw.c decides: an answer is left unread for 0.5 s, then drained into a buffer of up to 8 MB or a quarter of what is left of the budget, and its caller is disconnected after that was full for 1.5 s. The budget counts bytes as they are added. Answers that are kept until they are whole may take a quarter of the memory together; a large one beyond that is broken off without evidence against its endpoint. Output and body buffers of idle connections are released, and an output buffer that is never empty drops what was written.

--- a/libcoltsfootdrum/http/fetch.c
+++ b/libcoltsfootdrum/http/fetch.c
@@ -10,7 +10,7 @@
 #include <glib.h>
 #include <string.h>
 
-#define MAX_BODY_BYTES (32u * 1024 * 1024)
+#define DEFAULT_MAX_BODY_BYTES (32u * 1024 * 1024)
 /* Size of a response's header lines, with those of interim responses and with
    trailers.  libcurl limits single lines alone.  */
 #define MAX_HEAD_BYTES (256u * 1024)
@@ -371,7 +371,7 @@
   restart_idle_timer (fetch);
   if (request->data != NULL)
     request->data (request->user, bytes, length);
-  else if (fetch->body->len + length <= MAX_BODY_BYTES)
+  else if (fetch->body->len + length <= fetch->request.max_body_bytes)
     g_byte_array_append (fetch->body, (const guint8 *)bytes, length);
   else
     fetch->too_large = true;
@@ -460,6 +460,8 @@
 
   fetch->pool = pool;
   fetch->request = *request;
+  if (fetch->request.max_body_bytes == 0)
+    fetch->request.max_body_bytes = DEFAULT_MAX_BODY_BYTES;
   fetch->idle_timeout_ms = request->idle_timeout_ms;
   fetch->head = g_ptr_array_new_with_free_func (g_free);
   fetch->body = g_byte_array_new ();
--- a/libcoltsfootdrum/http/fetch.h
+++ b/libcoltsfootdrum/http/fetch.h
@@ -32,6 +32,7 @@
   unsigned connect_timeout_ms; /* 0: default of 1000 */
   unsigned total_timeout_ms;   /* 0: no limit */
   unsigned idle_timeout_ms;    /* time without a byte received; 0: no limit */
+  size_t max_body_bytes;       /* of a body that is collected; 0: 32 MB */
   bool reuse_connection; /* allows a persistent connection, on which libcurl
                             resends the request if it turns out to be closed */
 
--- a/libcoltsfootdrum/relay/con.c
+++ b/libcoltsfootdrum/relay/con.c
@@ -15,6 +15,10 @@
 #define READ_BYTES 16384
 /* Reads per wakeup, so that one busy connection can't starve the others.  */
 #define MAX_READS_PER_WAKEUP 4
+/* Size up to which an empty output buffer is kept.  Hundreds of idle
+   connections that have sent a large answer would otherwise keep its
+   memory.  */
+#define MAX_KEPT_BYTES 65536u
 /* A connection fails when sent bytes stay unacknowledged for this time: a
    broken network path sends no reset, and the client would wait until its
    deadline.  */
@@ -30,9 +34,9 @@
   void *user;
   GByteArray *out;
   size_t out_sent; /* bytes at the start of OUT that are written */
+  uint64_t sent;   /* bytes written since the start */
   bool *freed;     /* set to true when freed during a callback */
   bool connected;
-  bool has_sent;
   bool shutdown_pending; /* shut down once OUT is written */
   bool failed;
 };
@@ -64,6 +68,31 @@
   ev_timer_start (con->loop, &con->failure_timer);
 }
 
+/* Empties the buffer, all of which was written.  */
+static void
+release_output (con_t *con)
+{
+  con->out_sent = 0;
+  if (con->out->len <= MAX_KEPT_BYTES)
+    {
+      g_byte_array_set_size (con->out, 0);
+      return;
+    }
+  g_byte_array_unref (con->out);
+  con->out = g_byte_array_new ();
+}
+
+/* Removes what was written from the buffer, once that is half of it.  The
+   buffer for a peer that reads slowly may never be empty.  */
+static void
+compact_output (con_t *con)
+{
+  if (con->out_sent < MAX_KEPT_BYTES || con->out_sent < con->out->len / 2)
+    return;
+  g_byte_array_remove_range (con->out, 0, (guint)con->out_sent);
+  con->out_sent = 0;
+}
+
 /* Writes buffered output.  Returns false when the connection has failed.  */
 static bool
 flush (con_t *con)
@@ -77,11 +106,10 @@
         return true;
       if (n < 0)
         return false;
-      con->has_sent = true;
+      con->sent += (uint64_t)n;
       con->out_sent += (size_t)n;
     }
-  g_byte_array_set_size (con->out, 0);
-  con->out_sent = 0;
+  release_output (con);
   ev_io_stop (con->loop, &con->writer);
   if (con->shutdown_pending)
     shutdown (con->reader.fd, SHUT_WR);
@@ -262,13 +290,14 @@
         }
       if (n > 0)
         {
-          con->has_sent = true;
+          con->sent += (uint64_t)n;
           bytes = (const char *)bytes + n;
           length -= (size_t)n;
         }
     }
   if (length == 0)
     return;
+  compact_output (con);
   g_byte_array_append (con->out, bytes, (guint)length);
   ev_io_start (con->loop, &con->writer);
 }
@@ -279,10 +308,16 @@
   return con->out->len - con->out_sent;
 }
 
+uint64_t
+con_get_sent_bytes (const con_t *con)
+{
+  return con->sent;
+}
+
 bool
 con_has_sent (const con_t *con)
 {
-  return con->has_sent;
+  return con->sent > 0;
 }
 
 void
--- a/libcoltsfootdrum/relay/con.h
+++ b/libcoltsfootdrum/relay/con.h
@@ -11,6 +11,7 @@
 #include <ev.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 typedef struct con con_t;
 
@@ -57,6 +58,9 @@
 /* Returns the number of bytes that wait to be written to the socket.  */
 size_t con_get_unsent_bytes (const con_t *con);
 
+/* Returns the number of bytes that were written to the socket.  */
+uint64_t con_get_sent_bytes (const con_t *con);
+
 /* Returns true once any byte was written to the socket.  */
 bool con_has_sent (const con_t *con);
 
--- a/libcoltsfootdrum/relay/ent-private.h
+++ b/libcoltsfootdrum/relay/ent-private.h
@@ -23,7 +23,7 @@
   bool draining;
   cfd_time_t checked_at; /* time-outs */
   size_t unsent_budget;  /* see ent_set_unsent_budget */
-  size_t unsent_total;   /* at the last check */
+  size_t unsent_total;   /* at the last check, and what was added since */
 };
 
 typedef enum
@@ -49,6 +49,7 @@
   cfd_time_t state_since;
   cfd_time_t started;      /* start of the request */
   size_t unsent;           /* at the last check */
+  uint64_t sent;           /* likewise, since the connection's start */
   cfd_time_t unsent_since; /* since when the client has read nothing */
   ent_state_t state;
   bool head_done;
--- a/libcoltsfootdrum/relay/ent-unsent.c
+++ b/libcoltsfootdrum/relay/ent-unsent.c
@@ -14,6 +14,10 @@
 #define MAX_UNSENT_LIMIT 1048576u
 /* Part of what is left of the budget that one more client may use.  */
 #define UNSENT_LIMIT_DIVISOR 16u
+/* The same for a client whose answer is drained from its endpoint: the largest
+   plain answer.  */
+#define MAX_DRAIN_LIMIT 8388608u
+#define DRAIN_LIMIT_DIVISOR 4u
 /* A client that read nothing for this time is cut off when memory is short.
    Endpoints cut off answers that are not read for some seconds anyway.  */
 #define MAX_STALLED_MS 2000
@@ -30,17 +34,28 @@
   return ent->unsent_total;
 }
 
-size_t
-ent_get_unsent_limit (const ent_call_t *call)
+/* Returns one DIVISOR-th of what is left of the budget, at most MAX.  */
+static size_t
+get_limit (const ent_t *ent, size_t divisor, size_t max)
 {
-  const ent_t *ent = call->ent;
   size_t left;
 
   if (ent->unsent_budget == 0)
-    return MAX_UNSENT_LIMIT;
+    return max;
   left = ent->unsent_budget - MIN (ent->unsent_total, ent->unsent_budget);
-  return CLAMP (left / UNSENT_LIMIT_DIVISOR, MIN_UNSENT_LIMIT,
-                MAX_UNSENT_LIMIT);
+  return CLAMP (left / divisor, MIN_UNSENT_LIMIT, max);
+}
+
+size_t
+ent_get_unsent_limit (const ent_call_t *call)
+{
+  return get_limit (call->ent, UNSENT_LIMIT_DIVISOR, MAX_UNSENT_LIMIT);
+}
+
+size_t
+ent_get_drain_limit (const ent_call_t *call)
+{
+  return get_limit (call->ent, DRAIN_LIMIT_DIVISOR, MAX_DRAIN_LIMIT);
 }
 
 /* Notes whether the client has read since the last check, and returns the
@@ -49,13 +64,26 @@
 update_unsent (ent_call_t *call, cfd_time_t now)
 {
   size_t unsent = con_get_unsent_bytes (call->con);
+  uint64_t sent = con_get_sent_bytes (call->con);
 
-  if (unsent == 0 || unsent < call->unsent || call->unsent == 0)
+  if (unsent == 0 || sent != call->sent || call->unsent == 0)
     call->unsent_since = now;
   call->unsent = unsent;
+  call->sent = sent;
   return unsent;
 }
 
+void
+ent_disconnect (ent_call_t *call)
+{
+  size_t unsent = con_get_unsent_bytes (call->con);
+
+  call->ent->unsent_total -= MIN (unsent, call->ent->unsent_total);
+  if (call->state == ENT_SERVING)
+    call->ent->ops.disconnected (call->ent->user, call);
+  ent_call_free (call);
+}
+
 /* Cuts off the client of CALL, which reads nothing.  */
 static void
 cut_stalled (ent_call_t *call, cfd_time_t now)
@@ -64,10 +92,7 @@
             "A client was cut off, as it reads nothing and memory is short: "
             "unsent=%zu stalled_ms=%" G_GINT64_FORMAT " total=%zu.",
             call->unsent, now - call->unsent_since, call->ent->unsent_total);
-  call->ent->unsent_total -= MIN (call->unsent, call->ent->unsent_total);
-  if (call->state == ENT_SERVING)
-    call->ent->ops.disconnected (call->ent->user, call);
-  ent_call_free (call);
+  ent_disconnect (call);
 }
 
 void
--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -30,6 +30,8 @@
 #define MAX_PIPELINED_BYTES 65536
 /* Largest response that is collected for a client of HTTP/1.0.  */
 #define MAX_COLLECTED_BYTES 8388608u
+/* Size of a request's body up to which its memory is used again.  */
+#define MAX_KEPT_BODY_BYTES 65536u
 /* Interval at which the time-outs of all connections are checked.  */
 #define TIMEOUT_CHECK_INTERVAL_MS 100
 /* Before a connection is closed, further input is read and discarded for this
@@ -353,6 +355,16 @@
     }
 }
 
+/* Writes or buffers TEXT, and counts what is buffered.  */
+static void
+write_text (ent_call_t *call, const GString *text)
+{
+  size_t before = con_get_unsent_bytes (call->con);
+
+  con_write (call->con, text->str, text->len);
+  call->ent->unsent_total += con_get_unsent_bytes (call->con) - before;
+}
+
 /* Starts to close the connection; further input is read and discarded.  */
 static void
 start_close (ent_call_t *call)
@@ -484,6 +496,20 @@
   return text;
 }
 
+/* Empties the request's body.  An idle connection keeps no memory of a large
+   one.  */
+static void
+reset_body (ent_call_t *call)
+{
+  if (call->body->len <= MAX_KEPT_BODY_BYTES)
+    {
+      g_byte_array_set_size (call->body, 0);
+      return;
+    }
+  g_byte_array_unref (call->body);
+  call->body = g_byte_array_new ();
+}
+
 /* Prepares the connection for its next request, or closes it.  */
 static void
 finish_call (ent_call_t *call)
@@ -497,7 +523,7 @@
       return;
     }
   rd_reset (call->rd);
-  g_byte_array_set_size (call->body, 0);
+  reset_body (call);
   call->head_done = false;
   call->too_large = false;
   set_state (call, ENT_IDLE);
@@ -529,7 +555,7 @@
   g_string_append_printf (text, "Content-Length: %zu\r\n\r\n", length);
   if (length > 0)
     g_string_append_len (text, body, (gssize)length);
-  con_write (call->con, text->str, text->len);
+  write_text (call, text);
   finish_call (call);
 }
 
@@ -599,7 +625,7 @@
     }
   g_string_append_printf (text, "Content-Length: %zu\r\n\r\n", body->len);
   g_string_append_len (text, body->str, (gssize)body->len);
-  con_write (call->con, text->str, text->len);
+  write_text (call, text);
   finish_call (call);
 }
 
@@ -617,7 +643,7 @@
     }
   text = take_head (call);
   append_body (call, text, bytes, length);
-  con_write (call->con, text->str, text->len);
+  write_text (call, text);
 }
 
 void
@@ -635,7 +661,7 @@
   append_body (call, text, bytes, length);
   if (call->chunked)
     g_string_append (text, "0\r\n\r\n");
-  con_write (call->con, text->str, text->len);
+  write_text (call, text);
   finish_call (call);
 }
 
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -58,11 +58,16 @@
 /* Sets how many bytes may wait for all clients together; 0: no limit.  Beyond
    it, clients that read nothing for some time are cut off.  */
 void ent_set_unsent_budget (ent_t *ent, size_t bytes);
-/* Returns how many bytes wait for all clients, as of the last tick.  */
+/* Returns how many bytes wait for all clients, as of the last tick, with those
+   that were added since then.  */
 size_t ent_get_unsent_total (const ent_t *ent);
 /* Returns how many bytes may wait for CALL's client before no more should be
    sent to it: fewer, the more wait for all.  */
 size_t ent_get_unsent_limit (const ent_call_t *call);
+/* Returns the same for a client whose answer can't be delayed any longer.  */
+size_t ent_get_drain_limit (const ent_call_t *call);
+/* Closes the connection of CALL, as if its client had done so.  */
+void ent_disconnect (ent_call_t *call);
 
 /* Closes each connection after its next response, from now on.  */
 void ent_drain (ent_t *ent);
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -23,6 +23,7 @@
   answer->not_run = false;
   answer->is_valid = false;
   answer->is_too_large = false;
+  answer->has_no_memory = false;
   answer->framing = RD_LENGTH;
   answer->received_bytes = 0;
   g_string_truncate (answer->fields, 0);
@@ -181,14 +182,6 @@
   if (!request->answer.is_stream)
     return;
   forward_body (request);
-  /* The caller reads its stream slowly.  The endpoint's answer waits at the
-     endpoint until all is sent.  */
-  if (request->read_paused || request->exchange == NULL
-      || ent_get_unsent_bytes (request->call)
-             <= ent_get_unsent_limit (request->call))
-    return;
-  request->read_paused = true;
-  ups_set_read_paused (request->exchange, true);
 }
 
 void
@@ -197,7 +190,9 @@
   rly_answer_t *answer = &request->answer;
 
   answer->received_bytes += length;
-  if (!answer->is_stream)
+  if (!rly_may_buffer (request, length))
+    answer->has_no_memory = true;
+  else if (!answer->is_stream)
     {
       if (answer->body->len + length <= MAX_BODY_BYTES)
         g_string_append_len (answer->body, bytes, (gssize)length);
@@ -209,16 +204,10 @@
       evs_feed (&answer->events, bytes, length, answer->body);
       answer->is_too_large |= answer->events.is_too_long;
     }
-  if (answer->is_too_large)
+  if (answer->is_too_large || answer->has_no_memory)
     answer->is_valid = false;
 }
 
-bool
-rly_is_excessive (const rly_request_t *request)
-{
-  return request->answer.is_too_large;
-}
-
 /* Returns whether REQUEST may be sent to another endpoint, apart from the
    retry budget and its deadline.  */
 static bool
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -27,6 +27,7 @@
     { "cfd_relay_withdrawn_total", NULL, counts->withdrawn },
     { "cfd_relay_quarantine_refused_total", NULL, counts->quarantined },
     { "cfd_relay_part_refused_total", NULL, counts->part_refused },
+    { "cfd_relay_slow_callers_total", NULL, counts->slow_callers },
     { "cfd_relay_cold_requests_total", NULL, counts->cold_requests },
   };
 
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -13,6 +13,7 @@
 #include "relay/plc.h"
 #include "relay/rly.h"
 #include "relay/rol.h"
+#include "relay/slw.h"
 #include "relay/evs.h"
 
 /* Most exchanges for a request, with those whose connection failed before
@@ -72,6 +73,8 @@
   list_node_t breaks;   /* of rly-break.c */
   unsigned break_count;
   rly_counts_t counts;
+  size_t answer_budget;  /* see rly_set_answer_budget */
+  size_t buffered_bytes; /* as of the last tick, and what came since then */
   unsigned routers;
   bool is_draining; /* refuses new requests */
   ev_prepare before_poll;
@@ -86,10 +89,11 @@
   GString *fields; /* header lines for the caller */
   GString *body;   /* bytes not forwarded to the caller yet */
   evs_t events;
-  bool is_stream;    /* forwarded event by event as it arrives */
-  bool not_run;      /* the endpoint rejected the request */
-  bool is_valid;     /* may be forwarded to the caller */
-  bool is_too_large; /* exceeded a limit; the rest must not be read */
+  bool is_stream;     /* forwarded event by event as it arrives */
+  bool not_run;       /* the endpoint rejected the request */
+  bool is_valid;      /* may be forwarded to the caller */
+  bool is_too_large;  /* exceeded a limit; the rest must not be read */
+  bool has_no_memory; /* the same for want of memory here */
   rd_framing_t framing;
   uint64_t received_bytes; /* of the body */
 } rly_answer_t;
@@ -151,6 +155,8 @@
   bool head_sent;           /* the answer's head was sent to the caller */
   bool may_have_run;        /* sent to an endpoint that did not reject it */
   bool read_paused;         /* the caller reads too slowly */
+  bool is_draining;         /* so its answer is buffered up to a limit */
+  cfd_time_t paused_at;     /* when READ_PAUSED changed */
   rly_answer_t answer;
 } rly_request_t;
 
@@ -326,6 +332,16 @@
 /* Applies the time-outs of a running REQUEST.  */
 void rly_check_timeouts (rly_request_t *request, cfd_time_t now);
 
+/* rly-slow.c: callers that read slowly, and memory for answers.  */
+/* Reads on the answer to REQUEST, leaves it unread for now, or disconnects the
+   caller.  Returns false in that case; REQUEST is freed.  */
+bool rly_pace_reading (rly_request_t *request, cfd_time_t now);
+/* Returns whether LENGTH bytes more of the answer to REQUEST may be kept, and
+   counts them.  */
+bool rly_may_buffer (rly_request_t *request, size_t length);
+/* Counts the bytes that are kept anew.  */
+void rly_count_buffered (rly_t *rly);
+
 /* rly-answer.c: answers to the caller.  */
 void rly_refuse (rly_request_t *request, cfd_time_t now, const char *reason,
                  int64_t retry_ms);
@@ -338,9 +354,6 @@
 /* Forwards the events that were received since the last call, in one write:
    several arrive in one read when the loop is behind.  */
 void rly_forward (rly_request_t *request);
-/* Returns whether the answer exceeded a limit, so that the exchange must be
-   broken off.  */
-bool rly_is_excessive (const rly_request_t *request);
 /* Counts and logs the end of an exchange.  */
 end_kind_t rly_note_end (rly_request_t *request, ups_end_t end);
 void rly_handle_end (rly_request_t *request, ups_end_t end, cfd_time_t now);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -200,6 +200,16 @@
   abort_exchange (request, now, UPS_MALFORMED);
 }
 
+/* Breaks off an answer for which memory is short here, which is not the
+   endpoint's fault.  */
+static void
+abort_unbuffered (rly_request_t *request)
+{
+  rly_note_end (request, UPS_TIMED_OUT);
+  request->may_have_run = true;
+  rly_fail (request, 502, "answer-memory");
+}
+
 static void
 on_read_end (void *user)
 {
@@ -208,8 +218,12 @@
   lag_kind_t before = lag_enter (lag, LAG_ENDPOINTS);
 
   rly_forward (request);
-  if (rly_is_excessive (request))
+  if (request->answer.is_too_large)
     abort_excessive (request, clock_now ());
+  else if (request->answer.has_no_memory)
+    abort_unbuffered (request);
+  else if (!request->read_paused)
+    rly_pace_reading (request, clock_now ());
   lag_leave (lag, before, 0);
 }
 
@@ -343,6 +357,7 @@
     ups_cancel (request->exchange);
   request->exchange = NULL;
   request->read_paused = false;
+  request->is_draining = false;
   clear_pending_prefill (request);
   edp->context_tokens
       = MAX (edp->context_tokens - request->context_tokens, 0.);
@@ -380,11 +395,8 @@
         abort_exchange (request, now, UPS_CONNECT_FAILED);
       return;
     }
-  if (request->read_paused && ent_get_unsent_bytes (request->call) == 0)
-    {
-      request->read_paused = false;
-      ups_set_read_paused (request->exchange, false);
-    }
+  if (request->read_paused && !rly_pace_reading (request, now))
+    return;
   if (request->answer.status == 0
       && since_sent > compute_silence_timeout_ms (request)
       && rte_may_retry (request->route)
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -556,6 +556,7 @@
       rly->last_level_update = now;
       use_update_level (rly->use, now);
     }
+  rly_count_buffered (rly);
   update_running (rly, now);
   edp_set_check_breaks (rly->endpoints, now);
   rly_decide_parts (rly, now);
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -83,6 +83,7 @@
   uint64_t cold_requests; /* sent to endpoints that were cold */
   uint64_t quarantined;   /* refused, or not sent again */
   uint64_t part_refused;  /* the same, for a part of their prompt */
+  uint64_t slow_callers;  /* disconnected, since they read too slowly */
   uint64_t resumptions[RLY_RESUME_KINDS];
   uint64_t ends[END_KINDS]; /* of exchanges with endpoints */
   unsigned waiting;
@@ -132,6 +133,11 @@
    without it all are.  */
 void rly_set_shedding (rly_t *rly, const shd_t *shd);
 
+/* Sets how many bytes of answers may be kept until they, or their next events,
+   are whole; 0: no limit.  Beyond it, answers that take more than a small
+   share are broken off.  */
+void rly_set_answer_budget (rly_t *rly, size_t bytes);
+
 /* Sets the number of routers of the fleet, this one included.  */
 void rly_set_router_count (rly_t *rly, unsigned routers);
 
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -89,11 +89,10 @@
   server_con_t *server_con = timer->data;
   const GString *text = server_con->repeated;
 
-  while (con_get_unsent_bytes (server_con->con) < REPEAT_BUFFER_BYTES)
-    {
-      con_write (server_con->con, text->str, text->len);
-      server_con->server->scene->repeated_bytes += text->len;
-    }
+  if (con_get_unsent_bytes (server_con->con) >= REPEAT_BUFFER_BYTES)
+    return;
+  con_write (server_con->con, text->str, text->len);
+  server_con->server->scene->repeated_bytes += text->len;
 }
 
 /* Sends TEXT until the peer closes the connection.  */
