Relay: request bodies at an endpoint are bounded, refusals name what was full

Bodies in flight to an endpoint were not counted: requests with bodies of 4 MB filled all of its slots, and a server that runs out of memory ends with all of its requests. A request that waited in vain was refused with "no-room", whatever was full, also when this router's own loop was late.

The bodies of this router's requests at an endpoint may have its part of 64 MB, at least 4 MB; one body may always go. plc_find_shortage finds what the endpoint that came closest lacked (endpoint, slots, KV cache, bodies, prefill); a request whose wait was lost by late ticks for half or more is refused with "processor". cfd_relay_refused_total counts both.

--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -133,6 +133,7 @@
   unsigned active;        /* running requests */
   double pending_prefill; /* prefill work of requests without a first byte */
   double context_tokens;  /* KV cache used by running requests, estimated */
+  size_t body_bytes;      /* bodies of running requests */
   /* The same figures, summed over the other routers.  */
   unsigned peer_active;
   double peer_pending_prefill;
--- a/libcoltsfootdrum/relay/plc.c
+++ b/libcoltsfootdrum/relay/plc.c
@@ -84,17 +84,87 @@
 }
 
 static bool
-has_capacity (const plc_endpoint_t *endpoint, const plc_request_t *request)
+lacks_kv_cache (const plc_endpoint_t *endpoint, const plc_request_t *request)
 {
-  double slots = endpoint->slots * request->capacity_share;
   double memory = endpoint->kv_capacity_tokens * RUNNING_KV_SHARE
                   * request->capacity_share;
 
-  if (endpoint->is_excluded || endpoint->slots == 0
-      || endpoint->active >= slots)
-    return false;
-  return endpoint->kv_capacity_tokens <= 0. || endpoint->active == 0
-         || endpoint->context_tokens + request->needed_tokens <= memory;
+  return endpoint->kv_capacity_tokens > 0. && endpoint->active > 0
+         && endpoint->context_tokens + request->needed_tokens > memory;
+}
+
+/* Returns whether ENDPOINT holds too many request bodies to take that of
+   REQUEST.  A single one may be larger than the limit.  */
+static bool
+lacks_body_memory (const plc_endpoint_t *endpoint,
+                   const plc_request_t *request)
+{
+  return request->max_body_bytes > 0 && request->body_bytes > 0
+         && endpoint->body_bytes > 0
+         && endpoint->body_bytes + request->body_bytes
+                > request->max_body_bytes;
+}
+
+/* Returns what ENDPOINT lacks to take REQUEST, whatever its prompt.  */
+static plc_shortage_t
+find_capacity_shortage (const plc_endpoint_t *endpoint,
+                        const plc_request_t *request)
+{
+  if (endpoint->is_excluded || endpoint->slots == 0)
+    return PLC_NO_ENDPOINT;
+  if (endpoint->active >= endpoint->slots * request->capacity_share)
+    return PLC_SLOTS;
+  if (lacks_kv_cache (endpoint, request))
+    return PLC_KV_CACHE;
+  return lacks_body_memory (endpoint, request) ? PLC_BODIES : PLC_NOTHING;
+}
+
+static bool
+has_capacity (const plc_endpoint_t *endpoint, const plc_request_t *request)
+{
+  return find_capacity_shortage (endpoint, request) == PLC_NOTHING;
+}
+
+const char *
+plc_shortage_name (plc_shortage_t shortage)
+{
+  switch (shortage)
+    {
+    case PLC_NO_ENDPOINT:
+      return "no-endpoint";
+    case PLC_SLOTS:
+      return "slots";
+    case PLC_KV_CACHE:
+      return "kv-cache";
+    case PLC_BODIES:
+      return "bodies";
+    case PLC_PREFILL:
+      return "prefill";
+    case PLC_NOTHING:
+    case PLC_SHORTAGES:
+      break;
+    }
+  return "no-room";
+}
+
+plc_shortage_t
+plc_find_shortage (const plc_endpoint_t *endpoints, guint count,
+                   const plc_request_t *request)
+{
+  plc_shortage_t found = PLC_NO_ENDPOINT;
+
+  for (guint i = 0; i < count; i++)
+    {
+      plc_shortage_t shortage
+          = find_capacity_shortage (&endpoints[i], request);
+
+      if (shortage == PLC_NOTHING
+          && estimate_queueing_ms (&endpoints[i], request)
+                 > request->max_queueing_ms)
+        shortage = PLC_PREFILL;
+      found = MAX (found, shortage);
+    }
+  return found;
 }
 
 /* Returns whether too much of a shared prefix would be prefilled there again.
--- a/libcoltsfootdrum/relay/plc.h
+++ b/libcoltsfootdrum/relay/plc.h
@@ -29,6 +29,7 @@
   double fetch_ms;           /* time to copy a cached prefix from elsewhere */
   double context_tokens;     /* KV cache used by running requests */
   double kv_capacity_tokens; /* size of the KV cache; 0: unknown */
+  size_t body_bytes;  /* of request bodies that it holds, from this router */
   bool is_preferred;  /* the preferred endpoint of the prompt's prefix */
   bool in_other_zone; /* not in the router's availability zone */
   bool in_other_cell; /* the router has hardly any connections to it */
@@ -44,11 +45,30 @@
   double max_queueing_ms;    /* longest prefill of other requests before it */
   double capacity_share;     /* share of slots and KV cache it may fill */
   double needed_tokens;      /* KV cache that it will use */
+  size_t body_bytes;         /* of its body */
+  size_t max_body_bytes;     /* of bodies at an endpoint; 0: no limit */
   double max_missing_tokens; /* of the shared prefix, where it may go */
   double other_zone_cost_ms; /* cost of another availability zone */
   double tie_break;          /* random, from 0 to 1 */
 } plc_request_t;
 
+/* What the endpoint that comes closest to taking a request lacks.  */
+typedef enum
+{
+  PLC_NO_ENDPOINT, /* none may get it */
+  PLC_SLOTS,
+  PLC_KV_CACHE,
+  PLC_BODIES,  /* memory for request bodies */
+  PLC_PREFILL, /* time: prompts of other requests are before it */
+  PLC_NOTHING, /* nothing, as far as these go */
+  PLC_SHORTAGES
+} plc_shortage_t;
+
+/* Returns a word for logs and metrics.  */
+const char *plc_shortage_name (plc_shortage_t shortage);
+plc_shortage_t plc_find_shortage (const plc_endpoint_t *endpoints, guint count,
+                                  const plc_request_t *request);
+
 /* Returns the work to prefill a prompt of TOKENS, of which the first CACHED
    are cached, in tokens of an empty context.  Each token attends to all tokens
    before it, so the work grows faster than the number of tokens.  */
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -49,6 +49,23 @@
     }
 }
 
+/* Appends the refusals of requests that waited in vain.  */
+static void
+append_refusals (const rly_counts_t *counts, GString *out)
+{
+  prom_append_sample (out, "cfd_relay_refused_total", "counter",
+                      "reason=\"processor\"",
+                      (double)counts->lacked_processor);
+  for (unsigned i = 0; i < PLC_SHORTAGES; i++)
+    {
+      g_autofree char *labels = g_strdup_printf (
+          "reason=\"%s\"", plc_shortage_name ((plc_shortage_t)i));
+
+      prom_append_sample (out, "cfd_relay_refused_total", "counter", labels,
+                          (double)counts->lacked[i]);
+    }
+}
+
 static void
 append_resumptions (const rly_counts_t *counts, GString *out)
 {
@@ -133,6 +150,7 @@
 {
   append_counters (&rly->counts, out);
   append_ends (&rly->counts, out);
+  append_refusals (&rly->counts, out);
   append_resumptions (&rly->counts, out);
   append_state (rly, now, out);
   list_for_each (node, &rly->services)
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -48,6 +48,12 @@
 /* Slots of an endpoint when neither its report nor its service gives them.  */
 #define DEFAULT_SLOTS 8
 
+/* Request bodies that an endpoint holds at a time, from all routers: one that
+   runs out of memory ends with all its requests.  */
+#define MAX_ENDPOINT_BODY_BYTES 67108864u
+/* The least part of that for one router: the largest body by default.  */
+#define MIN_ROUTER_BODY_BYTES 4194304u
+
 static unsigned
 get_slots (const edp_t *edp, const rte_service_t *config)
 {
@@ -91,6 +97,7 @@
           = (edp->pending_prefill + edp->peer_pending_prefill) * cells,
           .context_tokens
           = (edp->context_tokens + edp->peer_context_tokens) * cells,
+          .body_bytes = edp->body_bytes,
           .in_other_zone = is_in_other_zone (round, edp) };
 
   if (edp_allows_request (edp, round->now, compute_cold_rate (round, edp)))
@@ -388,6 +395,9 @@
           .max_queueing_ms = HUGE_VAL,
           .max_missing_tokens = HUGE_VAL,
           .capacity_share = 1.,
+          .body_bytes = ent_get_body (request->call)->len,
+          .max_body_bytes = MAX (MAX_ENDPOINT_BODY_BYTES / round->rly->routers,
+                                 MIN_ROUTER_BODY_BYTES),
           .other_zone_cost_ms = estimate_zone_cost_ms (request),
           .tie_break = g_random_double () };
 
@@ -552,6 +562,16 @@
   return send_to (round, request, (guint)chosen, constraints.needed_tokens);
 }
 
+plc_shortage_t
+rly_find_shortage (rly_round_t *round, const rly_request_t *request)
+{
+  plc_request_t constraints = make_constraints (round, request);
+
+  exclude_unfit (round, request);
+  return plc_find_shortage (round->loads, round->count + round->canary_count,
+                            &constraints);
+}
+
 int64_t
 rly_compute_max_wait_ms (const rly_request_t *request)
 {
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -80,6 +80,8 @@
   ev_prepare before_poll;
   cfd_time_t last_sweep;
   cfd_time_t last_level_update;
+  cfd_time_t last_tick;
+  int64_t lost_ms; /* by which ticks were late, since the start */
 };
 
 /* The answer to a request.  */
@@ -146,6 +148,9 @@
   double prefill_ahead;   /* prefill work before its first token */
   double pending_prefill; /* its own part of it; 0 after the first byte */
   double context_tokens;  /* KV cache that it uses */
+  size_t body_bytes;      /* counted at its endpoint */
+  cfd_time_t enqueued_at; /* the last time */
+  int64_t lost_ms_before; /* rly_t.lost_ms at that time */
   double fetch_ms;        /* time to copy a cached prefix to the endpoint */
   bool is_canary;         /* the endpoint is of a version on trial */
   bool is_remote;         /* the endpoint is of another cell */
@@ -241,6 +246,9 @@
                       cfd_time_t now);
 /* Sends REQUEST to the best endpoint.  Returns false when it has to wait.  */
 bool rly_place (rly_round_t *round, rly_request_t *request);
+/* Returns what the endpoints lack to take REQUEST, which waits.  */
+plc_shortage_t rly_find_shortage (rly_round_t *round,
+                                  const rly_request_t *request);
 /* Returns for how long REQUEST may wait from its arrival.  After that its
    first token would be late even at an idle endpoint that caches its shared
    prefix.  */
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -36,6 +36,9 @@
 #define MAX_SKIPPED_QUEUES 8
 /* Most requests of a queue that are tried before the queue is skipped.  */
 #define MAX_TRIES_PER_QUEUE 6
+/* A request that waited in vain is refused for want of this router's processor
+   time when its loop was late for at least this share of the wait.  */
+#define OWN_DELAY_SHARE 0.5
 /* Retry-After is a random share of the target latency within these bounds, so
    that refused callers don't return all at once.  */
 #define MIN_RETRY_SHARE 0.2
@@ -124,6 +127,8 @@
   list_prepend (position, &request->node);
   request->queue = queue;
   request->enqueued_round = request->service->rounds;
+  request->enqueued_at = clock_now ();
+  request->lost_ms_before = request->rly->lost_ms;
   request->service->waiting++;
   request->rly->counts.waiting++;
 }
@@ -163,11 +168,43 @@
   return request->enqueued_round != request->service->rounds;
 }
 
+/* Returns whether most of the time that REQUEST waited was lost by this
+   router, whose loop was late.  */
+static bool
+is_own_delay (const rly_request_t *request, cfd_time_t now)
+{
+  int64_t lost_ms = request->rly->lost_ms - request->lost_ms_before;
+
+  return lost_ms > 0
+         && (double)lost_ms
+                >= OWN_DELAY_SHARE * (double)(now - request->enqueued_at);
+}
+
+/* Refuses REQUEST, which waited in vain.  ROUND is begun by the first one.  */
+static void
+refuse_expired (rly_request_t *request, cfd_time_t now, rly_round_t *round)
+{
+  rly_counts_t *counts = &request->rly->counts;
+  plc_shortage_t shortage;
+
+  if (is_own_delay (request, now))
+    {
+      counts->lacked_processor++;
+      rly_refuse_for (request, now, "processor", 0);
+      return;
+    }
+  if (round->rly == NULL)
+    rly_begin_round (round, request->rly, request->service, now);
+  shortage = rly_find_shortage (round, request);
+  counts->lacked[shortage]++;
+  rly_refuse_for (request, now, plc_shortage_name (shortage), 0);
+}
+
 /* Refuses one request that is past its wait deadline.  Returns false when
    there is none.  A request that no round has tried yet is kept, as there may
    be capacity for it.  */
 static bool
-refuse_one_expired (rly_service_t *service, cfd_time_t now)
+refuse_one_expired (rly_service_t *service, cfd_time_t now, rly_round_t *round)
 {
   list_for_each (node, &service->queues)
     {
@@ -180,7 +217,7 @@
 
           if (now < request->wait_deadline || !was_tried (request))
             continue;
-          rly_refuse_for (request, now, "no-room", 0);
+          refuse_expired (request, now, round);
           return true;
         }
     }
@@ -359,6 +396,9 @@
 void
 rly_refuse_expired (rly_service_t *service, cfd_time_t now)
 {
-  while (refuse_one_expired (service, now))
+  rly_round_t round;
+
+  round.rly = NULL;
+  while (refuse_one_expired (service, now, &round))
     ;
 }
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -271,6 +271,8 @@
   edp->active++;
   edp->pending_prefill += request->pending_prefill;
   edp->context_tokens += request->context_tokens;
+  request->body_bytes = ent_get_body (request->call)->len;
+  edp->body_bytes += request->body_bytes;
   rly->counts.cold_requests += edp_is_cold (edp, now);
   edp_count_request (edp, now);
   edp_set_note_changed (rly->endpoints, edp);
@@ -361,6 +363,7 @@
   clear_pending_prefill (request);
   edp->context_tokens
       = MAX (edp->context_tokens - request->context_tokens, 0.);
+  edp->body_bytes -= MIN (request->body_bytes, edp->body_bytes);
   INVARIANT ("running-counted", edp->active > 0, edp->report->id);
   edp->active--;
   request->rly->counts.running--;
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -32,6 +32,8 @@
 /* Interval at which unused endpoints, idle connections and expired cache
    entries are removed.  */
 #define SWEEP_INTERVAL_MS 500
+/* Ticks that are late by less are normal on a shared machine.  */
+#define MIN_LATE_TICK_MS 25
 /* Share of the configured retry budget that is used, so that all routers
    together stay within it when the load is spread unevenly.  */
 #define RETRY_BUDGET_SHARE 0.7
@@ -468,6 +470,7 @@
   rly->counts.requests++;
   if (must_shed (rly))
     {
+      rly->counts.lacked_processor++;
       /* The retry comes on a new connection, by which it reaches another
          router.  */
       ent_close_after (call);
@@ -548,6 +551,18 @@
     }
 }
 
+/* Adds up the time by which ticks are late, as this router lacks processor
+   time.  */
+static void
+note_late_tick (rly_t *rly, cfd_time_t now)
+{
+  int64_t late_ms = now - rly->last_tick - RLY_TICK_MS;
+
+  if (rly->last_tick != 0 && late_ms > MIN_LATE_TICK_MS)
+    rly->lost_ms += late_ms;
+  rly->last_tick = now;
+}
+
 void
 rly_tick (rly_t *rly, cfd_time_t now)
 {
@@ -556,6 +571,7 @@
       rly->last_level_update = now;
       use_update_level (rly->use, now);
     }
+  note_late_tick (rly, now);
   rly_count_buffered (rly);
   update_running (rly, now);
   edp_set_check_breaks (rly->endpoints, now);
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -13,6 +13,7 @@
 #include "relay/ent.h"
 #include "relay/org.h"
 #include "relay/pfx.h"
+#include "relay/plc.h"
 #include "relay/prt.h"
 #include "relay/qua.h"
 #include "relay/ret.h"
@@ -84,6 +85,9 @@
   uint64_t quarantined;   /* refused, or not sent again */
   uint64_t part_refused;  /* the same, for a part of their prompt */
   uint64_t slow_callers;  /* disconnected, since they read too slowly */
+  /* Refused for want of processor time of this router, and of endpoints.  */
+  uint64_t lacked_processor;
+  uint64_t lacked[PLC_SHORTAGES];
   uint64_t resumptions[RLY_RESUME_KINDS];
   uint64_t ends[END_KINDS]; /* of exchanges with endpoints */
   unsigned waiting;
--- a/libcoltsfootdrum/relay/test-plc.c
+++ b/libcoltsfootdrum/relay/test-plc.c
@@ -259,6 +259,55 @@
   g_assert_true (plc_has_candidate (endpoints, 3, &request));
 }
 
+/* Guards against an endpoint that runs out of memory by the bodies of requests
+   that it holds, and against a body that is larger than the limit and is never
+   sent; and against a refusal that names another resource than was full.  */
+static void
+test_shortage (void)
+{
+  static const struct
+  {
+    plc_shortage_t shortage;
+    plc_endpoint_t endpoints[2];
+  } rows[] = {
+    { PLC_NO_ENDPOINT,
+      { { .slots = 0 }, { .slots = 8, .is_excluded = true } } },
+    { PLC_SLOTS, { { .slots = 0 }, { .slots = 8, .active = 8 } } },
+    { PLC_KV_CACHE,
+      { { .slots = 8, .active = 8 },
+        { .slots = 8,
+          .active = 1,
+          .kv_capacity_tokens = 1000.,
+          .context_tokens = 800. } } },
+    { PLC_BODIES,
+      { { .slots = 8, .active = 1, .body_bytes = 700 },
+        { .slots = 8, .active = 1, .body_bytes = 701 } } },
+    { PLC_PREFILL,
+      { { .slots = 8, .body_bytes = 701 },
+        { .slots = 8, .pending_prefill = 1e6 } } },
+    { PLC_NOTHING, { { .slots = 8, .body_bytes = 600 }, { .slots = 0 } } },
+    { PLC_NOTHING, { { .slots = 8 }, { .slots = 0 } } },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      plc_request_t request = REQUEST (300., 150.);
+      bool fits;
+
+      request.body_bytes = 400;
+      request.max_body_bytes = 1000;
+      fits = plc_has_candidate (rows[i].endpoints, 2, &request);
+      g_assert_cmpint (plc_find_shortage (rows[i].endpoints, 2, &request), ==,
+                       rows[i].shortage);
+      g_assert_cmpint (fits, ==, rows[i].shortage == PLC_NOTHING);
+      request.body_bytes = 2000;
+      if (rows[i].endpoints[0].slots == 8 && rows[i].endpoints[0].active == 0
+          && rows[i].endpoints[0].body_bytes == 0)
+        g_assert_cmpint (plc_find_shortage (rows[i].endpoints, 2, &request),
+                         ==, PLC_NOTHING);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -272,5 +321,6 @@
   g_test_add_func ("/plc/ties", test_ties);
   g_test_add_func ("/plc/prefill-work", test_prefill_work);
   g_test_add_func ("/plc/all-full", test_all_full);
+  g_test_add_func ("/plc/shortage", test_shortage);
   return g_test_run ();
 }
