--- a/libcoltsfootdrum/http/fetch.c
+++ b/libcoltsfootdrum/http/fetch.c
@@ -10,7 +10,10 @@
 #include <glib.h>
 #include <string.h>
 
-#define MAX_BODY_BYTES (32u * 1024 * 1024)
+#define DEFAULT_MAX_BODY_BYTES (32u * 1024 * 1024)
+/* Size of a response's header lines, with those of interim responses and with
+   trailers.  libcurl limits single lines alone.  */
+#define MAX_HEAD_BYTES (256u * 1024)
 
 struct fetch_pool
 {
@@ -39,7 +42,8 @@
   bool is_cancelled;    /* will be freed by the DEFERRED timer */
   bool send_denied;     /* not sent, because may_send returned false */
   bool timed_out_idle;  /* exceeded idle_timeout_ms */
-  bool too_large;       /* the body exceeded MAX_BODY_BYTES */
+  size_t head_bytes;    /* see MAX_HEAD_BYTES */
+  bool too_large;       /* the head or body exceeded its limit */
   bool finished;        /* the done callback has been reached */
   bool has_head;        /* the final response head is complete */
   bool pause_requested; /* by fetch_pause */
@@ -326,6 +330,10 @@
 
   if (fetch->is_cancelled)
     return 0;
+  fetch->head_bytes += length;
+  fetch->too_large |= fetch->head_bytes > MAX_HEAD_BYTES;
+  if (fetch->too_large)
+    return 0;
   restart_idle_timer (fetch);
   if (fetch->has_head)
     return length; /* a trailer */
@@ -363,7 +371,7 @@
   restart_idle_timer (fetch);
   if (request->data != NULL)
     request->data (request->user, bytes, length);
-  else if (fetch->body->len + length <= MAX_BODY_BYTES)
+  else if (fetch->body->len + length <= fetch->request.max_body_bytes)
     g_byte_array_append (fetch->body, (const guint8 *)bytes, length);
   else
     fetch->too_large = true;
@@ -452,6 +460,8 @@
 
   fetch->pool = pool;
   fetch->request = *request;
+  if (fetch->request.max_body_bytes == 0)
+    fetch->request.max_body_bytes = DEFAULT_MAX_BODY_BYTES;
   fetch->idle_timeout_ms = request->idle_timeout_ms;
   fetch->head = g_ptr_array_new_with_free_func (g_free);
   fetch->body = g_byte_array_new ();
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -69,6 +69,7 @@
   ups_exchange_t *exchange; /* NULL: it has ended */
   cfd_time_t sent_at;
   cfd_time_t considered_at; /* whether this router sends it */
+  size_t body_bytes;        /* of its answer */
 } edp_check_t;
 
 /* Exchanges with an endpoint that broke, until it is known whether its process
@@ -134,6 +135,7 @@
   unsigned active;        /* running requests */
   double pending_prefill; /* prefill work of requests without a first byte */
   double context_tokens;  /* KV cache used by running requests, estimated */
+  size_t body_bytes;      /* bodies of running requests */
   /* The same figures, summed over the other routers.  */
   unsigned peer_active;
   double peer_pending_prefill;
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -22,6 +22,8 @@
   answer->is_stream = false;
   answer->not_run = false;
   answer->is_valid = false;
+  answer->is_too_large = false;
+  answer->has_no_memory = false;
   answer->framing = RD_LENGTH;
   answer->received_bytes = 0;
   g_string_truncate (answer->fields, 0);
@@ -180,14 +182,6 @@
   if (!request->answer.is_stream)
     return;
   forward_body (request);
-  /* The caller reads its stream slowly.  The endpoint's answer waits at the
-     endpoint until all is sent.  */
-  if (request->read_paused || request->exchange == NULL
-      || ent_get_unsent_bytes (request->call)
-             <= ent_get_unsent_limit (request->call))
-    return;
-  request->read_paused = true;
-  ups_set_read_paused (request->exchange, true);
 }
 
 void
@@ -196,16 +190,21 @@
   rly_answer_t *answer = &request->answer;
 
   answer->received_bytes += length;
-  if (!answer->is_stream)
+  if (!rly_may_buffer (request, length))
+    answer->has_no_memory = true;
+  else if (!answer->is_stream)
     {
       if (answer->body->len + length <= MAX_BODY_BYTES)
         g_string_append_len (answer->body, bytes, (gssize)length);
       else
-        answer->is_valid = false;
-      return;
+        answer->is_too_large = true;
+    }
+  else
+    {
+      evs_feed (&answer->events, bytes, length, answer->body);
+      answer->is_too_large |= answer->events.is_too_long;
     }
-  evs_feed (&answer->events, bytes, length, answer->body);
-  if (answer->events.is_too_long)
+  if (answer->is_too_large || answer->has_no_memory)
     answer->is_valid = false;
 }
 
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -27,6 +27,7 @@
     { "cfd_relay_withdrawn_total", NULL, counts->withdrawn },
     { "cfd_relay_quarantine_refused_total", NULL, counts->quarantined },
     { "cfd_relay_part_refused_total", NULL, counts->part_refused },
+    { "cfd_relay_slow_callers_total", NULL, counts->slow_callers },
     { "cfd_relay_cold_requests_total", NULL, counts->cold_requests },
   };
 
@@ -48,6 +49,23 @@
     }
 }
 
+/* Appends the refusals of requests that waited in vain.  */
+static void
+append_refusals (const rly_counts_t *counts, GString *out)
+{
+  prom_append_sample (out, "cfd_relay_refused_total", "counter",
+                      "reason=\"processor\"",
+                      (double)counts->lacked_processor);
+  for (unsigned i = 0; i < PLC_SHORTAGES; i++)
+    {
+      g_autofree char *labels = g_strdup_printf (
+          "reason=\"%s\"", plc_shortage_name ((plc_shortage_t)i));
+
+      prom_append_sample (out, "cfd_relay_refused_total", "counter", labels,
+                          (double)counts->lacked[i]);
+    }
+}
+
 static void
 append_resumptions (const rly_counts_t *counts, GString *out)
 {
@@ -132,6 +150,7 @@
 {
   append_counters (&rly->counts, out);
   append_ends (&rly->counts, out);
+  append_refusals (&rly->counts, out);
   append_resumptions (&rly->counts, out);
   append_state (rly, now, out);
   list_for_each (node, &rly->services)
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -13,6 +13,7 @@
 #include "relay/plc.h"
 #include "relay/rly.h"
 #include "relay/rol.h"
+#include "relay/slw.h"
 #include "relay/evs.h"
 
 /* Most exchanges for a request, with those whose connection failed before
@@ -74,11 +75,15 @@
   list_node_t breaks;   /* of rly-break.c */
   unsigned break_count;
   rly_counts_t counts;
+  size_t answer_budget;  /* see rly_set_answer_budget */
+  size_t buffered_bytes; /* as of the last tick, and what came since then */
   unsigned routers;
   bool is_draining; /* refuses new requests */
   ev_prepare before_poll;
   cfd_time_t last_sweep;
   cfd_time_t last_level_update;
+  cfd_time_t last_tick;
+  int64_t lost_ms; /* by which ticks were late, since the start */
 };
 
 /* The answer to a request.  */
@@ -88,9 +93,11 @@
   GString *fields; /* header lines for the caller */
   GString *body;   /* bytes not forwarded to the caller yet */
   evs_t events;
-  bool is_stream; /* forwarded event by event as it arrives */
-  bool not_run;   /* the endpoint rejected the request */
-  bool is_valid;  /* may be forwarded to the caller */
+  bool is_stream;     /* forwarded event by event as it arrives */
+  bool not_run;       /* the endpoint rejected the request */
+  bool is_valid;      /* may be forwarded to the caller */
+  bool is_too_large;  /* exceeded a limit; the rest must not be read */
+  bool has_no_memory; /* the same for want of memory here */
   rd_framing_t framing;
   uint64_t received_bytes; /* of the body */
 } rly_answer_t;
@@ -143,6 +150,9 @@
   double prefill_ahead;   /* prefill work before its first token */
   double pending_prefill; /* its own part of it; 0 after the first byte */
   double context_tokens;  /* KV cache that it uses */
+  size_t body_bytes;      /* counted at its endpoint */
+  cfd_time_t enqueued_at; /* the last time */
+  int64_t lost_ms_before; /* rly_t.lost_ms at that time */
   double fetch_ms;        /* time to copy a cached prefix to the endpoint */
   bool is_canary;         /* the endpoint is of a version on trial */
   bool is_remote;         /* the endpoint is of another cell */
@@ -154,6 +164,8 @@
   bool head_sent;           /* the answer's head was sent to the caller */
   bool may_have_run;        /* sent to an endpoint that did not reject it */
   bool read_paused;         /* the caller reads too slowly */
+  bool is_draining;         /* so its answer is buffered up to a limit */
+  cfd_time_t paused_at;     /* when READ_PAUSED changed */
   rly_answer_t answer;
 } rly_request_t;
 
@@ -240,6 +252,9 @@
                       cfd_time_t now);
 /* Sends REQUEST to the best endpoint.  Returns false when it has to wait.  */
 bool rly_place (rly_round_t *round, rly_request_t *request);
+/* Returns what the endpoints lack to take REQUEST, which waits.  */
+plc_shortage_t rly_find_shortage (rly_round_t *round,
+                                  const rly_request_t *request);
 /* Returns for how long REQUEST may wait from its arrival.  After that its
    first token would be late even at an idle endpoint that caches its shared
    prefix.  */
@@ -331,6 +346,16 @@
 /* Applies the time-outs of a running REQUEST.  */
 void rly_check_timeouts (rly_request_t *request, cfd_time_t now);
 
+/* rly-slow.c: callers that read slowly, and memory for answers.  */
+/* Reads on the answer to REQUEST, leaves it unread for now, or disconnects the
+   caller.  Returns false in that case; REQUEST is freed.  */
+bool rly_pace_reading (rly_request_t *request, cfd_time_t now);
+/* Returns whether LENGTH bytes more of the answer to REQUEST may be kept, and
+   counts them.  */
+bool rly_may_buffer (rly_request_t *request, size_t length);
+/* Counts the bytes that are kept anew.  */
+void rly_count_buffered (rly_t *rly);
+
 /* rly-answer.c: answers to the caller.  */
 void rly_refuse (rly_request_t *request, cfd_time_t now, const char *reason,
                  int64_t retry_ms);
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -227,6 +227,39 @@
   lag_leave (lag, before, 1);
 }
 
+static void
+abort_exchange (rly_request_t *request, cfd_time_t now, ups_end_t end)
+{
+  ups_exchange_t *exchange = request->exchange;
+
+  request->exchange = NULL;
+  ups_cancel (exchange);
+  rly_handle_end (request, end, now);
+}
+
+/* Breaks off an answer that exceeds its limits: its endpoint may send without
+   end.  */
+static void
+abort_excessive (rly_request_t *request, cfd_time_t now)
+{
+  log_warn ("relay",
+            "An answer exceeds its limits and is broken off: request=%s "
+            "endpoint=%s stream=%d bytes=%" G_GUINT64_FORMAT ".",
+            request->id, request->edp->report->id, request->answer.is_stream,
+            request->answer.received_bytes);
+  abort_exchange (request, now, UPS_MALFORMED);
+}
+
+/* Breaks off an answer for which memory is short here, which is not the
+   endpoint's fault.  */
+static void
+abort_unbuffered (rly_request_t *request)
+{
+  rly_note_end (request, UPS_TIMED_OUT);
+  request->may_have_run = true;
+  rly_fail (request, 502, "answer-memory");
+}
+
 static void
 on_read_end (void *user)
 {
@@ -235,6 +268,12 @@
   lag_kind_t before = lag_enter (lag, LAG_ENDPOINTS);
 
   rly_forward (request);
+  if (request->answer.is_too_large)
+    abort_excessive (request, clock_now ());
+  else if (request->answer.has_no_memory)
+    abort_unbuffered (request);
+  else if (!request->read_paused)
+    rly_pace_reading (request, clock_now ());
   lag_leave (lag, before, 0);
 }
 
@@ -283,6 +322,8 @@
   edp->active++;
   edp->pending_prefill += request->pending_prefill;
   edp->context_tokens += request->context_tokens;
+  request->body_bytes = ent_get_body (request->call)->len;
+  edp->body_bytes += request->body_bytes;
   rly->counts.cold_requests += edp_is_cold (edp, now);
   edp_count_request (edp, now);
   edp_set_note_changed (rly->endpoints, edp);
@@ -369,9 +410,11 @@
     ups_cancel (request->exchange);
   request->exchange = NULL;
   request->read_paused = false;
+  request->is_draining = false;
   clear_pending_prefill (request);
   edp->context_tokens
       = MAX (edp->context_tokens - request->context_tokens, 0.);
+  edp->body_bytes -= MIN (request->body_bytes, edp->body_bytes);
   INVARIANT ("running-counted", edp->active > 0, edp->report->id);
   edp->active--;
   request->rly->counts.running--;
@@ -388,16 +431,6 @@
   return SILENCE_TIMEOUT_MS + (int64_t)(2. * estimate_first_byte_ms (request));
 }
 
-static void
-abort_exchange (rly_request_t *request, cfd_time_t now, ups_end_t end)
-{
-  ups_exchange_t *exchange = request->exchange;
-
-  request->exchange = NULL;
-  ups_cancel (exchange);
-  rly_handle_end (request, end, now);
-}
-
 void
 rly_check_timeouts (rly_request_t *request, cfd_time_t now)
 {
@@ -410,22 +443,14 @@
       rly_fail (request, 504, "timeout");
       return;
     }
-  if (request->answer.events.is_too_long)
-    {
-      abort_exchange (request, now, UPS_MALFORMED);
-      return;
-    }
   if (!ups_is_connected (request->exchange))
     {
       if (since_sent > CONNECT_TIMEOUT_MS)
         abort_exchange (request, now, UPS_CONNECT_FAILED);
       return;
     }
-  if (request->read_paused && ent_get_unsent_bytes (request->call) == 0)
-    {
-      request->read_paused = false;
-      ups_set_read_paused (request->exchange, false);
-    }
+  if (request->read_paused && !rly_pace_reading (request, now))
+    return;
   if (request->answer.status == 0
       && since_sent > compute_silence_timeout_ms (request)
       && rte_may_retry (request->route)
