Pauses, speeds: tests, figures of peers that lapse, pauses in lines and metrics

Speeds of peers were kept as differences: for an endpoint listed after its report, the next one took the sums of another router away, a restarted router's sums stayed, and nothing lapsed while the peer lived. Samples counted while the router's own loop was late, and those of retries. The router didn't record pauses, so that a late answer couldn't be traced to an endpoint.

One sample counts at most twice the estimate (spd.c). A first token shows a speed only if the relay's ticks were on time and the request was sent once. Longest pause and late events of an exchange, slowness, recent and budget at its send are in the log; cfd_relay_pause_ms is a histogram.

--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -7,6 +7,7 @@
 #define RELAY_PAL_PRIVATE_H
 
 #include "relay/pal.h"
+#include "wire/msg-tree.h"
 #include <msgpack/zone.h>
 
 /* First item of each state datagram, by which foreign datagrams and those of
@@ -64,7 +65,8 @@
 typedef struct
 {
   uint64_t endpoint;
-  spd_sums_t sums;
+  spd_sums_t sums; /* at received_at */
+  cfd_time_t received_at;
 } pal_speed_t;
 
 /* Load that one peer puts on one endpoint.  */
@@ -126,6 +128,7 @@
   cfd_time_t silence_checked_at;
   cfd_time_t usage_sent_at;
   cfd_time_t speeds_sent_at;
+  cfd_time_t speeds_summed_at;
   cfd_time_t usage_refreshed_at; /* the usage of all accounts was sent */
   char *read_buffer;             /* of several datagrams */
   msgpack_zone *arena; /* of the nodes of the datagram being decoded */
@@ -173,6 +176,13 @@
 /* pal.c: sends a datagram to all other routers.  */
 void pal_send_all (const pal_t *pal, const void *bytes, size_t length);
 
+/* pal-speeds.c: reads the speeds that PEER sent.  ROWS are valid.  */
+void pal_receive_speeds (pal_peer_t *peer, cfd_time_t now,
+                         const msg_node_t *rows);
+/* Computes the peers' speeds of all endpoints at intervals, and discards those
+   that were not sent again.  */
+void pal_sum_speeds (pal_t *pal, cfd_time_t now);
+
 /* pal-receive.c: computes the peers' total load of each endpoint that was
    added since the last call.  */
 void pal_sum_new_endpoints (pal_t *pal);
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -218,58 +218,6 @@
     }
 }
 
-static void
-apply_speed (pal_t *pal, uint64_t endpoint, const spd_sums_t *was,
-             const spd_sums_t *is)
-{
-  edp_t *edp = edp_set_find_by_hash (pal->endpoints, endpoint);
-
-  if (edp != NULL)
-    spd_update_peer (&edp->speed, was, is);
-}
-
-static void
-subtract_speeds (pal_t *pal, pal_peer_t *peer)
-{
-  static const spd_sums_t none = { 0 };
-  GHashTableIter each;
-  void *data;
-
-  g_hash_table_iter_init (&each, peer->speeds);
-  while (g_hash_table_iter_next (&each, NULL, &data))
-    {
-      const pal_speed_t *speed = data;
-
-      apply_speed (pal, speed->endpoint, &speed->sums, &none);
-    }
-  g_hash_table_remove_all (peer->speeds);
-}
-
-static void
-receive_speeds (pal_t *pal, pal_peer_t *peer, const msg_node_t *rows)
-{
-  for (unsigned i = 0; i + 2 < rows->length; i += 3)
-    {
-      const msg_node_t *row = &rows->u.items[i];
-      pal_speed_t received
-          = { .endpoint = row[0].u.number,
-              .sums
-              = { .observed = (double)MIN (row[1].u.number, MAX_SPEED_MS),
-                  .expected = (double)MIN (row[2].u.number, MAX_SPEED_MS) } };
-      pal_speed_t *speed
-          = g_hash_table_lookup (peer->speeds, &received.endpoint);
-
-      if (speed == NULL)
-        {
-          speed = g_new0 (pal_speed_t, 1);
-          speed->endpoint = received.endpoint;
-          g_hash_table_insert (peer->speeds, &speed->endpoint, speed);
-        }
-      apply_speed (pal, received.endpoint, &speed->sums, &received.sums);
-      *speed = received;
-    }
-}
-
 void
 pal_subtract_peer (pal_t *pal, pal_peer_t *peer)
 {
@@ -280,7 +228,6 @@
   while (g_hash_table_iter_next (&each, NULL, &load))
     apply_load (pal, load, -1);
   g_hash_table_remove_all (peer->loads);
-  subtract_speeds (pal, peer);
 }
 
 /* Adds the prefill work that IS lacks of WAS to what the endpoint finished. */
@@ -536,6 +483,7 @@
 set_incarnation (pal_t *pal, pal_peer_t *peer, uint64_t incarnation)
 {
   pal_forget_incarnation (pal, peer);
+  g_hash_table_remove_all (peer->speeds);
   peer->incarnation = incarnation;
   g_hash_table_insert (pal->by_incarnation, &peer->incarnation, peer);
 }
@@ -576,7 +524,7 @@
   receive_quarantine (pal, now, &items[15]);
   receive_parts (pal, now, &items[16]);
   if (state->length > SPEEDS_ITEM)
-    receive_speeds (pal, peer, &items[SPEEDS_ITEM]);
+    pal_receive_speeds (peer, now, &items[SPEEDS_ITEM]);
   if (state->length > CAPACITY_ITEM)
     receive_capacity (pal, peer, now, &items[CAPACITY_ITEM]);
 }
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -665,6 +665,7 @@
     receive_waiting (pal);
   remove_silent_peers (pal, now);
   pal_sum_new_endpoints (pal);
+  pal_sum_speeds (pal, now);
   send_summary (pal, now);
   if (now - pal->full_sent_at < get_full_interval_ms (pal))
     {
--- a/libcoltsfootdrum/relay/pau.h
+++ b/libcoltsfootdrum/relay/pau.h
@@ -6,8 +6,25 @@
    requests, so that each chunk delays the next event of every stream.
 
    The window is the part of the allowed pause that placement plans with.  The
-   prefill work that an endpoint gets within a window, together with the time
-   of an event, must not take longer than the window: that work is the budget.
+   budget is the prefill work that takes, together with the time of an event,
+   as long as the window.  The level of an endpoint is the work that is pending
+   there and what still counts of the work it finished.
+
+   Bounds on the work that one endpoint gets, with B its budget, W the window,
+   and C the level up to which prompts are admitted: B, or 2 B if there are
+   underserved accounts or prompts longer than B.  N routers learn of each
+   other within d ms, and a partition divides them into G groups that don't
+   see each other.  A is the most work that comes to one router in d ms.
+
+   - Pending at one moment: G C + (N - G) min (C, A).  In a group all but one
+     router may have sent what the last one doesn't know yet.
+   - Sent within a window: the same and what the endpoint prefills in W; and
+     never more than N C (1 + 1 / 0.6), the level of each router alone and
+     what decays of it in W.
+
+   These are no promise that pauses are in time: even one router that knows
+   everything may send more than B within W.  Prompts that exceed 2 max_budget
+   are admitted whole and come on top.
    All work is in tokens, as computed by plc_compute_prefill_work.  */
 
 #ifndef RELAY_PAU_H
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -462,16 +462,22 @@
     log_info ("relay",
               "An answer ended with its connection: request=%s endpoint=%s "
               "status=%u end=%s bytes=%" G_GUINT64_FORMAT
-              " events=%u last_event=%" G_GINT64_FORMAT " unfinished=%u.",
+              " events=%u last_event=%" G_GINT64_FORMAT
+              " unfinished=%u longest_pause_ms=%" G_GINT64_FORMAT
+              " late_events=%u.",
               request->id, endpoint, answer->status, end_get_name (kind),
               answer->received_bytes, answer->events.events,
-              answer->events.last_id, answer->events.bytes->len);
+              answer->events.last_id, answer->events.bytes->len,
+              request->longest_pause_ms, request->late_events);
   else
     log_info ("relay",
               "An exchange ended: request=%s endpoint=%s status=%u end=%s "
-              "bytes=%" G_GUINT64_FORMAT " events=%u.",
+              "bytes=%" G_GUINT64_FORMAT
+              " events=%u longest_pause_ms=%" G_GINT64_FORMAT
+              " late_events=%u.",
               request->id, endpoint, answer->status, end_get_name (kind),
-              answer->received_bytes, answer->events.events);
+              answer->received_bytes, answer->events.events,
+              request->longest_pause_ms, request->late_events);
 }
 
 end_kind_t
@@ -480,6 +486,8 @@
   end_kind_t kind = classify_end (&request->answer, end);
 
   request->rly->counts.ends[kind]++;
+  if (request->longest_pause_ms >= 0)
+    prom_hist_observe (&request->service->pause_ms, request->longest_pause_ms);
   log_end (request, kind);
   return kind;
 }
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -125,6 +125,7 @@
   prom_hist_append (&service->first_byte_ms, out, "cfd_relay_first_byte_ms",
                     labels);
   prom_hist_append (&service->total_ms, out, "cfd_relay_answer_ms", labels);
+  prom_hist_append (&service->pause_ms, out, "cfd_relay_pause_ms", labels);
 }
 
 void
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -574,7 +574,7 @@
   if (request->fetch_ms > 0.)
     source = round->endpoints[round->source];
   request->is_remote = load->in_other_cell;
-  if (!rly_send (request, edp, source, round->now))
+  if (!rly_send (request, edp, load, source, round->now))
     {
       load->slots = 0;
       return false;
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -30,6 +30,7 @@
   prom_hist_t wait_ms;       /* from arrival until sent */
   prom_hist_t first_byte_ms; /* from arrival to the first byte; successes */
   prom_hist_t total_ms;      /* from arrival to the last byte; successes */
+  prom_hist_t pause_ms;      /* longest time between events of each exchange */
   list_node_t queues;        /* rly_queue_t, none of them empty */
   unsigned waiting;
   bool dispatch_scheduled;   /* at the end of this loop iteration */
@@ -79,6 +80,8 @@
   ev_prepare before_poll;
   cfd_time_t last_sweep;
   cfd_time_t last_level_update;
+  cfd_time_t ticked_at; /* CFD_TIME_NEVER until the first tick */
+  cfd_time_t late_at;   /* of the last tick that came late */
 };
 
 /* The answer to a request.  */
@@ -151,6 +154,8 @@
   cfd_time_t first_byte_at; /* of this exchange; 0: none yet */
   cfd_time_t last_event_at; /* of this exchange; 0: none yet */
   bool was_undisturbed;     /* nothing was to be prefilled at that time */
+  int64_t longest_pause_ms; /* between events of this exchange; -1: none */
+  unsigned late_events;     /* after more than the route's max_pause_ms */
   bool head_sent;           /* the answer's head was sent to the caller */
   bool may_have_run;        /* sent to an endpoint that did not reject it */
   bool read_paused;         /* the caller reads too slowly */
@@ -159,6 +164,9 @@
 
 /* rly.c */
 rly_service_t *rly_find_or_add_service (rly_t *rly, const char *name);
+/* Returns whether the event loop was on time from SINCE to NOW, so that times
+   measured from then on show what endpoints do.  */
+bool rly_was_on_time (const rly_t *rly, cfd_time_t since, cfd_time_t now);
 /* Returns whether MECHANISM is not disabled.  */
 bool rly_is_enabled (const rly_t *rly, mech_t mechanism);
 const char *rly_get_account_name (const rly_request_t *request);
@@ -322,10 +330,10 @@
                                bool failed);
 
 /* rly-send.c: one exchange with an endpoint.  */
-/* Sends REQUEST to EDP, which copies a cached prefix from SOURCE unless that
-   is NULL.  Returns false when no connection can be opened.  */
-bool rly_send (rly_request_t *request, edp_t *edp, const edp_t *source,
-               cfd_time_t now);
+/* Sends REQUEST to EDP, which has LOAD and copies a cached prefix from SOURCE
+   unless that is NULL.  Returns false when no connection can be opened.  */
+bool rly_send (rly_request_t *request, edp_t *edp, const plc_endpoint_t *load,
+               const edp_t *source, cfd_time_t now);
 /* Ends the exchange of REQUEST; CANCEL closes the connection.  */
 void rly_detach (rly_request_t *request, bool cancel);
 /* Applies the time-outs of a running REQUEST.  */
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include <inttypes.h>
+#include <math.h>
 #include <string.h>
 
 /* Time for a connection to open.  After that another endpoint gets the
@@ -104,6 +105,17 @@
   request->pending_prefill = 0.;
 }
 
+/* Returns whether the first token of REQUEST shows the speed of its endpoint:
+   nothing else was pending there, and the router itself was on time.  The
+   endpoint of a retry may have prefilled the prompt before.  */
+static bool
+shows_speed (const rly_request_t *request, cfd_time_t now)
+{
+  return request->prefill_ahead <= request->pending_prefill
+         && request->tries == 1 && !request->is_warming_up
+         && rly_was_on_time (request->rly, request->sent_at, now);
+}
+
 /* Learns the speed of the endpoint of REQUEST, which prefilled nothing else.
  */
 static void
@@ -127,8 +139,7 @@
 
   if (request->is_canary || request->is_remote)
     return;
-  if (request->prefill_ahead <= request->pending_prefill
-      && !request->is_warming_up)
+  if (shows_speed (request, now))
     record_idle_first_token (request, now, observed_ms);
   fit_add (&request->service->first_token_fit, request->prefill_ahead,
            observed_ms);
@@ -159,19 +170,36 @@
   return answer->is_valid && !answer->not_run && answer->status / 100 == 2;
 }
 
-/* Learns the time of an event while the endpoint prefills nothing.  */
+/* Learns the time of an event while the endpoint prefills nothing, from one
+   that came GAP_MS after the event before.  */
+static void
+learn_event_ms (rly_request_t *request, cfd_time_t now, int64_t gap_ms)
+{
+  rly_service_t *service = request->service;
+
+  if (rly_was_on_time (request->rly, request->last_event_at, now))
+    service->event_ms
+        += ((double)gap_ms / spd_get_slowness (&request->edp->speed, now)
+            - service->event_ms)
+           * EVENT_WEIGHT;
+}
+
+/* Notes the arrival of one event, or of several at once.  */
 static void
 note_event (rly_request_t *request, cfd_time_t now)
 {
   const edp_t *edp = request->edp;
-  rly_service_t *service = request->service;
+  int64_t max_pause_ms = request->route->max_pause_ms;
+  int64_t gap_ms = now - request->last_event_at;
   bool undisturbed = edp->pending_prefill + edp->peer_pending_prefill <= 0.;
 
-  if (undisturbed && request->was_undisturbed && request->last_event_at > 0)
-    service->event_ms += ((double)(now - request->last_event_at)
-                              / spd_get_slowness (&edp->speed, now)
-                          - service->event_ms)
-                         * EVENT_WEIGHT;
+  if (request->last_event_at > 0)
+    {
+      request->longest_pause_ms = MAX (request->longest_pause_ms, gap_ms);
+      request->late_events += max_pause_ms > 0 && gap_ms > max_pause_ms;
+      if (undisturbed && request->was_undisturbed)
+        learn_event_ms (request, now, gap_ms);
+    }
   request->was_undisturbed = undisturbed;
   request->last_event_at = now;
 }
@@ -278,6 +306,8 @@
   request->events_before = request->answer.events.events;
   request->went_on = false;
   request->last_event_at = 0;
+  request->longest_pause_ms = -1;
+  request->late_events = 0;
   request->tries++;
   request->attempts++;
   edp->active++;
@@ -307,8 +337,8 @@
 }
 
 bool
-rly_send (rly_request_t *request, edp_t *edp, const edp_t *source,
-          cfd_time_t now)
+rly_send (rly_request_t *request, edp_t *edp, const plc_endpoint_t *load,
+          const edp_t *source, cfd_time_t now)
 {
   const rly_names_t *names = &request->rly->names;
   g_autoptr (GString) text = format_request (request, edp, source, now);
@@ -334,14 +364,17 @@
       "A request was sent: request=%s key=%010" PRIx64
       " account=%s endpoint=%s version=%s active=%u "
       "peers=%u ahead=%.0f own=%.0f expect_ms=%.0f waited_ms=%" G_GINT64_FORMAT
-      " source=%s fetch_ms=%.0f canary=%d again=%d.",
+      " source=%s fetch_ms=%.0f canary=%d again=%d slowness=%.2f recent=%.0f "
+      "budget=%.0f.",
       request->id, request->content_key, rly_get_account_name (request),
       edp->report->id,
       edp->report->version != NULL ? edp->report->version : "", edp->active,
       edp->peer_active, request->prefill_ahead, request->pending_prefill,
       estimate_first_byte_ms (request), now - request->arrived_at,
       source != NULL ? source->report->id : "", request->fetch_ms,
-      request->is_canary, rly_has_failed_at (request, edp));
+      request->is_canary, rly_has_failed_at (request, edp), load->slowness,
+      load->recent_prefill,
+      isfinite (load->prefill_budget) ? load->prefill_budget : 0.);
   return true;
 }
 
@@ -424,6 +457,8 @@
   if (request->read_paused && ent_get_unsent_bytes (request->call) == 0)
     {
       request->read_paused = false;
+      /* The endpoint is not the cause of this pause.  */
+      request->last_event_at = 0;
       ups_set_read_paused (request->exchange, false);
     }
   if (request->answer.status == 0
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -13,6 +13,9 @@
 #define INITIAL_MS_PER_TOKEN (1. / 80.)
 #define INITIAL_IDLE_BASE_MS 10. /* where nothing else is prefilled */
 #define INITIAL_EVENT_MS 50.
+/* Lateness of a tick from which on the times of endpoints don't count: a
+   fifth of the prefill of a prompt of 12,000 tokens.  */
+#define MAX_LATE_MS 30
 /* Retry-After while there is no configuration.  */
 #define NO_CONFIG_RETRY_MS 500
 /* Retry-After of a request that is refused for lack of processor time: the
@@ -101,6 +104,7 @@
 {
   rly_t *rly = g_new0 (rly_t, 1);
 
+  rly->ticked_at = CFD_TIME_NEVER;
   rly->loop = loop;
   rly->names = *names;
   rly->settings = *settings;
@@ -552,9 +556,22 @@
     }
 }
 
+bool
+rly_was_on_time (const rly_t *rly, cfd_time_t since, cfd_time_t now)
+{
+  /* The tick after a delay may come after what the delay held up.  */
+  if (rly->ticked_at != CFD_TIME_NEVER
+      && now - rly->ticked_at > RLY_TICK_MS + MAX_LATE_MS)
+    return false;
+  return rly->late_at < since;
+}
+
 void
 rly_tick (rly_t *rly, cfd_time_t now)
 {
+  if (!rly_was_on_time (rly, now, now))
+    rly->late_at = now;
+  rly->ticked_at = now;
   if (now - rly->last_level_update >= LEVEL_UPDATE_INTERVAL_MS)
     {
       rly->last_level_update = now;
--- a/libcoltsfootdrum/relay/spd.c
+++ b/libcoltsfootdrum/relay/spd.c
@@ -11,20 +11,28 @@
 /* Weight of the assumption that an endpoint is as fast as the average.  */
 #define PRIOR_MS 400.
 /* Bounds of one sample, so that an endpoint that hung doesn't count as slow
-   for long.  */
+   for long.  The second is a multiple of what the estimate expects: a slow
+   endpoint exceeds it for its first samples only.  */
 #define MAX_SAMPLE_RATIO 4.
+#define MAX_SAMPLE_STEP 2.
 #define MIN_SLOWNESS 0.25
 #define MAX_SLOWNESS 4.
 /* Smaller differences are noise.  */
 #define MIN_DIFFERENCE 0.1
 
 spd_sums_t
-spd_get_own (const spd_t *spd, cfd_time_t now)
+spd_decay (const spd_sums_t *sums, int64_t age_ms)
 {
-  double factor = exp (-(double)(now - spd->updated_at) / DECAY_MS);
+  double factor = exp (-(double)MAX (age_ms, 0) / DECAY_MS);
+
+  return (spd_sums_t){ .observed = sums->observed * factor,
+                       .expected = sums->expected * factor };
+}
 
-  return (spd_sums_t){ .observed = spd->own.observed * factor,
-                       .expected = spd->own.expected * factor };
+spd_sums_t
+spd_get_own (const spd_t *spd, cfd_time_t now)
+{
+  return spd_decay (&spd->own, now - spd->updated_at);
 }
 
 bool
@@ -36,19 +44,30 @@
 void
 spd_add (spd_t *spd, cfd_time_t now, double observed_ms, double expected_ms)
 {
+  double max_ratio
+      = MIN (spd_get_slowness (spd, now) * MAX_SAMPLE_STEP, MAX_SAMPLE_RATIO);
+  double weight_ms = MIN (expected_ms, PRIOR_MS);
+
+  if (weight_ms <= 0.)
+    return;
   spd->own = spd_get_own (spd, now);
   spd->updated_at = now;
-  spd->own.observed += CLAMP (observed_ms, 0., expected_ms * MAX_SAMPLE_RATIO);
-  spd->own.expected += expected_ms;
+  spd->own.observed
+      += CLAMP (observed_ms / expected_ms, 0., max_ratio) * weight_ms;
+  spd->own.expected += weight_ms;
+}
+
+void
+spd_clear_peers (spd_t *spd)
+{
+  spd->peers = (spd_sums_t){ 0 };
 }
 
 void
-spd_update_peer (spd_t *spd, const spd_sums_t *was, const spd_sums_t *is)
+spd_add_peer (spd_t *spd, const spd_sums_t *sums)
 {
-  spd->peers.observed
-      = MAX (spd->peers.observed - was->observed, 0.) + is->observed;
-  spd->peers.expected
-      = MAX (spd->peers.expected - was->expected, 0.) + is->expected;
+  spd->peers.observed += sums->observed;
+  spd->peers.expected += sums->expected;
 }
 
 double
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -4,6 +4,7 @@
 #include "relay/cold.h"
 #include "relay/pal-private.h"
 
+#include <math.h>
 #include <string.h>
 
 #define NOW 1000000
@@ -837,6 +838,94 @@
   router_free (&one);
 }
 
+/* Adds what shows that E1 takes RATIO times as long as the average.  */
+static void
+measure_speed (router_t *router, cfd_time_t now, double ratio)
+{
+  for (unsigned i = 0; i < 40; i++)
+    spd_add (&get_endpoint (router)->speed, now, 150. * ratio, 150.);
+}
+
+static double
+get_slowness (router_t *router, cfd_time_t now)
+{
+  pal_tick (router->pal, now);
+  return spd_get_slowness (&get_endpoint (router)->speed, now);
+}
+
+/* Guards against routers that don't learn which endpoints are slow, and that
+   go on believing it without evidence: of a peer that sends its state but
+   nothing on speeds, of one that was silent, or restarted.  */
+static void
+test_speeds (void)
+{
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  router_t restarted = router_new_seeded ("one", 77);
+
+  measure_speed (&one, NOW, 2.);
+  deliver (&one, &here, NOW, PAL_CHANGES);
+  g_assert_cmpfloat (get_slowness (&here, NOW), ==, 1.);
+  deliver (&one, &here, NOW, PAL_FULL);
+  g_assert_cmpfloat_with_epsilon (get_slowness (&here, NOW + 500), 2., 0.2);
+  /* Speeds come once a second.  They last meanwhile, and lapse in the end.  */
+  for (int64_t ms = 600; ms <= 4000; ms += 200)
+    {
+      one.pal->speeds_sent_at = NOW + ms;
+      deliver (&one, &here, NOW + ms, PAL_FULL);
+      g_assert_cmpfloat (get_slowness (&here, NOW + ms), >, 1.5);
+    }
+  for (int64_t ms = 4200; ms <= 6000; ms += 200)
+    {
+      one.pal->speeds_sent_at = NOW + ms;
+      deliver (&one, &here, NOW + ms, PAL_FULL);
+      pal_tick (here.pal, NOW + ms);
+    }
+  g_assert_cmpfloat (get_slowness (&here, NOW + 6000), ==, 1.);
+  deliver (&one, &here, NOW + 8000, PAL_FULL);
+  g_assert_cmpfloat (get_slowness (&here, NOW + 8000), >, 1.5);
+  g_assert_cmpfloat (get_slowness (&here, NOW + 10000), ==, 1.);
+  deliver (&one, &here, NOW + 11000, PAL_FULL);
+  g_assert_cmpfloat (get_slowness (&here, NOW + 11000), >, 1.3);
+  deliver (&restarted, &here, NOW + 11500, PAL_FULL);
+  g_assert_cmpfloat (get_slowness (&here, NOW + 11500), ==, 1.);
+  router_free (&here);
+  router_free (&one);
+  router_free (&restarted);
+}
+
+/* The speed of an endpoint that is listed after a peer reported it counts, and
+   what one peer reported is not taken from what another one did.  */
+static void
+test_speeds_listed_late (void)
+{
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+  router_t two = router_new ("two");
+  edp_t *edp;
+
+  list_second_endpoint (&one);
+  list_second_endpoint (&two);
+  edp = edp_set_find (one.endpoints, "e2");
+  spd_add (&edp->speed, NOW, 800., 400.);
+  edp = edp_set_find (two.endpoints, "e2");
+  spd_add (&edp->speed, NOW, 800., 400.);
+  deliver (&one, &here, NOW, PAL_FULL);
+  list_second_endpoint (&here);
+  edp = edp_set_find (here.endpoints, "e2");
+  deliver (&two, &here, NOW, PAL_FULL);
+  pal_tick (here.pal, NOW + 500);
+  g_assert_cmpfloat_with_epsilon (edp->speed.peers.observed,
+                                  1600. * exp (-0.05), 1.);
+  deliver (&one, &here, NOW + 1000, PAL_FULL);
+  pal_tick (here.pal, NOW + 1000);
+  g_assert_cmpfloat_with_epsilon (edp->speed.peers.observed,
+                                  1600. * exp (-0.1), 1.);
+  router_free (&here);
+  router_free (&one);
+  router_free (&two);
+}
+
 /* Appends the header of a list of COUNT items.  */
 static void
 append_array (GByteArray *bytes, uint32_t count)
@@ -875,6 +964,82 @@
   return bytes;
 }
 
+/* Returns a state of LENGTH items, all lists of it empty, in which the item of
+   speeds, unless that is NULL, is replaced by BYTES.  */
+static GByteArray *
+pack_items (guint8 length, const guint8 *bytes, guint count)
+{
+  const guint8 start[]
+      = { 0xdc, 0, length, 0xcd, 0xcf, 0xda, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
+  static const guint8 zero = 0;
+  static const guint8 empty = 0x90;
+  GByteArray *state = g_byte_array_new ();
+
+  g_byte_array_append (state, start, sizeof start);
+  for (unsigned item = 5; item < length; item++)
+    if (item == SPEEDS_ITEM && bytes != NULL)
+      g_byte_array_append (state, bytes, count);
+    else
+      g_byte_array_append (state, item == 8 ? &zero : &empty, 1);
+  return state;
+}
+
+static bool
+accepts (guint8 length, const guint8 *bytes, guint count)
+{
+  router_t here = router_new ("here");
+  g_autoptr (GByteArray) state = pack_items (length, bytes, count);
+  bool accepted = pal_receive (here.pal, NOW, state->data, state->len);
+
+  pal_tick (here.pal, NOW + 500);
+  router_free (&here);
+  return accepted;
+}
+
+/* Guards against routers of two versions that ignore each other: an earlier
+   one sends 17 items, a later one may send 20.  */
+static void
+test_other_versions (void)
+{
+  g_assert_false (accepts (16, NULL, 0));
+  g_assert_true (accepts (17, NULL, 0));
+  g_assert_true (accepts (18, NULL, 0));
+  g_assert_true (accepts (19, NULL, 0));
+  g_assert_true (accepts (20, NULL, 0));
+}
+
+/* Speeds that are no rows of three numbers are rejected with their datagram;
+   numbers that no router measures must not crash or count without limit.  */
+static void
+test_malformed_speeds (void)
+{
+  static const guint8 row[] = { 0x93, 1, 2, 3 };
+  static const guint8 two[] = { 0x92, 1, 2 };
+  static const guint8 four[] = { 0x94, 1, 2, 3, 4 };
+  static const guint8 negative[] = { 0x93, 1, 0xff, 3 };
+  static const guint8 text[] = { 0x93, 1, 0xa1, 'x', 3 };
+  static const guint8 nested[] = { 0x91, 0x93, 1, 2, 3 };
+  static const guint8 number[] = { 7 };
+  static const guint8 nil[] = { 0xc0 };
+  static const guint8 real[]
+      = { 0x93, 1, 0xcb, 0x7f, 0xf0, 0, 0, 0, 0, 0, 0, 3 };
+  static const guint8 zero[] = { 0x93, 1, 0, 0 };
+  static const guint8 huge[]
+      = { 0x93, 1, 0xcf, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1 };
+
+  g_assert_true (accepts (ITEMS, row, sizeof row));
+  g_assert_false (accepts (ITEMS, two, sizeof two));
+  g_assert_false (accepts (ITEMS, four, sizeof four));
+  g_assert_false (accepts (ITEMS, negative, sizeof negative));
+  g_assert_false (accepts (ITEMS, text, sizeof text));
+  g_assert_false (accepts (ITEMS, nested, sizeof nested));
+  g_assert_false (accepts (ITEMS, number, sizeof number));
+  g_assert_false (accepts (ITEMS, nil, sizeof nil));
+  g_assert_false (accepts (ITEMS, real, sizeof real));
+  g_assert_true (accepts (ITEMS, zero, sizeof zero));
+  g_assert_true (accepts (ITEMS, huge, sizeof huge));
+}
+
 /* Two ends at one router and a third at another quarantine a request at both,
    and at one that starts later, whatever datagrams of it come.  */
 static void
@@ -1129,5 +1294,9 @@
   g_test_add_func ("/pal/update", test_update);
   g_test_add_func ("/pal/usage-refresh", test_usage_refresh);
   g_test_add_func ("/pal/processor-time", test_processor_time);
+  g_test_add_func ("/pal/speeds", test_speeds);
+  g_test_add_func ("/pal/speeds-listed-late", test_speeds_listed_late);
+  g_test_add_func ("/pal/other-versions", test_other_versions);
+  g_test_add_func ("/pal/malformed-speeds", test_malformed_speeds);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-plc.c
+++ b/libcoltsfootdrum/relay/test-plc.c
@@ -24,6 +24,22 @@
     .max_missing_tokens = HUGE_VAL                                            \
   }
 
+/* The same for a request whose work is limited by pauses.  */
+#define LIMITED(time_left, max_queueing, share)                               \
+  {                                                                           \
+    .base_ms = 50., .ms_per_token = 0.01, .time_left_ms = time_left,          \
+    .max_queueing_ms = max_queueing, .capacity_share = 1.,                    \
+    .needed_tokens = 2000., .max_missing_tokens = HUGE_VAL,                   \
+    .budget_share = share, .max_budget = 30000.                               \
+  }
+/* Endpoints of average and of half the speed, which run streams.  */
+#define FAST_ENDPOINT                                                         \
+  .slots = 64, .kv_capacity_tokens = 400000., .active = 9, .slowness = 1.,    \
+  .prefill_budget = 30000.
+#define SLOW_ENDPOINT                                                         \
+  .slots = 64, .kv_capacity_tokens = 400000., .active = 9, .slowness = 2.,    \
+  .prefill_budget = 13500.
+
 /* Of average speed, and with streams whose pauses aren't limited.  */
 #define UNLIMITED .slowness = 1., .prefill_budget = HUGE_VAL
 #define FREE_ENDPOINT .slots = 64, .kv_capacity_tokens = 400000., UNLIMITED
@@ -200,6 +216,79 @@
         .active = 2 } },
     2,
     1 },
+  /* Guards against long prompts at a slow endpoint, whose streams would pause
+     for too long.  A short prompt may go there.  */
+  { "slow-gets-no-long-prompt",
+    LIMITED (900., 450., 1.),
+    { { SLOW_ENDPOINT, .own_prefill = 14900. },
+      { FAST_ENDPOINT, .own_prefill = 14900., .pending_prefill = 14000. } },
+    2,
+    1 },
+  { "slow-gets-short-prompt",
+    LIMITED (900., 450., 1.),
+    { { SLOW_ENDPOINT, .own_prefill = 840. },
+      { FAST_ENDPOINT, .own_prefill = 840., .pending_prefill = 14000. } },
+    2,
+    0 },
+  /* The first token is expected by the endpoint's own speed: 50 + 2 x 120 ms
+     exceed the time left.  */
+  { "slow-is-late",
+    LIMITED (250., 200., 1.),
+    { { SLOW_ENDPOINT, .own_prefill = 12000. },
+      { FAST_ENDPOINT, .own_prefill = 12000., .pending_prefill = 5000. } },
+    2,
+    1 },
+  /* Finished work delayed the streams as much as pending work will.  */
+  { "recent-work-counts",
+    LIMITED (900., 450., 1.),
+    { { FAST_ENDPOINT, .own_prefill = 2480., .recent_prefill = 28000. },
+      { FAST_ENDPOINT, .own_prefill = 2480., .pending_prefill = 20000. } },
+    2,
+    1 },
+  { "recent-work-waits",
+    LIMITED (900., 450., 1.),
+    { { FAST_ENDPOINT, .own_prefill = 2480., .recent_prefill = 28000. } },
+    1,
+    NO_ENDPOINT },
+  /* An endpoint without streams has none that could pause.  */
+  { "no-streams",
+    LIMITED (900., 450., 1.),
+    { { FAST_ENDPOINT, .own_prefill = 2480., .pending_prefill = 29000. },
+      { .slots = 64,
+        .kv_capacity_tokens = 400000.,
+        .slowness = 2.,
+        .prefill_budget = 13500.,
+        .own_prefill = 14900.,
+        .recent_prefill = 90000. } },
+    2,
+    1 },
+  /* No budget can hold the prompt.  It must not wait for ever, and goes to a
+     fast endpoint where little else is prefilled.  */
+  { "outsized-prompt",
+    LIMITED (900., 450., 1.),
+    { { SLOW_ENDPOINT, .own_prefill = 70000. },
+      { FAST_ENDPOINT, .own_prefill = 70000., .pending_prefill = 3100. },
+      { FAST_ENDPOINT, .own_prefill = 70000., .pending_prefill = 2900. } },
+    3,
+    2 },
+  { "outsized-prompt-waits",
+    LIMITED (900., 450., 1.),
+    { { SLOW_ENDPOINT, .own_prefill = 70000. },
+      { FAST_ENDPOINT, .own_prefill = 70000., .pending_prefill = 3100. } },
+    2,
+    NO_ENDPOINT },
+  /* An account above the fair level leaves room, so that the prompts of the
+     others needn't wait.  */
+  { "above-the-level-leaves-room",
+    LIMITED (900., 450., 0.4),
+    { { FAST_ENDPOINT, .own_prefill = 2480., .pending_prefill = 10000. } },
+    1,
+    NO_ENDPOINT },
+  { "others-find-that-room",
+    LIMITED (900., 450., 1.),
+    { { FAST_ENDPOINT, .own_prefill = 2480., .pending_prefill = 10000. } },
+    1,
+    0 },
   { "no-endpoints", REQUEST (300., 150.), { { 0 } }, 0, NO_ENDPOINT },
 };
 
