Relay tests: pauses of a stream, samples of speeds, late ticks

Cause: nothing checked that a pause is counted at the exchange it happened in, and that late ticks and retries don't count as a slow endpoint.

Change: three cases in test-rly.c; endpoints of the scene can answer later (scene_answer), and one of its routes allows pauses of 100 ms.

--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -282,7 +282,8 @@
   add_route (table, "/twice/", RTE_IDEMPOTENT, 2, false);
   add_route (table, "/thrice/", RTE_IDEMPOTENT, 3, false);
   add_route (table, "/once/", RTE_ONCE, 1, false);
-  add_route (table, "/events/", RTE_STREAM, 2, true);
+  add_route (table, "/events/", RTE_STREAM, 2, true)->max_pause_ms
+      = SCENE_MAX_PAUSE_MS;
   add_route (table, "/events-once/", RTE_STREAM, 1, false);
   add_route (table, "/slow/", RTE_IDEMPOTENT, 1, false)->target_latency_ms
       = 10000;
@@ -393,6 +394,18 @@
   g_free (scene);
 }
 
+void
+scene_answer (scene_t *scene, const char *bytes)
+{
+  for (guint i = 0; i < scene->server_cons->len; i++)
+    {
+      server_con_t *server_con = g_ptr_array_index (scene->server_cons, i);
+
+      if (server_con->id != NULL)
+        con_write (server_con->con, bytes, strlen (bytes));
+    }
+}
+
 static void
 on_caller_bytes (void *user, const char *bytes, size_t length)
 {
--- a/libcoltsfootdrum/relay/test-rly-scene.h
+++ b/libcoltsfootdrum/relay/test-rly-scene.h
@@ -8,6 +8,8 @@
 #include "relay/rly.h"
 
 #define SCENE_ENDPOINTS 2
+/* Longest pause that the route of /events/ allows.  */
+#define SCENE_MAX_PAUSE_MS 100
 
 /* A reply of the endpoints.  Replies are sent in order, by whichever endpoint
    gets the request.  In BYTES "%I" stands for the request's id.  */
@@ -76,6 +78,9 @@
 /* Lists the last endpoint and COUNT addresses without a listener.  */
 void scene_list_dead (scene_t *scene, unsigned count);
 
+/* Sends BYTES from the endpoints, on each connection with a request.  */
+void scene_answer (scene_t *scene, const char *bytes);
+
 /* Closes all connections at the endpoints.  */
 void scene_close_connections (scene_t *scene);
 
--- a/libcoltsfootdrum/relay/test-rly.c
+++ b/libcoltsfootdrum/relay/test-rly.c
@@ -1,6 +1,7 @@
 /* The relay over real connections: the answer that a caller gets for each
    behaviour of an endpoint, and the requests that endpoints get.  */
 
+#include "relay/rly-private.h"
 #include "test-rly-scene.h"
 
 #include <netinet/in.h>
@@ -22,6 +23,8 @@
 #define E2 "f\r\nid: 2\ndata: b\n\n\r\n"
 #define E3 "f\r\nid: 3\ndata: c\n\n\r\n"
 #define END "0\r\n\r\n"
+/* Between two events of a stream; in a bucket of its own.  */
+#define PAUSE_MS 150
 
 #define CALL(path, id)                                                        \
   "POST " path " HTTP/1.1\r\nHost: h\r\nX-Id: " id                            \
@@ -426,6 +429,10 @@
   "POST /slow/ HTTP/1.1\r\nHost: h\r\nX-Id: " id "\r\nX-Prompt: " prompt      \
   "\r\nX-Deadline: 20000\r\nAuthorization: Bearer key-of-the-mill\r\n"        \
   "Content-Length: 0\r\n\r\n"
+#define PROMPT_CALL_TWICE(id, prompt)                                         \
+  "POST /twice/ HTTP/1.1\r\nHost: h\r\nX-Id: " id "\r\nX-Prompt: " prompt     \
+  "\r\nX-Deadline: 20000\r\nAuthorization: Bearer key-of-the-mill\r\n"        \
+  "Content-Length: 0\r\n\r\n"
 
 static bool
 has_waiting (void *user)
@@ -580,6 +587,144 @@
   scene_free (scene);
 }
 
+/* Guards against a router that takes its own delays for those of an endpoint.
+   The tick after a delay may come after what it held up.  */
+static void
+test_on_time (void)
+{
+  static const scene_reply_t replies[] = { { NULL, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  cfd_time_t start = clock_now () + 10000;
+
+  rly_tick (scene->rly, start);
+  rly_tick (scene->rly, start + 30);
+  start += 30;
+  g_assert_true (rly_was_on_time (scene->rly, start + 5, start + 30));
+  g_assert_false (rly_was_on_time (scene->rly, start + 5, start + 100));
+  rly_tick (scene->rly, start + 100);
+  g_assert_false (rly_was_on_time (scene->rly, start + 5, start + 110));
+  g_assert_false (rly_was_on_time (scene->rly, start + 100, start + 110));
+  g_assert_true (rly_was_on_time (scene->rly, start + 101, start + 110));
+  scene_free (scene);
+}
+
+/* Returns how many samples of the relay's service are at or below MS, by the
+   histogram NAME.  */
+static unsigned
+count_samples (scene_t *scene, const char *name, const char *bucket)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+  g_autofree char *line = g_strdup_printf (
+      "%s_bucket{service=\"app\",le=\"%s\"} ", name, bucket);
+  const char *found;
+
+  rly_append_metrics (scene->rly, clock_now (), text);
+  found = strstr (text->str, line);
+  g_assert_nonnull (found);
+  return (unsigned)g_ascii_strtoull (found + strlen (line), NULL, 10);
+}
+
+static bool
+is_past (void *user)
+{
+  return clock_now () >= *(const cfd_time_t *)user;
+}
+
+static const rly_request_t *
+get_running (scene_t *scene)
+{
+  g_assert_false (list_is_empty (&scene->rly->running));
+  return list_entry (scene->rly->running.next, rly_request_t, node);
+}
+
+/* Guards against late answers that can't be traced: the longest pause of each
+   stream is counted, that before its first event isn't.  */
+static void
+test_pauses (void)
+{
+  static const scene_reply_t replies[] = { { EVENTS E1, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller = scene_send_request (scene, CALL ("/events/", "1"));
+  cfd_time_t later;
+
+  scene_wait_for (scene, caller, "id: 1");
+  g_assert_cmpuint (count_samples (scene, "cfd_relay_pause_ms", "+Inf"), ==,
+                    0);
+  later = clock_now () + PAUSE_MS;
+  scene_run (scene, is_past, &later);
+  scene_answer (scene, E2);
+  scene_wait_for (scene, caller, "id: 2");
+  g_assert_cmpuint (get_running (scene)->late_events, ==, 1);
+  g_assert_cmpint (get_running (scene)->longest_pause_ms, >=, PAUSE_MS - 20);
+  scene_answer (scene, E3 END);
+  scene_wait_for (scene, caller, "0\r\n\r\n");
+  g_assert_cmpuint (count_samples (scene, "cfd_relay_pause_ms", "+Inf"), ==,
+                    1);
+  g_assert_cmpuint (count_samples (scene, "cfd_relay_pause_ms", "100"), ==, 0);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* Returns whether the relay has learned the speed of an endpoint.  */
+static bool
+has_speed (scene_t *scene)
+{
+  bool has = false;
+
+  list_for_each (node, edp_set_endpoints (scene->endpoints))
+    {
+      has |= spd_is_measured (&list_entry (node, edp_t, node)->speed,
+                              clock_now ());
+    }
+  return has;
+}
+
+static bool
+has_received (void *user)
+{
+  return ((const scene_t *)user)->requests_received > 0;
+}
+
+/* Guards against endpoints that count as slow for what the router itself, or
+   another endpoint, caused: a request sent while or before the router was
+   late, and one that was rejected elsewhere.  */
+static void
+test_speed_samples (void)
+{
+  static const scene_reply_t replies[]
+      = { { OK ("1", "x"), SCENE_KEEP_OPEN } };
+  static const scene_reply_t retried[]
+      = { { NOT_RUN, SCENE_KEEP_OPEN }, { OK ("1", "x"), SCENE_KEEP_OPEN } };
+  static const scene_reply_t silent[] = { { NULL, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller
+      = scene_send_request (scene, PROMPT_CALL ("1", "a:2000"));
+
+  scene_wait_for (scene, caller, "\r\n\r\nx");
+  g_assert_true (has_speed (scene));
+  scene_caller_free (caller);
+  scene_free (scene);
+
+  scene = scene_new (retried, 2, 4);
+  caller = scene_send_request (scene, PROMPT_CALL_TWICE ("1", "a:2000"));
+  scene_wait_for (scene, caller, "\r\n\r\nx");
+  g_assert_cmpuint (scene->requests_received, ==, 2);
+  g_assert_false (has_speed (scene));
+  scene_caller_free (caller);
+  scene_free (scene);
+
+  scene = scene_new (silent, 1, 4);
+  caller = scene_send_request (scene, PROMPT_CALL ("1", "a:2000"));
+  scene_run (scene, has_received, scene);
+  rly_tick (scene->rly, clock_now () + 100);
+  scene_answer (scene, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Stamp: s\r\n"
+                       "Content-Length: 1\r\n\r\nx");
+  scene_wait_for (scene, caller, "\r\n\r\nx");
+  g_assert_false (has_speed (scene));
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 /* Guards against a router without processor time that makes its callers wait.
    They are refused at once and come back elsewhere.  */
 static void
@@ -717,6 +862,9 @@
   g_test_add_func ("/rly/closed", test_closed);
   g_test_add_func ("/rly/table-never-older", test_table_never_older);
   g_test_add_func ("/rly/events-together", test_events_together);
+  g_test_add_func ("/rly/on-time", test_on_time);
+  g_test_add_func ("/rly/pauses", test_pauses);
+  g_test_add_func ("/rly/speed-samples", test_speed_samples);
   g_test_add_func ("/rly/shed", test_shed);
   g_test_add_func ("/rly/misdirected-kept", test_misdirected_kept);
   g_test_add_func ("/rly/spillover", test_spillover);
