--- a/libcoltsfootdrum/relay/test-pau.c
+++ b/libcoltsfootdrum/relay/test-pau.c
@@ -241,10 +241,10 @@
   const case_t *one = fleet->one;
   double level = get_max_level (fleet);
   double unseen = level;
+  int64_t arrivals = one->delay_ms / get_pace_ms (fleet) + 1;
 
   if (one->demand == PACED)
-    unseen = MIN (
-        unseen, LONG_WORK * (double)(one->delay_ms / get_pace_ms (fleet) + 1));
+    unseen = MIN (unseen, LONG_WORK * (double)arrivals);
   return one->parts * level + (one->routers - one->parts) * unseen;
 }
 
@@ -430,7 +430,7 @@
   static const double shares[] = { 0.4, 0.7, 1., 2. };
 
   for (guint i = 0; i < G_N_ELEMENTS (shares); i++)
-    for (double own = 10.; own < 1e6; own *= 1.1)
+    for (unsigned own = 10; own < 1000000; own += own / 10)
       {
         pau_endpoint_t fastest = { .level = 0., .budget = 29600. };
         pau_prompt_t prompt
