Placement: a remote endpoint that caches the prefix counts again; decay pinned

Cause: since only endpoints of the own cell counted as caching the prefix of a request, so that in a fleet of several cells a prompt whose prefix is cached at the remote endpoint went to any other. A decay other than the one in pau.h's bounds passed all tests.

Change: the remote endpoint is looked at too; test-pau checks the time constant.

Not covered by a test: the choice with a remote endpoint (no scene has cells).

--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -371,8 +371,9 @@
 {
   plc_request_t constraints = { .budget_share = get_budget_share (request),
                                 .max_budget = round->max_budget };
+  guint count = round->count > 0 ? round->count + round->has_remote : 0;
 
-  for (guint i = 0; i < round->count; i++)
+  for (guint i = 0; i < count; i++)
     {
       plc_endpoint_t idle = round->loads[i];
 
--- a/libcoltsfootdrum/relay/test-pau.c
+++ b/libcoltsfootdrum/relay/test-pau.c
@@ -333,6 +333,10 @@
   pau_add_finished (&recent, NOW, 320., 500.);
   g_assert_cmpfloat_with_epsilon (pau_get_recent (&recent, NOW, 320.), 1500.,
                                   EPSILON);
+  /* The time constant that the bounds of pau.h are computed with.  */
+  g_assert_cmpfloat_with_epsilon (pau_get_recent (&recent, NOW + 192, 320.),
+                                  1500. * exp (-192. / (320. * DECAY_SHARE)),
+                                  EPSILON);
   g_assert_cmpfloat (pau_get_recent (&recent, NOW + 320, 320.), <, 300.);
   g_assert_cmpfloat (pau_get_recent (&recent, NOW + 5000, 320.), <, 1.);
   g_assert_cmpfloat (pau_get_recent (&recent, NOW, 0.), ==, 0.);
