Relay tests: cold endpoints show no speed

Cause: the sample of a cold endpoint was ruled out without a test. Change: a case with cold endpoints in /rly/speed-samples.

--- a/libcoltsfootdrum/relay/test-rly.c
+++ b/libcoltsfootdrum/relay/test-rly.c
@@ -1,6 +1,7 @@
 /* The relay over real connections: the answer that a caller gets for each
    behaviour of an endpoint, and the requests that endpoints get.  */
 
+#include "relay/edp-private.h"
 #include "relay/rly-private.h"
 #include "test-rly-scene.h"
 
@@ -686,8 +687,8 @@
 }
 
 /* Guards against endpoints that count as slow for what the router itself, or
-   another endpoint, caused: a request sent while or before the router was
-   late, and one that was rejected elsewhere.  */
+   another endpoint, caused, or for being cold: a request in whose time the
+   router was late, and one that was rejected elsewhere.  */
 static void
 test_speed_samples (void)
 {
@@ -705,6 +706,18 @@
   scene_caller_free (caller);
   scene_free (scene);
 
+  scene = scene_new (replies, 1, 4);
+  list_for_each (node, edp_set_endpoints (scene->endpoints))
+    {
+      edp_set_cold (list_entry (node, edp_t, node), clock_now (), 20000,
+                    "report");
+    }
+  caller = scene_send_request (scene, PROMPT_CALL ("1", "a:2000"));
+  scene_wait_for (scene, caller, "\r\n\r\nx");
+  g_assert_false (has_speed (scene));
+  scene_caller_free (caller);
+  scene_free (scene);
+
   scene = scene_new (retried, 2, 4);
   caller = scene_send_request (scene, PROMPT_CALL_TWICE ("1", "a:2000"));
   scene_wait_for (scene, caller, "\r\n\r\nx");
