--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -378,8 +378,9 @@
 {
   plc_request_t constraints = { .budget_share = get_budget_share (request),
                                 .max_budget = round->max_budget };
+  guint count = round->count > 0 ? round->count + round->has_remote : 0;
 
-  for (guint i = 0; i < round->count; i++)
+  for (guint i = 0; i < count; i++)
     {
       plc_endpoint_t idle = round->loads[i];
 
@@ -584,7 +585,7 @@
   if (request->fetch_ms > 0.)
     source = round->endpoints[round->source];
   request->is_remote = load->in_other_cell;
-  if (!rly_send (request, edp, source, round->now))
+  if (!rly_send (request, edp, load, source, round->now))
     {
       load->slots = 0;
       return false;
--- a/libcoltsfootdrum/relay/rly-slow.c
+++ b/libcoltsfootdrum/relay/rly-slow.c
@@ -30,6 +30,8 @@
     return;
   request->read_paused = is_paused;
   request->paused_at = now;
+  /* The endpoint is not the cause of this pause between events.  */
+  request->last_event_at = 0;
   ups_set_read_paused (request->exchange, is_paused);
 }
 
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -13,6 +13,9 @@
 #define INITIAL_MS_PER_TOKEN (1. / 80.)
 #define INITIAL_IDLE_BASE_MS 10. /* where nothing else is prefilled */
 #define INITIAL_EVENT_MS 50.
+/* Lateness of a tick from which on the times of endpoints don't count: a
+   fifth of the prefill of a prompt of 12,000 tokens.  */
+#define MAX_LATE_MS 30
 /* Retry-After while there is no configuration.  */
 #define NO_CONFIG_RETRY_MS 500
 /* Retry-After of a request that is refused for lack of processor time: the
@@ -34,8 +37,6 @@
 /* Interval at which unused endpoints, idle connections and expired cache
    entries are removed.  */
 #define SWEEP_INTERVAL_MS 500
-/* Ticks that are late by less are normal on a shared machine.  */
-#define MIN_LATE_TICK_MS 25
 /* Share of the configured retry budget that is used, so that all routers
    together stay within it when the load is spread unevenly.  */
 #define RETRY_BUDGET_SHARE 0.7
@@ -103,6 +104,7 @@
 {
   rly_t *rly = g_new0 (rly_t, 1);
 
+  rly->ticked_at = CFD_TIME_NEVER;
   rly->loop = loop;
   rly->names = *names;
   rly->settings = *settings;
@@ -555,27 +557,47 @@
     }
 }
 
-/* Adds up the time by which ticks are late, as this router lacks processor
-   time.  */
+/* Returns by how much a tick is late; 0 when that is normal on a shared
+   machine.  */
+static int64_t
+get_late_ms (const rly_t *rly, cfd_time_t now)
+{
+  int64_t late_ms = now - rly->ticked_at - RLY_TICK_MS;
+
+  if (rly->ticked_at == CFD_TIME_NEVER || late_ms <= MAX_LATE_MS)
+    return 0;
+  return late_ms;
+}
+
+/* Records a tick, and the time by which it is late, as this router lacks
+   processor time.  */
 static void
-note_late_tick (rly_t *rly, cfd_time_t now)
+note_tick (rly_t *rly, cfd_time_t now)
 {
-  int64_t late_ms = now - rly->last_tick - RLY_TICK_MS;
+  int64_t late_ms = get_late_ms (rly, now);
 
-  if (rly->last_tick != 0 && late_ms > MIN_LATE_TICK_MS)
-    rly->lost_ms += late_ms;
-  rly->last_tick = now;
+  rly->lost_ms += late_ms;
+  if (late_ms > 0)
+    rly->late_at = now;
+  rly->ticked_at = now;
+}
+
+bool
+rly_was_on_time (const rly_t *rly, cfd_time_t since, cfd_time_t now)
+{
+  /* The tick after a delay may come after what the delay held up.  */
+  return get_late_ms (rly, now) == 0 && rly->late_at < since;
 }
 
 void
 rly_tick (rly_t *rly, cfd_time_t now)
 {
+  note_tick (rly, now);
   if (now - rly->last_level_update >= LEVEL_UPDATE_INTERVAL_MS)
     {
       rly->last_level_update = now;
       use_update_level (rly->use, now);
     }
-  note_late_tick (rly, now);
   rly_count_buffered (rly);
   update_running (rly, now);
   edp_set_check_breaks (rly->endpoints, now);
