--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -837,6 +837,44 @@
   router_free (&one);
 }
 
+/* Guards against routers that count as ready though they are leaving, or for a
+   presence of a later version; it is the last byte of the datagram.  */
+static void
+test_presence (void)
+{
+  static const char *const zone[] = { "one", NULL };
+  static const bal_sample_t sample = { .idle_ms = 1000., .is_ready = true };
+
+  for (guint8 presence = 0; presence <= 4; presence++)
+    {
+      router_t here = router_new ("here");
+      router_t one = router_new ("one");
+      g_autoptr (bal_t) near = bal_new ("here", 68);
+      g_autoptr (bal_t) far = bal_new ("one", 500);
+      g_autoptr (GByteArray) bytes = NULL;
+
+      pal_set_balance (here.pal, near);
+      bal_set_zone (near, zone);
+      bal_update (far, NOW, &sample);
+      pal_set_balance (one.pal, far);
+      bytes = pal_pack (one.pal, NOW, PAL_FULL);
+      g_assert_cmpuint (bytes->data[bytes->len - 1], ==, BAL_READY);
+      bytes->data[bytes->len - 1] = presence;
+      g_assert_true (pal_receive (here.pal, NOW, bytes->data, bytes->len));
+      bal_update (near, NOW, &sample);
+      /* It ranks above, so that it counts while it is leaving, but it takes no
+         callers.  */
+      g_assert_cmpuint (bal_get_zone (near).ready, ==,
+                        presence == BAL_READY || presence == BAL_LEAVING);
+      g_assert_cmpuint (bal_get_zone (near).out_above, ==,
+                        presence == BAL_OUT || presence > BAL_LEAVING);
+      g_assert_cmpint (bal_get_zone (near).room > 0, ==,
+                       presence == BAL_READY);
+      router_free (&here);
+      router_free (&one);
+    }
+}
+
 /* Appends the header of a list of COUNT items.  */
 static void
 append_array (GByteArray *bytes, uint32_t count)
@@ -1129,5 +1167,6 @@
   g_test_add_func ("/pal/update", test_update);
   g_test_add_func ("/pal/usage-refresh", test_usage_refresh);
   g_test_add_func ("/pal/processor-time", test_processor_time);
+  g_test_add_func ("/pal/presence", test_presence);
   return g_test_run ();
 }
