--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -827,10 +827,10 @@
   pal_set_balance (one.pal, far);
   deliver (&one, &here, NOW, PAL_CHANGES);
   bal_update (near, NOW, &sample);
-  g_assert_cmpuint (bal_get_zone (near).above, ==, 0);
+  g_assert_cmpuint (bal_get_zone (near).ready, ==, 0);
   deliver (&one, &here, NOW, PAL_SUMMARY);
   bal_update (near, NOW + 100, &sample);
-  g_assert_cmpuint (bal_get_zone (near).above, ==, 1);
+  g_assert_cmpuint (bal_get_zone (near).ready, ==, 1);
   /* 0.8 of 500 less what it uses.  */
   g_assert_cmpuint (bal_get_zone (near).room, >, 250);
   g_assert_cmpuint (bal_get_zone (near).room, <, 400);
@@ -926,6 +926,44 @@
   router_free (&two);
 }
 
+/* Guards against routers that count as ready though they are leaving, or for
+   a presence of a later version; it is the last byte of the datagram.  */
+static void
+test_presence (void)
+{
+  static const char *const zone[] = { "one", NULL };
+  static const bal_sample_t sample = { .idle_ms = 1000., .is_ready = true };
+
+  for (guint8 presence = 0; presence <= 4; presence++)
+    {
+      router_t here = router_new ("here");
+      router_t one = router_new ("one");
+      g_autoptr (bal_t) near = bal_new ("here", 68);
+      g_autoptr (bal_t) far = bal_new ("one", 500);
+      g_autoptr (GByteArray) bytes = NULL;
+
+      pal_set_balance (here.pal, near);
+      bal_set_zone (near, zone);
+      bal_update (far, NOW, &sample);
+      pal_set_balance (one.pal, far);
+      bytes = pal_pack (one.pal, NOW, PAL_FULL);
+      g_assert_cmpuint (bytes->data[bytes->len - 1], ==, BAL_READY);
+      bytes->data[bytes->len - 1] = presence;
+      g_assert_true (pal_receive (here.pal, NOW, bytes->data, bytes->len));
+      bal_update (near, NOW, &sample);
+      /* It ranks above, so that it counts while it is leaving, but it takes
+         no callers.  */
+      g_assert_cmpuint (bal_get_zone (near).ready, ==,
+                        presence == BAL_READY || presence == BAL_LEAVING);
+      g_assert_cmpuint (bal_get_zone (near).out_above, ==,
+                        presence == BAL_OUT || presence > BAL_LEAVING);
+      g_assert_cmpint (bal_get_zone (near).room > 0, ==,
+                       presence == BAL_READY);
+      router_free (&here);
+      router_free (&one);
+    }
+}
+
 /* Appends the header of a list of COUNT items.  */
 static void
 append_array (GByteArray *bytes, uint32_t count)
@@ -964,8 +1002,8 @@
   return bytes;
 }
 
-/* Returns a state of LENGTH items, all lists of it empty, in which the item of
-   speeds, unless that is NULL, is replaced by BYTES.  */
+/* Returns a state of LENGTH items, all lists of it empty, in which the item
+   of speeds, unless that is NULL, is replaced by BYTES.  */
 static GByteArray *
 pack_items (guint8 length, const guint8 *bytes, guint count)
 {
@@ -1040,8 +1078,8 @@
   g_assert_true (accepts (ITEMS, huge, sizeof huge));
 }
 
-/* Two ends at one router and a third at another quarantine a request at both,
-   and at one that starts later, whatever datagrams of it come.  */
+/* Two ends at one router and a third at another quarantine a request at
+   both, and at one that starts later, whatever datagrams of it come.  */
 static void
 test_quarantine (gconstpointer data)
 {
@@ -1085,8 +1123,8 @@
   return prt_find (router->prt, now, 7).verdict == PRT_QUARANTINED;
 }
 
-/* Ends at two routers quarantine a part at both and at one that starts later,
-   and an answer at one clears it at all.  */
+/* Ends at two routers quarantine a part at both and at one that starts
+   later, and an answer at one clears it at all.  */
 static void
 test_parts (gconstpointer data)
 {
@@ -1123,8 +1161,8 @@
   router_free (&late);
 }
 
-/* Endpoints end under very many requests with many parts: all that is sent of
-   it fits a datagram.  */
+/* Endpoints end under very many requests with many parts: all that is sent
+   of it fits a datagram.  */
 static void
 test_ends_fit_datagram (void)
 {
@@ -1189,9 +1227,9 @@
     }
 }
 
-/* An update is received as it was sent, and is not taken for a state datagram.
-   A truncated one, one of an unknown list and one that doesn't advance the
-   revision are rejected.  */
+/* An update is received as it was sent, and is not taken for a state
+   datagram. A truncated one, one of an unknown list and one that doesn't
+   advance the revision are rejected.  */
 static void
 test_update (void)
 {
@@ -1220,8 +1258,8 @@
 }
 
 /* Guards against datagrams that grow with all accounts of the last seconds:
-   the usage of an account without new requests is sent at intervals.  A router
-   that missed it learns it then.  */
+   the usage of an account without new requests is sent at intervals.  A
+   router that missed it learns it then.  */
 static void
 test_usage_refresh (void)
 {
@@ -1298,5 +1336,6 @@
   g_test_add_func ("/pal/speeds-listed-late", test_speeds_listed_late);
   g_test_add_func ("/pal/other-versions", test_other_versions);
   g_test_add_func ("/pal/malformed-speeds", test_malformed_speeds);
+  g_test_add_func ("/pal/presence", test_presence);
   return g_test_run ();
 }
