--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -926,8 +926,8 @@
   router_free (&two);
 }
 
-/* Guards against routers that count as ready though they are leaving, or for
-   a presence of a later version; it is the last byte of the datagram.  */
+/* Guards against routers that count as ready though they are leaving, or for a
+   presence of a later version; it is the last byte of the datagram.  */
 static void
 test_presence (void)
 {
@@ -951,8 +951,8 @@
       bytes->data[bytes->len - 1] = presence;
       g_assert_true (pal_receive (here.pal, NOW, bytes->data, bytes->len));
       bal_update (near, NOW, &sample);
-      /* It ranks above, so that it counts while it is leaving, but it takes
-         no callers.  */
+      /* It ranks above, so that it counts while it is leaving, but it takes no
+         callers.  */
       g_assert_cmpuint (bal_get_zone (near).ready, ==,
                         presence == BAL_READY || presence == BAL_LEAVING);
       g_assert_cmpuint (bal_get_zone (near).out_above, ==,
@@ -1002,8 +1002,8 @@
   return bytes;
 }
 
-/* Returns a state of LENGTH items, all lists of it empty, in which the item
-   of speeds, unless that is NULL, is replaced by BYTES.  */
+/* Returns a state of LENGTH items, all lists of it empty, in which the item of
+   speeds, unless that is NULL, is replaced by BYTES.  */
 static GByteArray *
 pack_items (guint8 length, const guint8 *bytes, guint count)
 {
@@ -1078,8 +1078,8 @@
   g_assert_true (accepts (ITEMS, huge, sizeof huge));
 }
 
-/* Two ends at one router and a third at another quarantine a request at
-   both, and at one that starts later, whatever datagrams of it come.  */
+/* Two ends at one router and a third at another quarantine a request at both,
+   and at one that starts later, whatever datagrams of it come.  */
 static void
 test_quarantine (gconstpointer data)
 {
@@ -1123,8 +1123,8 @@
   return prt_find (router->prt, now, 7).verdict == PRT_QUARANTINED;
 }
 
-/* Ends at two routers quarantine a part at both and at one that starts
-   later, and an answer at one clears it at all.  */
+/* Ends at two routers quarantine a part at both and at one that starts later,
+   and an answer at one clears it at all.  */
 static void
 test_parts (gconstpointer data)
 {
@@ -1161,8 +1161,8 @@
   router_free (&late);
 }
 
-/* Endpoints end under very many requests with many parts: all that is sent
-   of it fits a datagram.  */
+/* Endpoints end under very many requests with many parts: all that is sent of
+   it fits a datagram.  */
 static void
 test_ends_fit_datagram (void)
 {
@@ -1227,9 +1227,9 @@
     }
 }
 
-/* An update is received as it was sent, and is not taken for a state
-   datagram. A truncated one, one of an unknown list and one that doesn't
-   advance the revision are rejected.  */
+/* An update is received as it was sent, and is not taken for a state datagram.
+   A truncated one, one of an unknown list and one that doesn't advance the
+   revision are rejected.  */
 static void
 test_update (void)
 {
@@ -1258,8 +1258,8 @@
 }
 
 /* Guards against datagrams that grow with all accounts of the last seconds:
-   the usage of an account without new requests is sent at intervals.  A
-   router that missed it learns it then.  */
+   the usage of an account without new requests is sent at intervals.  A router
+   that missed it learns it then.  */
 static void
 test_usage_refresh (void)
 {
