Load balance: ANNOUNCE_MS, reason without a figure that wasn't measured

Cause: the comment named 260 ms, of which only the 160 ms for a list were measured.

Change: the comment names only these.

--- a/libcoltsfootdrum/relay/bal.c
+++ b/libcoltsfootdrum/relay/bal.c
@@ -18,11 +18,10 @@
 #define LEAVE_BUSY 0.6
 #define LEAVE_MS 200
 /* Figures that arrive later than this after the announcement count as sent
-   after it.  The time covers the network and the receiver's loop, which is
-   late by up to 260 ms at 0.068 of a core: 160 ms for a list and a pause of
-   100 ms by the processor limit.  Routers send their figures every 100 ms, or
-   every 300 ms if there are twenty or more, so that a router leaves 400 to 600
-   ms after its announcement if none are lost.  */
+   after it.  The time covers the network and a late loop of the receiver, for
+   which a list takes 160 ms at 0.068 of a core.  Routers send their figures
+   every 100 ms, or every 300 ms if there are twenty or more, so that a router
+   leaves 400 to 600 ms after its announcement if none are lost.  */
 #define ANNOUNCE_MS 300
 /* A router that returns is heard after this time: the longest interval of
    figures and ANNOUNCE_MS.  */
