--- a/libcoltsfootdrum/relay/bal.c
+++ b/libcoltsfootdrum/relay/bal.c
@@ -15,7 +15,7 @@
 /* The router leaves when it works for this share of the time or more, for
    LEAVE_MS.  Shorter bursts are lists that were read, which take 160 ms at
    0.068 of a core.  */
-#define LEAVE_BUSY 0.6
+#define LEAVE_BUSY 0.75
 #define LEAVE_MS 200
 /* Figures that arrive later than this after the announcement count as sent
    after it.  The time covers the network and a late loop of the receiver, for
