--- a/libcoltsfootdrum/relay/pau.c
+++ b/libcoltsfootdrum/relay/pau.c
@@ -20,9 +20,10 @@
 /* A prompt that exceeds the share of an account above the fair level is
    admitted up to this part of the share.  */
 #define IDLE_SHARE 0.25
-/* A prompt that exceeds the budget of every endpoint by EXCESS_FACTOR is
-   admitted by the faster endpoints up to this part of their budget.  */
-#define IDLE_BUDGET_SHARE 0.1
+/* A prompt that exceeds the budget makes streams pause for too long wherever
+   it goes.  It is admitted up to this part of the budget, and by the faster
+   endpoints alone if it exceeds all budgets by EXCESS_FACTOR.  */
+#define IDLE_BUDGET_SHARE 0.5
 /* Endpoints with less than this part of the largest budget are slow.  */
 #define FAST_BUDGET_SHARE 0.8
 
@@ -77,11 +78,12 @@
 
   if (budget == HUGE_VAL || endpoint->level + prompt->own <= share)
     return true;
-  if (prompt->own > prompt->max_budget * EXCESS_FACTOR)
-    return budget >= prompt->max_budget * FAST_BUDGET_SHARE
-           && endpoint->level <= budget * IDLE_BUDGET_SHARE;
+  if (prompt->own > prompt->max_budget * EXCESS_FACTOR
+      && budget < prompt->max_budget * FAST_BUDGET_SHARE)
+    return false;
   if (prompt->share < 1.)
     return prompt->own > share && endpoint->level <= share * IDLE_SHARE;
   return prompt->own > budget
-         && endpoint->level + prompt->own <= budget * EXCESS_FACTOR;
+         && (endpoint->level + prompt->own <= budget * EXCESS_FACTOR
+             || endpoint->level <= budget * IDLE_BUDGET_SHARE);
 }
--- a/libcoltsfootdrum/relay/test-pau.c
+++ b/libcoltsfootdrum/relay/test-pau.c
@@ -406,12 +406,17 @@
   /* Exceeds the budget of this endpoint.  */
   { "long", { 500., 1000. }, { 1500., 1., 2000. }, true },
   { "long-waits", { 501., 1000. }, { 1500., 1., 2000. }, false },
-  /* No endpoint could ever hold it: goes to a fast one that is nearly idle.
+  /* No endpoint could ever hold it: goes to a fast one that is half idle.
    */
-  { "outsized", { 100., 1000. }, { 9000., 1., 1000. }, true },
-  { "outsized-waits", { 101., 1000. }, { 9000., 1., 1000. }, false },
+  { "outsized", { 500., 1000. }, { 9000., 1., 1000. }, true },
+  { "outsized-waits", { 501., 1000. }, { 9000., 1., 1000. }, false },
+  { "long-not-outsized", { 500., 1000. }, { 1900., 1., 1000. }, true },
   { "outsized-not-at-slow", { 0., 799. }, { 9000., 1., 1000. }, false },
   { "outsized-above-the-level", { 100., 1000. }, { 9000., 0.4, 1000. }, true },
+  { "outsized-above-the-level-waits",
+    { 101., 1000. },
+    { 9000., 0.4, 1000. },
+    false },
   /* An event alone takes as long as the pause, at every endpoint.  */
   { "no-budget", { 0., 0. }, { 400., 1., 0. }, true },
   { "no-budget-waits", { 1., 0. }, { 400., 1., 0. }, false },
