Upstream: credit responses by their request id alone

Cause: health checks carry no id and told the pool no id field, so that the second answer to an earlier request on the same connection was taken for that to the check. The connection went back into the pool, and the check's own answer, a rejection without an id, was taken for that to the next request, since a response without an id passed for any.

Change: a response belongs to a request with an id only if it names it. A request without an id never follows another one on a connection, so that a response without an id has one possible request; a further copy is skipped. After a request with an id a response without one is malformed, and the outcome of that request unknown. Skipped responses are logged.

--- a/libcoltsfootdrum/relay/edp-check.c
+++ b/libcoltsfootdrum/relay/edp-check.c
@@ -132,7 +132,7 @@
                                  .ended = on_ended };
   const char *path = options->get_path (options->user, edp->report->service);
   g_autofree char *text = NULL;
-  ups_request_t request = { .id_field = "", .id = "" };
+  ups_request_t request = { .id_field = options->request_id };
 
   if (path == NULL)
     return;
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -53,6 +53,7 @@
   const char *endpoint_id; /* field of an answer: who gave it */
   const char *cold_ms;     /* field: how much longer it is cold */
   const char *not_run;     /* field of a rejection for want of capacity */
+  const char *request_id;  /* field of an answer: to which request it is */
   /* Returns the path of SERVICE; NULL: it has none.  */
   const char *(*get_path) (void *user, const char *service);
   /* Returns the number of routers that rank before this one to check EDP.  */
--- a/libcoltsfootdrum/relay/test-rly-endless.c
+++ b/libcoltsfootdrum/relay/test-rly-endless.c
@@ -281,8 +281,8 @@
 test_health_check (const void *data)
 {
   static const edp_check_options_t options
-      = { "X-Endpoint", "X-Cold",      "X-Not-Run", get_path,
-          get_rank,     count_routers, NULL };
+      = { "X-Endpoint", "X-Cold", "X-Not-Run",   "X-Id",
+          get_path,     get_rank, count_routers, NULL };
   const case_t *test = data;
   const scene_reply_t reply = { test->begin, SCENE_REPEAT };
   scene_t *scene = scene_new (&reply, 1, 4);
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -3,6 +3,7 @@
 #include "relay/ups.h"
 
 #include "base/list.h"
+#include "base/log.h"
 #include "relay/con.h"
 #include <stdlib.h>
 #include <string.h>
@@ -45,8 +46,11 @@
   cfd_time_t idle_since;
   int64_t max_idle_ms; /* from the last response */
   bool stale_response; /* the response being read is to another request */
-  size_t stale_bytes;  /* of such responses, since the last request */
-  bool in_callback;    /* freeing is deferred */
+  /* A request without an id was the last one on it: a response without an id
+     may be a late copy of the response to that.  */
+  bool may_repeat_anonymous;
+  size_t stale_bytes; /* of such responses, since the last request */
+  bool in_callback;   /* freeing is deferred */
   bool free_pending;
   bool aborted; /* its request was cancelled */
 } ups_connection_t;
@@ -57,7 +61,7 @@
   ups_ops_t ops;
   void *user;
   char *id_field;
-  char *id;
+  char *id;              /* empty: none */
   bool response_started; /* the head was received */
 };
 
@@ -117,22 +121,57 @@
   return MAX (seconds * 1000 - IDLE_MARGIN_MS, 0);
 }
 
+typedef enum
+{
+  MATCH_OWN,    /* the response is to this exchange's request */
+  MATCH_OTHER,  /* to an earlier request on the connection */
+  MATCH_UNKNOWN /* nothing shows to which request */
+} match_t;
+
+/* Returns to which request a response with ID belongs; NULL: it has none.  A
+   request without an id doesn't follow another one on a connection, so that a
+   response without one is to that request.  */
+static match_t
+match_response (const ups_connection_t *connection, const char *id)
+{
+  const char *expected = connection->exchange->id;
+
+  if (id == NULL || *id == '\0')
+    {
+      if (*expected == '\0')
+        return MATCH_OWN;
+      return connection->may_repeat_anonymous ? MATCH_OTHER : MATCH_UNKNOWN;
+    }
+  return strcmp (id, expected) == 0 ? MATCH_OWN : MATCH_OTHER;
+}
+
 static bool
 on_head (void *user, rd_head_t *head)
 {
   ups_connection_t *connection = user;
   ups_exchange_t *exchange = connection->exchange;
   const char *id;
+  match_t match;
 
   if (exchange == NULL)
     return false;
   if (exchange->ops.any_head != NULL)
     exchange->ops.any_head (exchange->user, head);
   id = hdr_get (&head->fields, exchange->id_field);
-  connection->stale_response = id != NULL && strcmp (id, exchange->id) != 0;
-  if (connection->stale_response)
-    return true;
+  match = match_response (connection, id);
+  connection->stale_response = match == MATCH_OTHER;
+  if (match != MATCH_OWN)
+    {
+      log_info ("upstream",
+                "A response does not belong to the request: request=%s "
+                "response=%s status=%u skipped=%d.",
+                exchange->id, id != NULL ? id : "", head->status,
+                match == MATCH_OTHER);
+      return match == MATCH_OTHER;
+    }
   connection->max_idle_ms = parse_keep_alive (&head->fields);
+  /* A late copy comes before the next response.  */
+  connection->may_repeat_anonymous = *exchange->id == '\0';
   exchange->response_started = true;
   exchange->ops.head (exchange->user, head);
   return connection->exchange != NULL;
@@ -309,17 +348,21 @@
 }
 
 /* Returns the most recently used idle connection, so that the others reach
-   their idle timeout and the pool shrinks to the size that is needed.  */
+   their idle timeout and the pool shrinks to the size that is needed; for an
+   ANONYMOUS request one on which it doesn't follow another such request.  */
 static ups_connection_t *
-find_idle_connection (ups_t *ups, cfd_time_t now)
+find_idle_connection (ups_t *ups, cfd_time_t now, bool anonymous)
 {
-  ups_connection_t *connection;
+  list_for_each (node, &ups->idle)
+    {
+      ups_connection_t *connection = list_entry (node, ups_connection_t, node);
 
-  if (list_is_empty (&ups->idle))
-    return NULL;
-  connection = list_entry (ups->idle.next, ups_connection_t, node);
-  return now - connection->idle_since < connection->max_idle_ms ? connection
-                                                                : NULL;
+      if (now - connection->idle_since >= connection->max_idle_ms)
+        return NULL;
+      if (!anonymous || !connection->may_repeat_anonymous)
+        return connection;
+    }
+  return NULL;
 }
 
 ups_t *
@@ -371,8 +414,10 @@
 ups_send (ups_t *ups, cfd_time_t now, const ups_request_t *request,
           const ups_ops_t *ops, void *user)
 {
+  bool anonymous = request->id == NULL || *request->id == '\0';
   ups_connection_t *connection
-      = request->new_connection ? NULL : find_idle_connection (ups, now);
+      = request->new_connection ? NULL
+                                : find_idle_connection (ups, now, anonymous);
   ups_exchange_t *exchange;
 
   if (connection == NULL)
@@ -386,7 +431,7 @@
   exchange->ops = *ops;
   exchange->user = user;
   exchange->id_field = g_strdup (request->id_field);
-  exchange->id = g_strdup (request->id);
+  exchange->id = g_strdup (anonymous ? "" : request->id);
   connection->exchange = exchange;
   connection->stale_bytes = 0;
   rd_expect_no_body (connection->rd, request->no_body);
--- a/libcoltsfootdrum/relay/ups.h
+++ b/libcoltsfootdrum/relay/ups.h
@@ -3,8 +3,11 @@
 
    An endpoint may send a second response to a request late, on a connection
    where the next response is expected.  It is recognized by the request id
-   that endpoints echo, and ignored.  A connection that receives bytes which
-   belong to no request is closed and not used again.  */
+   that endpoints echo, and skipped.  A response without an id is taken for
+   that to a request without one, which never follows another such request on
+   its connection; a further copy is skipped.  After a request with an id, a
+   response without one ends the exchange as malformed.  A connection that
+   receives bytes which belong to no request is closed and not used again.  */
 
 #ifndef RELAY_UPS_H
 #define RELAY_UPS_H
@@ -48,9 +51,9 @@
   const char *bytes; /* head and body; copied */
   size_t length;
   const char *id_field; /* header field in which endpoints echo ID */
-  const char *id;
-  bool no_body;        /* the response has no body, as to HEAD */
-  bool new_connection; /* don't use an idle one */
+  const char *id;       /* unique on a connection; NULL or empty: none */
+  bool no_body;         /* the response has no body, as to HEAD */
+  bool new_connection;  /* don't use an idle one */
 } ups_request_t;
 
 ups_t *ups_new (struct ev_loop *loop, const addr_t *addr);
