Relay: retry at the same endpoint on another connection

A retry of an attempt has its id. On the connection of the earlier try, a second copy of the rejection could be taken for the answer to the retry: the caller would be told that the request was not run, and it ran (REFUSED's kind; by the review, a doubt). It needs two attempts and one usable endpoint.

The retry now takes a new connection. rly-retry/retry-on-another-connection failed before (one connection, two expected).

--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -388,7 +388,10 @@
                          .id_field = names->request_id,
                          .id = request->id != NULL ? request->id : "",
                          .no_body = g_str_equal (
-                             ent_get_head (request->call)->method, "HEAD") };
+                             ent_get_head (request->call)->method, "HEAD"),
+                         /* A second copy of the answer to the earlier attempt
+                            would have the same id.  */
+                         .new_connection = rly_has_failed_at (request, edp) };
 
   request->exchange = ups_send (edp->ups, now, &wire, &exchange_ops, request);
   if (request->exchange == NULL)
--- a/libcoltsfootdrum/relay/test-rly-retry.c
+++ b/libcoltsfootdrum/relay/test-rly-retry.c
@@ -121,6 +121,25 @@
   scene_free (scene);
 }
 
+/* Guards against a second copy of the rejection of a request that is taken for
+   the answer to its retry, which has the same id.  */
+static void
+test_retry_on_another_connection (void)
+{
+  static const scene_reply_t replies[]
+      = { { NOT_RUN, SCENE_KEEP_OPEN }, { OK, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 2, 4);
+  scene_caller_t *caller;
+
+  scene_list_endpoints (scene, 1, false, 4);
+  caller = scene_send_request (scene, CALL ("/twice/", "1"));
+  scene_wait_for (scene, caller, "\r\n\r\nx");
+  g_assert_cmpuint (scene->servers[1].requests, ==, 2);
+  g_assert_cmpuint (scene->server_cons->len, ==, 2);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 /* Lists the endpoints that have a version in VERSIONS.  */
 static void
 list_versions (scene_t *scene, rol_t *rol, const char *const versions[])
@@ -236,6 +255,8 @@
   g_test_add_func ("/rly-retry/waits-for-a-pause", test_waits_for_a_pause);
   g_test_add_func ("/rly-retry/all-have-failed", test_all_have_failed);
   g_test_add_func ("/rly-retry/single-endpoint", test_single_endpoint);
+  g_test_add_func ("/rly-retry/retry-on-another-connection",
+                   test_retry_on_another_connection);
   g_test_add_func ("/rly-retry/not-the-same-canary", test_not_the_same_canary);
   g_test_add_func ("/rly-retry/endless-event", test_endless_event);
   return g_test_run ();
