Upstream: no body after a skipped response to HEAD

After a late answer to another request was skipped, the reader forgot that the response to HEAD has no body and awaited one until the deadline. ups/head-after-skipped-response failed before (time-out of the test).

--- a/libcoltsfootdrum/relay/test-ups.c
+++ b/libcoltsfootdrum/relay/test-ups.c
@@ -90,20 +90,22 @@
   result->end = end;
 }
 
-/* Sends a request with ID; NULL: none.  */
+/* Sends a METHOD request with ID; NULL: none.  */
 static void
-send_request (scene_t *scene, result_t *result, const char *id)
+send_method (scene_t *scene, result_t *result, const char *method,
+             const char *id)
 {
   static const ups_ops_t ops
       = { .head = on_head, .body = on_body, .ended = on_ended };
   g_autofree char *field
       = id != NULL ? g_strdup_printf ("X-Id: %s\r\n", id) : g_strdup ("");
   g_autofree char *text
-      = g_strdup_printf ("GET / HTTP/1.1\r\nHost: h\r\n%s\r\n", field);
+      = g_strdup_printf ("%s / HTTP/1.1\r\nHost: h\r\n%s\r\n", method, field);
   const ups_request_t request = { .bytes = text,
                                   .length = strlen (text),
                                   .id_field = "X-Id",
-                                  .id = id != NULL ? id : "" };
+                                  .id = id != NULL ? id : "",
+                                  .no_body = g_str_equal (method, "HEAD") };
 
   *result = (result_t){ 0 };
   result->exchange
@@ -111,6 +113,12 @@
   g_assert_nonnull (result->exchange);
 }
 
+static void
+send_request (scene_t *scene, result_t *result, const char *id)
+{
+  send_method (scene, result, "GET", id);
+}
+
 static bool
 is_readable (int fd)
 {
@@ -291,6 +299,22 @@
   scene_free (scene);
 }
 
+/* Guards against an answer to HEAD after a skipped response, of which a body
+   was awaited until the deadline.  */
+static void
+test_head_after_skipped_response (void)
+{
+  scene_t *scene = scene_new ();
+  result_t result;
+
+  send_method (scene, &result, "HEAD", "2");
+  reply (
+      scene, receive (scene),
+      ANSWER ("1") "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 9\r\n\r\n");
+  expect (scene, &result, 200);
+  scene_free (scene);
+}
+
 /* Guards against a second answer that arrives between two requests, after
    which the connection is used again.  */
 static void
@@ -340,6 +364,8 @@
   g_test_add_func ("/ups/check-after-request", test_check_after_request);
   g_test_add_func ("/ups/response-without-id", test_response_without_id);
   g_test_add_func ("/ups/interim-response", test_interim_response);
+  g_test_add_func ("/ups/head-after-skipped-response",
+                   test_head_after_skipped_response);
   g_test_add_func ("/ups/second-answer-while-idle",
                    test_second_answer_while_idle);
   g_test_add_func ("/ups/cancelled", test_cancelled);
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -61,7 +61,8 @@
   ups_ops_t ops;
   void *user;
   char *id_field;
-  char *id;              /* empty: none */
+  char *id; /* empty: none */
+  bool no_body;
   bool response_started; /* the head was received */
 };
 
@@ -269,6 +270,7 @@
         {
           connection->stale_response = false;
           rd_reset (connection->rd);
+          rd_expect_no_body (connection->rd, connection->exchange->no_body);
           continue;
         }
       finish_response (connection, length > 0);
@@ -432,6 +434,7 @@
   exchange->user = user;
   exchange->id_field = g_strdup (request->id_field);
   exchange->id = g_strdup (anonymous ? "" : request->id);
+  exchange->no_body = request->no_body;
   connection->exchange = exchange;
   connection->stale_bytes = 0;
   rd_expect_no_body (connection->rd, request->no_body);
