Entry: bound the memory for request bodies, shared between accounts

Cause: a body has a limit, the sum had none. Bodies were kept before anything was decided about their requests, also before their keys were looked at, and a body that was being sent was held three times.

Change: memory for a body is reserved before it is read, a quarter of the instance's memory in all. An account may hold twice what is left free, so that one account can't take the others' part. What doesn't fit is left unread for up to 0.5 s and then refused as not run, naming what was full; it is refused at once when more of its account waits than it holds. Unknown keys and routes are refused by the head. Heads and bodies that come in one read may take a third more in all. Refused callers that are still sending can read the response. Large bodies are sent without copying them, and their memory is returned when they are freed. Metrics and a log line show the sum.

Initializers of ent_ops_t name their fields, as it has one more.

--- a/libcoltsfootdrum/relay/con.c
+++ b/libcoltsfootdrum/relay/con.c
@@ -33,9 +33,11 @@
   const con_ops_t *ops;
   void *user;
   GByteArray *out;
-  size_t out_sent; /* bytes at the start of OUT that are written */
-  uint64_t sent;   /* bytes written since the start */
-  bool *freed;     /* set to true when freed during a callback */
+  size_t out_sent;    /* bytes at the start of OUT that are written */
+  GByteArray *shared; /* to be written after OUT; NULL: none */
+  size_t shared_sent;
+  uint64_t sent; /* bytes written since the start */
+  bool *freed;   /* set to true when freed during a callback */
   bool connected;
   bool shutdown_pending; /* shut down once OUT is written */
   bool failed;
@@ -93,23 +95,48 @@
   con->out_sent = 0;
 }
 
-/* Writes buffered output.  Returns false when the connection has failed.  */
+/* Writes the bytes of ARRAY from *DONE on, as far as the socket takes them,
+   and advances *DONE.  Returns false when the connection has failed.  */
 static bool
-flush (con_t *con)
+write_from (con_t *con, const GByteArray *array, size_t *done)
 {
-  while (con->out_sent < con->out->len)
+  while (*done < array->len)
     {
-      ssize_t n = send (con->reader.fd, con->out->data + con->out_sent,
-                        con->out->len - con->out_sent, MSG_NOSIGNAL);
+      ssize_t n = send (con->reader.fd, array->data + *done,
+                        array->len - *done, MSG_NOSIGNAL);
 
-      if (n < 0 && (errno == EAGAIN || errno == EINTR))
-        return true;
       if (n < 0)
-        return false;
+        return errno == EAGAIN || errno == EINTR;
       con->sent += (uint64_t)n;
-      con->out_sent += (size_t)n;
+      *done += (size_t)n;
     }
+  return true;
+}
+
+static void
+release_shared (con_t *con)
+{
+  g_clear_pointer (&con->shared, g_byte_array_unref);
+  con->shared_sent = 0;
+}
+
+/* Writes buffered output.  Returns false when the connection has failed.  */
+static bool
+flush (con_t *con)
+{
+  if (!write_from (con, con->out, &con->out_sent))
+    return false;
+  if (con->out_sent < con->out->len)
+    return true;
   release_output (con);
+  if (con->shared != NULL)
+    {
+      if (!write_from (con, con->shared, &con->shared_sent))
+        return false;
+      if (con->shared_sent < con->shared->len)
+        return true;
+      release_shared (con);
+    }
   ev_io_stop (con->loop, &con->writer);
   if (con->shutdown_pending)
     shutdown (con->reader.fd, SHUT_WR);
@@ -249,6 +276,7 @@
   ev_timer_stop (con->loop, &con->failure_timer);
   close (con->reader.fd);
   g_byte_array_unref (con->out);
+  release_shared (con);
   g_free (con);
 }
 
@@ -274,11 +302,23 @@
   return con->connected;
 }
 
+/* Appends what is left of the shared bytes to the buffer.  */
+static void
+copy_shared (con_t *con)
+{
+  if (con->shared == NULL)
+    return;
+  g_byte_array_append (con->out, con->shared->data + con->shared_sent,
+                       con->shared->len - (guint)con->shared_sent);
+  release_shared (con);
+}
+
 void
 con_write (con_t *con, const void *bytes, size_t length)
 {
   if (con->failed)
     return;
+  copy_shared (con);
   if (con->connected && con->out->len == 0)
     {
       ssize_t n = send (con->reader.fd, bytes, length, MSG_NOSIGNAL);
@@ -302,10 +342,36 @@
   ev_io_start (con->loop, &con->writer);
 }
 
+void
+con_write_shared (con_t *con, const GByteArray *bytes)
+{
+  if (con->failed || bytes->len == 0)
+    return;
+  copy_shared (con);
+  con->shared = g_byte_array_ref ((GByteArray *)bytes);
+  con->shared_sent = 0;
+  if (con->connected && con->out->len == 0
+      && !write_from (con, con->shared, &con->shared_sent))
+    {
+      defer_failure (con);
+      return;
+    }
+  if (con->shared_sent == con->shared->len)
+    release_shared (con);
+  else
+    ev_io_start (con->loop, &con->writer);
+}
+
+static size_t
+get_shared_left (const con_t *con)
+{
+  return con->shared != NULL ? con->shared->len - con->shared_sent : 0;
+}
+
 size_t
 con_get_unsent_bytes (const con_t *con)
 {
-  return con->out->len - con->out_sent;
+  return con->out->len - con->out_sent + get_shared_left (con);
 }
 
 uint64_t
@@ -324,7 +390,7 @@
 con_shutdown_after_flush (con_t *con)
 {
   con->shutdown_pending = true;
-  if (con->connected && con->out->len == 0)
+  if (con->connected && con_get_unsent_bytes (con) == 0)
     shutdown (con->reader.fd, SHUT_WR);
 }
 
--- a/libcoltsfootdrum/relay/con.h
+++ b/libcoltsfootdrum/relay/con.h
@@ -9,6 +9,7 @@
 
 #include "base/addr.h"
 #include <ev.h>
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -55,6 +56,10 @@
 /* Writes or buffers BYTES.  The ended callback reports a failure later.  */
 void con_write (con_t *con, const void *bytes, size_t length);
 
+/* The same for large BYTES, which must not change until they are written: they
+   are referenced and not copied.  */
+void con_write_shared (con_t *con, const GByteArray *bytes);
+
 /* Returns the number of bytes that wait to be written to the socket.  */
 size_t con_get_unsent_bytes (const con_t *con);
 
--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -27,17 +27,17 @@
    those that are being served.  */
 #define MAX_ACCEPTS_PER_WAKEUP 32
 /* Buffered bytes of pipelined requests, above which reading is paused.  */
-#define MAX_PIPELINED_BYTES 65536
+#define MAX_PIPELINED_BYTES 16384
 /* Largest response that is collected for a client of HTTP/1.0.  */
 #define MAX_COLLECTED_BYTES 8388608u
-/* Size of a request's body up to which its memory is used again.  */
-#define MAX_KEPT_BODY_BYTES 65536u
 /* Interval at which the time-outs of all connections are checked.  */
 #define TIMEOUT_CHECK_INTERVAL_MS 100
 /* Before a connection is closed, further input is read and discarded for this
    time: closing a socket with unread bytes resets the connection, and the
-   client might lose the response.  */
+   client might lose the response.  The time begins anew with each input, as of
+   a client that sends a large body, up to the maximum.  */
 #define LINGER_MS 1000
+#define MAX_LINGER_MS 5000
 
 void
 ent_call_free (ent_call_t *call)
@@ -48,6 +48,7 @@
       return;
     }
   list_remove (&call->node);
+  ent_release_body (call);
   call->ent->count--;
   con_free (call->con);
   rd_free (call->rd);
@@ -80,8 +81,8 @@
       call->too_large = true;
       return false;
     }
-  if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0)
-    con_write (call->con, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+  call->expects_continue
+      = expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0;
   return true;
 }
 
@@ -99,9 +100,8 @@
 
 static const rd_ops_t parser_ops = { .head = on_head, .body = on_body };
 
-/* Responds with STATUS and closes the connection.  */
-static void
-reject_request (ent_call_t *call, unsigned status)
+void
+ent_reject_request (ent_call_t *call, unsigned status)
 {
   log_info ("entry", "A request was rejected: status=%u.", status);
   call->reusable = false;
@@ -113,6 +113,8 @@
 {
   rd_head_t *head = rd_get_head (call->rd);
 
+  if (!ent_count_request (call))
+    return;
   call->reusable = head->keep_alive && !head->is_http10;
   set_state (call, ENT_SERVING);
   call->ent->ops.request (call->ent->user, call);
@@ -133,13 +135,15 @@
     }
   result = rd_feed (call->rd, bytes, length, &used);
   if (call->too_large)
-    reject_request (call, 413);
+    ent_reject_request (call, 413);
   else if (result == RD_TOO_LARGE)
-    reject_request (call, 431);
+    ent_reject_request (call, 431);
   else if (result == RD_INVALID)
-    reject_request (call, 400);
+    ent_reject_request (call, 400);
   else if (result == RD_COMPLETE)
     dispatch_request (call);
+  else if (call->head_done)
+    ent_reserve_body (call);
   return used;
 }
 
@@ -154,6 +158,8 @@
       bytes += used;
       length -= MIN (used, length);
     }
+  if (call->state == ENT_CLOSING)
+    call->input_at = clock_now ();
   if (length == 0 || call->free_pending || call->state == ENT_CLOSING)
     return;
   g_byte_array_append (call->pipelined, (const guint8 *)bytes, (guint)length);
@@ -199,6 +205,7 @@
   call->rd = rd_new (RD_REQUESTS, ent->limits.head_bytes, &parser_ops, call);
   call->body = g_byte_array_new ();
   call->pipelined = g_byte_array_new ();
+  bdm_claim_init (&call->claim);
   set_state (call, ENT_IDLE);
   list_init (&call->node);
   list_append (&ent->calls, &call->node);
@@ -260,6 +267,7 @@
   ent->limits.head_bytes = DEFAULT_MAX_HEAD_BYTES;
   ent->limits.body_bytes = DEFAULT_MAX_BODY_BYTES;
   list_init (&ent->calls);
+  ent->bodies = bdm_new ();
   ev_io_init (&ent->listener, on_accept, fd, EV_READ);
   ent->listener.data = ent;
   ev_io_start (loop, &ent->listener);
@@ -297,6 +305,7 @@
     {
       ent_call_free (list_entry (node, ent_call_t, node));
     }
+  bdm_free (ent->bodies);
   g_free (ent);
 }
 
@@ -416,14 +425,18 @@
         ent_call_free (call);
       break;
     case ENT_READING:
-      if (!call->head_done && limits->head_ms > 0
-          && in_state > limits->head_ms)
-        reject_request (call, 408);
+      if (ent_is_body_overdue (call, now))
+        ent_refuse_body (call, now);
+      else if (!call->head_done && limits->head_ms > 0
+               && in_state > limits->head_ms)
+        ent_reject_request (call, 408);
       else if (limits->idle_ms > 0 && in_state > limits->idle_ms)
-        reject_request (call, 408);
+        ent_reject_request (call, 408);
       break;
     case ENT_CLOSING:
-      if (in_state > LINGER_MS && con_get_unsent_bytes (call->con) == 0)
+      if ((now - MAX (call->state_since, call->input_at) > LINGER_MS
+           || in_state > MAX_LINGER_MS)
+          && con_get_unsent_bytes (call->con) == 0)
         ent_call_free (call);
       break;
     case ENT_SERVING:
@@ -440,6 +453,7 @@
     return;
   ent->checked_at = now;
   ent_check_unsent (ent, now);
+  ent_check_heads (ent, now);
   list_for_each_safe (node, &ent->calls)
     {
       enforce_timeouts (list_entry (node, ent_call_t, node), now, idle_ms);
@@ -529,7 +543,7 @@
 static void
 reset_body (ent_call_t *call)
 {
-  if (call->body->len <= MAX_KEPT_BODY_BYTES)
+  if (call->body->len <= ENT_MAX_KEPT_BODY_BYTES)
     {
       g_byte_array_set_size (call->body, 0);
       return;
@@ -545,13 +559,14 @@
   g_autoptr (GByteArray) pipelined = NULL;
 
   call->data = NULL;
+  ent_release_body (call);
+  reset_body (call);
   if (will_close (call))
     {
       start_close (call);
       return;
     }
   rd_reset (call->rd);
-  reset_body (call);
   call->head_done = false;
   call->too_large = false;
   set_state (call, ENT_IDLE);
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -31,8 +31,24 @@
   /* Called when the client has closed the connection before the response was
      finished.  CALL must not be used afterwards.  */
   void (*disconnected) (void *user, ent_call_t *call);
+  /* Called after the head of a request whose body is still to come.  Returns
+     the name of its account, which shares the memory for bodies with others,
+     or NULL after it has responded to CALL; may be NULL.  */
+  const char *(*account) (void *user, ent_call_t *call);
 } ent_ops_t;
 
+typedef struct
+{
+  size_t held;      /* bytes reserved for request bodies */
+  size_t budget;    /* 0: no limit */
+  unsigned waiting; /* requests whose bodies wait for memory */
+  uint64_t refused; /* for want of it, since the start */
+} ent_body_stats_t;
+
+/* Size of a request's body up to which its memory is used again for the next
+   one on its connection.  A larger one doesn't change until it is freed.  */
+#define ENT_MAX_KEPT_BODY_BYTES 65536u
+
 /* Listens on ADDRESS (IP:PORT).  Returns NULL with CFD_ERROR_ADDRESS when that
    fails.  */
 ent_t *ent_new (struct ev_loop *loop, const char *address,
@@ -55,6 +71,12 @@
 
 void ent_set_limits (ent_t *ent, const ent_limits_t *limits);
 
+/* Sets the memory for the bodies of all requests; 0: no limit.  It is shared
+   between accounts (see bdm.h).  Heads, and bodies that arrive with them in
+   one read, may take a third of it in addition.  */
+void ent_set_body_budget (ent_t *ent, size_t bytes);
+ent_body_stats_t ent_get_body_stats (const ent_t *ent);
+
 /* Sets how many bytes may wait for all clients together; 0: no limit.  Beyond
    it, clients that read nothing for some time are cut off.  */
 void ent_set_unsent_budget (ent_t *ent, size_t bytes);
--- a/libcoltsfootdrum/relay/rd.c
+++ b/libcoltsfootdrum/relay/rd.c
@@ -283,6 +283,12 @@
   rd->no_body = none;
 }
 
+size_t
+rd_get_head_bytes (const rd_t *rd)
+{
+  return rd->head_bytes;
+}
+
 rd_head_t *
 rd_get_head (rd_t *rd)
 {
--- a/libcoltsfootdrum/relay/rd.h
+++ b/libcoltsfootdrum/relay/rd.h
@@ -84,6 +84,9 @@
 /* Discards the message and prepares for the next one.  */
 void rd_reset (rd_t *rd);
 
+/* Returns the size of the head, as far as it was read.  */
+size_t rd_get_head_bytes (const rd_t *rd);
+
 /* Sets whether the next response has no body, as to a HEAD request.  */
 void rd_expect_no_body (rd_t *rd, bool none);
 
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -60,6 +60,14 @@
   return MAX (MIN (request->deadline, request->route_deadline) - now, 1);
 }
 
+/* Returns whether the body is sent without copying it.  */
+static bool
+must_share_body (const rly_request_t *request)
+{
+  return ent_get_body (request->call)->len > ENT_MAX_KEPT_BODY_BYTES;
+}
+
+/* Returns the request's bytes, without its body if that is shared.  */
 static GString *
 format_request (const rly_request_t *request, const edp_t *edp,
                 const edp_t *source, cfd_time_t now)
@@ -68,7 +76,8 @@
   const rd_head_t *head = ent_get_head (request->call);
   const GByteArray *body = ent_get_body (request->call);
   const evs_t *events = &request->answer.events;
-  GString *text = g_string_sized_new (1024 + body->len);
+  size_t copied = must_share_body (request) ? 0 : body->len;
+  GString *text = g_string_sized_new (1024 + copied);
 
   g_string_append_printf (text, "%s %s HTTP/1.1\r\n", head->method,
                           head->target);
@@ -88,8 +97,8 @@
       || hdr_get (&head->fields, "Transfer-Encoding") != NULL)
     g_string_append_printf (text, "Content-Length: %u\r\n", body->len);
   g_string_append (text, "\r\n");
-  if (body->len > 0)
-    g_string_append_len (text, (const char *)body->data, body->len);
+  if (copied > 0)
+    g_string_append_len (text, (const char *)body->data, (gssize)copied);
   return text;
 }
 
@@ -383,15 +392,18 @@
 {
   const rly_names_t *names = &request->rly->names;
   g_autoptr (GString) text = format_request (request, edp, source, now);
-  ups_request_t wire = { .bytes = text->str,
-                         .length = text->len,
-                         .id_field = names->request_id,
-                         .id = request->id != NULL ? request->id : "",
-                         .no_body = g_str_equal (
-                             ent_get_head (request->call)->method, "HEAD"),
-                         /* A second copy of the answer to the earlier attempt
-                            would have the same id.  */
-                         .new_connection = rly_has_failed_at (request, edp) };
+  ups_request_t wire
+      = { .bytes = text->str,
+          .length = text->len,
+          .shared_body
+          = must_share_body (request) ? ent_get_body (request->call) : NULL,
+          .id_field = names->request_id,
+          .id = request->id != NULL ? request->id : "",
+          .no_body
+          = g_str_equal (ent_get_head (request->call)->method, "HEAD"),
+          /* A second copy of the answer to the earlier attempt
+             would have the same id.  */
+          .new_connection = rly_has_failed_at (request, edp) };
 
   request->exchange = ups_send (edp->ups, now, &wire, &exchange_ops, request);
   if (request->exchange == NULL)
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -460,14 +460,57 @@
   return rly->shd != NULL && !shd_admits (rly->shd, g_random_double ());
 }
 
+/* Finds the route and the account of CALL, NULL if it is anonymous.  Responds
+   to CALL and returns NULL when there is no route, or its key is unknown.  */
+static const rte_route_t *
+find_route (rly_t *rly, ent_call_t *call, const rte_account_t **account)
+{
+  const rd_head_t *head = ent_get_head (call);
+  const char *host = hdr_get (&head->fields, "Host");
+  const char *key = parse_key (rly, &head->fields);
+  const rte_route_t *route
+      = host != NULL ? rte_find_route (rly->table, host, head->target) : NULL;
+
+  *account = NULL;
+  if (route == NULL)
+    {
+      refuse_on_arrival (rly, call, 404, "no-route", 0);
+      return NULL;
+    }
+  if (key != NULL)
+    *account = rte_find_account (rly->table, key);
+  if (*account == NULL && !route->allows_anonymous
+      && rte_table_has_accounts (rly->table))
+    {
+      refuse_on_arrival (rly, call, 401, "unknown-key", 0);
+      return NULL;
+    }
+  return route;
+}
+
+const char *
+rly_on_head (void *user, ent_call_t *call)
+{
+  rly_t *rly = user;
+  const rte_account_t *account;
+
+  if (rly->table == NULL)
+    return "";
+  /* What is refused here is not read on.  */
+  ent_close_after (call);
+  if (find_route (rly, call, &account) == NULL)
+    {
+      rly->counts.requests++;
+      return NULL;
+    }
+  return account != NULL ? account->name : "";
+}
+
 void
 rly_on_request (void *user, ent_call_t *call)
 {
   rly_t *rly = user;
-  rd_head_t *head = ent_get_head (call);
-  const char *host = hdr_get (&head->fields, "Host");
-  const char *key = parse_key (rly, &head->fields);
-  const rte_account_t *account = NULL;
+  const rte_account_t *account;
   const rte_route_t *route;
   rly_request_t *request;
   rly_resume_t outcome;
@@ -492,21 +535,9 @@
                          NO_CONFIG_RETRY_MS);
       return;
     }
-  route
-      = host != NULL ? rte_find_route (rly->table, host, head->target) : NULL;
+  route = find_route (rly, call, &account);
   if (route == NULL)
-    {
-      refuse_on_arrival (rly, call, 404, "no-route", 0);
-      return;
-    }
-  if (key != NULL)
-    account = rte_find_account (rly->table, key);
-  if (account == NULL && !route->allows_anonymous
-      && rte_table_has_accounts (rly->table))
-    {
-      refuse_on_arrival (rly, call, 401, "unknown-key", 0);
-      return;
-    }
+    return;
   request = request_new (rly, call, route, account);
   ent_set_data (call, request);
   request->service = rly_find_or_add_service (
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -124,6 +124,9 @@
 
 /* Callbacks for ent_ops_t; USER is the relay.  */
 void rly_on_request (void *user, ent_call_t *call);
+/* Returns the name of CALL's account, empty when it has none or no
+   configuration is known; NULL after CALL was refused by its head.  */
+const char *rly_on_head (void *user, ent_call_t *call);
 void rly_on_disconnect (void *user, ent_call_t *call);
 
 /* Applies TABLE, unless it is older than the current one.  */
--- a/libcoltsfootdrum/relay/test-edp-break.c
+++ b/libcoltsfootdrum/relay/test-edp-break.c
@@ -73,7 +73,8 @@
 static scene_t *
 scene_new (void)
 {
-  static const ent_ops_t ops = { on_request, on_gone };
+  static const ent_ops_t ops
+      = { .request = on_request, .disconnected = on_gone };
   scene_t *scene = g_new0 (scene_t, 1);
 
   scene->loop = ev_loop_new (EVFLAG_AUTO);
--- a/libcoltsfootdrum/relay/test-ent.c
+++ b/libcoltsfootdrum/relay/test-ent.c
@@ -36,7 +36,8 @@
 static void
 fixture_init (fixture_t *fixture)
 {
-  static const ent_ops_t ops = { on_request, on_disconnected };
+  static const ent_ops_t ops
+      = { .request = on_request, .disconnected = on_disconnected };
   g_autofree char *address = NULL;
 
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
@@ -151,7 +152,8 @@
 static void
 test_slow_clients (void)
 {
-  static const ent_ops_t ops = { on_large_request, on_disconnected };
+  static const ent_ops_t ops
+      = { .request = on_large_request, .disconnected = on_disconnected };
   static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
   fixture_t fixture = { .loop = ev_loop_new (EVFLAG_AUTO) };
   g_autofree char *address = NULL;
@@ -210,7 +212,8 @@
 static void
 test_allowed_closes (void)
 {
-  static const ent_ops_t ops = { on_held_request, on_disconnected };
+  static const ent_ops_t ops
+      = { .request = on_held_request, .disconnected = on_disconnected };
   static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
   fixture_t fixture = { .loop = ev_loop_new (EVFLAG_AUTO) };
   ent_call_t *call = NULL;
--- a/libcoltsfootdrum/relay/test-rly-retry.c
+++ b/libcoltsfootdrum/relay/test-rly-retry.c
@@ -121,6 +121,32 @@
   scene_free (scene);
 }
 
+#define LARGE_BODY_BYTES 1000000
+
+/* Guards against a large body, which is sent without copying it, of which the
+   second endpoint gets less than the first one.  */
+static void
+test_large_body (void)
+{
+  static const scene_reply_t replies[]
+      = { { NOT_RUN, SCENE_KEEP_OPEN }, { OK, SCENE_KEEP_OPEN } };
+  g_autofree char *body = g_strnfill (LARGE_BODY_BYTES, 'x');
+  g_autofree char *expected = g_strdup_printf ("|body=%s", body);
+  g_autofree char *request = g_strdup_printf (
+      "POST /twice/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Deadline: 20000\r\n"
+      "Authorization: Bearer key-of-the-mill\r\nContent-Length: %d\r\n\r\n%s",
+      LARGE_BODY_BYTES, body);
+  scene_t *scene = scene_new (replies, 2, 4);
+  scene_caller_t *caller = scene_send_request (scene, request);
+
+  scene_wait_for (scene, caller, "\r\n\r\nx");
+  g_assert_cmpuint (scene->servers[0].requests, ==, 1);
+  g_assert_cmpuint (scene->servers[1].requests, ==, 1);
+  g_assert_true (g_str_has_suffix (scene->last_request->str, expected));
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 /* Guards against a second copy of the rejection of a request that is taken for
    the answer to its retry, which has the same id.  */
 static void
@@ -255,6 +281,7 @@
   g_test_add_func ("/rly-retry/waits-for-a-pause", test_waits_for_a_pause);
   g_test_add_func ("/rly-retry/all-have-failed", test_all_have_failed);
   g_test_add_func ("/rly-retry/single-endpoint", test_single_endpoint);
+  g_test_add_func ("/rly-retry/large-body", test_large_body);
   g_test_add_func ("/rly-retry/retry-on-another-connection",
                    test_retry_on_another_connection);
   g_test_add_func ("/rly-retry/not-the-same-canary", test_not_the_same_canary);
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -353,7 +353,9 @@
 scene_t *
 scene_new (const scene_reply_t *replies, unsigned count, unsigned slots)
 {
-  static const ent_ops_t front = { rly_on_request, rly_on_disconnect };
+  static const ent_ops_t front = { .request = rly_on_request,
+                                   .disconnected = rly_on_disconnect,
+                                   .account = rly_on_head };
   static const rly_settings_t bounds = { .retry_window_ms = 10000,
                                          .retry_ratio = 0.2,
                                          .retry_slack = 50.,
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -439,6 +439,8 @@
   connection->stale_bytes = 0;
   rd_expect_no_body (connection->rd, request->no_body);
   con_write (connection->con, request->bytes, request->length);
+  if (request->shared_body != NULL)
+    con_write_shared (connection->con, request->shared_body);
   return exchange;
 }
 
--- a/libcoltsfootdrum/relay/ups.h
+++ b/libcoltsfootdrum/relay/ups.h
@@ -48,12 +48,13 @@
 
 typedef struct
 {
-  const char *bytes; /* head and body; copied */
+  const char *bytes; /* head, and body unless that is shared; copied */
   size_t length;
-  const char *id_field; /* header field in which endpoints echo ID */
-  const char *id;       /* unique on a connection; NULL or empty: none */
-  bool no_body;         /* the response has no body, as to HEAD */
-  bool new_connection;  /* don't use an idle one */
+  const GByteArray *shared_body; /* see con_write_shared; NULL: none */
+  const char *id_field;          /* header field in which endpoints echo ID */
+  const char *id;      /* unique on a connection; NULL or empty: none */
+  bool no_body;        /* the response has no body, as to HEAD */
+  bool new_connection; /* don't use an idle one */
 } ups_request_t;
 
 ups_t *ups_new (struct ev_loop *loop, const addr_t *addr);
