--- a/libcoltsfootdrum/relay/test-ent-bodies.c
+++ b/libcoltsfootdrum/relay/test-ent-bodies.c
@@ -461,7 +461,7 @@
 test_small (void)
 {
   fixture_t fixture;
-  caller_t *last = NULL;
+  caller_t *last;
   size_t each;
 
   fixture_init (&fixture, 99);
@@ -469,12 +469,11 @@
   wait_calls (&fixture, 1);
   each = get_held (&fixture);
   g_assert_cmpuint (each, >=, 5);
-  for (size_t held = 2 * each; held <= 132 + each; held += each)
-    {
-      last = connect_caller (&fixture);
-      con_write (last->con, SMALL, strlen (SMALL));
-      run_ms (&fixture, 20);
-    }
+  for (size_t held = 2 * each; held <= 132; held += each)
+    con_write (connect_caller (&fixture)->con, SMALL, strlen (SMALL));
+  wait_calls (&fixture, (guint)(132 / each));
+  last = connect_caller (&fixture);
+  con_write (last->con, SMALL, strlen (SMALL));
   wait_status (last, "HTTP/1.1 503 ");
   g_assert_cmpuint (fixture.max_held, <=, 132);
   while (fixture.calls->len > 0)
