Entry: deliver an answer whole while its client reads

Cause: a request counts as finished when its answer is buffered, and its connection as idle. ent_close_idle and the idle time-out freed it with what was in the buffer.

Change: such a connection is closed once its output is written, and its idle time counts from then. A client that reads nothing for the idle limit is cut off, also while its connection closes, which had no end before.

--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -17,7 +17,7 @@
 #define DEFAULT_MAX_BODY_BYTES 4194304
 /* Time that a connection may stay idle: the default while no limit is
    configured, and the minimum when connections are scarce.  */
-#define DEFAULT_IDLE_MS 60000.
+#define DEFAULT_IDLE_MS 60000
 #define MIN_IDLE_MS 300.
 /* Length of the kernel's accept queue.  It is a FIFO: at a slow instance, a
    long queue would hold only clients that have given up by the time they are
@@ -364,6 +364,14 @@
   ent->draining = true;
 }
 
+/* Starts to close the connection; further input is read and discarded.  */
+static void
+start_close (ent_call_t *call)
+{
+  set_state (call, ENT_CLOSING);
+  con_shutdown_after_flush (call->con);
+}
+
 void
 ent_close_idle (ent_t *ent)
 {
@@ -371,7 +379,12 @@
     {
       ent_call_t *call = list_entry (node, ent_call_t, node);
 
-      if (call->state == ENT_IDLE)
+      if (call->state != ENT_IDLE)
+        continue;
+      /* Its client is still reading the last response.  */
+      if (con_get_unsent_bytes (call->con) > 0)
+        start_close (call);
+      else
         ent_call_free (call);
     }
 }
@@ -386,12 +399,10 @@
   call->ent->unsent_total += con_get_unsent_bytes (call->con) - before;
 }
 
-/* Starts to close the connection; further input is read and discarded.  */
-static void
-start_close (ent_call_t *call)
+static int64_t
+get_max_idle_ms (const ent_limits_t *limits)
 {
-  set_state (call, ENT_CLOSING);
-  con_shutdown_after_flush (call->con);
+  return limits->idle_ms > 0 ? limits->idle_ms : DEFAULT_IDLE_MS;
 }
 
 /* Returns for how many milliseconds a connection may stay idle.  Above half of
@@ -402,8 +413,7 @@
 get_idle_limit_ms (const ent_t *ent)
 {
   double limit = ent->limits.connections;
-  double max_idle_ms = ent->limits.idle_ms > 0 ? (double)ent->limits.idle_ms
-                                               : DEFAULT_IDLE_MS;
+  double max_idle_ms = (double)get_max_idle_ms (&ent->limits);
   double free_share;
 
   if (limit <= 0.)
@@ -417,11 +427,17 @@
 {
   const ent_limits_t *limits = &call->ent->limits;
   int64_t in_state = now - call->state_since;
+  bool has_unsent = con_get_unsent_bytes (call->con) > 0;
+  bool is_stalled
+      = has_unsent && now - call->unsent_since > get_max_idle_ms (limits);
 
   switch (call->state)
     {
     case ENT_IDLE:
-      if (in_state > idle_ms)
+      /* It becomes idle once the last response is written.  */
+      if (has_unsent)
+        call->state_since = now;
+      if (is_stalled || (!has_unsent && in_state > idle_ms))
         ent_call_free (call);
       break;
     case ENT_READING:
@@ -434,9 +450,12 @@
         ent_reject_request (call, 408);
       break;
     case ENT_CLOSING:
-      if ((now - MAX (call->state_since, call->input_at) > LINGER_MS
-           || in_state > MAX_LINGER_MS)
-          && con_get_unsent_bytes (call->con) == 0)
+      if (has_unsent)
+        call->state_since = now;
+      if (is_stalled
+          || (!has_unsent
+              && (now - MAX (call->state_since, call->input_at) > LINGER_MS
+                  || in_state > MAX_LINGER_MS)))
         ent_call_free (call);
       break;
     case ENT_SERVING:
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -102,7 +102,8 @@
 void ent_drain (ent_t *ent);
 /* Closes the listening socket, so that new connections are refused.  */
 void ent_close_listener (ent_t *ent);
-/* Closes the connections that have no request in progress.  */
+/* Closes the connections that have no request in progress, those whose clients
+   are still reading a response once that is written.  */
 void ent_close_idle (ent_t *ent);
 /* Must be called several times a second.  Enforces the time limits.  */
 void ent_tick (ent_t *ent, cfd_time_t now);
--- a/libcoltsfootdrum/relay/test-ent.c
+++ b/libcoltsfootdrum/relay/test-ent.c
@@ -4,6 +4,7 @@
 
 #include "base/addr.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <string.h>
 #include <unistd.h>
@@ -259,6 +260,110 @@
   fixture_clear (&fixture);
 }
 
+/* Reads what arrives at FD, at most LIMIT bytes.  Returns their number; -1:
+   the connection was closed.  */
+static ssize_t
+read_some (int fd, char *buffer, size_t limit)
+{
+  ssize_t n = recv (fd, buffer, limit, MSG_DONTWAIT);
+
+  return n == 0 || (n < 0 && errno != EAGAIN) ? -1 : MAX (n, 0);
+}
+
+#define READ_BYTES 300000u
+#define READ_INTERVAL_MS 20
+#define SHORT_IDLE_MS 100
+#define WAIT_MS 20000
+
+/* Reads an answer of ANSWER_BYTES slowly, and calls ent_close_idle after each
+   read if CLOSE_IDLE.  Returns the bytes that were received until the
+   connection was closed.  */
+static size_t
+read_slowly (bool close_idle, int64_t idle_ms)
+{
+  static const ent_ops_t ops
+      = { .request = on_large_request, .disconnected = on_disconnected };
+  const ent_limits_t limits = { .head_bytes = 16384, .idle_ms = idle_ms };
+  fixture_t fixture = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  g_autofree char *address = NULL;
+  g_autofree char *buffer = g_malloc (READ_BYTES);
+  cfd_time_t until = clock_now () + WAIT_MS;
+  size_t total = 0;
+  ssize_t n = 0;
+  int fd;
+
+  fixture.ent = ent_new (fixture.loop, "127.0.0.1:0", &ops, NULL, NULL);
+  ent_set_limits (fixture.ent, &limits);
+  address = g_strdup_printf ("127.0.0.1:%u", ent_get_port (fixture.ent));
+  g_assert_true (addr_parse (address, &fixture.address, NULL));
+  fd = addr_connect (&fixture.address);
+  run_for (&fixture, clock_now ());
+  send_request (&fixture, fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (n >= 0 && clock_now () < until)
+    {
+      n = read_some (fd, buffer, READ_BYTES);
+      total += (size_t)MAX (n, 0);
+      g_usleep (READ_INTERVAL_MS * 1000);
+      ev_run (fixture.loop, EVRUN_NOWAIT);
+      ent_tick (fixture.ent, clock_now ());
+      if (close_idle)
+        ent_close_idle (fixture.ent);
+    }
+  g_assert_cmpint (n, <, 0);
+  close (fd);
+  fixture_clear (&fixture);
+  return total;
+}
+
+/* Guards against a stop that cuts off an answer which its client is still
+   reading, as the connection counts as idle.  */
+static void
+test_stop_during_answer (void)
+{
+  g_assert_cmpuint (read_slowly (true, 60000), >, ANSWER_BYTES);
+}
+
+/* Guards against the idle time-out that does the same.  */
+static void
+test_idle_during_answer (void)
+{
+  g_assert_cmpuint (read_slowly (false, SHORT_IDLE_MS), >, ANSWER_BYTES);
+}
+
+/* Guards against a client that reads nothing and holds its connection, and the
+   process that stops, for ever.  */
+static void
+test_reads_nothing (void)
+{
+  static const ent_ops_t ops
+      = { .request = on_large_request, .disconnected = on_disconnected };
+  const ent_limits_t limits
+      = { .head_bytes = 16384, .idle_ms = SHORT_IDLE_MS };
+  fixture_t fixture = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  g_autofree char *address = NULL;
+  cfd_time_t until = clock_now () + WAIT_MS;
+  int fd;
+
+  fixture.ent = ent_new (fixture.loop, "127.0.0.1:0", &ops, NULL, NULL);
+  ent_set_limits (fixture.ent, &limits);
+  address = g_strdup_printf ("127.0.0.1:%u", ent_get_port (fixture.ent));
+  g_assert_true (addr_parse (address, &fixture.address, NULL));
+  fd = addr_connect (&fixture.address);
+  run_for (&fixture, clock_now ());
+  send_request (&fixture, fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  ent_close_idle (fixture.ent);
+  g_assert_cmpuint (ent_count_connections (fixture.ent), ==, 1);
+  while (ent_count_connections (fixture.ent) > 0 && clock_now () < until)
+    {
+      g_usleep (READ_INTERVAL_MS * 1000);
+      ev_run (fixture.loop, EVRUN_NOWAIT);
+      ent_tick (fixture.ent, clock_now ());
+    }
+  g_assert_cmpuint (ent_count_connections (fixture.ent), ==, 0);
+  close (fd);
+  fixture_clear (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -267,5 +372,8 @@
   g_test_add_func ("/ent/left-waiting", test_left_waiting);
   g_test_add_func ("/ent/slow-clients", test_slow_clients);
   g_test_add_func ("/ent/allowed-closes", test_allowed_closes);
+  g_test_add_func ("/ent/stop-during-answer", test_stop_during_answer);
+  g_test_add_func ("/ent/idle-during-answer", test_idle_during_answer);
+  g_test_add_func ("/ent/reads-nothing", test_reads_nothing);
   return g_test_run ();
 }
