Warmth: a list of the same millisecond does not verify a suspected endpoint

Cause: times of a millisecond's resolution can't order the two. The list has to be from a later millisecond now.

Other comparisons of this kind: a question asked in the millisecond of an alert is answered after it, and lists are compared with events nowhere else.

--- a/libcoltsfootdrum/relay/test-edp-break.c
+++ b/libcoltsfootdrum/relay/test-edp-break.c
@@ -85,7 +85,7 @@
   edp_set_set_break_callback (scene->set, on_break, scene);
   list_endpoint (scene, false);
   edp_set_update_warm_up (scene->set, get_warm_up_ms, NULL);
-  edp_set_note_current (scene->set, clock_now (), clock_now ());
+  edp_set_note_current (scene->set, clock_now () + 1, clock_now () + 1);
   return scene;
 }
 
--- a/libcoltsfootdrum/relay/test-edp.c
+++ b/libcoltsfootdrum/relay/test-edp.c
@@ -153,14 +153,17 @@
   edp_set_note_current (set, NOW, NOW - 1);
   g_assert_true (is_limited (edp, NOW));
   edp_set_note_current (set, NOW, NOW);
-  g_assert_false (is_limited (edp, NOW));
+  g_assert_true (is_limited (edp, NOW));
+  edp_set_note_current (set, NOW + 1, NOW + 1);
+  g_assert_false (is_limited (edp, NOW + 1));
   edp_set_withdraw_zones (set, NOW, zones_out);
   edp_set_withdraw_zones (set, NOW + 10, none);
   g_assert_true (is_limited (edp, NOW + 10));
   edp_set_note_current (set, NOW + 20, NOW + 9);
+  edp_set_note_current (set, NOW + 20, NOW + 10);
   edp_set_note_current (set, NOW + 20, CFD_TIME_NEVER);
   g_assert_true (is_limited (edp, NOW + 20));
-  edp_set_note_current (set, NOW + 30, NOW + 10);
+  edp_set_note_current (set, NOW + 30, NOW + 11);
   g_assert_false (is_limited (edp, NOW + 30));
   /* No list can be read.  */
   edp_set_suspect_cold (set, NOW + 100, "test");
--- a/libcoltsfootdrum/relay/test-wrm.c
+++ b/libcoltsfootdrum/relay/test-wrm.c
@@ -32,6 +32,10 @@
   { "unconfirmed", WRM_UNCONFIRMED, -1, -1, WARM_UP_MS },
   { "unconfirmed-old-list", WRM_UNCONFIRMED, -2, -1, WARM_UP_MS },
   { "unconfirmed-list", WRM_UNCONFIRMED, 100, -1, 100 },
+  /* A list that was asked for in the millisecond of the suspicion may be from
+     before it.  */
+  { "unconfirmed-list-same", WRM_UNCONFIRMED, 0, -1, WARM_UP_MS },
+  { "unconfirmed-list-next", WRM_UNCONFIRMED, 1, -1, 1 },
   { "ended", WRM_ENDED, -1, -1, WARM_UP_MS },
   /* The list still has what the old process reported.  */
   { "ended-list", WRM_ENDED, 100, -1, WARM_UP_MS },
--- a/libcoltsfootdrum/relay/wrm.c
+++ b/libcoltsfootdrum/relay/wrm.c
@@ -61,7 +61,8 @@
 bool
 wrm_confirm (wrm_t *wrm, cfd_time_t current_at)
 {
-  if (wrm->suspicion != WRM_UNCONFIRMED || current_at < wrm->suspected_at)
+  /* Within a millisecond it isn't known which came first.  */
+  if (wrm->suspicion != WRM_UNCONFIRMED || current_at <= wrm->suspected_at)
     return false;
   wrm->suspicion = WRM_CONFIRMED;
   return true;
--- a/libcoltsfootdrum/relay/wrm.h
+++ b/libcoltsfootdrum/relay/wrm.h
@@ -56,7 +56,7 @@
 /* Records a reason to suspect it.  Returns whether the suspicion is new.  */
 bool wrm_suspect (wrm_t *wrm, cfd_time_t now, wrm_suspicion_t suspicion);
 /* Records that the list of endpoints is current as of CURRENT_AT.  Returns
-   whether that ends a suspicion.  */
+   whether that ends a suspicion, which has to be older.  */
 bool wrm_confirm (wrm_t *wrm, cfd_time_t current_at);
 
 /* Records that another endpoint was found to be cold, though no report said
