--- a/libcoltsfootdrum/relay/ent-bodies.c
+++ b/libcoltsfootdrum/relay/ent-bodies.c
@@ -184,7 +184,7 @@
 }
 
 void
-ent_check_heads (ent_t *ent, cfd_time_t now)
+ent_check_heads (ent_t *ent)
 {
   size_t limit = get_reserve (ent);
   size_t total = 0;
--- a/libcoltsfootdrum/relay/ent-private.h
+++ b/libcoltsfootdrum/relay/ent-private.h
@@ -85,7 +85,7 @@
 bool ent_count_request (ent_call_t *call);
 /* Rejects requests whose heads are incomplete while these take too much.  To
    be called at intervals.  */
-void ent_check_heads (ent_t *ent, cfd_time_t now);
+void ent_check_heads (ent_t *ent);
 /* Gives the memory back, for which others may be waiting.  */
 void ent_release_body (ent_call_t *call);
 /* Returns whether CALL has waited too long for memory.  */
--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -472,7 +472,7 @@
     return;
   ent->checked_at = now;
   ent_check_unsent (ent, now);
-  ent_check_heads (ent, now);
+  ent_check_heads (ent);
   list_for_each_safe (node, &ent->calls)
     {
       enforce_timeouts (list_entry (node, ent_call_t, node), now, idle_ms);
--- a/libcoltsfootdrum/relay/test-ent.c
+++ b/libcoltsfootdrum/relay/test-ent.c
@@ -320,14 +320,18 @@
 static void
 test_stop_during_answer (void)
 {
-  g_assert_cmpuint (read_slowly (true, 60000), >, ANSWER_BYTES);
+  size_t received = read_slowly (true, 60000);
+
+  g_assert_cmpuint (received, >, ANSWER_BYTES);
 }
 
 /* Guards against the idle time-out that does the same.  */
 static void
 test_idle_during_answer (void)
 {
-  g_assert_cmpuint (read_slowly (false, SHORT_IDLE_MS), >, ANSWER_BYTES);
+  size_t received = read_slowly (false, SHORT_IDLE_MS);
+
+  g_assert_cmpuint (received, >, ANSWER_BYTES);
 }
 
 /* Guards against a client that reads nothing and holds its connection, and the
