Health checks: routine ones follow each other on a connection

Change: while nothing suggests that the endpoint turned cold, a check may follow a check. A second answer to the first one can then be taken for that to the next, and says what was so one interval before; the answer that follows it closes the connection. Checks of endpoints that are suspected, or after an alert, take no such connection, and requests never take an answer without their id.

ups/routine-checks guards it.

--- a/libcoltsfootdrum/relay/edp-check.c
+++ b/libcoltsfootdrum/relay/edp-check.c
@@ -132,7 +132,12 @@
                                  .ended = on_ended };
   const char *path = options->get_path (options->user, edp->report->service);
   g_autofree char *text = NULL;
-  ups_request_t request = { .id_field = options->request_id };
+  /* While nothing suggests that the endpoint turned cold, what it said at the
+     last check may serve once more.  */
+  bool is_routine = edp->warmth.suspicion == WRM_CONFIRMED
+                    && !wrm_is_urgent (&edp->warmth, now);
+  ups_request_t request
+      = { .id_field = options->request_id, .may_get_copy = is_routine };
 
   if (path == NULL)
     return;
--- a/libcoltsfootdrum/relay/test-ups.c
+++ b/libcoltsfootdrum/relay/test-ups.c
@@ -92,8 +92,8 @@
 
 /* Sends a METHOD request with ID; NULL: none.  */
 static void
-send_method (scene_t *scene, result_t *result, const char *method,
-             const char *id)
+send_with (scene_t *scene, result_t *result, const char *method,
+           const char *id, bool may_get_copy)
 {
   static const ups_ops_t ops
       = { .head = on_head, .body = on_body, .ended = on_ended };
@@ -105,7 +105,8 @@
                                   .length = strlen (text),
                                   .id_field = "X-Id",
                                   .id = id != NULL ? id : "",
-                                  .no_body = g_str_equal (method, "HEAD") };
+                                  .no_body = g_str_equal (method, "HEAD"),
+                                  .may_get_copy = may_get_copy };
 
   *result = (result_t){ 0 };
   result->exchange
@@ -116,7 +117,7 @@
 static void
 send_request (scene_t *scene, result_t *result, const char *id)
 {
-  send_method (scene, result, "GET", id);
+  send_with (scene, result, "GET", id, false);
 }
 
 static bool
@@ -245,6 +246,27 @@
   scene_free (scene);
 }
 
+/* Guards against a new connection for each routine health check, which may
+   hold a slot of the endpoint.  */
+static void
+test_routine_checks (void)
+{
+  scene_t *scene = scene_new ();
+  result_t check;
+  unsigned connection;
+
+  send_with (scene, &check, "GET", NULL, true);
+  connection = receive (scene);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      reply (scene, connection, ANSWER_WITHOUT_ID);
+      expect (scene, &check, 200);
+      send_with (scene, &check, "GET", NULL, true);
+      g_assert_cmpuint (receive (scene), ==, connection);
+    }
+  scene_free (scene);
+}
+
 /* Guards against a new connection for each health check while requests pass
    between them.  */
 static void
@@ -307,7 +329,7 @@
   scene_t *scene = scene_new ();
   result_t result;
 
-  send_method (scene, &result, "HEAD", "2");
+  send_with (scene, &result, "HEAD", "2", false);
   reply (
       scene, receive (scene),
       ANSWER ("1") "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 9\r\n\r\n");
@@ -361,6 +383,7 @@
                    test_second_answer_before_check);
   g_test_add_func ("/ups/second-answer-to-check", test_second_answer_to_check);
   g_test_add_func ("/ups/check-after-check", test_check_after_check);
+  g_test_add_func ("/ups/routine-checks", test_routine_checks);
   g_test_add_func ("/ups/check-after-request", test_check_after_request);
   g_test_add_func ("/ups/response-without-id", test_response_without_id);
   g_test_add_func ("/ups/interim-response", test_interim_response);
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -130,8 +130,8 @@
 } match_t;
 
 /* Returns to which request a response with ID belongs; NULL: it has none.  A
-   request without an id doesn't follow another one on a connection, so that a
-   response without one is to that request.  */
+   request without an id doesn't follow another one on a connection, unless it
+   may get a copy, so that a response without one is to that request.  */
 static match_t
 match_response (const ups_connection_t *connection, const char *id)
 {
@@ -351,9 +351,10 @@
 
 /* Returns the most recently used idle connection, so that the others reach
    their idle timeout and the pool shrinks to the size that is needed; for an
-   ANONYMOUS request one on which it doesn't follow another such request.  */
+   request that NEEDS_OWN response and has no id one on which it doesn't follow
+   another such request.  */
 static ups_connection_t *
-find_idle_connection (ups_t *ups, cfd_time_t now, bool anonymous)
+find_idle_connection (ups_t *ups, cfd_time_t now, bool needs_own)
 {
   list_for_each (node, &ups->idle)
     {
@@ -361,7 +362,7 @@
 
       if (now - connection->idle_since >= connection->max_idle_ms)
         return NULL;
-      if (!anonymous || !connection->may_repeat_anonymous)
+      if (!needs_own || !connection->may_repeat_anonymous)
         return connection;
     }
   return NULL;
@@ -418,8 +419,10 @@
 {
   bool anonymous = request->id == NULL || *request->id == '\0';
   ups_connection_t *connection
-      = request->new_connection ? NULL
-                                : find_idle_connection (ups, now, anonymous);
+      = request->new_connection
+            ? NULL
+            : find_idle_connection (ups, now,
+                                    anonymous && !request->may_get_copy);
   ups_exchange_t *exchange;
 
   if (connection == NULL)
--- a/libcoltsfootdrum/relay/ups.h
+++ b/libcoltsfootdrum/relay/ups.h
@@ -4,10 +4,11 @@
    An endpoint may send a second response to a request late, on a connection
    where the next response is expected.  It is recognized by the request id
    that endpoints echo, and skipped.  A response without an id is taken for
-   that to a request without one, which never follows another such request on
-   its connection; a further copy is skipped.  After a request with an id, a
-   response without one ends the exchange as malformed.  A connection that
-   receives bytes which belong to no request is closed and not used again.  */
+   that to a request without one, which doesn't follow another such request on
+   its connection unless it may get a copy; a further copy is skipped.  After a
+   request with an id, a response without one ends the exchange as malformed.
+   A connection that receives bytes which belong to no request is closed and
+   not used again.  */
 
 #ifndef RELAY_UPS_H
 #define RELAY_UPS_H
@@ -55,6 +56,10 @@
   const char *id;      /* unique on a connection; NULL or empty: none */
   bool no_body;        /* the response has no body, as to HEAD */
   bool new_connection; /* don't use an idle one */
+  /* Without ID: a second response to the last request without one may be taken
+     for its own.  Otherwise it may need a new connection, which can hold a
+     slot of the endpoint.  */
+  bool may_get_copy;
 } ups_request_t;
 
 ups_t *ups_new (struct ev_loop *loop, const addr_t *addr);
