Entry: cut off no client of whom the socket takes nothing for a while

Cause: since a client counted as one that reads nothing when the socket took nothing for the idle limit. A socket with large buffers becomes writable in steps of a megabyte, which a slow client takes longer to read; at 15 s that would be one of some 90 KB/s.

A client that reads nothing loses its connection by the kernel's time for acknowledgements, as ent/reads-nothing shows, and when memory is short.

--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -17,7 +17,7 @@
 #define DEFAULT_MAX_BODY_BYTES 4194304
 /* Time that a connection may stay idle: the default while no limit is
    configured, and the minimum when connections are scarce.  */
-#define DEFAULT_IDLE_MS 60000
+#define DEFAULT_IDLE_MS 60000.
 #define MIN_IDLE_MS 300.
 /* Length of the kernel's accept queue.  It is a FIFO: at a slow instance, a
    long queue would hold only clients that have given up by the time they are
@@ -399,12 +399,6 @@
   call->ent->unsent_total += con_get_unsent_bytes (call->con) - before;
 }
 
-static int64_t
-get_max_idle_ms (const ent_limits_t *limits)
-{
-  return limits->idle_ms > 0 ? limits->idle_ms : DEFAULT_IDLE_MS;
-}
-
 /* Returns for how many milliseconds a connection may stay idle.  Above half of
    the connection limit the time shrinks, down to MIN_IDLE_MS at the limit:
    clients that open a new connection for each attempt would otherwise use up
@@ -413,7 +407,8 @@
 get_idle_limit_ms (const ent_t *ent)
 {
   double limit = ent->limits.connections;
-  double max_idle_ms = (double)get_max_idle_ms (&ent->limits);
+  double max_idle_ms = ent->limits.idle_ms > 0 ? (double)ent->limits.idle_ms
+                                               : DEFAULT_IDLE_MS;
   double free_share;
 
   if (limit <= 0.)
@@ -428,8 +423,6 @@
   const ent_limits_t *limits = &call->ent->limits;
   int64_t in_state = now - call->state_since;
   bool has_unsent = con_get_unsent_bytes (call->con) > 0;
-  bool is_stalled
-      = has_unsent && now - call->unsent_since > get_max_idle_ms (limits);
 
   switch (call->state)
     {
@@ -437,7 +430,7 @@
       /* It becomes idle once the last response is written.  */
       if (has_unsent)
         call->state_since = now;
-      if (is_stalled || (!has_unsent && in_state > idle_ms))
+      else if (in_state > idle_ms)
         ent_call_free (call);
       break;
     case ENT_READING:
@@ -452,10 +445,8 @@
     case ENT_CLOSING:
       if (has_unsent)
         call->state_since = now;
-      if (is_stalled
-          || (!has_unsent
-              && (now - MAX (call->state_since, call->input_at) > LINGER_MS
-                  || in_state > MAX_LINGER_MS)))
+      else if (now - MAX (call->state_since, call->input_at) > LINGER_MS
+               || in_state > MAX_LINGER_MS)
         ent_call_free (call);
       break;
     case ENT_SERVING:
