Origins: conclude the version of a stream from a register

What callers saw: after all routers were killed and came back, streams were resumed at another software version than the one that began them, so that pieces of two versions were joined, and others were refused though the only version that can have begun them still served.

Cause: a router concluded "one version" from its list of endpoints and from what it and other routers remembered of the last 20 s. When all end at once that memory is gone, and one listed version says nothing of one that left.

Change: org.h holds a register of the versions of each service at which a stream that may still be resumed can have begun, as it is read from where it lasts. A stream without a record is bound to the only registered version; with several, with none, with a register that isn't known, or on a route with several services it is refused as unknown. org_foreach_due gives what ought to be registered. A resumable stream begins only at endpoints of registered versions, unless none of those may serve here; what waits is dispatched when the register changes. Publishing counts listed, registered and lately listed versions.

org_list_version takes the name of the version, which the register needs. The verdict ORG_FREE is gone: the cases "one-version" and "unknown-stream" of the tests now need a register with that version, and check that without one the stream is refused.

--- a/libcoltsfootdrum/relay/edp-private.h
+++ b/libcoltsfootdrum/relay/edp-private.h
@@ -46,9 +46,6 @@
   void *break_user;
 };
 
-/* edp.c: returns whether EDP is to get requests at all, at some time.  */
-bool edp_is_usable (const edp_t *edp);
-
 /* Largest burst that one router sends to a cold endpoint.  */
 #define EDP_COLD_BURST 1.
 
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -112,6 +112,7 @@
   edp_report_t *report;
   uint64_t hash;       /* of its id and start time */
   org_origin_t origin; /* of the streams that it begins */
+  bool is_registered;  /* its version, see relay/org.h */
   ups_t *ups;
   bool withdrawn;             /* its availability zone is out of service */
   bool has_announced_leaving; /* in an answer, whatever the list says */
@@ -278,6 +279,8 @@
 /* Returns whether an endpoint is in use that the platform no longer lists.  */
 bool edp_set_has_unlisted (const edp_set_t *set);
 
+/* Returns whether EDP is to get requests at all, at some time.  */
+bool edp_is_usable (const edp_t *edp);
 /* Returns whether EDP serves requests, though perhaps not at once: it may have
    rejected some a moment ago.  One that rests doesn't.  */
 bool edp_is_serving (const edp_t *edp, cfd_time_t now);
--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -6,9 +6,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Time for which a stream may still be resumed: longer than callers wait for
-   a whole answer.  */
-#define STREAM_KEEP_MS 20000
 /* Limits the memory: some 100 bytes each.  */
 #define MAX_STREAMS 40000
 /* Versions of one service that are remembered, for reports of others.  */
@@ -33,12 +30,17 @@
 typedef struct
 {
   org_origin_t origin;
+  char *name; /* NULL: only reported by other routers */
   bool is_listed;
+  bool is_registered;
+  bool was_registered;   /* before org_begin_register */
+  bool is_dropped;       /* from the register, and not listed since then */
   cfd_time_t retired_at; /* unless it is listed */
 } org_version_t;
 
 typedef struct
 {
+  char *name;       /* NULL: not known */
   GArray *versions; /* org_version_t */
   bool was_mixed;
 } org_service_t;
@@ -51,6 +53,7 @@
   uint64_t last_number;
   GHashTable *services; /* hash of the name to org_service_t */
   bool knows_versions;
+  bool knows_register;
 };
 
 static uint64_t
@@ -79,8 +82,10 @@
 org_decide (const org_inputs_t *inputs)
 {
   if (inputs->origin != ORG_ANY)
-    return ORG_BOUND;
-  return inputs->is_mixed || !inputs->knows_versions ? ORG_UNKNOWN : ORG_FREE;
+    return (org_verdict_t){ ORG_RECORDED, inputs->origin };
+  if (inputs->sole != ORG_ANY && inputs->knows_versions)
+    return (org_verdict_t){ ORG_SOLE, inputs->sole };
+  return (org_verdict_t){ ORG_UNKNOWN, ORG_ANY };
 }
 
 static void
@@ -92,12 +97,19 @@
   g_free (stream);
 }
 
+static void
+version_clear (void *data)
+{
+  g_free (((org_version_t *)data)->name);
+}
+
 static void
 service_free (void *data)
 {
   org_service_t *service = data;
 
   g_array_unref (service->versions);
+  g_free (service->name);
   g_free (service);
 }
 
@@ -136,6 +148,7 @@
     return service;
   service = g_new0 (org_service_t, 1);
   service->versions = g_array_new (FALSE, FALSE, sizeof (org_version_t));
+  g_array_set_clear_func (service->versions, version_clear);
   g_hash_table_insert (org->services, g_memdup2 (&hash, sizeof hash), service);
   return service;
 }
@@ -158,10 +171,31 @@
                          service->versions->len - 1);
 }
 
+/* Returns VERSION of SERVICE with their names.  */
+static org_version_t *
+get_or_add_named (org_t *org, const char *service, const char *version)
+{
+  org_service_t *found = get_or_add_service (org, hash_service (service));
+  org_version_t *one = get_or_add_version (found, org_hash (service, version));
+
+  if (found->name == NULL)
+    found->name = g_strdup (service);
+  if (one->name == NULL)
+    one->name = g_strdup (version != NULL ? version : "");
+  return one;
+}
+
+static bool
+left_lately (const org_version_t *version, cfd_time_t now)
+{
+  return now - version->retired_at <= ORG_STREAM_KEEP_MS;
+}
+
 static bool
 counts (const org_version_t *version, cfd_time_t now)
 {
-  return version->is_listed || now - version->retired_at <= STREAM_KEEP_MS;
+  return version->is_listed || version->is_registered
+         || left_lately (version, now);
 }
 
 static bool
@@ -224,11 +258,12 @@
 }
 
 void
-org_list_version (org_t *org, const char *service, org_origin_t origin)
+org_list_version (org_t *org, const char *service, const char *version)
 {
-  org_service_t *found = get_or_add_service (org, hash_service (service));
+  org_version_t *listed = get_or_add_named (org, service, version);
 
-  get_or_add_version (found, origin)->is_listed = true;
+  listed->is_listed = true;
+  listed->is_dropped = false;
 }
 
 /* Notes which versions the last list had and this one lacks.  */
@@ -247,8 +282,9 @@
     }
 }
 
-void
-org_end_versions (org_t *org, cfd_time_t now)
+/* Applies the versions listed or registered last.  */
+static void
+update_services (org_t *org, cfd_time_t now)
 {
   GHashTableIter each;
   void *data;
@@ -269,6 +305,201 @@
     publish_recent (org, now);
 }
 
+void
+org_end_versions (org_t *org, cfd_time_t now)
+{
+  update_services (org, now);
+}
+
+static void
+for_each_version (const org_t *org,
+                  void (*each) (org_version_t *version, cfd_time_t now),
+                  cfd_time_t now)
+{
+  GHashTableIter iter;
+  void *data;
+
+  g_hash_table_iter_init (&iter, org->services);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    {
+      const org_service_t *service = data;
+
+      for (guint i = 0; i < service->versions->len; i++)
+        each (&g_array_index (service->versions, org_version_t, i), now);
+    }
+}
+
+static void
+begin_registered (org_version_t *version, cfd_time_t now)
+{
+  version->was_registered = version->is_registered;
+  version->is_registered = false;
+}
+
+void
+org_begin_register (org_t *org)
+{
+  for_each_version (org, begin_registered, 0);
+}
+
+void
+org_register_version (org_t *org, const char *service, const char *version)
+{
+  get_or_add_named (org, service, version)->is_registered = true;
+}
+
+static void
+end_registered (org_version_t *version, cfd_time_t now)
+{
+  /* Another router lists it, or it left before this one started.  */
+  if (version->is_registered && !version->was_registered
+      && !version->is_listed)
+    version->retired_at = now;
+  if (version->is_registered)
+    version->is_dropped = false;
+  /* The router that removed it knew that it had left for long enough.  */
+  else if (version->was_registered)
+    version->is_dropped = !version->is_listed;
+}
+
+static void
+keep_registered (org_version_t *version, cfd_time_t now)
+{
+  version->is_registered |= version->was_registered;
+}
+
+void
+org_end_register (org_t *org, cfd_time_t now, bool is_whole)
+{
+  if (!is_whole)
+    for_each_version (org, keep_registered, now);
+  for_each_version (org, end_registered, now);
+  org->knows_register = is_whole;
+  update_services (org, now);
+}
+
+bool
+org_knows_register (const org_t *org)
+{
+  return org->knows_register;
+}
+
+static const org_service_t *
+find_service (const org_t *org, const char *service)
+{
+  uint64_t hash = hash_service (service);
+
+  return g_hash_table_lookup (org->services, &hash);
+}
+
+bool
+org_is_registered (const org_t *org, const char *service, org_origin_t origin)
+{
+  const org_service_t *found = find_service (org, service);
+
+  for (guint i = 0; found != NULL && i < found->versions->len; i++)
+    {
+      const org_version_t *version
+          = &g_array_index (found->versions, org_version_t, i);
+
+      if (version->origin == origin)
+        return version->is_registered;
+    }
+  return false;
+}
+
+/* Returns the number of registered versions of SERVICE; LAST gets one of
+   them.  */
+static unsigned
+count_registered (const org_service_t *service, org_origin_t *last)
+{
+  unsigned count = 0;
+
+  for (guint i = 0; i < service->versions->len; i++)
+    {
+      const org_version_t *version
+          = &g_array_index (service->versions, org_version_t, i);
+
+      if (!version->is_registered)
+        continue;
+      count++;
+      *last = version->origin;
+    }
+  return count;
+}
+
+unsigned
+org_count_registered (const org_t *org, const char *service)
+{
+  org_origin_t last;
+  GHashTableIter iter;
+  void *data;
+  unsigned count = 0;
+
+  if (service != NULL)
+    {
+      const org_service_t *found = find_service (org, service);
+
+      return found != NULL ? count_registered (found, &last) : 0;
+    }
+  g_hash_table_iter_init (&iter, org->services);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    count += count_registered (data, &last);
+  return count;
+}
+
+org_origin_t
+org_get_sole (const org_t *org, const char *service)
+{
+  const org_service_t *found = find_service (org, service);
+  org_origin_t last = ORG_ANY;
+
+  if (!org->knows_register || found == NULL
+      || count_registered (found, &last) != 1)
+    return ORG_ANY;
+  return last;
+}
+
+/* Returns whether VERSION ought to be registered.  By an old list a version
+   may seem to have left that came back.  */
+static bool
+is_due (const org_version_t *version, cfd_time_t now, bool is_list_current)
+{
+  if (version->is_listed || (version->is_registered && !is_list_current))
+    return true;
+  return version->name != NULL && !version->is_dropped
+         && left_lately (version, now);
+}
+
+bool
+org_foreach_due (const org_t *org, cfd_time_t now, bool is_list_current,
+                 void (*each) (void *user, const char *service,
+                               const char *version),
+                 void *user)
+{
+  GHashTableIter iter;
+  void *data;
+  bool differs = false;
+
+  g_hash_table_iter_init (&iter, org->services);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    {
+      const org_service_t *service = data;
+
+      for (guint i = 0; i < service->versions->len; i++)
+        {
+          const org_version_t *version
+              = &g_array_index (service->versions, org_version_t, i);
+          bool due = is_due (version, now, is_list_current);
+
+          differs |= due != version->is_registered;
+          if (due && each != NULL)
+            each (user, service->name, version->name);
+        }
+    }
+  return differs;
+}
+
 void
 org_set_knows_versions (org_t *org, bool knows)
 {
@@ -284,8 +515,7 @@
 bool
 org_is_mixed (const org_t *org, cfd_time_t now, const char *service)
 {
-  uint64_t hash = hash_service (service);
-  const org_service_t *found = g_hash_table_lookup (org->services, &hash);
+  const org_service_t *found = find_service (org, service);
 
   return found != NULL && is_mixed (found, now);
 }
@@ -340,7 +570,7 @@
   const org_stream_t *stream = g_hash_table_lookup (org->streams, &key);
   org_record_t record = { .origin = ORG_ANY };
 
-  if (stream == NULL || now - stream->at > STREAM_KEEP_MS)
+  if (stream == NULL || now - stream->at > ORG_STREAM_KEEP_MS)
     return record;
   return (org_record_t){ .origin = stream->origin,
                          .is_own = stream->is_own,
@@ -395,7 +625,7 @@
   org_service_t *service;
   org_version_t *version;
 
-  if (retired->retired_ms > STREAM_KEEP_MS)
+  if (retired->retired_ms > ORG_STREAM_KEEP_MS)
     return;
   service = g_hash_table_lookup (org->services, &retired->service);
   if (service == NULL || service->versions->len >= MAX_VERSIONS)
@@ -410,7 +640,7 @@
 {
   const org_stream_t *stream = get_oldest (org);
 
-  while (stream != NULL && now - stream->at > STREAM_KEEP_MS)
+  while (stream != NULL && now - stream->at > ORG_STREAM_KEEP_MS)
     {
       g_hash_table_remove (org->streams, &stream->key);
       stream = get_oldest (org);
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -8,8 +8,12 @@
 
    Each router records the origin of the streams that it began.  While a
    service has several versions, it also sends them to the other routers, as
-   soon as a stream's first event is passed on; while it has one, any of its
-   endpoints will do and nothing is sent.  */
+   soon as a stream's first event is passed on.
+
+   The register of versions outlives all routers: per service, the versions at
+   which a stream that may still be resumed can have begun.  A stream of which
+   no record exists belongs to the only registered version; with several, it
+   isn't known to which.  */
 
 #ifndef RELAY_ORG_H
 #define RELAY_ORG_H
@@ -32,32 +36,71 @@
 /* What a router concludes for a request that resumes a stream.  */
 typedef enum
 {
-  ORG_FREE,   /* any endpoint may continue it */
-  ORG_BOUND,  /* only those of its origin may */
-  ORG_UNKNOWN /* some may not, and it isn't known which */
+  ORG_RECORDED, /* its origin is on record */
+  ORG_SOLE,     /* only one version can have begun it */
+  ORG_UNKNOWN   /* several can have, and no endpoint may continue it */
+} org_ground_t;
+
+typedef struct
+{
+  org_ground_t ground;
+  org_origin_t origin; /* whose endpoints alone may continue it */
 } org_verdict_t;
 
 typedef struct
 {
   org_origin_t origin; /* as recorded; ORG_ANY: not recorded */
-  bool is_mixed;       /* the service has, or had lately, several versions */
-  bool knows_versions; /* the list of endpoints may lack no version */
+  org_origin_t sole;   /* see org_get_sole */
+  bool knows_versions; /* the register here may lack no version */
 } org_inputs_t;
 
 org_verdict_t org_decide (const org_inputs_t *inputs);
 
+/* Time for which a stream may still be resumed: longer than callers wait for
+   a whole answer.  */
+#define ORG_STREAM_KEEP_MS 20000
+
 typedef struct org org_t;
 
 org_t *org_new (void);
 void org_free (org_t *org);
 
 /* Lists the versions that are in service: begin, one call for each endpoint,
-   end.  A version that is no longer listed counts for some time yet.  */
+   end.  A version that is no longer listed counts for some time yet.  NULL is
+   a version that isn't reported.  */
 void org_begin_versions (org_t *org);
-void org_list_version (org_t *org, const char *service, org_origin_t origin);
+void org_list_version (org_t *org, const char *service, const char *version);
 void org_end_versions (org_t *org, cfd_time_t now);
-/* Sets whether the versions listed last may lack none that another router
-   uses.  */
+
+/* Sets the register likewise, as it was read.  Unless it IS_WHOLE, a part of
+   it couldn't be read: the versions registered before stay, and the register
+   isn't known.  A registered version that was never listed here counts as
+   having left service at NOW.  */
+void org_begin_register (org_t *org);
+void org_register_version (org_t *org, const char *service,
+                           const char *version);
+void org_end_register (org_t *org, cfd_time_t now, bool is_whole);
+/* Returns whether the whole register was read.  */
+bool org_knows_register (const org_t *org);
+bool org_is_registered (const org_t *org, const char *service,
+                        org_origin_t origin);
+/* Returns the number of registered versions of SERVICE; NULL: of all.  */
+unsigned org_count_registered (const org_t *org, const char *service);
+/* Returns the only version of SERVICE at which a stream that may still be
+   resumed can have begun; ORG_ANY if there are several, none is registered, or
+   the register isn't known.  */
+org_origin_t org_get_sole (const org_t *org, const char *service);
+/* Calls EACH, which may be NULL, for the versions that ought to be registered:
+   those that are listed or left lately, and, unless IS_LIST_CURRENT, all that
+   are registered.  Returns whether they are other ones than those
+   registered.  */
+bool org_foreach_due (const org_t *org, cfd_time_t now, bool is_list_current,
+                      void (*each) (void *user, const char *service,
+                                    const char *version),
+                      void *user);
+
+/* Sets whether the versions listed and registered last may lack none that
+   another router uses.  */
 void org_set_knows_versions (org_t *org, bool knows);
 bool org_knows_versions (const org_t *org);
 /* Returns whether SERVICE has several versions, or had them while a stream
--- a/libcoltsfootdrum/relay/rly-origin.c
+++ b/libcoltsfootdrum/relay/rly-origin.c
@@ -59,26 +59,28 @@
   return false;
 }
 
-static rly_resume_t
-decide_resumption (rly_request_t *request, cfd_time_t now,
-                   const org_record_t *record)
+/* Returns what is concluded for REQUEST, of whose stream RECORD is known.  In
+   which of several services a stream without a record began isn't known.  */
+static org_verdict_t
+decide_origin (const rly_request_t *request, const org_record_t *record)
 {
   const org_t *org = request->rly->org;
+  bool has_one_service = request->route->traffic_shares->len == 1;
   const org_inputs_t inputs
       = { .origin = record->origin,
-          .is_mixed = org_is_mixed (org, now, request->service->name),
+          .sole = has_one_service ? org_get_sole (org, request->service->name)
+                                  : ORG_ANY,
           .knows_versions = org_knows_versions (org) };
 
-  switch (org_decide (&inputs))
-    {
-    case ORG_FREE:
-      return RLY_RESUME_ANY;
-    case ORG_UNKNOWN:
-      return RLY_RESUME_UNKNOWN;
-    case ORG_BOUND:
-      break;
-    }
-  request->origin = record->origin;
+  return org_decide (&inputs);
+}
+
+static rly_resume_t
+bind_to (rly_request_t *request, const org_verdict_t *verdict)
+{
+  if (verdict->ground == ORG_UNKNOWN)
+    return RLY_RESUME_UNKNOWN;
+  request->origin = verdict->origin;
   return choose_service_of_origin (request) ? RLY_RESUME_BOUND
                                             : RLY_RESUME_UNAVAILABLE;
 }
@@ -102,11 +104,18 @@
 }
 
 static const char *
-get_source (const org_record_t *record)
+get_source (const org_verdict_t *verdict, const org_record_t *record)
 {
-  if (record->origin == ORG_ANY)
-    return "none";
-  return record->is_own ? "own" : "peer";
+  switch (verdict->ground)
+    {
+    case ORG_RECORDED:
+      return record->is_own ? "own" : "peer";
+    case ORG_SOLE:
+      return "register";
+    case ORG_UNKNOWN:
+      break;
+    }
+  return "none";
 }
 
 rly_resume_t
@@ -116,28 +125,33 @@
   const hdr_t *fields = &ent_get_head (request->call)->fields;
   const char *last_event = hdr_get (fields, names->last_event);
   const char *first = hdr_get (fields, names->resumes);
+  const org_t *org = request->rly->org;
   org_record_t record = { .origin = ORG_ANY };
+  org_verdict_t verdict;
   rly_resume_t outcome;
 
   if (request->id != NULL)
     request->stream_key = org_stream_key (request->id);
-  if (request->rly->org == NULL || last_event == NULL
-      || request->route->kind != RTE_STREAM)
+  if (org == NULL || last_event == NULL || request->route->kind != RTE_STREAM)
     return RLY_RESUME_ANY;
   if (first != NULL)
     {
       request->stream_key = org_stream_key (first);
-      record = org_find (request->rly->org, now, request->stream_key);
+      record = org_find (org, now, request->stream_key);
     }
-  outcome = decide_resumption (request, now, &record);
+  verdict = decide_origin (request, &record);
+  outcome = bind_to (request, &verdict);
   request->rly->counts.resumptions[outcome]++;
   log_info ("relay",
             "A caller resumes a stream: request=%s resumes=%s last_event=%s "
             "outcome=%s version=%s origin=%08x source=%s "
-            "age_ms=%" G_GINT64_FORMAT ".",
+            "age_ms=%" G_GINT64_FORMAT
+            " registered=%u register_known=%d versions_known=%d.",
             request->id, first != NULL ? first : "", last_event,
-            rly_resume_name (outcome), find_version (request, record.origin),
-            record.origin, get_source (&record), record.age_ms);
+            rly_resume_name (outcome), find_version (request, verdict.origin),
+            verdict.origin, get_source (&verdict, &record), record.age_ms,
+            org_count_registered (org, request->service->name),
+            org_knows_register (org), org_knows_versions (org));
   return outcome;
 }
 
@@ -168,7 +182,7 @@
     {
       const edp_t *edp = list_entry (node, edp_t, node);
 
-      org_list_version (org, edp->report->service, edp->origin);
+      org_list_version (org, edp->report->service, edp->report->version);
     }
 }
 
@@ -181,4 +195,30 @@
   list_versions (rly->org, edp_set_endpoints (rly->endpoints));
   list_versions (rly->org, edp_set_others (rly->endpoints));
   org_end_versions (rly->org, now);
+  rly_update_register (rly);
+}
+
+static void
+set_registered (const org_t *org, list_node_t *endpoints)
+{
+  list_for_each (node, endpoints)
+    {
+      edp_t *edp = list_entry (node, edp_t, node);
+
+      edp->is_registered
+          = org_is_registered (org, edp->report->service, edp->origin);
+    }
+}
+
+void
+rly_update_register (rly_t *rly)
+{
+  if (rly->org == NULL)
+    return;
+  set_registered (rly->org, edp_set_endpoints (rly->endpoints));
+  set_registered (rly->org, edp_set_others (rly->endpoints));
+  list_for_each (node, &rly->services)
+    {
+      rly_schedule_dispatch (list_entry (node, rly_service_t, node));
+    }
 }
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -45,6 +45,9 @@
 /* Time to prefill a shared prefix from which on a request may go to another
    cell, where the prefix is cached: about that to open a connection.  */
 #define MIN_REMOTE_PREFIX_MS 3.
+/* Failures in a row after which an endpoint may have ended, though it is still
+   listed.  Others of its version may have, too.  */
+#define MAX_FAILURES 3
 /* Slots of an endpoint when neither its report nor its service gives them.  */
 #define DEFAULT_SLOTS 8
 
@@ -142,6 +145,9 @@
       if (round->count + round->canary_count == RLY_MAX_ENDPOINTS)
         return;
       round->has_resting |= edp_is_resting (edp, round->now);
+      round->has_registered |= edp->is_registered && edp_is_usable (edp)
+                               && edp->consecutive_failures < MAX_FAILURES;
+      round->has_unregistered |= !edp->is_registered;
       if (edp->standing != standing || !edp_is_open (edp, round->now))
         continue;
       add_endpoint (round, edp);
@@ -167,6 +173,7 @@
       if (edp->standing != EDP_CURRENT || !edp_is_open (edp, round->now))
         continue;
       add_endpoint (round, edp);
+      round->has_unregistered |= !edp->is_registered;
       round->count++;
     }
 }
@@ -218,6 +225,8 @@
   round->has_free_slot = false;
   round->has_resting = false;
   round->has_exclusions = false;
+  round->has_registered = false;
+  round->has_unregistered = false;
   round->rollout = rol_find (rly->rol, service->name);
   round->count = 0;
   round->canary_count = 0;
@@ -298,6 +307,25 @@
   return load;
 }
 
+/* Returns whether REQUEST, which would begin a stream, is kept from
+   unregistered versions.  When all routers ended, a stream that began at one
+   would be taken for one of the registered version.  */
+static bool
+needs_registered (const rly_round_t *round, const rly_request_t *request)
+{
+  return round->has_registered && round->has_unregistered
+         && request->route->resumable && request->origin == ORG_ANY;
+}
+
+/* Returns whether EDP may get REQUEST, as far as their versions go.  */
+static bool
+fits_version (const rly_round_t *round, const rly_request_t *request,
+              const edp_t *edp)
+{
+  return rly_fits_origin (request, edp)
+         && (edp->is_registered || !needs_registered (round, request));
+}
+
 /* Adds the endpoint that the routers of all cells prefer for the prefix of
    REQUEST, unless it is of this cell.  If each cell used an endpoint of its
    own, a long prefix would be prefilled once in each.  */
@@ -321,6 +349,9 @@
   /* The warm-up rate of a cold endpoint is shared out in its own cell.  */
   if (edp == NULL || edp->is_near || edp_is_cold (edp, round->now))
     return;
+  if (request->route->resumable && round->has_registered
+      && !edp->is_registered)
+    return;
   round->has_remote = true;
   round->endpoints[round->count] = edp;
   round->loads[round->count] = estimate_remote_load (round, edp);
@@ -490,7 +521,7 @@
       = edp_set_get_near (round->rly->endpoints, round->service->name);
 
   for (guint i = 0; i < round->count; i++)
-    if (rly_fits_origin (request, round->endpoints[i])
+    if (fits_version (round, request, round->endpoints[i])
         && !rly_has_failed_at (request, round->endpoints[i]))
       return true;
   for (guint i = 0; near != NULL && i < near->len; i++)
@@ -498,7 +529,7 @@
       const edp_t *edp = g_ptr_array_index (near, i);
 
       if (edp->standing == EDP_CURRENT && edp_is_serving (edp, round->now)
-          && rly_fits_origin (request, edp)
+          && fits_version (round, request, edp)
           && !rly_has_failed_at (request, edp))
         return true;
     }
@@ -525,26 +556,28 @@
   return !is_single && was_last_failure (request, edp);
 }
 
-/* Excludes the endpoints at which the stream of REQUEST can't continue, and
-   those that failed it.  An endpoint that fails at once has the least load, so
-   that the request would go there again.  Where all have failed it, those
-   before the last failure are allowed again, and so is a single endpoint.  */
+/* Excludes the endpoints at which the stream of REQUEST can't continue or
+   begin, and those that failed it.  An endpoint that fails at once has the
+   least load, so that the request would go there again.  Where all have failed
+   it, those before the last failure are allowed again, and so is a single
+   endpoint.  */
 static void
 exclude_unfit (rly_round_t *round, const rly_request_t *request)
 {
   guint count = count_candidates (round);
   bool is_retry = request->failed_count > 0;
-  bool must_exclude = is_retry || request->origin != ORG_ANY;
+  bool must_exclude = is_retry || request->origin != ORG_ANY
+                      || needs_registered (round, request);
   bool has_other = is_retry && has_alternative (round, request);
   guint fitting = 0;
 
   if (!must_exclude && !round->has_exclusions)
     return;
   for (guint i = 0; i < round->count; i++)
-    fitting += rly_fits_origin (request, round->endpoints[i]);
+    fitting += fits_version (round, request, round->endpoints[i]);
   for (guint i = 0; i < count; i++)
     round->loads[i].is_excluded
-        = !rly_fits_origin (request, round->endpoints[i])
+        = !fits_version (round, request, round->endpoints[i])
           || is_barred_by_failure (round, request, i, has_other, fitting <= 1);
   round->has_exclusions = must_exclude;
 }
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -234,6 +234,9 @@
   bool has_free_slot;     /* at any endpoint */
   bool has_resting;       /* an endpoint of the cell rests */
   bool has_exclusions;    /* of the last request */
+  bool has_registered;    /* an endpoint of the cell that may serve is of a
+                             registered version */
+  bool has_unregistered;  /* an endpoint is of another version */
   double mean_active;     /* running requests of an endpoint */
   double mean_prefill;    /* pending prefill work of an endpoint */
   rol_rollout_t *rollout; /* in progress; NULL: none */
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -60,7 +60,7 @@
 /* The decision on a request that resumes a stream, at its arrival.  */
 typedef enum
 {
-  RLY_RESUME_ANY,         /* the service has one version */
+  RLY_RESUME_ANY,         /* not bound to a version */
   RLY_RESUME_BOUND,       /* goes to the version at which the stream began */
   RLY_RESUME_UNKNOWN,     /* refused: it isn't known where the stream began */
   RLY_RESUME_UNAVAILABLE, /* refused: that version has no endpoint */
@@ -115,6 +115,10 @@
    endpoints changed, before the next request is placed.  */
 void rly_update_versions (rly_t *rly, cfd_time_t now);
 
+/* Records which endpoints are of registered versions.  Must be called after
+   the register changed; what waited for that is dispatched.  */
+void rly_update_register (rly_t *rly);
+
 /* Doesn't send requests that QUA quarantines, which is not owned.  */
 void rly_set_quarantine (rly_t *rly, qua_t *qua);
 
--- a/libcoltsfootdrum/relay/test-org.c
+++ b/libcoltsfootdrum/relay/test-org.c
@@ -14,33 +14,219 @@
 
 /* A router never guesses at which version a stream began.  */
 static const case_t cases[] = {
-  { "one-version", { ORG_ANY, false, true }, ORG_FREE },
-  { "one-version-recorded", { 5, false, true }, ORG_BOUND },
-  { "mixed-recorded", { 5, true, true }, ORG_BOUND },
-  { "mixed", { ORG_ANY, true, true }, ORG_UNKNOWN },
-  { "partitioned", { ORG_ANY, false, false }, ORG_UNKNOWN },
-  { "partitioned-recorded", { 5, false, false }, ORG_BOUND },
-  { "partitioned-mixed", { ORG_ANY, true, false }, ORG_UNKNOWN },
+  { "recorded", { 5, ORG_ANY, true }, { ORG_RECORDED, 5 } },
+  { "recorded-beside-sole", { 5, 6, true }, { ORG_RECORDED, 5 } },
+  { "recorded-register-old", { 5, 6, false }, { ORG_RECORDED, 5 } },
+  { "sole", { ORG_ANY, 6, true }, { ORG_SOLE, 6 } },
+  { "sole-register-old", { ORG_ANY, 6, false }, { ORG_UNKNOWN, ORG_ANY } },
+  { "several", { ORG_ANY, ORG_ANY, true }, { ORG_UNKNOWN, ORG_ANY } },
+  { "several-register-old",
+    { ORG_ANY, ORG_ANY, false },
+    { ORG_UNKNOWN, ORG_ANY } },
 };
 
 static void
 test_decide (gconstpointer data)
 {
   const case_t *one = data;
+  org_verdict_t verdict = org_decide (&one->inputs);
 
-  g_assert_cmpint (org_decide (&one->inputs), ==, one->verdict);
+  g_assert_cmpint (verdict.ground, ==, one->verdict.ground);
+  g_assert_cmpuint (verdict.origin, ==, one->verdict.origin);
 }
 
 static void
-list_versions (org_t *org, cfd_time_t now, org_origin_t first,
-               org_origin_t second)
+list_named (org_t *org, cfd_time_t now, const char *first, const char *second)
 {
   org_begin_versions (org);
-  org_list_version (org, "app", first);
-  org_list_version (org, "app", second);
+  if (first != NULL)
+    org_list_version (org, "app", first);
+  if (second != NULL)
+    org_list_version (org, "app", second);
   org_end_versions (org, now);
 }
 
+static void
+list_versions (org_t *org, cfd_time_t now, org_origin_t first,
+               org_origin_t second)
+{
+  g_autofree char *one = g_strdup_printf ("v%u", first);
+  g_autofree char *other = g_strdup_printf ("v%u", second);
+
+  list_named (org, now, one, other);
+}
+
+static void
+register_named (org_t *org, cfd_time_t now, const char *first,
+                const char *second)
+{
+  org_begin_register (org);
+  if (first != NULL)
+    org_register_version (org, "app", first);
+  if (second != NULL)
+    org_register_version (org, "app", second);
+  org_end_register (org, now, true);
+}
+
+static void
+append_due (void *user, const char *service, const char *version)
+{
+  g_string_append_printf (user, "%s/%s ", service, version);
+}
+
+/* Asserts which versions ought to be registered: none others than those that
+   are, if DIFFERS is false.  */
+static void
+assert_due (const org_t *org, cfd_time_t now, bool is_list_current,
+            bool differs, const char *expected)
+{
+  g_autoptr (GString) due = g_string_new (NULL);
+
+  g_assert_cmpint (
+      org_foreach_due (org, now, is_list_current, append_due, due), ==,
+      differs);
+  g_assert_cmpstr (due->str, ==, expected);
+}
+
+/* Guards against streams of two versions that are joined after all routers
+   ended: a version is registered once it is listed, and for as long as its
+   streams may be resumed after it left.  */
+static void
+test_register_due (void)
+{
+  org_t *org = org_new ();
+
+  register_named (org, NOW, NULL, NULL);
+  assert_due (org, NOW, true, false, "");
+  list_named (org, NOW, "v1", NULL);
+  assert_due (org, NOW, true, true, "app/v1 ");
+  register_named (org, NOW, "v1", NULL);
+  assert_due (org, NOW, true, false, "app/v1 ");
+  list_named (org, NOW + 1, "v1", "v2");
+  assert_due (org, NOW + 1, true, true, "app/v1 app/v2 ");
+  register_named (org, NOW + 2, "v1", "v2");
+  list_named (org, NOW + 3, NULL, "v2");
+  assert_due (org, NOW + 3 + KEEP_MS, true, false, "app/v1 app/v2 ");
+  assert_due (org, NOW + 4 + KEEP_MS, true, true, "app/v2 ");
+  org_free (org);
+}
+
+/* A router that starts doesn't know when a registered version left.  It
+   counted as gone at once.  */
+static void
+test_register_at_start (void)
+{
+  org_t *org = org_new ();
+
+  list_named (org, NOW - 10, "v2", NULL);
+  register_named (org, NOW, "v1", "v2");
+  assert_due (org, NOW + KEEP_MS, true, false, "app/v2 app/v1 ");
+  assert_due (org, NOW + KEEP_MS + 1, true, true, "app/v2 ");
+  org_free (org);
+}
+
+/* By an old list a version seems to have left that came back.  */
+static void
+test_register_old_list (void)
+{
+  org_t *org = org_new ();
+
+  list_named (org, NOW, "v1", "v2");
+  register_named (org, NOW, "v1", "v2");
+  list_named (org, NOW, "v1", NULL);
+  assert_due (org, NOW + KEEP_MS + 1, false, false, "app/v1 app/v2 ");
+  assert_due (org, NOW + KEEP_MS + 1, true, true, "app/v1 ");
+  org_free (org);
+}
+
+/* Two routers that saw a version leave at different times write the register
+   in turns.  */
+static void
+test_register_removed_by_other (void)
+{
+  org_t *org = org_new ();
+
+  list_named (org, NOW, "v1", "v2");
+  register_named (org, NOW, "v1", "v2");
+  list_named (org, NOW + 500, "v1", NULL);
+  register_named (org, NOW + KEEP_MS, "v1", NULL);
+  assert_due (org, NOW + KEEP_MS, true, false, "app/v1 ");
+  /* Another router lists it again.  */
+  register_named (org, NOW + KEEP_MS + 10, "v1", "v2");
+  assert_due (org, NOW + KEEP_MS + 600, true, false, "app/v1 app/v2 ");
+  /* So does this one.  */
+  list_named (org, NOW + KEEP_MS + 700, "v1", "v2");
+  register_named (org, NOW + KEEP_MS + 800, "v1", NULL);
+  assert_due (org, NOW + KEEP_MS + 800, true, true, "app/v1 app/v2 ");
+  org_free (org);
+}
+
+/* A stream without a record is of the only registered version, whatever is
+   listed.  Nothing follows from a register that wasn't read.  */
+static void
+test_sole (void)
+{
+  org_t *org = org_new ();
+  org_origin_t v1 = org_hash ("app", "v1");
+
+  list_named (org, NOW, "v1", NULL);
+  g_assert_cmpuint (org_get_sole (org, "app"), ==, ORG_ANY);
+  register_named (org, NOW, NULL, NULL);
+  g_assert_cmpuint (org_get_sole (org, "app"), ==, ORG_ANY);
+  register_named (org, NOW, "v1", NULL);
+  g_assert_cmpuint (org_get_sole (org, "app"), ==, v1);
+  g_assert_cmpuint (org_get_sole (org, "other"), ==, ORG_ANY);
+  list_named (org, NOW, "v1", "v2");
+  g_assert_cmpuint (org_get_sole (org, "app"), ==, v1);
+  g_assert_true (org_is_registered (org, "app", v1));
+  g_assert_false (org_is_registered (org, "app", org_hash ("app", "v2")));
+  register_named (org, NOW, "v1", "v2");
+  g_assert_cmpuint (org_get_sole (org, "app"), ==, ORG_ANY);
+  g_assert_cmpuint (org_count_registered (org, "app"), ==, 2);
+  g_assert_cmpuint (org_count_registered (org, NULL), ==, 2);
+  org_free (org);
+}
+
+/* A register of which a part can't be read names no sole version, and the
+   versions read before are kept.  */
+static void
+test_register_damaged (void)
+{
+  org_t *org = org_new ();
+
+  list_named (org, NOW, "v1", NULL);
+  register_named (org, NOW, "v1", "v2");
+  org_begin_register (org);
+  org_register_version (org, "app", "v1");
+  org_end_register (org, NOW, false);
+  g_assert_false (org_knows_register (org));
+  g_assert_cmpuint (org_get_sole (org, "app"), ==, ORG_ANY);
+  g_assert_cmpuint (org_count_registered (org, "app"), ==, 2);
+  assert_due (org, NOW, true, false, "app/v1 app/v2 ");
+  register_named (org, NOW, "v1", NULL);
+  g_assert_cmpuint (org_get_sole (org, "app"), ==, org_hash ("app", "v1"));
+  org_free (org);
+}
+
+/* Streams are published while a version that only the register has may have
+   begun some: all routers ended after it left.  */
+static void
+test_registered_mixed (void)
+{
+  org_t *org = org_new ();
+
+  list_named (org, NOW, "v1", NULL);
+  org_add (org, NOW, 1, org_hash ("app", "v1"), false);
+  g_assert_false (org_is_mixed (org, NOW, "app"));
+  register_named (org, NOW, "v1", "v2");
+  g_assert_true (org_is_mixed (org, NOW, "app"));
+  g_assert_cmpuint (org_updates (org, NOW)->len, ==, 1);
+  g_assert_true (org_is_mixed (org, NOW + KEEP_MS + 1, "app"));
+  register_named (org, NOW + KEEP_MS + 1, "v1", NULL);
+  g_assert_false (org_is_mixed (org, NOW + KEEP_MS + 1, "app"));
+  org_free (org);
+}
+
 /* A version that left service counts while its streams may be resumed.  */
 static void
 test_mixed (void)
@@ -172,6 +358,14 @@
 
       g_test_add_data_func (path, &cases[i], test_decide);
     }
+  g_test_add_func ("/org/register/due", test_register_due);
+  g_test_add_func ("/org/register/at-start", test_register_at_start);
+  g_test_add_func ("/org/register/old-list", test_register_old_list);
+  g_test_add_func ("/org/register/removed-by-other",
+                   test_register_removed_by_other);
+  g_test_add_func ("/org/register/sole", test_sole);
+  g_test_add_func ("/org/register/damaged", test_register_damaged);
+  g_test_add_func ("/org/register/mixed", test_registered_mixed);
   g_test_add_func ("/org/mixed", test_mixed);
   g_test_add_func ("/org/published-later", test_published_later);
   g_test_add_func ("/org/record-age", test_record_age);
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -409,14 +409,14 @@
   router_t one = router_new ("one");
 
   org_begin_versions (one.org);
-  org_list_version (one.org, "app", 5);
-  org_list_version (one.org, "app", 6);
+  org_list_version (one.org, "app", "v5");
+  org_list_version (one.org, "app", "v6");
   org_end_versions (one.org, NOW - 100);
   org_begin_versions (one.org);
-  org_list_version (one.org, "app", 6);
+  org_list_version (one.org, "app", "v6");
   org_end_versions (one.org, NOW);
   org_begin_versions (here.org);
-  org_list_version (here.org, "app", 6);
+  org_list_version (here.org, "app", "v6");
   org_end_versions (here.org, NOW);
   g_assert_false (org_is_mixed (here.org, NOW, "app"));
   deliver (&one, &here, NOW + 1000, PAL_FULL);
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -320,6 +320,8 @@
   add_route (table, "/events/", RTE_STREAM, 2, true)->max_pause_ms
       = SCENE_MAX_PAUSE_MS;
   add_route (table, "/events-once/", RTE_STREAM, 1, false);
+  rte_route_add_traffic_share (
+      add_route (table, "/split/", RTE_STREAM, 2, true), "other", 0.);
   add_route (table, "/slow/", RTE_IDEMPOTENT, 1, false)->target_latency_ms
       = 10000;
   add_service (table);
--- a/libcoltsfootdrum/relay/test-rly-versions.c
+++ b/libcoltsfootdrum/relay/test-rly-versions.c
@@ -13,14 +13,16 @@
 #define E2 "f\r\nid: 2\ndata: b\n\n\r\n"
 #define END "0\r\n\r\n"
 
-#define CALL(id, fields)                                                      \
-  "POST /events/ HTTP/1.1\r\nHost: h\r\nX-Id: " id "\r\n" fields              \
+#define CALL_ROUTE(route, id, fields)                                         \
+  "POST /" route "/ HTTP/1.1\r\nHost: h\r\nX-Id: " id "\r\n" fields           \
   "X-Deadline: 5000\r\nAuthorization: Bearer key-of-the-mill\r\n"             \
   "Content-Length: 0\r\n\r\n"
-#define RESUME(id, first)                                                     \
-  CALL (id, "Last-Event-Id: 1\r\nX-Resumes: " first "\r\n")
+#define CALL(id, fields) CALL_ROUTE ("events", id, fields)
+#define RESUME_FIELDS(first) "Last-Event-Id: 1\r\nX-Resumes: " first "\r\n"
+#define RESUME(id, first) CALL (id, RESUME_FIELDS (first))
 
 #define RESUMPTIONS 20
+#define BEGINS 20
 
 /* Lists the endpoints from FIRST on, e0 of version V1 and e1 of V2.  */
 static void
@@ -46,6 +48,19 @@
   rly_update_versions (scene->rly, clock_now ());
 }
 
+/* Registers versions of the service; NULL: none.  */
+static void
+register_versions (scene_t *scene, const char *v1, const char *v2)
+{
+  org_begin_register (scene->org);
+  if (v1 != NULL)
+    org_register_version (scene->org, "app", v1);
+  if (v2 != NULL)
+    org_register_version (scene->org, "app", v2);
+  org_end_register (scene->org, clock_now (), true);
+  rly_update_register (scene->rly);
+}
+
 /* Sends BYTES, waits for the end of the answer, and returns its status.  */
 static unsigned
 send_and_wait (scene_t *scene, const char *bytes, const char *end)
@@ -189,9 +204,18 @@
   scene_free (scene);
 }
 
+static void
+assert_refused (scene_t *scene, const char *bytes)
+{
+  unsigned before = scene->requests_received;
+
+  g_assert_cmpuint (send_and_wait (scene, bytes, "\r\n\r\n"), ==, 503);
+  g_assert_cmpuint (scene->requests_received, ==, before);
+}
+
 /* The caller names an attempt that no router is known to have begun.  With
-   several versions in service nobody guesses; with one any endpoint will
-   do.  */
+   several versions registered nobody guesses; with one any of its endpoints
+   will do.  */
 static void
 test_unknown_stream (void)
 {
@@ -200,21 +224,152 @@
   scene_t *scene = scene_new (replies, 1, 4);
 
   list_versions (scene, 0, "v1", "v2");
-  g_assert_cmpuint (
-      send_and_wait (scene, RESUME ("again", "other"), "\r\n\r\n"), ==, 503);
-  g_assert_cmpuint (scene->requests_received, ==, 0);
+  register_versions (scene, "v1", "v2");
+  assert_refused (scene, RESUME ("again", "other"));
   /* The version that has left may have begun it.  */
   list_versions (scene, 1, "v1", "v2");
-  g_assert_cmpuint (
-      send_and_wait (scene, RESUME ("again", "other"), "\r\n\r\n"), ==, 503);
+  assert_refused (scene, RESUME ("again", "other"));
   scene_free (scene);
   scene = scene_new (replies, 1, 4);
   list_versions (scene, 0, "v2", "v2");
+  register_versions (scene, "v2", NULL);
   g_assert_cmpuint (send_and_wait (scene, RESUME ("again", "other"), END), ==,
                     200);
   scene_free (scene);
 }
 
+/* Guards against streams of two versions that are joined when all routers
+   start at once after a version left: one listed version says nothing of the
+   past, until the register is known.  */
+static void
+test_register_unknown (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E2 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+
+  list_versions (scene, 0, "v2", "v2");
+  assert_refused (scene, RESUME ("again", "other"));
+  register_versions (scene, NULL, NULL);
+  assert_refused (scene, RESUME ("again", "other"));
+  register_versions (scene, "v1", "v2");
+  assert_refused (scene, RESUME ("again", "other"));
+  register_versions (scene, "v2", NULL);
+  org_set_knows_versions (scene->org, false);
+  assert_refused (scene, RESUME ("again", "other"));
+  scene_free (scene);
+}
+
+/* The only registered version goes on with a stream that no router is known
+   to have begun, though another version is listed already; when it has no
+   endpoint left, none goes on.  */
+static void
+test_sole_version (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E2 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+
+  list_versions (scene, 0, "v1", "v2");
+  register_versions (scene, "v1", NULL);
+  for (unsigned i = 0; i < RESUMPTIONS; i++)
+    g_assert_cmpuint (send_and_wait (scene, RESUME ("again", "other"), END),
+                      ==, 200);
+  g_assert_cmpuint (scene->servers[0].requests, ==, RESUMPTIONS);
+  list_versions (scene, 1, "v1", "v2");
+  assert_refused (scene, RESUME ("again", "other"));
+  scene_free (scene);
+}
+
+/* A stream of a route with several services may have begun in any of them, so
+   that the only version of one says nothing.  */
+static void
+test_several_services (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E2 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+
+  list_versions (scene, 0, "v1", "v1");
+  register_versions (scene, "v1", NULL);
+  assert_refused (scene,
+                  CALL_ROUTE ("split", "again", RESUME_FIELDS ("other")));
+  g_assert_cmpuint (send_and_wait (scene, RESUME ("again", "other"), END), ==,
+                    200);
+  scene_free (scene);
+}
+
+/* Guards against streams of two versions that are joined after all routers
+   ended: no stream begins at a version that isn't registered yet, while one
+   that is serves.  Other requests go there.  */
+static void
+test_registered_first (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E1 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+
+  list_versions (scene, 0, "v1", "v2");
+  register_versions (scene, "v1", NULL);
+  for (unsigned i = 0; i < BEGINS; i++)
+    g_assert_cmpuint (send_and_wait (scene, CALL ("a", ""), END), ==, 200);
+  g_assert_cmpuint (scene->servers[1].requests, ==, 0);
+  for (unsigned i = 0; i < BEGINS; i++)
+    g_assert_cmpuint (
+        send_and_wait (scene, CALL_ROUTE ("events-once", "a", ""), END), ==,
+        200);
+  g_assert_cmpuint (scene->servers[1].requests, >, 0);
+  scene_free (scene);
+}
+
+/* Streams begin at an unregistered version when no registered one may serve:
+   at the first start, or while the store is away.  */
+static void
+test_none_registered (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E1 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+
+  register_versions (scene, "v1", NULL);
+  list_versions (scene, 0, "v2", "v3");
+  g_assert_cmpuint (send_and_wait (scene, CALL ("a", ""), END), ==, 200);
+  list_versions (scene, 0, "v1", "v2");
+  edp_record_leaving (edp_set_find (scene->endpoints, "e0"));
+  g_assert_cmpuint (send_and_wait (scene, CALL ("b", ""), END), ==, 200);
+  scene_free (scene);
+}
+
+static bool
+is_waiting (void *user)
+{
+  return rly_counts (((scene_t *)user)->rly)->waiting == 1;
+}
+
+/* A stream that waits as the registered version is full begins at the other
+   one as soon as that is registered.  */
+static void
+test_registered_while_waiting (void)
+{
+  static const scene_reply_t replies[] = { { EVENTS E1, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *callers[5];
+
+  list_versions (scene, 0, "v1", "v2");
+  register_versions (scene, "v1", NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    callers[i] = scene_send_request (scene, CALL ("a", ""));
+  scene_run (scene, is_waiting, scene);
+  g_assert_cmpuint (scene->servers[1].requests, ==, 0);
+  register_versions (scene, "v1", "v2");
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    scene_wait_for (scene, callers[i], E1);
+  g_assert_cmpuint (scene->servers[1].requests, ==, 1);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    scene_caller_free (callers[i]);
+  scene_free (scene);
+}
+
 /* A request that begins anew isn't bound, whatever it names.  */
 static void
 test_begins_anew (void)
@@ -243,6 +398,13 @@
                    test_version_unavailable);
   g_test_add_func ("/rly-versions/published-at-once", test_published_at_once);
   g_test_add_func ("/rly-versions/unknown-stream", test_unknown_stream);
+  g_test_add_func ("/rly-versions/register-unknown", test_register_unknown);
+  g_test_add_func ("/rly-versions/sole-version", test_sole_version);
+  g_test_add_func ("/rly-versions/several-services", test_several_services);
+  g_test_add_func ("/rly-versions/registered-first", test_registered_first);
+  g_test_add_func ("/rly-versions/none-registered", test_none_registered);
+  g_test_add_func ("/rly-versions/registered-while-waiting",
+                   test_registered_while_waiting);
   g_test_add_func ("/rly-versions/begins-anew", test_begins_anew);
   return g_test_run ();
 }
