--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -12,7 +12,7 @@
 
 /* First item of each state datagram, by which foreign datagrams and those of
    other versions are recognized and ignored.  */
-#define STATE_FORMAT 0xcfda
+#define STATE_FORMAT 0xcfdb
 /* First item of each update datagram.  */
 #define UPDATE_FORMAT 0xcfe1
 /* Units of pending_prefill and of context_tokens in datagrams.  Small numbers
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -98,7 +98,7 @@
 int64_t pal_get_max_peer_stable_ms (const pal_t *pal, cfd_time_t now);
 
 /* Number of the platform's lists whose revision and age routers exchange.  */
-#define PAL_LIST_COUNT 5
+#define PAL_LIST_COUNT 6
 
 /* Sets the platform's revision of the last change of LIST (below
    PAL_LIST_COUNT) that this router has read; 0: none.  */
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -980,7 +980,7 @@
 pack_long_list (unsigned list, uint32_t count)
 {
   static const guint8 start[]
-      = { 0xdc, 0, ITEMS, 0xcd, 0xcf, 0xda, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
+      = { 0xdc, 0, ITEMS, 0xcd, 0xcf, 0xdb, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
   static const guint8 zero = 0;
   static const guint8 empty = 0x90;
   GByteArray *bytes = g_byte_array_new ();
@@ -1008,7 +1008,7 @@
 pack_items (guint8 length, const guint8 *bytes, guint count)
 {
   const guint8 start[]
-      = { 0xdc, 0, length, 0xcd, 0xcf, 0xda, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
+      = { 0xdc, 0, length, 0xcd, 0xcf, 0xdb, 0xa3, 'o', 'n', 'e', 7, 1, 1 };
   static const guint8 zero = 0;
   static const guint8 empty = 0x90;
   GByteArray *state = g_byte_array_new ();
