--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -3,6 +3,7 @@
 #include "relay/org.h"
 
 #include "base/list.h"
+#include "relay/jrn.h"
 #include <string.h>
 #include <xxhash.h>
 
@@ -51,6 +52,8 @@
   uint64_t last_number;
   GHashTable *services; /* hash of the name to org_service_t */
   bool knows_versions;
+  jrn_t *jrn; /* not owned; may be NULL */
+  bool is_loading;
 };
 
 static uint64_t
@@ -185,6 +188,8 @@
   if (org->updates->len >= MAX_UPDATES)
     g_array_remove_index (org->updates, 0);
   g_array_append_val (org->updates, update);
+  if (org->jrn != NULL)
+    jrn_add (org->jrn, now, key, origin);
 }
 
 /* Publishes the streams that began here before a second version appeared.  */
@@ -290,6 +295,37 @@
   return found != NULL && is_mixed (found, now);
 }
 
+bool
+org_is_any_mixed (const org_t *org, cfd_time_t now)
+{
+  GHashTableIter each;
+  void *service;
+
+  g_hash_table_iter_init (&each, org->services);
+  while (g_hash_table_iter_next (&each, NULL, &service))
+    if (is_mixed (service, now))
+      return true;
+  return false;
+}
+
+void
+org_set_journal (org_t *org, jrn_t *jrn)
+{
+  org->jrn = jrn;
+}
+
+void
+org_set_loading (org_t *org, bool is_loading)
+{
+  org->is_loading = is_loading;
+}
+
+bool
+org_is_loading (const org_t *org)
+{
+  return org->is_loading;
+}
+
 static org_stream_t *
 get_oldest (const org_t *org)
 {
@@ -324,14 +360,30 @@
     publish (org, now, key, origin);
 }
 
+/* Returns whether stream KEY of another router is new.  A repeated record is
+   as old as the first one.  */
+static bool
+add_peer_stream (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin)
+{
+  const org_stream_t *known = g_hash_table_lookup (org->streams, &key);
+
+  if (known != NULL && known->origin == origin)
+    return false;
+  add_stream (org, now, key, origin, false);
+  return true;
+}
+
 void
 org_add_peer (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin)
 {
-  const org_stream_t *known = g_hash_table_lookup (org->streams, &key);
+  add_peer_stream (org, now, key, origin);
+}
 
-  /* A repeated record is as old as the first one.  */
-  if (known == NULL || known->origin != origin)
-    add_stream (org, now, key, origin, false);
+void
+org_add_near (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin)
+{
+  if (add_peer_stream (org, now, key, origin) && org->jrn != NULL)
+    jrn_add (org->jrn, now, key, origin);
 }
 
 org_record_t
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -47,6 +47,7 @@
 org_verdict_t org_decide (const org_inputs_t *inputs);
 
 typedef struct org org_t;
+typedef struct jrn jrn_t;
 
 org_t *org_new (void);
 void org_free (org_t *org);
@@ -64,6 +65,15 @@
    that is resumed now may have begun.  */
 bool org_is_mixed (const org_t *org, cfd_time_t now, const char *service);
 
+/* Returns the same of any service.  */
+bool org_is_any_mixed (const org_t *org, cfd_time_t now);
+
+/* Adds the records to be stored to JRN, which is not owned; NULL: to none.  */
+void org_set_journal (org_t *org, jrn_t *jrn);
+/* Sets whether stored records are still to be read.  */
+void org_set_loading (org_t *org, bool is_loading);
+bool org_is_loading (const org_t *org);
+
 /* Records that this router began stream KEY at ORIGIN.  When PUBLISHED, the
    other routers are to learn it.  */
 void org_add (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin,
@@ -71,6 +81,9 @@
 /* Records the same of another router's stream.  */
 void org_add_peer (org_t *org, cfd_time_t now, uint64_t key,
                    org_origin_t origin);
+/* The same of a router of this one's cell, which the cell is to store.  */
+void org_add_near (org_t *org, cfd_time_t now, uint64_t key,
+                   org_origin_t origin);
 typedef struct
 {
   org_origin_t origin; /* ORG_ANY: the stream isn't recorded */
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -375,11 +375,19 @@
 }
 
 static void
-receive_streams (pal_t *pal, cfd_time_t now, const msg_node_t *rows)
+receive_streams (pal_t *pal, cfd_time_t now, const msg_node_t *rows,
+                 bool is_near)
 {
   for (unsigned i = 0; pal->org != NULL && i + 1 < rows->length; i += 2)
-    org_add_peer (pal->org, now, rows->u.items[i].u.number,
-                  (org_origin_t)rows->u.items[i + 1].u.number);
+    {
+      uint64_t key = rows->u.items[i].u.number;
+      org_origin_t origin = (org_origin_t)rows->u.items[i + 1].u.number;
+
+      if (is_near)
+        org_add_near (pal->org, now, key, origin);
+      else
+        org_add_peer (pal->org, now, key, origin);
+    }
 }
 
 static void
@@ -533,7 +541,7 @@
   receive_list_states (peer, now, &items[9]);
   receive_refusals (pal, now, &items[10]);
   receive_evidence (pal, now, incarnation, &items[11]);
-  receive_streams (pal, now, &items[12]);
+  receive_streams (pal, now, &items[12], content != PAL_SUMMARY);
   receive_retired_versions (pal, now, &items[13]);
   receive_cold (pal, now, &items[14]);
   receive_quarantine (pal, now, &items[15]);
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -638,11 +638,17 @@
   return (others + 1) * edp->cell_count;
 }
 
+/* Returns the silence after which a router of the cell may have failed.  */
+static int64_t
+get_max_silence_ms (const pal_t *pal)
+{
+  return (int64_t)(get_full_interval_ms (pal) * MAX_SILENT_INTERVALS);
+}
+
 unsigned
 pal_get_rank (const pal_t *pal, cfd_time_t now, const edp_t *edp)
 {
-  int64_t max_silence_ms
-      = (int64_t)(get_full_interval_ms (pal) * MAX_SILENT_INTERVALS);
+  int64_t max_silence_ms = get_max_silence_ms (pal);
   unsigned rank = 0;
 
   for (guint i = 0; pal->near_names != NULL && i < pal->near_names->len; i++)
@@ -656,6 +662,47 @@
   return rank;
 }
 
+/* Returns how many routers of NAMES precede this one by KEY, of those that
+   were heard within MAX_SILENCE_MS.  */
+static unsigned
+compute_task_rank (const pal_t *pal, cfd_time_t now, const GPtrArray *names,
+                   uint64_t key, int64_t max_silence_ms)
+{
+  bool is_joining = pal->started_at == CFD_TIME_NEVER
+                    || now - pal->started_at <= max_silence_ms;
+  unsigned rank = 0;
+
+  if (names == NULL)
+    return 1;
+  for (guint i = 0; i < names->len; i++)
+    {
+      const char *name = g_ptr_array_index (names, i);
+      const pal_peer_t *peer = g_hash_table_lookup (pal->peers, name);
+      bool counts = peer != NULL
+                        ? now - peer->last_received_at <= max_silence_ms
+                        : is_joining;
+
+      rank += counts && cold_ranks_before (name, pal->name, key);
+    }
+  return rank;
+}
+
+unsigned
+pal_get_cell_rank (const pal_t *pal, cfd_time_t now, uint64_t key)
+{
+  return compute_task_rank (pal, now, pal->near_names, key,
+                            get_max_silence_ms (pal));
+}
+
+unsigned
+pal_get_fleet_rank (const pal_t *pal, cfd_time_t now, uint64_t key)
+{
+  int64_t timeout_ms = MAX (
+      get_summary_interval_ms (pal) * (LOST_SUMMARIES + 1), PEER_TIMEOUT_MS);
+
+  return compute_task_rank (pal, now, pal->member_names, key, timeout_ms);
+}
+
 void
 pal_tick (pal_t *pal, cfd_time_t now)
 {
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -86,6 +86,13 @@
 /* Returns this router's rank for EDP among those of its cell whose last
    datagram came a moment ago; 0: it is the first.  */
 unsigned pal_get_rank (const pal_t *pal, cfd_time_t now, const edp_t *edp);
+/* Returns the same for a task of the whole cell, in an order by KEY.  For a
+   moment after the start, routers that have sent nothing yet count too; 1 at
+   least while the other routers aren't known.  */
+unsigned pal_get_cell_rank (const pal_t *pal, cfd_time_t now, uint64_t key);
+/* Returns the same for a task of the whole fleet, among all routers that
+   datagrams were received from lately.  */
+unsigned pal_get_fleet_rank (const pal_t *pal, cfd_time_t now, uint64_t key);
 /* Sets this router's rank at each cold endpoint (relay/cold.h).  Must be
    called after the list of endpoints changed, before the next request is
    placed.  */
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -22,6 +22,9 @@
    retry reaches another router, which may have some at once.  */
 #define MIN_SHED_RETRY_MS 100
 #define MAX_SHED_RETRY_MS 300
+/* Least Retry-After of a resumed stream while stored records are being read:
+   the time of a read.  */
+#define LOADING_RETRY_MS 300
 /* Deadline of a request that gives none, and the longest one.  */
 #define DEFAULT_DEADLINE_MS 60000.
 #define MAX_DEADLINE_MS 3600000.
@@ -441,15 +444,18 @@
 }
 
 /* Refuses a request for a stream that can't be resumed here.  Its caller may
-   start the stream again.  */
+   start the stream again, or come back once the stored records were read.  */
 static void
 refuse_resumption (rly_request_t *request, cfd_time_t now,
                    rly_resume_t outcome)
 {
+  bool is_loading
+      = outcome == RLY_RESUME_UNKNOWN && org_is_loading (request->rly->org);
+
   rly_refuse_for (request, now,
                   outcome == RLY_RESUME_UNAVAILABLE ? "version-unavailable"
                                                     : "version-unknown",
-                  0);
+                  is_loading ? LOADING_RETRY_MS : 0);
 }
 
 /* Returns whether a new request is refused because this router lacks processor
