--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -412,6 +412,17 @@
   msgpack_pack_uint8 (packer, (uint8_t)own.presence);
 }
 
+/* Packs whether this router's writes to the platform's store fail.  */
+static void
+pack_store (const pal_t *pal, msgpack_packer *packer, pal_content_t content)
+{
+  bool is_sent = content != PAL_CHANGES;
+
+  msgpack_pack_array (packer, is_sent);
+  if (is_sent)
+    msgpack_pack_uint8 (packer, pal->fails_writes);
+}
+
 GByteArray *
 pal_pack (pal_t *pal, cfd_time_t now, pal_content_t content)
 {
@@ -441,6 +452,7 @@
   pack_parts (pal, &packer, now, content);
   pack_speeds (pal, &packer, now, content);
   pack_capacity (pal, &packer, content);
+  pack_store (pal, &packer, content);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -42,7 +42,8 @@
 #define REQUIRED_ITEMS 17
 #define SPEEDS_ITEM 17   /* endpoint, observed and expected milliseconds */
 #define CAPACITY_ITEM 18 /* processor share, busy share, readiness */
-#define STATE_ITEMS 19
+#define STORE_ITEM 19    /* whether writes to the platform's store fail */
+#define STATE_ITEMS 20
 
 typedef struct
 {
@@ -57,6 +58,7 @@
   /* Whether it precedes this router as a reader of each list.  */
   bool precedes[PAL_LIST_COUNT];
   bool sends_summaries; /* its cell is another one */
+  bool fails_writes;    /* to the platform's store */
   GHashTable *loads;    /* hash of the endpoint to pal_load_t */
   GHashTable *speeds;   /* hash of the endpoint to pal_speed_t */
 } pal_peer_t;
@@ -106,6 +108,7 @@
   GPtrArray *member_names;    /* of the other routers; NULL: not known */
   GPtrArray *near_names;      /* of those of the cell; NULL: not known */
   bool is_reader;             /* see pal_set_reader */
+  bool fails_writes;          /* see pal_set_fails_writes */
   GHashTable *peers;          /* name to pal_peer_t */
   GHashTable *by_incarnation; /* incarnation to pal_peer_t */
   edp_set_t *endpoints;
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -104,7 +104,8 @@
          && is_number_rows (&items[15], 4, MAX_QUARANTINE_ROWS)
          && is_number_rows (&items[16], 5, MAX_PART_ROWS)
          && is_optional_rows (node, SPEEDS_ITEM, 3, MAX_SPEED_ROWS)
-         && is_optional_rows (node, CAPACITY_ITEM, 3, 1);
+         && is_optional_rows (node, CAPACITY_ITEM, 3, 1)
+         && is_optional_rows (node, STORE_ITEM, 1, 1);
 }
 
 static guint
@@ -493,6 +494,13 @@
   bal_set_figures (pal->bal, now, peer->name, &figures);
 }
 
+static void
+receive_store (pal_peer_t *peer, const msg_node_t *row)
+{
+  if (row->length > 0)
+    peer->fails_writes = row->u.items[0].u.number != 0;
+}
+
 static int64_t
 decode_stable_ms (const msg_node_t *node)
 {
@@ -550,6 +558,8 @@
     pal_receive_speeds (peer, now, &items[SPEEDS_ITEM]);
   if (state->length > CAPACITY_ITEM)
     receive_capacity (pal, peer, now, &items[CAPACITY_ITEM]);
+  if (state->length > STORE_ITEM)
+    receive_store (peer, &items[STORE_ITEM]);
 }
 
 bool
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -40,6 +40,9 @@
 /* Intervals of the full state after which a silent router may have failed, so
    that others ask endpoints in its place.  */
 #define MAX_SILENT_INTERVALS 2.5
+/* Routers whose writes fail that are passed over for a task.  More would fail
+   for all.  */
+#define MAX_FAILING_WRITERS 2u
 /* Datagrams read per wakeup: more than the socket's buffer holds, so that none
    waits for a later iteration of an event loop that is behind.  */
 #define MAX_READS_PER_WAKEUP 1024
@@ -295,6 +298,12 @@
   pal->is_reader = is_reader;
 }
 
+void
+pal_set_fails_writes (pal_t *pal, bool fails)
+{
+  pal->fails_writes = fails;
+}
+
 void
 pal_set_peers (pal_t *pal, const pal_member_t *peers, guint count)
 {
@@ -663,7 +672,7 @@
 }
 
 /* Returns how many routers of NAMES precede this one by KEY, of those that
-   were heard within MAX_SILENCE_MS.  */
+   were heard within MAX_SILENCE_MS and whose writes don't fail.  */
 static unsigned
 compute_task_rank (const pal_t *pal, cfd_time_t now, const GPtrArray *names,
                    uint64_t key, int64_t max_silence_ms)
@@ -671,6 +680,7 @@
   bool is_joining = pal->started_at == CFD_TIME_NEVER
                     || now - pal->started_at <= max_silence_ms;
   unsigned rank = 0;
+  unsigned failing = 0;
 
   if (names == NULL)
     return 1;
@@ -682,7 +692,12 @@
                         ? now - peer->last_received_at <= max_silence_ms
                         : is_joining;
 
-      rank += counts && cold_ranks_before (name, pal->name, key);
+      if (!counts || !cold_ranks_before (name, pal->name, key))
+        continue;
+      if (peer != NULL && peer->fails_writes && failing < MAX_FAILING_WRITERS)
+        failing++;
+      else
+        rank++;
     }
   return rank;
 }
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -480,6 +480,56 @@
   router_free (&one);
 }
 
+/* A task that nobody does, as the first router is silent or the store rejects
+   it, or that all do that have just started or that the store rejects.  */
+static void
+test_task_rank (void)
+{
+  static const pal_member_t listed[] = { { "one", "127.0.0.1:9", true },
+                                         { "two", "127.0.0.1:9", true },
+                                         { "six", "127.0.0.1:9", true },
+                                         { "far", "127.0.0.1:9", false } };
+  router_t here = router_new ("here");
+  router_t others[]
+      = { router_new ("one"), router_new ("two"), router_new ("six") };
+  uint64_t key = 0;
+
+  g_assert_cmpuint (pal_get_cell_rank (here.pal, NOW, 0), >, 0);
+  pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
+  while (!cold_ranks_before ("one", "here", key)
+         || !cold_ranks_before ("two", "here", key)
+         || !cold_ranks_before ("six", "here", key)
+         || !cold_ranks_before ("far", "here", key))
+    key++;
+  pal_tick (here.pal, NOW);
+  g_assert_cmpuint (pal_get_cell_rank (here.pal, NOW, key), ==, 3);
+  g_assert_cmpuint (pal_get_fleet_rank (here.pal, NOW, key), ==, 4);
+  g_assert_cmpuint (pal_get_cell_rank (here.pal, NOW + SILENCE_MS, key), ==,
+                    0);
+  for (unsigned i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      deliver (&others[i], &here, NOW + 5000, PAL_FULL);
+      g_assert_cmpuint (pal_get_cell_rank (here.pal, NOW + 5000, key), ==,
+                        i + 1);
+    }
+  for (unsigned i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      pal_set_fails_writes (others[i].pal, true);
+      deliver (&others[i], &here, NOW + 5001, PAL_FULL);
+      deliver (&others[i], &here, NOW + 5002, PAL_CHANGES);
+      g_assert_cmpuint (pal_get_cell_rank (here.pal, NOW + 5002, key), ==,
+                        i == 0 ? 2 : 1);
+    }
+  pal_set_fails_writes (others[0].pal, false);
+  deliver (&others[0], &here, NOW + 5003, PAL_FULL);
+  g_assert_cmpuint (pal_get_cell_rank (here.pal, NOW + 5003, key), ==, 1);
+  g_assert_cmpuint (pal_get_cell_rank (here.pal, NOW + 5003 + SILENCE_MS, key),
+                    ==, 0);
+  router_free (&here);
+  for (unsigned i = 0; i < G_N_ELEMENTS (others); i++)
+    router_free (&others[i]);
+}
+
 typedef struct
 {
   unsigned count;
@@ -927,7 +977,8 @@
 }
 
 /* Guards against routers that count as ready though they are leaving, or for a
-   presence of a later version; it is the last byte of the datagram.  */
+   presence of a later version; the last item of the datagram, of two bytes,
+   follows on it.  */
 static void
 test_presence (void)
 {
@@ -941,14 +992,16 @@
       g_autoptr (bal_t) near = bal_new ("here", 68);
       g_autoptr (bal_t) far = bal_new ("one", 500);
       g_autoptr (GByteArray) bytes = NULL;
+      guint at;
 
       pal_set_balance (here.pal, near);
       bal_set_zone (near, zone);
       bal_update (far, NOW, &sample);
       pal_set_balance (one.pal, far);
       bytes = pal_pack (one.pal, NOW, PAL_FULL);
-      g_assert_cmpuint (bytes->data[bytes->len - 1], ==, BAL_READY);
-      bytes->data[bytes->len - 1] = presence;
+      at = bytes->len - 3;
+      g_assert_cmpuint (bytes->data[at], ==, BAL_READY);
+      bytes->data[at] = presence;
       g_assert_true (pal_receive (here.pal, NOW, bytes->data, bytes->len));
       bal_update (near, NOW, &sample);
       /* It ranks above, so that it counts while it is leaving, but it takes no
@@ -1314,6 +1367,7 @@
                         test_parts);
   g_test_add_func ("/pal/found-cold", test_found_cold);
   g_test_add_func ("/pal/first-router", test_first_router);
+  g_test_add_func ("/pal/task-rank", test_task_rank);
   g_test_add_func ("/pal/retired-versions", test_retired_versions);
   g_test_add_func ("/pal/cold-endpoint-of-other-cell",
                    test_cold_endpoint_of_other_cell);
