--- a/libcoltsfootdrum/relay/jrn.c
+++ b/libcoltsfootdrum/relay/jrn.c
@@ -212,12 +212,11 @@
 static void
 append_key (GByteArray *bytes, uint64_t key)
 {
-  for (unsigned i = KEY_BYTES; i-- > 0;)
-    {
-      guint8 byte = (guint8)(key >> (8 * i));
+  guint8 packed[KEY_BYTES];
 
-      g_byte_array_append (bytes, &byte, 1);
-    }
+  for (unsigned i = 0; i < KEY_BYTES; i++)
+    packed[i] = (guint8)(key >> (8 * (KEY_BYTES - 1 - i)));
+  g_byte_array_append (bytes, packed, KEY_BYTES);
 }
 
 /* Returns the packed keys of the current slot, by origin.  */
