--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -104,7 +104,8 @@
          && is_number_rows (&items[15], 4, MAX_QUARANTINE_ROWS)
          && is_number_rows (&items[16], 5, MAX_PART_ROWS)
          && is_optional_rows (node, SPEEDS_ITEM, 3, MAX_SPEED_ROWS)
-         && is_optional_rows (node, CAPACITY_ITEM, 3, 1);
+         && is_optional_rows (node, CAPACITY_ITEM, 3, 1)
+         && is_optional_rows (node, STORE_ITEM, 1, 1);
 }
 
 static guint
@@ -375,11 +376,19 @@
 }
 
 static void
-receive_streams (pal_t *pal, cfd_time_t now, const msg_node_t *rows)
+receive_streams (pal_t *pal, cfd_time_t now, const msg_node_t *rows,
+                 bool is_near)
 {
   for (unsigned i = 0; pal->org != NULL && i + 1 < rows->length; i += 2)
-    org_add_peer (pal->org, now, rows->u.items[i].u.number,
-                  (org_origin_t)rows->u.items[i + 1].u.number);
+    {
+      uint64_t key = rows->u.items[i].u.number;
+      org_origin_t origin = (org_origin_t)rows->u.items[i + 1].u.number;
+
+      if (is_near)
+        org_add_near (pal->org, now, key, origin);
+      else
+        org_add_peer (pal->org, now, key, origin);
+    }
 }
 
 static void
@@ -485,6 +494,13 @@
   bal_set_figures (pal->bal, now, peer->name, &figures);
 }
 
+static void
+receive_store (pal_peer_t *peer, const msg_node_t *row)
+{
+  if (row->length > 0)
+    peer->fails_writes = row->u.items[0].u.number != 0;
+}
+
 static int64_t
 decode_stable_ms (const msg_node_t *node)
 {
@@ -533,7 +549,7 @@
   receive_list_states (peer, now, &items[9]);
   receive_refusals (pal, now, &items[10]);
   receive_evidence (pal, now, incarnation, &items[11]);
-  receive_streams (pal, now, &items[12]);
+  receive_streams (pal, now, &items[12], content != PAL_SUMMARY);
   receive_retired_versions (pal, now, &items[13]);
   receive_cold (pal, now, &items[14]);
   receive_quarantine (pal, now, &items[15]);
@@ -542,6 +558,8 @@
     pal_receive_speeds (peer, now, &items[SPEEDS_ITEM]);
   if (state->length > CAPACITY_ITEM)
     receive_capacity (pal, peer, now, &items[CAPACITY_ITEM]);
+  if (state->length > STORE_ITEM)
+    receive_store (peer, &items[STORE_ITEM]);
 }
 
 bool
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -40,6 +40,9 @@
 /* Intervals of the full state after which a silent router may have failed, so
    that others ask endpoints in its place.  */
 #define MAX_SILENT_INTERVALS 2.5
+/* Routers whose writes fail that are passed over for a task.  More would fail
+   for all.  */
+#define MAX_FAILING_WRITERS 2u
 /* Datagrams read per wakeup: more than the socket's buffer holds, so that none
    waits for a later iteration of an event loop that is behind.  */
 #define MAX_READS_PER_WAKEUP 1024
@@ -295,6 +298,12 @@
   pal->is_reader = is_reader;
 }
 
+void
+pal_set_fails_writes (pal_t *pal, bool fails)
+{
+  pal->fails_writes = fails;
+}
+
 void
 pal_set_peers (pal_t *pal, const pal_member_t *peers, guint count)
 {
@@ -638,11 +647,17 @@
   return (others + 1) * edp->cell_count;
 }
 
+/* Returns the silence after which a router of the cell may have failed.  */
+static int64_t
+get_max_silence_ms (const pal_t *pal)
+{
+  return (int64_t)(get_full_interval_ms (pal) * MAX_SILENT_INTERVALS);
+}
+
 unsigned
 pal_get_rank (const pal_t *pal, cfd_time_t now, const edp_t *edp)
 {
-  int64_t max_silence_ms
-      = (int64_t)(get_full_interval_ms (pal) * MAX_SILENT_INTERVALS);
+  int64_t max_silence_ms = get_max_silence_ms (pal);
   unsigned rank = 0;
 
   for (guint i = 0; pal->near_names != NULL && i < pal->near_names->len; i++)
@@ -656,6 +671,53 @@
   return rank;
 }
 
+/* Returns how many routers of NAMES precede this one by KEY, of those that
+   were heard within MAX_SILENCE_MS and whose writes don't fail.  */
+static unsigned
+compute_task_rank (const pal_t *pal, cfd_time_t now, const GPtrArray *names,
+                   uint64_t key, int64_t max_silence_ms)
+{
+  bool is_joining = pal->started_at == CFD_TIME_NEVER
+                    || now - pal->started_at <= max_silence_ms;
+  unsigned rank = 0;
+  unsigned failing = 0;
+
+  if (names == NULL)
+    return 1;
+  for (guint i = 0; i < names->len; i++)
+    {
+      const char *name = g_ptr_array_index (names, i);
+      const pal_peer_t *peer = g_hash_table_lookup (pal->peers, name);
+      bool counts = peer != NULL
+                        ? now - peer->last_received_at <= max_silence_ms
+                        : is_joining;
+
+      if (!counts || !cold_ranks_before (name, pal->name, key))
+        continue;
+      if (peer != NULL && peer->fails_writes && failing < MAX_FAILING_WRITERS)
+        failing++;
+      else
+        rank++;
+    }
+  return rank;
+}
+
+unsigned
+pal_get_cell_rank (const pal_t *pal, cfd_time_t now, uint64_t key)
+{
+  return compute_task_rank (pal, now, pal->near_names, key,
+                            get_max_silence_ms (pal));
+}
+
+unsigned
+pal_get_fleet_rank (const pal_t *pal, cfd_time_t now, uint64_t key)
+{
+  int64_t timeout_ms = MAX (
+      get_summary_interval_ms (pal) * (LOST_SUMMARIES + 1), PEER_TIMEOUT_MS);
+
+  return compute_task_rank (pal, now, pal->member_names, key, timeout_ms);
+}
+
 void
 pal_tick (pal_t *pal, cfd_time_t now)
 {
