Tests: a stream with a gap when memory for answers is short (red)

While the memory for answers is short, an event of a stream is dropped, and what comes after it in the same read and is smaller is passed on: the caller gets events 1, 2 and 4 before its connection ends, and resumes the stream after 4. Found by reading rly_handle_body; not seen in service.

relay-rly-ends, red:

test_memory: assertion failed (answer.body->str == test->body): ("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 4\nd\n\n" == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")

--- a/libcoltsfootdrum/relay/test-rly-ends.c
+++ b/libcoltsfootdrum/relay/test-rly-ends.c
@@ -391,6 +391,45 @@
   scene_free (scene);
 }
 
+/* An answer that is larger than the memory for answers.  */
+typedef struct
+{
+  const char *name;
+  const char *answer; /* in one read */
+  const char *body;   /* that its caller gets */
+} memory_case_t;
+
+#define SMALL_CHUNK "9\r\nid: 4\nd\n\n\r\n"
+/* Two events fit, and after them SMALL_CHUNK.  */
+#define MEMORY_BYTES 40
+
+static const memory_case_t memory_cases[] = {
+  /* Guards against a stream that goes on after events that were dropped.  */
+  { "gap", CHUNKED CHUNK (E1) CHUNK (E2) CHUNK (E3) SMALL_CHUNK, E1 E2 },
+};
+
+static void
+test_memory (const void *data)
+{
+  const memory_case_t *test = data;
+  const scene_reply_t replies[]
+      = { { test->answer, SCENE_KEEP_OPEN },
+          { CHUNKED CHUNK (E3) LAST_CHUNK, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, G_N_ELEMENTS (replies), 4);
+  scene_caller_t *caller;
+  answer_t answer;
+
+  rly_set_answer_budget (scene->rly, MEMORY_BYTES);
+  caller = scene_send_request (scene, RESUMABLE);
+  scene_run (scene, is_answered, caller);
+  answer = read_answer (caller);
+  g_assert_cmpstr (answer.body->str, ==, test->body);
+  g_assert_false (answer.is_whole);
+  g_string_free (answer.body, TRUE);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -401,5 +440,12 @@
 
       g_test_add_data_func (path, &cases[i], test_case);
     }
+  for (gsize i = 0; i < G_N_ELEMENTS (memory_cases); i++)
+    {
+      g_autofree char *path
+          = g_strdup_printf ("/ends/memory/%s", memory_cases[i].name);
+
+      g_test_add_data_func (path, &memory_cases[i], test_memory);
+    }
   return g_test_run ();
 }
