Relay: nothing of an answer follows bytes that were dropped for want of memory

Callers of a stream could get an event after a gap: each part of a read was checked against the memory for answers by itself, so that a smaller one after a dropped one fitted and was passed on, before the answer was broken off. The caller then resumed after the gap, which it never got.

Cause: rly_handle_body forgot within a read that it had dropped bytes.

Change: after dropped bytes all further ones of the answer are dropped too. Whatever follows in the read, the caller has a prefix of the stream, and resumes it where that ends.

relay-rly-ends /ends/memory/gap is green, red before (events 1, 2 and 4); relay-rly-slow and relay-rly-endless are green.

--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -190,7 +190,8 @@
   rly_answer_t *answer = &request->answer;
 
   answer->received_bytes += length;
-  if (!rly_may_buffer (request, length))
+  /* Once bytes were dropped, none may follow.  */
+  if (answer->has_no_memory || !rly_may_buffer (request, length))
     answer->has_no_memory = true;
   else if (!answer->is_stream)
     {
