Tests: a resumed stream without its first events when memory is short (red)

An answer ends in the read in which the memory for answers runs out. The events of that read before the dropped ones are counted as passed on and thrown away, and the stream is resumed after them at another endpoint: the caller gets event 3 alone, framed as a whole stream. Found by reading handle_complete; not seen in service.

relay-rly-ends, red:

test_memory: assertion failed (answer.body->str == test->body): ("id: 3\ndata: c\n\n" == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")

--- a/libcoltsfootdrum/relay/test-rly-ends.c
+++ b/libcoltsfootdrum/relay/test-rly-ends.c
@@ -406,6 +406,9 @@
 static const memory_case_t memory_cases[] = {
   /* Guards against a stream that goes on after events that were dropped.  */
   { "gap", CHUNKED CHUNK (E1) CHUNK (E2) CHUNK (E3) SMALL_CHUNK, E1 E2 },
+  /* Guards against a stream that is resumed after events that its caller
+     didn't get.  */
+  { "end", CHUNKED CHUNK (E1) CHUNK (E2) CHUNK (E3) LAST_CHUNK, E1 E2 },
 };
 
 static void
