Relay: forward a stream's events before it fails for want of memory

Callers of a resumable stream got it without its first events, framed as a whole one, when an answer ended in the read in which the memory for answers ran out.

Cause: such an answer was whole by its framing, so that its events weren't forwarded first, and unsound, so that they were thrown away and the stream was resumed at another endpoint after the last of them. That endpoint counted as failed, too.

Change: the events are forwarded, and the request fails as it does when memory runs out in any other read: its caller's connection ends without the end of the stream, after a prefix of it, and the endpoint isn't blamed.

relay-rly-ends /ends/memory/end is green, red before (event 3 alone); relay-rly, relay-rly-retry, relay-rly-slow and relay-rly-endless are green.

--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -404,6 +404,15 @@
       handle_not_run (request, now);
       return;
     }
+  /* That is not the endpoint's fault.  Events before the dropped bytes count
+     as passed on.  */
+  if (answer->has_no_memory)
+    {
+      rly_forward (request);
+      request->may_have_run = true;
+      rly_fail (request, 502, "answer-memory");
+      return;
+    }
   if (!answer->is_valid || (request->head_sent && !answer->is_stream))
     {
       handle_unknown_outcome (request, now, "unsound");
