Tests: a resumed stream whose endpoint begins anew, repeated events (red)

Within one response the router drops events that it passed on before. When the caller itself resumes a stream, it knows of none: an endpoint that begins anew, or an event too early, gives the caller events that it has. Found by reading format_request and evs_feed; not seen in service.

relay-rly-ends, red:

test_case: assertion failed (answer.body->str == test->body): ("id: 1\ndata: a\n\nid: 2\ndata: b\n\n" == "id: 2\ndata: b\n\n")

--- a/libcoltsfootdrum/relay/test-rly-ends.c
+++ b/libcoltsfootdrum/relay/test-rly-ends.c
@@ -28,6 +28,11 @@
 #define CALL_SHORT(path)                                                      \
   "POST " path " HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Deadline: 300\r\n"       \
   "Authorization: Bearer key-of-the-mill\r\nContent-Length: 0\r\n\r\n"
+/* Resumes a stream after its first event.  */
+#define CALL_RESUMING                                                         \
+  "POST /events/ HTTP/1.1\r\nHost: h\r\nX-Id: 2\r\nX-Deadline: 20000\r\n"     \
+  "Last-Event-Id: 1\r\nX-Resumes: 1\r\n"                                      \
+  "Authorization: Bearer key-of-the-mill\r\nContent-Length: 0\r\n\r\n"
 #define ONCE CALL ("/events-once/")
 #define RESUMABLE CALL ("/events/")
 #define PLAIN CALL ("/once/")
@@ -132,6 +137,17 @@
     2,
     END_SPLIT_EVENT },
 
+  /* Guards against a caller that resumes a stream and gets events once more,
+     from an endpoint that begins anew.  */
+  { "resuming/events-repeated",
+    CALL_RESUMING,
+    { { CHUNKED CHUNK (E1) CHUNK (E2) LAST_CHUNK, SCENE_KEEP_OPEN } },
+    200,
+    E2,
+    true,
+    1,
+    END_CHUNKS },
+
   /* Guards against a stream whose endpoint ended before the first event, and
      which is framed as whole for its caller.  */
   { "close/stream-without-events",
