Relay: drop events that the caller of a resumed stream has

A caller that resumed a stream could get events again, from an endpoint that began it anew or went on too early: ids that go back, events that come twice.

Cause: the router drops events up to the last one that it passed on itself. For a request with Last-Event-Id that began at none.

Change: on routes that can be resumed, the caller's number is where the dropping begins. The endpoint is sent the same number as before. An id that isn't a number, which no endpoint's event can have here, is only forwarded.

relay-rly-ends /ends/resuming/events-repeated is green, red before (events 1 and 2 after Last-Event-Id: 1); relay-evs, relay-rly, relay-rly-retry, relay-rly-versions and relay-rly-endless are green.

--- a/libcoltsfootdrum/relay/evs.c
+++ b/libcoltsfootdrum/relay/evs.c
@@ -25,6 +25,15 @@
   g_clear_pointer (&stream->bytes, g_byte_array_unref);
 }
 
+void
+evs_set_last_id (evs_t *stream, const char *id)
+{
+  guint64 number;
+
+  if (g_ascii_string_to_unsigned (id, 10, 0, MAX_EVENT_ID, &number, NULL))
+    stream->last_id = (int64_t)number;
+}
+
 /* Returns the end of the line that begins at TEXT, without its terminator;
    NULL when that is missing.  Terminators are LF, CR and both.  */
 static const char *
--- a/libcoltsfootdrum/relay/evs.h
+++ b/libcoltsfootdrum/relay/evs.h
@@ -23,7 +23,7 @@
      dropped.  */
   bool is_too_long;
   size_t idle_bytes; /* see EVS_MAX_IDLE_BYTES */
-  int64_t last_id;   /* of the last event passed on; -1: none */
+  int64_t last_id;   /* of the last event that the caller has; -1: none */
   /* Of the last event received since the start or the last interruption, also
      when it was dropped; -1: none.  */
   int64_t seen_id;
@@ -33,9 +33,13 @@
 void evs_init (evs_t *stream);
 void evs_clear (evs_t *stream);
 
+/* Sets the last event that the caller of a resumed stream has, from the id
+   that it sent.  An id that isn't a number is ignored.  */
+void evs_set_last_id (evs_t *stream, const char *id);
+
 /* Adds BYTES to the stream and appends the events that are now complete to
-   OUT.  Events whose id was passed on before are dropped.  Returns the number
-   of events appended.  After one that is too long, appends nothing.  */
+   OUT.  Events that the caller has by their id are dropped.  Returns the
+   number of events appended.  After one that is too long, appends nothing.  */
 unsigned evs_feed (evs_t *stream, const char *bytes, size_t length,
                    GString *out);
 
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -403,6 +403,7 @@
              const rte_account_t *account)
 {
   const hdr_t *fields = &ent_get_head (call)->fields;
+  const char *last_event = hdr_get (fields, rly->names.last_event);
   rly_request_t *request = g_new0 (rly_request_t, 1);
   double deadline = hdr_parse_number (hdr_get (fields, rly->names.deadline_ms),
                                       MAX_DEADLINE_MS, DEFAULT_DEADLINE_MS);
@@ -420,6 +421,9 @@
     request->route_deadline = request->arrived_at + route->timeout_ms;
   list_init (&request->node);
   evs_init (&request->answer.events);
+  /* The endpoint may repeat events that the caller has.  */
+  if (last_event != NULL && route->kind == RTE_STREAM && route->resumable)
+    evs_set_last_id (&request->answer.events, last_event);
   request->answer.fields = g_string_new (NULL);
   request->answer.body = g_string_new (NULL);
   parse_prompt_fields (request, fields);
