Tests: an event without an id comes twice in a resumed stream (red)

An event without an id is passed on after event 1, the endpoint breaks off, and the router resumes the stream after event 1 elsewhere: the caller gets the event once more. Found by reading evs_feed and handle_unknown_outcome; not seen in service, where each event has an id.

relay-rly-ends, red:

test_case: assertion failed (answer.body->str == test->body): ("id: 1\ndata: a\n\ndata: without\n\ndata: without\n\nid: 2\ndata: b\n\n" == "id: 1\ndata: a\n\ndata: without\n\n")

--- a/libcoltsfootdrum/relay/test-rly-ends.c
+++ b/libcoltsfootdrum/relay/test-rly-ends.c
@@ -15,6 +15,7 @@
 #define E1 "id: 1\ndata: a\n\n"
 #define E2 "id: 2\ndata: b\n\n"
 #define E3 "id: 3\ndata: c\n\n"
+#define NO_ID "data: without\n\n"
 #define CHUNK(text) "f\r\n" text "\r\n"
 #define LAST_CHUNK "0\r\n\r\n"
 
@@ -137,6 +138,27 @@
     2,
     END_SPLIT_EVENT },
 
+  /* Guards against a stream that is resumed by the router before an event that
+     its caller has, as that has no id.  */
+  { "resuming/event-without-id",
+    RESUMABLE,
+    { { CHUNKED CHUNK (E1) CHUNK (NO_ID), SCENE_CLOSE },
+      { CHUNKED CHUNK (NO_ID) CHUNK (E2) LAST_CHUNK, SCENE_KEEP_OPEN } },
+    200,
+    E1 NO_ID,
+    false,
+    1,
+    END_TRUNCATED },
+  { "resuming/comment",
+    RESUMABLE,
+    { { CHUNKED CHUNK (E1) "3\r\n:\n\n\r\n", SCENE_CLOSE },
+      { CHUNKED CHUNK (E2) LAST_CHUNK, SCENE_KEEP_OPEN } },
+    200,
+    E1 ":\n\n" E2,
+    true,
+    2,
+    END_TRUNCATED },
+
   /* Guards against a caller that resumes a stream and gets events once more,
      from an endpoint that begins anew.  */
   { "resuming/events-repeated",
