Relay: don't resume a stream after an event without an id

Callers could get an event twice: one without an id that was passed on before the endpoint broke off, as the stream was resumed after the last event with one.

Cause: only events with ids count for the place at which a stream is resumed.

Change: a stream isn't resumed by the router while the last event passed on has no id; its caller's connection ends without the end of the stream. Comments and blank lines don't count as events.

relay-rly-ends /ends/resuming/event-without-id is green, red before (the event twice), and /ends/resuming/comment, green before, still is; relay-evs, relay-rly, relay-rly-retry, relay-rly-slow, relay-rly-versions and relay-rly-endless are green.

--- a/libcoltsfootdrum/relay/evs.c
+++ b/libcoltsfootdrum/relay/evs.c
@@ -16,6 +16,7 @@
   stream->idle_bytes = 0;
   stream->last_id = -1;
   stream->seen_id = -1;
+  stream->lacks_id = false;
   stream->events = 0;
 }
 
@@ -160,6 +161,8 @@
         continue;
       if (id >= 0)
         stream->last_id = id;
+      stream->lacks_id
+          = id < 0 && (stream->lacks_id || has_field (text, size));
       g_string_append_len (out, text, (gssize)size);
       events++;
     }
--- a/libcoltsfootdrum/relay/evs.h
+++ b/libcoltsfootdrum/relay/evs.h
@@ -27,6 +27,9 @@
   /* Of the last event received since the start or the last interruption, also
      when it was dropped; -1: none.  */
   int64_t seen_id;
+  /* An event without an id was passed on after LAST_ID, so that the stream
+     can't be resumed after that.  */
+  bool lacks_id;
   unsigned events; /* number of events passed on */
 } evs_t;
 
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -328,7 +328,7 @@
       return;
     }
   if (rte_may_retry (request->route) && rly_can_continue (request)
-      && consume_retry (request, now))
+      && !request->answer.events.lacks_id && consume_retry (request, now))
     {
       request->rly->counts.resumed += request->head_sent;
       retry (request, now, reason);
