Tests: a stream goes on in another service after its route is moved (red)

A router concludes from a service of one version that any endpoint of it may continue a stream that isn't recorded. But the route names that service only now: a configuration may have moved the route, or it is split between services and the router draws one. While each service has one version, records aren't published, so that all routers but the one that began the stream lack them. Callers that resume a stream at another router go on in a service that didn't begin it, on a split route in about half of the cases with two equal shares, for as long as it is split. Found by reading rly_on_request and decide_resumption; not seen in service.

relay-rly-moves, red, all three cases: outcome=any-version and sent to e1 (moved, split), no update for the other routers (published):

test_moved: 'g_str_has_prefix (caller->text->str, REFUSED)' should be TRUE test_split: 'g_str_has_prefix (caller->text->str, REFUSED)' should be TRUE test_published: assertion failed (org_updates (scene->org, clock_now ())->len == 1): (0 == 1)

--- /dev/null
+++ b/libcoltsfootdrum/relay/test-rly-moves.c
@@ -0,0 +1,132 @@
+/* A stream goes on in the service that began it, or its caller begins anew,
+   when its route is moved to another service or split between several, each
+   of one version.  Endpoint e0 is of service "app" and e1 of "other".  */
+
+#include "test-rly-scene.h"
+
+#include <string.h>
+
+#define E1 "f\r\nid: 1\ndata: a\n\n\r\n"
+#define EVENTS                                                                \
+  "HTTP/1.1 200 OK\r\nX-Id: %I\r\nX-Stamp: s\r\n"                             \
+  "Transfer-Encoding: chunked\r\n\r\n" E1
+#define END "0\r\n\r\n"
+
+#define CALL(id, fields)                                                      \
+  "POST /events/ HTTP/1.1\r\nHost: h\r\nX-Id: " id "\r\n" fields              \
+  "X-Deadline: 5000\r\nContent-Length: 0\r\n\r\n"
+#define RESUME CALL ("again", "Last-Event-Id: 0\r\nX-Resumes: first\r\n")
+#define REFUSED "HTTP/1.1 503 "
+
+static const scene_reply_t replies[] = { { EVENTS END, SCENE_KEEP_OPEN } };
+
+static void
+list_endpoints (scene_t *scene)
+{
+  static const char *const services[SCENE_ENDPOINTS] = { "app", "other" };
+  GPtrArray *reports = g_ptr_array_new ();
+
+  for (unsigned i = 0; i < SCENE_ENDPOINTS; i++)
+    {
+      edp_report_t *report = g_new0 (edp_report_t, 1);
+
+      report->id = g_strdup_printf ("e%u", i);
+      report->service = g_strdup (services[i]);
+      report->address
+          = g_strdup_printf ("127.0.0.1:%u", scene->servers[i].port);
+      report->zone = g_strdup ("z");
+      report->version = g_strdup ("v1");
+      report->slots = 4;
+      g_ptr_array_add (reports, report);
+    }
+  edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
+  rly_update_versions (scene->rly, clock_now ());
+}
+
+/* Puts a configuration in force in which SERVICE gets all streams, or if it is
+   NULL, each service gets half of them.  */
+static void
+set_service (scene_t *scene, uint64_t version, const char *service)
+{
+  rte_limits_t limits = { 0 };
+  g_autoptr (rte_table_t) table = rte_table_new (version, &limits);
+  rte_route_t *route = rte_route_new ();
+
+  route->name = g_strdup ("events");
+  route->host = g_strdup ("h");
+  route->prefix = g_strdup ("/events/");
+  route->kind = RTE_STREAM;
+  route->resumable = true;
+  route->max_attempts = 2;
+  route->target_latency_ms = 300;
+  if (service == NULL || g_str_equal (service, "app"))
+    rte_route_add_traffic_share (route, "app", 1.);
+  if (service == NULL || g_str_equal (service, "other"))
+    rte_route_add_traffic_share (route, "other", 1.);
+  rte_table_add_route (table, route);
+  rly_set_table (scene->rly, table);
+}
+
+/* Guards against a stream of another router that goes on in the service to
+   which its route was moved.  */
+static void
+test_moved (void)
+{
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller;
+
+  list_endpoints (scene);
+  set_service (scene, 2, "app");
+  set_service (scene, 3, "other");
+  caller = scene_send_request (scene, RESUME);
+  scene_wait_for (scene, caller, "\r\n\r\n");
+  g_assert_true (g_str_has_prefix (caller->text->str, REFUSED));
+  g_assert_cmpuint (scene->requests_received, ==, 0);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* Guards against a stream of another router that goes on in any service of a
+   split route.  */
+static void
+test_split (void)
+{
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller;
+
+  list_endpoints (scene);
+  set_service (scene, 2, NULL);
+  caller = scene_send_request (scene, RESUME);
+  scene_wait_for (scene, caller, "\r\n\r\n");
+  g_assert_true (g_str_has_prefix (caller->text->str, REFUSED));
+  g_assert_cmpuint (scene->requests_received, ==, 0);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* Guards against a stream of a split route of which the other routers learn
+   nothing.  */
+static void
+test_published (void)
+{
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller;
+
+  list_endpoints (scene);
+  set_service (scene, 2, NULL);
+  caller = scene_send_request (scene, CALL ("first", ""));
+  scene_wait_for (scene, caller, END);
+  g_assert_cmpuint (org_updates (scene->org, clock_now ())->len, ==, 1);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/rly-moves/moved", test_moved);
+  g_test_add_func ("/rly-moves/split", test_split);
+  g_test_add_func ("/rly-moves/published", test_published);
+  return g_test_run ();
+}
