Tests: streams of an endpoint that ended between two events look whole (red)

A stream without length or chunks whose connection is closed in order between two events counts as whole. But the kernel closes the connections of a process that is killed in order, too, and a process writes whole events: all streams of that kind that it was sending are framed as whole for their callers. What tells is the process: all of its connections close at once, and a new one is refused.

relay-rly-ends, red; /ends/close/process-goes-on, the same with an endpoint that still listens, is green:

test_process_ended: assertion failed (answer.is_whole == !has_ended): (1 == 0)

--- a/libcoltsfootdrum/relay/test-rly-ends.c
+++ b/libcoltsfootdrum/relay/test-rly-ends.c
@@ -4,6 +4,7 @@
 #include "test-rly-scene.h"
 
 #include <string.h>
+#include <sys/socket.h>
 
 #define MAX_HEAD_BYTES 4096
 
@@ -471,6 +472,51 @@
   scene_free (scene);
 }
 
+static bool
+are_answered (void *user)
+{
+  scene_caller_t *const *callers = user;
+
+  return is_answered (callers[0]) && is_answered (callers[1]);
+}
+
+/* Guards against streams without length or chunks that count as whole, though
+   their endpoint's process ended between two events.  */
+static void
+test_process_ended (const void *data)
+{
+  static const scene_reply_t replies[]
+      = { { UNTIL_CLOSE E1, SCENE_KEEP_OPEN } };
+  bool has_ended = GPOINTER_TO_INT (data);
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_server_t *server = &scene->servers[1];
+  scene_caller_t *callers[2];
+
+  scene_list_endpoints (scene, 1, false, 4);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    {
+      callers[i] = scene_send_request (scene, ONCE);
+      scene_wait_for (scene, callers[i], E1);
+    }
+  if (has_ended)
+    {
+      ev_io_stop (scene->loop, &server->listener);
+      shutdown (server->listener.fd, SHUT_RD);
+    }
+  scene_close_connections (scene);
+  scene_run (scene, are_answered, callers);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    {
+      answer_t answer = read_answer (callers[i]);
+
+      g_assert_cmpstr (answer.body->str, ==, E1);
+      g_assert_cmpint (answer.is_whole, ==, !has_ended);
+      g_string_free (answer.body, TRUE);
+      scene_caller_free (callers[i]);
+    }
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -488,5 +534,9 @@
 
       g_test_add_data_func (path, &memory_cases[i], test_memory);
     }
+  g_test_add_data_func ("/ends/close/process-ended", GINT_TO_POINTER (true),
+                        test_process_ended);
+  g_test_add_data_func ("/ends/close/process-goes-on", GINT_TO_POINTER (false),
+                        test_process_ended);
   return g_test_run ();
 }
