Relay: streams of an endpoint's process that ended aren't whole

Callers got streams as complete before their last event when the process of an endpoint was killed that sends them with neither length nor chunks: all that it was sending, if it had written whole events.

Cause: the kernel closes the connections of a killed process in order, and an orderly close between events counted as the end of such a stream.

Change: when such a stream is closed while its endpoint has other connections or requests, its end waits for 40 ms. If another connection from before is still open then, the process goes on, and the stream is whole. Otherwise the endpoint is asked like after a break: a connection that is refused, or not opened in time, shows that the process ended, and the stream is broken, to be resumed where its route allows that. An endpoint that leaves isn't asked.

Why that is enough: a process that goes on keeps its other connections or takes a new one. What remains: one that is started again within the 40 ms and the connect, and a stream on the only connection. The end of such a stream comes up to 65 ms later (with the tick of 25 ms), its events don't.

--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -501,6 +501,31 @@
   return kind;
 }
 
+/* Returns whether the connection with which the answer to REQUEST ended may
+   have been closed by the end of the endpoint's process.  The kernel closes
+   the connections of a process that was killed in order, and all of them.
+   The close of the only connection shows nothing.  */
+static bool
+may_have_ended (const rly_request_t *request)
+{
+  const edp_t *edp = request->edp;
+
+  return request->answer.is_stream && !edp->report->leaving
+         && !edp->has_announced_leaving
+         && (edp->active > 1 || ups_count_connections (edp->ups) > 1);
+}
+
+void
+rly_settle_closed (rly_request_t *request, bool has_ended, cfd_time_t now)
+{
+  request->closed_at = 0;
+  request->closed_is_probed = false;
+  if (has_ended)
+    handle_unknown_outcome (request, now, "endpoint-ended");
+  else
+    handle_complete (request, now);
+}
+
 void
 rly_handle_end (rly_request_t *request, ups_end_t end, cfd_time_t now)
 {
@@ -513,9 +538,17 @@
     rly_forward (request);
   switch (kind)
     {
+    case END_CLOSE:
+      if (may_have_ended (request))
+        {
+          rly_forward (request);
+          request->closed_at = now;
+          break;
+        }
+      handle_complete (request, now);
+      break;
     case END_LENGTH:
     case END_CHUNKS:
-    case END_CLOSE:
       handle_complete (request, now);
       break;
     case END_NOT_CONNECTED:
--- a/libcoltsfootdrum/relay/rly-break.c
+++ b/libcoltsfootdrum/relay/rly-break.c
@@ -10,6 +10,9 @@
 
 /* Limits the memory while many endpoints fail: some 100 bytes each.  */
 #define MAX_BREAKS 4096
+/* Time in which an endpoint's other connections close, if its process
+   ended.  */
+#define CLOSE_MS 40
 /* Of a prompt, for the log.  */
 #define MAX_LOGGED_PROMPT 240
 
@@ -159,11 +162,44 @@
   rly_add_part_ends (rly, now, broken->parts, &end);
 }
 
+/* Ends the requests whose answers from EDP were closed, and for which it was
+   asked.  */
+static void
+settle_closed (rly_t *rly, const edp_t *edp, bool has_ended, cfd_time_t now)
+{
+  list_for_each_safe (node, &rly->running)
+    {
+      rly_request_t *request = list_entry (node, rly_request_t, node);
+
+      if (request->edp == edp && request->closed_is_probed)
+        rly_settle_closed (request, has_ended, now);
+    }
+}
+
+void
+rly_check_closed (rly_request_t *request, cfd_time_t now)
+{
+  edp_t *edp = request->edp;
+
+  /* One that leaves ends its answers before it ends, and isn't asked.  */
+  if (edp->report->leaving
+      || now >= MIN (request->deadline, request->route_deadline)
+      || (now - request->closed_at >= CLOSE_MS
+          && ups_has_connection_from_before (edp->ups, request->closed_at)))
+    rly_settle_closed (request, false, now);
+  else if (now - request->closed_at >= CLOSE_MS && !request->closed_is_probed)
+    {
+      request->closed_is_probed = true;
+      edp_set_note_break (request->rly->endpoints, edp, now, false);
+    }
+}
+
 void
 rly_settle_breaks (void *user, edp_t *edp, bool has_ended, cfd_time_t first_at)
 {
   rly_t *rly = user;
 
+  settle_closed (rly, edp, has_ended, clock_now ());
   list_for_each_safe (node, &rly->breaks)
     {
       rly_break_t *broken = list_entry (node, rly_break_t, node);
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -167,9 +167,13 @@
   unsigned late_events;     /* after more than the route's max_pause_ms */
   bool head_sent;           /* the answer's head was sent to the caller */
   bool may_have_run;        /* sent to an endpoint that did not reject it */
-  bool read_paused;         /* the caller reads too slowly */
-  bool is_draining;         /* so its answer is buffered up to a limit */
-  cfd_time_t paused_at;     /* when READ_PAUSED changed */
+  /* When its answer ended with its connection, which may have been the end of
+     the endpoint's process; 0: not so.  */
+  cfd_time_t closed_at;
+  bool closed_is_probed; /* the endpoint is asked whether it goes on */
+  bool read_paused;      /* the caller reads too slowly */
+  bool is_draining;      /* so its answer is buffered up to a limit */
+  cfd_time_t paused_at;  /* when READ_PAUSED changed */
   rly_answer_t answer;
 } rly_request_t;
 
@@ -290,6 +294,9 @@
 void rly_settle_breaks (void *user, edp_t *edp, bool has_ended,
                         cfd_time_t first_at);
 void rly_clear_breaks (rly_t *rly);
+/* Finds out whether the process of REQUEST's endpoint has ended; closed_at is
+   set.  */
+void rly_check_closed (rly_request_t *request, cfd_time_t now);
 
 /* rly-quarantine.c: requests that are not sent.  */
 bool rly_is_quarantined (const rly_request_t *request, cfd_time_t now);
@@ -378,5 +385,9 @@
 /* Counts and logs the end of an exchange.  */
 end_kind_t rly_note_end (rly_request_t *request, ups_end_t end);
 void rly_handle_end (rly_request_t *request, ups_end_t end, cfd_time_t now);
+/* Ends REQUEST, whose closed_at is set; HAS_ENDED: so has the process of its
+   endpoint.  */
+void rly_settle_closed (rly_request_t *request, bool has_ended,
+                        cfd_time_t now);
 
 #endif
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -484,6 +484,11 @@
 {
   int64_t since_sent = now - request->sent_at;
 
+  if (request->closed_at != 0)
+    {
+      rly_check_closed (request, now);
+      return;
+    }
   if (now >= MIN (request->deadline, request->route_deadline))
     {
       rly_note_break (request, rly_note_end (request, UPS_TIMED_OUT), now);
