Tests: a stream goes on at an endpoint that started again unnoticed (red)

An endpoint's process ends, which the router sees: its connections close and a new one is refused. A process that then listens under the same id has the old version until its entry in the list is renewed, which takes as long as the store is down, at worst. Streams that it begins are recorded under the old version, and streams of the old version go on there.

relay-rly-moves /rly-moves/started-again, red (sent to e0, as its version is that on record):

test_started_again: 'g_str_has_prefix (caller->text->str, REFUSED)' should be TRUE

--- a/libcoltsfootdrum/relay/test-rly-moves.c
+++ b/libcoltsfootdrum/relay/test-rly-moves.c
@@ -1,10 +1,12 @@
-/* A stream goes on in the service that began it, or its caller begins anew,
-   when its route is moved to another service or split between several, each
-   of one version.  Endpoint e0 is of service "app" and e1 of "other".  */
+/* A stream goes on in the service and at the version that began it, or its
+   caller begins anew: when its route is moved to another service, or split
+   between several, each of one version; when its endpoint starts again before
+   the list tells.  Endpoint e0 is of service "app" and e1 of "other".  */
 
 #include "test-rly-scene.h"
 
 #include <string.h>
+#include <unistd.h>
 
 #define E1 "f\r\nid: 1\ndata: a\n\n\r\n"
 #define EVENTS                                                                \
@@ -121,6 +123,51 @@
   scene_free (scene);
 }
 
+static bool
+has_ended (void *user)
+{
+  return edp_set_count_ended (((scene_t *)user)->endpoints) == 1;
+}
+
+/* Guards against a stream that goes on at an endpoint whose process ended, and
+   which listens again under its id before its entry in the list is renewed:
+   it may be of another version.  */
+static void
+test_started_again (void)
+{
+  static const scene_reply_t broken[] = { { EVENTS, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (broken, 1, 4);
+  scene_server_t *server = &scene->servers[0];
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", server->port);
+  scene_caller_t *caller;
+  int fd;
+
+  list_endpoints (scene);
+  set_service (scene, 2, "app");
+  caller = scene_send_request (scene, CALL ("first", ""));
+  scene_wait_for (scene, caller, E1);
+  scene_caller_free (caller);
+  caller = scene_send_request (scene, CALL ("second", ""));
+  scene_wait_for (scene, caller, E1);
+  ev_io_stop (scene->loop, &server->listener);
+  close (server->listener.fd);
+  scene_close_connections (scene);
+  scene_run (scene, has_ended, scene);
+  fd = addr_listen (address, NULL);
+  g_assert_cmpint (fd, >=, 0);
+  ev_io_set (&server->listener, fd, EV_READ);
+  ev_io_start (scene->loop, &server->listener);
+  /* Its back-off is over.  */
+  edp_set_find (scene->endpoints, "e0")->backoff_until = 0;
+  scene_caller_free (caller);
+  caller = scene_send_request (
+      scene, CALL ("again", "Last-Event-Id: 1\r\nX-Resumes: first\r\n"));
+  scene_wait_for (scene, caller, "\r\n\r\n");
+  g_assert_true (g_str_has_prefix (caller->text->str, REFUSED));
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -128,5 +175,6 @@
   g_test_add_func ("/rly-moves/moved", test_moved);
   g_test_add_func ("/rly-moves/split", test_split);
   g_test_add_func ("/rly-moves/published", test_published);
+  g_test_add_func ("/rly-moves/started-again", test_started_again);
   return g_test_run ();
 }
