--- a/libcoltsfootdrum/relay/evs.c
+++ b/libcoltsfootdrum/relay/evs.c
@@ -16,6 +16,7 @@
   stream->idle_bytes = 0;
   stream->last_id = -1;
   stream->seen_id = -1;
+  stream->lacks_id = false;
   stream->events = 0;
 }
 
@@ -25,6 +26,15 @@
   g_clear_pointer (&stream->bytes, g_byte_array_unref);
 }
 
+void
+evs_set_last_id (evs_t *stream, const char *id)
+{
+  guint64 number;
+
+  if (g_ascii_string_to_unsigned (id, 10, 0, MAX_EVENT_ID, &number, NULL))
+    stream->last_id = (int64_t)number;
+}
+
 /* Returns the end of the line that begins at TEXT, without its terminator;
    NULL when that is missing.  Terminators are LF, CR and both.  */
 static const char *
@@ -151,6 +161,8 @@
         continue;
       if (id >= 0)
         stream->last_id = id;
+      stream->lacks_id
+          = id < 0 && (stream->lacks_id || has_field (text, size));
       g_string_append_len (out, text, (gssize)size);
       events++;
     }
--- a/libcoltsfootdrum/relay/test-rly-ends.c
+++ b/libcoltsfootdrum/relay/test-rly-ends.c
@@ -4,6 +4,7 @@
 #include "test-rly-scene.h"
 
 #include <string.h>
+#include <sys/socket.h>
 
 #define MAX_HEAD_BYTES 4096
 
@@ -15,6 +16,7 @@
 #define E1 "id: 1\ndata: a\n\n"
 #define E2 "id: 2\ndata: b\n\n"
 #define E3 "id: 3\ndata: c\n\n"
+#define NO_ID "data: without\n\n"
 #define CHUNK(text) "f\r\n" text "\r\n"
 #define LAST_CHUNK "0\r\n\r\n"
 
@@ -28,6 +30,11 @@
 #define CALL_SHORT(path)                                                      \
   "POST " path " HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nX-Deadline: 300\r\n"       \
   "Authorization: Bearer key-of-the-mill\r\nContent-Length: 0\r\n\r\n"
+/* Resumes a stream after its first event.  */
+#define CALL_RESUMING                                                         \
+  "POST /events/ HTTP/1.1\r\nHost: h\r\nX-Id: 2\r\nX-Deadline: 20000\r\n"     \
+  "Last-Event-Id: 1\r\nX-Resumes: 1\r\n"                                      \
+  "Authorization: Bearer key-of-the-mill\r\nContent-Length: 0\r\n\r\n"
 #define ONCE CALL ("/events-once/")
 #define RESUMABLE CALL ("/events/")
 #define PLAIN CALL ("/once/")
@@ -132,6 +139,38 @@
     2,
     END_SPLIT_EVENT },
 
+  /* Guards against a stream that is resumed by the router before an event that
+     its caller has, as that has no id.  */
+  { "resuming/event-without-id",
+    RESUMABLE,
+    { { CHUNKED CHUNK (E1) CHUNK (NO_ID), SCENE_CLOSE },
+      { CHUNKED CHUNK (NO_ID) CHUNK (E2) LAST_CHUNK, SCENE_KEEP_OPEN } },
+    200,
+    E1 NO_ID,
+    false,
+    1,
+    END_TRUNCATED },
+  { "resuming/comment",
+    RESUMABLE,
+    { { CHUNKED CHUNK (E1) "3\r\n:\n\n\r\n", SCENE_CLOSE },
+      { CHUNKED CHUNK (E2) LAST_CHUNK, SCENE_KEEP_OPEN } },
+    200,
+    E1 ":\n\n" E2,
+    true,
+    2,
+    END_TRUNCATED },
+
+  /* Guards against a caller that resumes a stream and gets events once more,
+     from an endpoint that begins anew.  */
+  { "resuming/events-repeated",
+    CALL_RESUMING,
+    { { CHUNKED CHUNK (E1) CHUNK (E2) LAST_CHUNK, SCENE_KEEP_OPEN } },
+    200,
+    E2,
+    true,
+    1,
+    END_CHUNKS },
+
   /* Guards against a stream whose endpoint ended before the first event, and
      which is framed as whole for its caller.  */
   { "close/stream-without-events",
@@ -391,6 +430,93 @@
   scene_free (scene);
 }
 
+/* An answer that is larger than the memory for answers.  */
+typedef struct
+{
+  const char *name;
+  const char *answer; /* in one read */
+  const char *body;   /* that its caller gets */
+} memory_case_t;
+
+#define SMALL_CHUNK "9\r\nid: 4\nd\n\n\r\n"
+/* Two events fit, and after them SMALL_CHUNK.  */
+#define MEMORY_BYTES 40
+
+static const memory_case_t memory_cases[] = {
+  /* Guards against a stream that goes on after events that were dropped.  */
+  { "gap", CHUNKED CHUNK (E1) CHUNK (E2) CHUNK (E3) SMALL_CHUNK, E1 E2 },
+  /* Guards against a stream that is resumed after events that its caller
+     didn't get.  */
+  { "end", CHUNKED CHUNK (E1) CHUNK (E2) CHUNK (E3) LAST_CHUNK, E1 E2 },
+};
+
+static void
+test_memory (const void *data)
+{
+  const memory_case_t *test = data;
+  const scene_reply_t replies[]
+      = { { test->answer, SCENE_KEEP_OPEN },
+          { CHUNKED CHUNK (E3) LAST_CHUNK, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, G_N_ELEMENTS (replies), 4);
+  scene_caller_t *caller;
+  answer_t answer;
+
+  rly_set_answer_budget (scene->rly, MEMORY_BYTES);
+  caller = scene_send_request (scene, RESUMABLE);
+  scene_run (scene, is_answered, caller);
+  answer = read_answer (caller);
+  g_assert_cmpstr (answer.body->str, ==, test->body);
+  g_assert_false (answer.is_whole);
+  g_string_free (answer.body, TRUE);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+static bool
+are_answered (void *user)
+{
+  scene_caller_t *const *callers = user;
+
+  return is_answered (callers[0]) && is_answered (callers[1]);
+}
+
+/* Guards against streams without length or chunks that count as whole, though
+   their endpoint's process ended between two events.  */
+static void
+test_process_ended (const void *data)
+{
+  static const scene_reply_t replies[]
+      = { { UNTIL_CLOSE E1, SCENE_KEEP_OPEN } };
+  bool has_ended = GPOINTER_TO_INT (data);
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_server_t *server = &scene->servers[1];
+  scene_caller_t *callers[2];
+
+  scene_list_endpoints (scene, 1, false, 4);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    {
+      callers[i] = scene_send_request (scene, ONCE);
+      scene_wait_for (scene, callers[i], E1);
+    }
+  if (has_ended)
+    {
+      ev_io_stop (scene->loop, &server->listener);
+      shutdown (server->listener.fd, SHUT_RD);
+    }
+  scene_close_connections (scene);
+  scene_run (scene, are_answered, callers);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    {
+      answer_t answer = read_answer (callers[i]);
+
+      g_assert_cmpstr (answer.body->str, ==, E1);
+      g_assert_cmpint (answer.is_whole, ==, !has_ended);
+      g_string_free (answer.body, TRUE);
+      scene_caller_free (callers[i]);
+    }
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -401,5 +527,16 @@
 
       g_test_add_data_func (path, &cases[i], test_case);
     }
+  for (gsize i = 0; i < G_N_ELEMENTS (memory_cases); i++)
+    {
+      g_autofree char *path
+          = g_strdup_printf ("/ends/memory/%s", memory_cases[i].name);
+
+      g_test_add_data_func (path, &memory_cases[i], test_memory);
+    }
+  g_test_add_data_func ("/ends/close/process-ended", GINT_TO_POINTER (true),
+                        test_process_ended);
+  g_test_add_data_func ("/ends/close/process-goes-on", GINT_TO_POINTER (false),
+                        test_process_ended);
   return g_test_run ();
 }
