--- a/libcoltsfootdrum/relay/rly-origin.c
+++ b/libcoltsfootdrum/relay/rly-origin.c
@@ -141,6 +141,7 @@
     }
   verdict = decide_origin (request, &record);
   outcome = bind_to (request, &verdict);
+  request->is_resumed = outcome == RLY_RESUME_BOUND;
   request->rly->counts.resumptions[outcome]++;
   log_info ("relay",
             "A caller resumes a stream: request=%s resumes=%s last_event=%s "
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -471,7 +471,8 @@
 static double
 compute_max_missing_tokens (const rly_request_t *request)
 {
-  if (request->tries > 0 || request->queue->is_underserved
+  if (request->tries > 0 || request->is_resumed
+      || request->queue->is_underserved
       || !rly_is_enabled (request->rly, MECH_PREFIX_WAIT))
     return HUGE_VAL;
   return pfx_prompt_count_shared_tokens (request->prompt) * MAX_MISSING_SHARE;
@@ -480,9 +481,10 @@
 static plc_request_t
 make_constraints (const rly_round_t *round, const rly_request_t *request)
 {
-  /* A late request, or one that failed, is placed as if it had just arrived.
-   */
-  bool restarts_clock = request->tries > 0 || request->is_late;
+  /* A late request, one that failed, or one that resumes a stream is placed as
+     if it had just arrived.  */
+  bool restarts_clock
+      = request->tries > 0 || request->is_late || request->is_resumed;
   int64_t waited = restarts_clock ? 0 : round->now - request->first_attempt;
   double allowed = get_allowance (request);
   plc_request_t constraints
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -128,6 +128,7 @@
    */
   org_origin_t origin;
   bool origin_noted; /* the first event of this answer was passed on */
+  bool is_resumed;   /* its caller resumes a stream, at a known origin */
   bool started;      /* an endpoint began a successful answer */
   bool went_on;      /* this exchange's answer cleared the parts */
   bool is_trial;     /* of a quarantined part */
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -73,13 +73,20 @@
   return request->route->rank;
 }
 
+/* Returns whether the caller of REQUEST has received a part of its stream.  */
+static bool
+has_begun (const rly_request_t *request)
+{
+  return request->head_sent || request->is_resumed;
+}
+
 /* Returns whether A goes before B.  A stream that has begun goes before all
    others, since its caller sees the gap.  */
 static bool
 precedes (const rly_request_t *a, const rly_request_t *b)
 {
-  if (a->head_sent != b->head_sent)
-    return a->head_sent;
+  if (has_begun (a) != has_begun (b))
+    return has_begun (a);
   if (get_rank (a) != get_rank (b))
     return get_rank (a) < get_rank (b);
   if (a->is_late != b->is_late)
@@ -90,12 +97,14 @@
 /* Sets for how long REQUEST may wait before its first exchange.  A request
    waits while it can still meet the target latency.  A retry of the caller
    that can't meet it is late and doesn't wait: it takes spare capacity or is
-   refused at once.  */
+   refused at once.  A stream that is resumed is never late, as its first event
+   was delivered.  */
 static void
 set_wait_deadline (rly_request_t *request, cfd_time_t request_deadline)
 {
-  cfd_time_t latest_start
-      = request->first_attempt + rly_compute_max_wait_ms (request);
+  cfd_time_t since
+      = request->is_resumed ? request->arrived_at : request->first_attempt;
+  cfd_time_t latest_start = since + rly_compute_max_wait_ms (request);
 
   request->is_late = latest_start <= request->arrived_at
                      && rly_is_enabled (request->rly, MECH_LATE_LAST);
