--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -146,6 +146,7 @@
         return;
       round->has_resting |= edp_is_resting (edp, round->now);
       round->has_registered |= edp->is_registered && edp_is_usable (edp)
+                               && edp->standing == EDP_CURRENT
                                && edp->consecutive_failures < MAX_FAILURES;
       round->has_unregistered |= !edp->is_registered;
       if (edp->standing != standing || !edp_is_open (edp, round->now))
