Relay: refuse a request that is whole after its caller's deadline

What callers saw: a request whose upload took longer than its own deadline, on a route with a longer latency objective, reached an endpoint, which was given one millisecond, and ran in vain there.

A request that became whole afterwards was placed at once; the deadline sent on is at least 1 ms.

Evidence: /rly-upload/past-deadline (upload of 600 ms, deadline of 300 ms) is red on: "the answer is not HTTP/1.1 503 : HTTP/1.1 200 OK". It is green with the change.

Fix: such a request is refused when it is whole (reason "deadline"), and no placement round sends one whose time is over, which also holds for the milliseconds between the deadline of a waiting request and the next tick.

--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -602,7 +602,8 @@
   plc_request_t constraints;
   int chosen;
 
-  if (!round->has_free_slot || rly_awaits_quarantine (request, round->now)
+  if (!round->has_free_slot || rly_is_past_deadline (request, round->now)
+      || rly_awaits_quarantine (request, round->now)
       || rly_is_part_quarantined (request, round->now))
     return false;
   round->has_remote = false;
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -181,6 +181,9 @@
 /* Returns whether MECHANISM is not disabled.  */
 bool rly_is_enabled (const rly_t *rly, mech_t mechanism);
 const char *rly_get_account_name (const rly_request_t *request);
+/* Returns whether the time of REQUEST's caller, or that of its route, is over.
+ */
+bool rly_is_past_deadline (const rly_request_t *request, cfd_time_t now);
 /* Records that an exchange of REQUEST with EDP failed.  */
 void rly_add_failure (rly_request_t *request, const edp_t *edp);
 /* Returns whether an exchange of REQUEST with EDP has failed.  */
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -484,7 +484,7 @@
 {
   int64_t since_sent = now - request->sent_at;
 
-  if (now >= MIN (request->deadline, request->route_deadline))
+  if (rly_is_past_deadline (request, now))
     {
       rly_note_break (request, rly_note_end (request, UPS_TIMED_OUT), now);
       rly_count_rollout_answer (request, now, true);
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -235,6 +235,12 @@
   return request->account != NULL ? request->account->name : "";
 }
 
+bool
+rly_is_past_deadline (const rly_request_t *request, cfd_time_t now)
+{
+  return now >= MIN (request->deadline, request->route_deadline);
+}
+
 void
 rly_add_failure (rly_request_t *request, const edp_t *edp)
 {
@@ -548,7 +554,10 @@
   use_add_demand (rly->use, now, rly_get_account_name (request),
                   request->cost);
   rly_enqueue (request);
-  if (rly_is_quarantined (request, now))
+  /* The time may be over when the last byte of the body comes.  */
+  if (rly_is_past_deadline (request, now))
+    rly_refuse_for (request, now, "deadline", 0);
+  else if (rly_is_quarantined (request, now))
     rly_refuse_quarantined (request, now);
   else if (rly_is_part_quarantined (request, now))
     rly_refuse_part (request, now);
