Relay: count a request's wait from its whole body, not from its first byte

What callers saw: 503, reason "no-room", as soon as a request was whole if its upload had taken longer than its route's latency objective, also while all endpoints were idle.

Cause: arrived_at, the time of the first byte, stood for the time since when the router lets the request wait. make_constraints plans with 0.8 of the target latency less the time waited; after a longer upload that is negative, no endpoint meets it, and the next tick refuses the request. The wait deadline, lateness of retries, order, the route's time-out and waited_ms used the same time.

Fix: the entry tells when a request was whole, less the time for which its body waited for memory here, which is this router's wait. Waiting, placement, order, time-out of the route, log and histograms count from there; a retry carries over what its caller waited for routers before. The caller's deadline and the recognition of retries still count from the first byte, so that endpoints never get more time than the caller has left.

--- a/libcoltsfootdrum/relay/ent-bodies.c
+++ b/libcoltsfootdrum/relay/ent-bodies.c
@@ -77,6 +77,14 @@
   call->expects_continue = false;
 }
 
+/* Reads on the body of CALL, which waited for memory.  */
+static void
+end_wait (ent_call_t *call, cfd_time_t now)
+{
+  call->body_wait_ms += now - call->claim.waiting_since;
+  continue_body (call);
+}
+
 static void
 reserve (ent_call_t *call, size_t bytes)
 {
@@ -212,13 +220,14 @@
 void
 ent_release_body (ent_call_t *call)
 {
+  cfd_time_t now = clock_now ();
   bdm_claim_t *claim;
 
   bdm_release (call->ent->bodies, &call->claim);
   g_clear_pointer (&call->account, g_free);
   call->expects_continue = false;
   while ((claim = bdm_grant_next (call->ent->bodies)) != NULL)
-    continue_body (list_entry (claim, ent_call_t, claim));
+    end_wait (list_entry (claim, ent_call_t, claim), now);
 }
 
 bool
--- a/libcoltsfootdrum/relay/ent-private.h
+++ b/libcoltsfootdrum/relay/ent-private.h
@@ -57,6 +57,8 @@
   cfd_time_t state_since;
   cfd_time_t input_at;     /* of the last input that was discarded */
   cfd_time_t started;      /* start of the request */
+  cfd_time_t received;     /* see ent_get_receive_time */
+  int64_t body_wait_ms;    /* for which its body waited for memory */
   size_t unsent;           /* at the last check */
   uint64_t sent;           /* likewise, since the connection's start */
   cfd_time_t unsent_since; /* since when the client has read nothing */
--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -117,6 +117,7 @@
     return;
   call->reusable = head->keep_alive && !head->is_http10;
   set_state (call, ENT_SERVING);
+  call->received = MAX (call->state_since - call->body_wait_ms, call->started);
   call->ent->ops.request (call->ent->user, call);
 }
 
@@ -132,6 +133,7 @@
     {
       set_state (call, ENT_READING);
       call->started = call->state_since;
+      call->body_wait_ms = 0;
     }
   result = rd_feed (call->rd, bytes, length, &used);
   if (call->too_large)
@@ -500,6 +502,12 @@
   return call->started;
 }
 
+cfd_time_t
+ent_get_receive_time (const ent_call_t *call)
+{
+  return call->received;
+}
+
 void
 ent_set_data (ent_call_t *call, void *data)
 {
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -115,6 +115,9 @@
 const GByteArray *ent_get_body (const ent_call_t *call);
 /* Returns when the first bytes of the request were received.  */
 cfd_time_t ent_get_start_time (const ent_call_t *call);
+/* Returns when the request was whole, or would have been if its body had not
+   waited for memory here.  */
+cfd_time_t ent_get_receive_time (const ent_call_t *call);
 /* Attaches the user's data to CALL.  */
 void ent_set_data (ent_call_t *call, void *data);
 void *ent_get_data (const ent_call_t *call);
--- a/libcoltsfootdrum/relay/ret.h
+++ b/libcoltsfootdrum/relay/ret.h
@@ -27,7 +27,8 @@
                           const void *body, size_t length);
 
 /* Records that the caller of KEY was refused and told to retry at RETRY_AT.
-   FIRST_ATTEMPT is the time of its first attempt.  */
+   FIRST_ATTEMPT is when its first attempt was whole; the time that it took to
+   send further ones is added.  */
 void ret_add_refusal (ret_t *ret, cfd_time_t now, uint64_t key,
                       cfd_time_t first_attempt, cfd_time_t retry_at);
 
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -71,11 +71,11 @@
             "waited_ms=%" G_GINT64_FORMAT
             " waiting=%u retry_ms=%" G_GINT64_FORMAT ".",
             request->id, rly_get_account_name (request), reason,
-            now - request->arrived_at, request->service->waiting, retry_ms);
+            now - request->received_at, request->service->waiting, retry_ms);
   request->rly->counts.refused++;
   if (request->retry_key != 0)
     ret_add_refusal (request->rly->ret, now, request->retry_key,
-                     request->first_attempt, now + retry_ms);
+                     request->waiting_since, now + retry_ms);
   g_ascii_formatd (retry_after, sizeof retry_after, "%.3f",
                    (double)retry_ms / 1000.);
   fields = g_strdup_printf ("Retry-After: %s\r\n", retry_after);
@@ -414,7 +414,8 @@
     rly_note_answer_went_on (request, now);
   edp_record_success (request->edp, now);
   if (answer->status / 100 == 2)
-    prom_hist_observe (&request->service->total_ms, now - request->arrived_at);
+    prom_hist_observe (&request->service->total_ms,
+                       now - request->received_at);
   if (answer->is_stream)
     {
       finish_stream (request);
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -448,10 +448,10 @@
 static plc_request_t
 make_constraints (const rly_round_t *round, const rly_request_t *request)
 {
-  /* A late request, or one that failed, is placed as if it had just arrived.
+  /* A late request, or one that failed, is placed as if it had just come.
    */
   bool restarts_clock = request->tries > 0 || request->is_late;
-  int64_t waited = restarts_clock ? 0 : round->now - request->first_attempt;
+  int64_t waited = restarts_clock ? 0 : round->now - request->waiting_since;
   double allowed = get_allowance (request);
   plc_request_t constraints
       = { .time_left_ms
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -28,9 +28,9 @@
   fit_t first_token_fit;     /* time to first token by prefill work, in ms */
   fit_t prefill_fit;         /* the same where nothing else is prefilled */
   double event_ms;           /* time of an event while nothing is prefilled */
-  prom_hist_t wait_ms;       /* from arrival until sent */
-  prom_hist_t first_byte_ms; /* from arrival to the first byte; successes */
-  prom_hist_t total_ms;      /* from arrival to the last byte; successes */
+  prom_hist_t wait_ms;       /* from its receipt until sent */
+  prom_hist_t first_byte_ms; /* from there to the first byte; successes */
+  prom_hist_t total_ms;      /* from there to the last byte; successes */
   prom_hist_t pause_ms;      /* longest time between events of each exchange */
   list_node_t queues;        /* rly_queue_t, none of them empty */
   unsigned waiting;
@@ -132,9 +132,14 @@
   bool went_on;      /* this exchange's answer cleared the parts */
   bool is_trial;     /* of a quarantined part */
 
-  cfd_time_t arrived_at;
-  cfd_time_t first_attempt;  /* of its caller, as far as is known */
-  cfd_time_t deadline;       /* from the caller */
+  cfd_time_t arrived_at; /* its first byte */
+  /* When it was whole.  The time that its caller takes to send it is not this
+     router's: it counts for the caller's deadline alone.  */
+  cfd_time_t received_at;
+  /* Since when routers let its caller wait: RECEIVED_AT, earlier by the time
+     since its first attempt was received if it is a retry.  */
+  cfd_time_t waiting_since;
+  cfd_time_t deadline;       /* from the caller; counts from the first byte */
   cfd_time_t route_deadline; /* from the route's time-out */
   int64_t target_latency_ms; /* for the first byte */
   cfd_time_t wait_deadline;  /* refused if still waiting then */
@@ -265,7 +270,7 @@
 /* Returns what the endpoints lack to take REQUEST, which waits.  */
 plc_shortage_t rly_find_shortage (rly_round_t *round,
                                   const rly_request_t *request);
-/* Returns for how long REQUEST may wait from its arrival.  After that its
+/* Returns for how long REQUEST may wait from its receipt.  After that its
    first token would be late even at an idle endpoint that caches its shared
    prefix.  */
 int64_t rly_compute_max_wait_ms (const rly_request_t *request);
--- a/libcoltsfootdrum/relay/rly-queue.c
+++ b/libcoltsfootdrum/relay/rly-queue.c
@@ -84,7 +84,7 @@
     return get_rank (a) < get_rank (b);
   if (a->is_late != b->is_late)
     return b->is_late;
-  return a->arrived_at < b->arrived_at;
+  return a->received_at < b->received_at;
 }
 
 /* Sets for how long REQUEST may wait before its first exchange.  A request
@@ -95,12 +95,12 @@
 set_wait_deadline (rly_request_t *request, cfd_time_t request_deadline)
 {
   cfd_time_t latest_start
-      = request->first_attempt + rly_compute_max_wait_ms (request);
+      = request->waiting_since + rly_compute_max_wait_ms (request);
 
-  request->is_late = latest_start <= request->arrived_at
+  request->is_late = latest_start <= request->received_at
                      && rly_is_enabled (request->rly, MECH_LATE_LAST);
   if (request->is_late)
-    latest_start = request->arrived_at;
+    latest_start = request->received_at;
   request->wait_deadline = MIN (latest_start, request_deadline);
 }
 
--- a/libcoltsfootdrum/relay/rly-send.c
+++ b/libcoltsfootdrum/relay/rly-send.c
@@ -229,7 +229,7 @@
       if (request->retry_key != 0)
         ret_mark_served (request->rly->ret, request->retry_key);
       prom_hist_observe (&request->service->first_byte_ms,
-                         now - request->arrived_at);
+                         now - request->received_at);
     }
   if (first && is_success (&request->answer))
     {
@@ -414,7 +414,7 @@
   start_exchange (request, edp, now);
   request->expected_ms
       = request->prompt != NULL ? estimate_first_byte_ms (request) : 1.;
-  prom_hist_observe (&request->service->wait_ms, now - request->arrived_at);
+  prom_hist_observe (&request->service->wait_ms, now - request->received_at);
   log_info (
       "relay",
       "A request was sent: request=%s key=%010" PRIx64
@@ -426,7 +426,7 @@
       edp->report->id,
       edp->report->version != NULL ? edp->report->version : "", edp->active,
       edp->peer_active, request->prefill_ahead, request->pending_prefill,
-      estimate_first_byte_ms (request), now - request->arrived_at,
+      estimate_first_byte_ms (request), now - request->received_at,
       source != NULL ? source->report->id : "", request->fetch_ms,
       request->is_canary, rly_has_failed_at (request, edp), load->slowness,
       load->recent_prefill,
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -389,19 +389,21 @@
   ent_respond (call, status, fields, NULL, 0);
 }
 
-/* Returns when the caller of REQUEST first sent it.  */
+/* Returns since when routers let the caller of REQUEST wait.  */
 static cfd_time_t
-find_first_attempt (rly_request_t *request, const hdr_t *fields)
+find_wait_start (rly_request_t *request, const hdr_t *fields)
 {
+  cfd_time_t upload_ms = request->received_at - request->arrived_at;
   const char *prompt = hdr_get (fields, request->rly->names.prompt);
   const GByteArray *body = ent_get_body (request->call);
 
   if (request->prompt == NULL)
-    return request->arrived_at;
+    return request->received_at;
   request->retry_key = ret_request_key (rly_get_account_name (request), prompt,
                                         body->data, body->len);
   return ret_take_first_attempt (request->rly->ret, request->arrived_at,
-                                 request->retry_key);
+                                 request->retry_key)
+         + upload_ms;
 }
 
 static rly_request_t *
@@ -420,10 +422,11 @@
   request->account = account;
   request->id = g_strdup (hdr_get (fields, rly->names.request_id));
   request->arrived_at = ent_get_start_time (call);
+  request->received_at = ent_get_receive_time (call);
   request->deadline = request->arrived_at + (int64_t)deadline;
   request->route_deadline = CFD_TIME_NEVER;
   if (route->timeout_ms > 0)
-    request->route_deadline = request->arrived_at + route->timeout_ms;
+    request->route_deadline = request->received_at + route->timeout_ms;
   list_init (&request->node);
   evs_init (&request->answer.events);
   request->answer.fields = g_string_new (NULL);
@@ -431,7 +434,7 @@
   parse_prompt_fields (request, fields);
   request->cost = compute_cost (request);
   request->content_key = rly_compute_content_key (request);
-  request->first_attempt = find_first_attempt (request, fields);
+  request->waiting_since = find_wait_start (request, fields);
   return request;
 }
 
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -322,6 +322,8 @@
   add_route (table, "/events-once/", RTE_STREAM, 1, false);
   add_route (table, "/slow/", RTE_IDEMPOTENT, 1, false)->target_latency_ms
       = 10000;
+  add_route (table, "/brief/", RTE_IDEMPOTENT, 1, false)->timeout_ms
+      = SCENE_BRIEF_TIMEOUT_MS;
   add_service (table);
   for (unsigned i = 0; i < G_N_ELEMENTS (accounts); i++)
     {
--- a/libcoltsfootdrum/relay/test-rly-scene.h
+++ b/libcoltsfootdrum/relay/test-rly-scene.h
@@ -10,6 +10,8 @@
 #define SCENE_ENDPOINTS 2
 /* Longest pause that the route of /events/ allows.  */
 #define SCENE_MAX_PAUSE_MS 100
+/* Time-out of the route of /brief/.  */
+#define SCENE_BRIEF_TIMEOUT_MS 400
 
 /* A reply of the endpoints.  Replies are sent in order, by whichever endpoint
    gets the request.  In BYTES "%I" stands for the request's id.  */
