Router: attempts that never started don't count as lost

Cause: a request may be lost at three agents. The bound compared the number of assignments, which also counts those that the agent gave back unstarted, as it does beyond its new limit after a failure and when it ejects its endpoint. A request that was given back twice and then was the probe of the ejected endpoint failed at its first loss.

Fix: lost attempts are counted by themselves. Attempts that never started are bounded by the time in the queue, as those that reached no endpoint were. The fault tests print the events of requests that failed.

--- a/libcoltsfootdrum/router/router-private.h
+++ b/libcoltsfootdrum/router/router-private.h
@@ -160,8 +160,9 @@
   /* NULL once the caller has disconnected or is answered.  */
   web_request_t *web;
   cfd_time_t assigned_at;
-  unsigned attempts;
-  avoid_t avoid; /* agents that failed this request */
+  unsigned attempts;      /* assignments to agents */
+  unsigned lost_attempts; /* of these, that were lost at an agent */
+  avoid_t avoid;          /* agents that failed this request */
 
   agent_t *agent;
   uint64_t agent_incarnation;
--- a/libcoltsfootdrum/router/router-request.c
+++ b/libcoltsfootdrum/router/router-request.c
@@ -2,8 +2,9 @@
 
 #include "base/log.h"
 
-/* A request whose agent is lost this many times may itself be the cause.  */
-#define MAX_ATTEMPTS 3
+/* A request whose agent is lost this many times may itself be the cause.
+   Attempts that never started don't count.  */
+#define MAX_LOST_ATTEMPTS 3
 #define SHUTDOWN_RETRY_AFTER_S 1
 
 request_t *
@@ -275,6 +276,7 @@
     case REQ_DO_RETRY:
       router->retry_budget -= 1;
       router->counters.retried++;
+      request->lost_attempts++;
       request->may_have_run = true;
       router_record_event (router, TL_RETRY, request, "the agent was lost");
       avoid_agent (request, now);
@@ -325,8 +327,9 @@
   return (req_facts_t){ .idempotent = request->idempotent,
                         .may_have_run = request->may_have_run,
                         .caller_gone = request->web == NULL,
-                        .may_retry = request->router->retry_budget >= 1
-                                     && request->attempts < MAX_ATTEMPTS };
+                        .may_retry
+                        = request->router->retry_budget >= 1
+                          && request->lost_attempts + 1 < MAX_LOST_ATTEMPTS };
 }
 
 void
--- a/libcoltsfootdrum/router/test-router-retry.c
+++ b/libcoltsfootdrum/router/test-router-retry.c
@@ -9,6 +9,7 @@
 
 /* Longer than each test takes.  */
 #define REQUEST_S 30
+#define GIVEN_BACK 2
 
 static bool
 is_declined (void *user)
@@ -93,6 +94,36 @@
   fixture_end (&fixture);
 }
 
+/* A request that an agent had given back unstarted twice, and that failed once
+   then, failed for its caller although another agent served: what never
+   started counted as a lost attempt.  */
+static void
+test_given_back (void)
+{
+  fixture_t fixture;
+  call_t call;
+  fake_agent_t *agent = &fixture.agents[0];
+  fake_agent_t *other = &fixture.agents[1];
+
+  fixture_begin_same_service (&fixture, REQUEST_S);
+  other->withholds_grants = true;
+  call_post_completion (&fixture, &call);
+  for (unsigned i = 1; i <= GIVEN_BACK; i++)
+    {
+      g_autofree char *request = agent_await_assignment (agent, i);
+
+      agent_send_not_started (agent, request);
+      agent_send_grant (agent, "a", INFINITY);
+    }
+  g_autofree char *failed = agent_await_assignment (agent, GIVEN_BACK + 1);
+  agent_send_end (agent, failed, OUTCOME_BROKEN, 0);
+  agent_send_grant (other, "a", INFINITY);
+  g_autofree char *resent = agent_await_assignment (other, 1);
+  g_assert_true (strncmp (failed, resent, strlen (failed) - 1) == 0);
+  call_end (&call);
+  fixture_end (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -101,5 +132,6 @@
   g_test_add_func ("/router-retry/waits-for-full-agent",
                    test_waits_for_full_agent);
   g_test_add_func ("/router-retry/without-another", test_without_another);
+  g_test_add_func ("/router-retry/given-back", test_given_back);
   return g_test_run ();
 }
--- a/tests/fault-events.c
+++ b/tests/fault-events.c
@@ -64,7 +64,8 @@
       const char *detail
           = json_object_get_string_member_with_default (event, "detail", "");
 
-      if (failed_agent != NULL || strcmp (kind, "retry") == 0)
+      if (failed_agent != NULL || strcmp (kind, "retry") == 0
+          || g_str_has_prefix (detail, "failed:"))
         g_test_message ("%" G_GINT64_FORMAT " %s %s %s: %s",
                         json_object_get_int_member (event, "wall_ms"), kind,
                         id, agent, detail);
--- a/tests/fault-events.h
+++ b/tests/fault-events.h
@@ -16,7 +16,7 @@
                                    const char *kind);
 /* Adds to PLACES the number of a router's retries that went to the agent where
    the request had just failed ([0]) and to another agent ([1]).  Prints each
-   event of a retried request.  */
+   event of a retried request, and the end of each that failed.  */
 void fault_count_retries (JsonArray *events, unsigned places[2]);
 
 #endif
--- a/tests/test-agent-faults.c
+++ b/tests/test-agent-faults.c
@@ -133,9 +133,27 @@
 
 /* ---- checks ---- */
 
+/* Counts and prints the retries of all routers, see fault_count_retries.  */
+static void
+count_retries (fault_run_t *run, unsigned places[2])
+{
+  for (unsigned i = 0; i < fault_plan.routers; i++)
+    {
+      g_autoptr (JsonParser) parser = json_parser_new ();
+
+      fault_count_retries (fault_fetch_events (run, FLEET_ROUTER, i, parser),
+                           places);
+    }
+}
+
 static void
 verify_all_answered (fault_run_t *run)
 {
+  unsigned places[2] = { 0, 0 };
+
+  /* Shows how the requests that failed came to it.  */
+  if (run->totals.correct != run->totals.requests)
+    count_retries (run, places);
   g_assert_cmpuint (run->totals.correct, ==, run->totals.requests);
 }
 
@@ -158,13 +176,7 @@
 {
   unsigned places[2] = { 0, 0 };
 
-  for (unsigned i = 0; i < fault_plan.routers; i++)
-    {
-      g_autoptr (JsonParser) parser = json_parser_new ();
-
-      fault_count_retries (fault_fetch_events (run, FLEET_ROUTER, i, parser),
-                           places);
-    }
+  count_retries (run, places);
   g_test_message ("%u retries at the agent that failed, %u at another",
                   places[0], places[1]);
   g_assert_cmpuint (places[0], ==, 0);
