--- a/libcoltsfootdrum/relay/jrn.h
+++ b/libcoltsfootdrum/relay/jrn.h
@@ -18,9 +18,9 @@
 #include "relay/org.h"
 
 /* Least time between the starts of two writes.  */
-#define JRN_WRITE_INTERVAL_MS 200
+#define JRN_WRITE_INTERVAL_MS 100
 /* Span of a slot.  */
-#define JRN_SPAN_MS 2000
+#define JRN_SPAN_MS 1000
 /* Age beyond which a record isn't needed: that of org.  */
 #define JRN_KEEP_MS 20000
 /* Limits the memory: 24 bytes each.  */
--- a/libcoltsfootdrum/relay/rly-break.c
+++ b/libcoltsfootdrum/relay/rly-break.c
@@ -183,7 +183,7 @@
 
   /* One that leaves ends its answers before it ends, and isn't asked.  */
   if (edp->report->leaving
-      || now >= MIN (request->deadline, request->route_deadline)
+      || rly_is_past_deadline (request, now)
       || (now - request->closed_at >= CLOSE_MS
           && ups_has_connection_from_before (edp->ups, request->closed_at)))
     rly_settle_closed (request, false, now);
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -482,10 +482,10 @@
 make_constraints (const rly_round_t *round, const rly_request_t *request)
 {
   /* A late request, one that failed, or one that resumes a stream is placed as
-     if it had just arrived.  */
+     if it had just come.  */
   bool restarts_clock
       = request->tries > 0 || request->is_late || request->is_resumed;
-  int64_t waited = restarts_clock ? 0 : round->now - request->first_attempt;
+  int64_t waited = restarts_clock ? 0 : round->now - request->waiting_since;
   double allowed = get_allowance (request);
   plc_request_t constraints
       = { .time_left_ms
@@ -638,7 +638,8 @@
   plc_request_t constraints;
   int chosen;
 
-  if (!round->has_free_slot || rly_awaits_quarantine (request, round->now)
+  if (!round->has_free_slot || rly_is_past_deadline (request, round->now)
+      || rly_awaits_quarantine (request, round->now)
       || rly_is_part_quarantined (request, round->now))
     return false;
   round->has_remote = false;
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -324,6 +324,8 @@
       add_route (table, "/split/", RTE_STREAM, 2, true), "other", 0.);
   add_route (table, "/slow/", RTE_IDEMPOTENT, 1, false)->target_latency_ms
       = 10000;
+  add_route (table, "/brief/", RTE_IDEMPOTENT, 1, false)->timeout_ms
+      = SCENE_BRIEF_TIMEOUT_MS;
   add_service (table);
   for (unsigned i = 0; i < G_N_ELEMENTS (accounts); i++)
     {
