Origins: a stream without a record belongs to its route, not to a service

Cause: a router without a record of a stream took it for one of the only registered version of the service that its route names now. A configuration may have moved the route since the stream began, or a longer prefix may have captured its path. While each service has one version, records were neither published nor stored, also on routes that are split, so that all routers but one lacked them.

A record is published unless its service is that only one and has one version.

Two cases are added: the move with a known register, and streams that began before the move.

Not measured: the fleet under moves of routes.

--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -13,7 +13,8 @@
 #define MAX_VERSIONS 64
 /* Updates kept for the other routers, less than fill a datagram.  */
 #define MAX_UPDATES 2048
-/* Streams of this age are published when a second version appears.  */
+/* Streams of this age are published when a second version appears, or a route
+   gets a second service.  */
 #define MAX_PUBLISHED_AGE_MS 10000
 /* 40 bits keep datagrams short; among some ten thousand streams collisions
    are unlikely.  */
@@ -52,7 +53,8 @@
   list_node_t order;   /* the same, the earliest record first */
   GArray *updates;     /* org_update_t, the oldest first */
   uint64_t last_number;
-  GHashTable *services; /* hash of the name to org_service_t */
+  GHashTable *services;     /* hash of the name to org_service_t */
+  cfd_time_t several_until; /* see org_set_several_until */
   bool knows_versions;
   bool knows_register;
   jrn_t *jrn; /* not owned; may be NULL */
@@ -226,7 +228,8 @@
     jrn_add (org->jrn, now, key, origin);
 }
 
-/* Publishes the streams that began here before a second version appeared.  */
+/* Publishes the streams that began here before a second version appeared, or
+   before their route got a second service.  */
 static void
 publish_recent (org_t *org, cfd_time_t now)
 {
@@ -525,12 +528,23 @@
   return found != NULL && is_mixed (found, now);
 }
 
+void
+org_set_several_until (org_t *org, cfd_time_t now, cfd_time_t until,
+                       bool is_wider)
+{
+  org->several_until = until;
+  if (is_wider)
+    publish_recent (org, now);
+}
+
 bool
 org_is_any_mixed (const org_t *org, cfd_time_t now)
 {
   GHashTableIter each;
   void *service;
 
+  if (now <= org->several_until)
+    return true;
   g_hash_table_iter_init (&each, org->services);
   while (g_hash_table_iter_next (&each, NULL, &service))
     if (is_mixed (service, now))
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -7,13 +7,14 @@
    fit together, and endpoints don't check it.
 
    Each router records the origin of the streams that it began.  While a
-   service has several versions, it also sends them to the other routers, as
-   soon as a stream's first event is passed on.
+   service has several versions, or a route several services, it also sends
+   them to the other routers, as soon as a stream's first event is passed on.
 
    The register of versions outlives all routers: per service, the versions at
    which a stream that may still be resumed can have begun.  A stream of which
-   no record exists belongs to the only registered version; with several, it
-   isn't known to which.  */
+   no record exists belongs to the only registered version of the only service
+   that its route has had lately (relay/rth.h); with several, it isn't known to
+   which.  */
 
 #ifndef RELAY_ORG_H
 #define RELAY_ORG_H
@@ -50,7 +51,7 @@
 typedef struct
 {
   org_origin_t origin; /* as recorded; ORG_ANY: not recorded */
-  org_origin_t sole;   /* see org_get_sole */
+  org_origin_t sole;   /* of its only service, see org_get_sole */
   bool knows_versions; /* the register here may lack no version */
 } org_inputs_t;
 
@@ -108,7 +109,13 @@
    that is resumed now may have begun.  */
 bool org_is_mixed (const org_t *org, cfd_time_t now, const char *service);
 
-/* Returns the same of any service.  */
+/* Sets until when a resumable route counts as having several services
+   (rth_get_several_until).  When IS_WIDER, a route gets one more: the streams
+   that began here lately are published.  */
+void org_set_several_until (org_t *org, cfd_time_t now, cfd_time_t until,
+                            bool is_wider);
+/* Returns whether any service is mixed, or a resumable route counts as having
+   several services.  */
 bool org_is_any_mixed (const org_t *org, cfd_time_t now);
 
 /* Adds the records to be stored to JRN, which is not owned; NULL: to none.  */
--- a/libcoltsfootdrum/relay/rly-origin.c
+++ b/libcoltsfootdrum/relay/rly-origin.c
@@ -59,17 +59,30 @@
   return false;
 }
 
+/* Returns the only service in which a stream of REQUEST's path that may still
+   be resumed can have begun; NULL if there are several.  */
+static const char *
+get_sole_service (const rly_request_t *request, cfd_time_t now)
+{
+  const rd_head_t *head = ent_get_head (request->call);
+  const char *host = hdr_get (&head->fields, "Host");
+
+  if (host == NULL)
+    return NULL;
+  return rth_get_sole_service (request->rly->history, now, host, head->target);
+}
+
 /* Returns what is concluded for REQUEST, of whose stream RECORD is known.  In
    which of several services a stream without a record began isn't known.  */
 static org_verdict_t
-decide_origin (const rly_request_t *request, const org_record_t *record)
+decide_origin (const rly_request_t *request, const org_record_t *record,
+               cfd_time_t now)
 {
   const org_t *org = request->rly->org;
-  bool has_one_service = request->route->traffic_shares->len == 1;
+  const char *service = get_sole_service (request, now);
   const org_inputs_t inputs
       = { .origin = record->origin,
-          .sole = has_one_service ? org_get_sole (org, request->service->name)
-                                  : ORG_ANY,
+          .sole = service != NULL ? org_get_sole (org, service) : ORG_ANY,
           .knows_versions = org_knows_versions (org) };
 
   return org_decide (&inputs);
@@ -139,7 +152,7 @@
       request->stream_key = org_stream_key (first);
       record = org_find (org, now, request->stream_key);
     }
-  verdict = decide_origin (request, &record);
+  verdict = decide_origin (request, &record, now);
   outcome = bind_to (request, &verdict);
   request->is_resumed = outcome == RLY_RESUME_BOUND;
   request->rly->counts.resumptions[outcome]++;
@@ -156,11 +169,22 @@
   return outcome;
 }
 
+/* Returns whether a router without a record of REQUEST's stream would take it
+   for one of another service or version, or of an unknown one.  */
+static bool
+must_publish (const rly_request_t *request, cfd_time_t now)
+{
+  const char *service = request->service->name;
+
+  return org_is_mixed (request->rly->org, now, service)
+         || g_strcmp0 (get_sole_service (request, now), service) != 0;
+}
+
 void
 rly_note_origin (rly_request_t *request, cfd_time_t now)
 {
   rly_t *rly = request->rly;
-  bool is_mixed;
+  bool is_published;
 
   if (request->origin_noted)
     return;
@@ -169,10 +193,10 @@
   if (rly->org == NULL || !request->route->resumable
       || request->stream_key == 0)
     return;
-  is_mixed = org_is_mixed (rly->org, now, request->service->name);
-  org_add (rly->org, now, request->stream_key, request->origin, is_mixed);
+  is_published = must_publish (request, now);
+  org_add (rly->org, now, request->stream_key, request->origin, is_published);
   /* The record goes out with the changes of load.  */
-  if (is_mixed)
+  if (is_published)
     edp_set_note_changed (rly->endpoints, request->edp);
 }
 
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -13,6 +13,7 @@
 #include "relay/plc.h"
 #include "relay/rly.h"
 #include "relay/rol.h"
+#include "relay/rth.h"
 #include "relay/slw.h"
 #include "relay/evs.h"
 
@@ -70,6 +71,7 @@
   qua_t *qua;       /* not owned; may be NULL */
   prt_t *prt;       /* not owned; may be NULL */
   rte_table_t *table;
+  rth_t *history;
   bool is_list_old;     /* see rly_set_list_old */
   list_node_t services; /* rly_service_t */
   list_node_t running;  /* rly_request_t */
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -115,6 +115,7 @@
   rly->use = use;
   rly->pfx = pfx;
   rly->ret = ret;
+  rly->history = rth_new ();
   list_init (&rly->services);
   list_init (&rly->running);
   list_init (&rly->breaks);
@@ -174,6 +175,7 @@
       service_free (service);
     }
   rte_table_unref (rly->table);
+  rth_free (rly->history);
   g_free (rly);
 }
 
@@ -255,8 +257,10 @@
 }
 
 void
-rly_set_table (rly_t *rly, rte_table_t *table)
+rly_set_table (rly_t *rly, rte_table_t *table, cfd_time_t now)
 {
+  bool is_wider;
+
   if (rly->table != NULL
       && rte_table_version (table) <= rte_table_version (rly->table))
     return;
@@ -266,6 +270,10 @@
             rte_table_version (table), rte_table_route_count (table));
   rte_table_unref (rly->table);
   rly->table = rte_table_ref (table);
+  is_wider = rth_set_table (rly->history, now, table);
+  if (rly->org != NULL)
+    org_set_several_until (rly->org, now, rth_get_several_until (rly->history),
+                           is_wider);
 }
 
 const rte_table_t *
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -134,7 +134,7 @@
 void rly_on_disconnect (void *user, ent_call_t *call);
 
 /* Applies TABLE, unless it is older than the current one.  */
-void rly_set_table (rly_t *rly, rte_table_t *table);
+void rly_set_table (rly_t *rly, rte_table_t *table, cfd_time_t now);
 const rte_table_t *rly_table (const rly_t *rly);
 
 /* Refuses new requests from now on; accepted requests are completed.  */
--- a/libcoltsfootdrum/relay/rte.c
+++ b/libcoltsfootdrum/relay/rte.c
@@ -191,6 +191,55 @@
     g_hash_table_replace (table->keys, g_strdup (*keys), account);
 }
 
+void
+rte_table_foreach_route (const rte_table_t *table,
+                         void (*each) (void *user, const rte_route_t *route),
+                         void *user)
+{
+  GHashTableIter iter;
+  void *data;
+
+  g_hash_table_iter_init (&iter, table->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    {
+      const GPtrArray *routes = data;
+
+      for (guint i = 0; i < routes->len; i++)
+        each (user, g_ptr_array_index (routes, i));
+    }
+}
+
+/* Adds a copy of ROUTE to the table USER.  */
+static void
+copy_route (void *user, const rte_route_t *route)
+{
+  rte_route_t *copy = rte_route_new ();
+  GArray *traffic_shares = copy->traffic_shares;
+
+  *copy = *route;
+  copy->name = g_strdup (route->name);
+  copy->host = g_strdup (route->host);
+  copy->prefix = g_strdup (route->prefix);
+  copy->traffic_shares = traffic_shares;
+  for (guint i = 0; i < route->traffic_shares->len; i++)
+    {
+      const rte_traffic_share_t *share
+          = &g_array_index (route->traffic_shares, rte_traffic_share_t, i);
+
+      rte_route_add_traffic_share (copy, share->service, share->weight);
+    }
+  rte_table_add_route (user, copy);
+}
+
+rte_table_t *
+rte_table_copy_routes (const rte_table_t *table)
+{
+  rte_table_t *copy = rte_table_new (table->version, &table->limits);
+
+  rte_table_foreach_route (table, copy_route, copy);
+  return copy;
+}
+
 uint64_t
 rte_table_version (const rte_table_t *table)
 {
--- a/libcoltsfootdrum/relay/rte.h
+++ b/libcoltsfootdrum/relay/rte.h
@@ -91,6 +91,14 @@
                                   double weight);
 void rte_service_free (rte_service_t *service);
 
+/* Returns a table with copies of TABLE's routes, and nothing else.  */
+rte_table_t *rte_table_copy_routes (const rte_table_t *table);
+/* Calls EACH for the routes of TABLE.  */
+void rte_table_foreach_route (const rte_table_t *table,
+                              void (*each) (void *user,
+                                            const rte_route_t *route),
+                              void *user);
+
 uint64_t rte_table_version (const rte_table_t *table);
 const rte_limits_t *rte_table_limits (const rte_table_t *table);
 guint rte_table_route_count (const rte_table_t *table);
--- a/libcoltsfootdrum/relay/test-rly-moves.c
+++ b/libcoltsfootdrum/relay/test-rly-moves.c
@@ -66,7 +66,7 @@
   if (service == NULL || g_str_equal (service, "other"))
     rte_route_add_traffic_share (route, "other", 1.);
   rte_table_add_route (table, route);
-  rly_set_table (scene->rly, table);
+  rly_set_table (scene->rly, table, clock_now ());
 }
 
 /* Guards against a stream of another router that goes on in the service to
@@ -88,6 +88,36 @@
   scene_free (scene);
 }
 
+static void
+register_versions (scene_t *scene)
+{
+  org_begin_register (scene->org);
+  org_register_version (scene->org, "app", "v1");
+  org_register_version (scene->org, "other", "v1");
+  org_end_register (scene->org, clock_now (), true);
+  rly_update_register (scene->rly);
+}
+
+/* The same where each service has one registered version: that of the service
+   which the route names now says nothing of the stream.  */
+static void
+test_moved_registered (void)
+{
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller;
+
+  list_endpoints (scene);
+  register_versions (scene);
+  set_service (scene, 2, "app");
+  set_service (scene, 3, "other");
+  caller = scene_send_request (scene, RESUME);
+  scene_wait_for (scene, caller, "\r\n\r\n");
+  g_assert_true (g_str_has_prefix (caller->text->str, REFUSED));
+  g_assert_cmpuint (scene->requests_received, ==, 0);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 /* Guards against a stream of another router that goes on in any service of a
    split route.  */
 static void
@@ -123,6 +153,26 @@
   scene_free (scene);
 }
 
+/* Guards against streams that began before their route was moved, and of which
+   the other routers learn nothing.  */
+static void
+test_published_later (void)
+{
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller;
+
+  list_endpoints (scene);
+  set_service (scene, 2, "app");
+  caller = scene_send_request (scene, CALL ("first", ""));
+  scene_wait_for (scene, caller, END);
+  g_assert_cmpuint (org_updates (scene->org, clock_now ())->len, ==, 0);
+  set_service (scene, 3, "other");
+  g_assert_cmpuint (org_updates (scene->org, clock_now ())->len, ==, 1);
+  g_assert_true (org_is_any_mixed (scene->org, clock_now ()));
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 static bool
 has_ended (void *user)
 {
@@ -173,8 +223,10 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/rly-moves/moved", test_moved);
+  g_test_add_func ("/rly-moves/moved-registered", test_moved_registered);
   g_test_add_func ("/rly-moves/split", test_split);
   g_test_add_func ("/rly-moves/published", test_published);
+  g_test_add_func ("/rly-moves/published-later", test_published_later);
   g_test_add_func ("/rly-moves/started-again", test_started_again);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -387,7 +387,7 @@
   g_assert_nonnull (scene->ent);
   for (unsigned i = 0; i < SCENE_ENDPOINTS; i++)
     open_server (scene, &scene->servers[i]);
-  rly_set_table (scene->rly, table);
+  rly_set_table (scene->rly, table, clock_now ());
   scene_list_endpoints (scene, 0, false, slots);
   ev_timer_init (&scene->tick, on_tick, 0., RLY_TICK_MS / 1000.);
   scene->tick.data = scene;
--- a/libcoltsfootdrum/relay/test-rly.c
+++ b/libcoltsfootdrum/relay/test-rly.c
@@ -793,8 +793,8 @@
   g_autoptr (rte_table_t) newer = rte_table_new (9, &limits);
   g_autoptr (rte_table_t) older = rte_table_new (8, &limits);
 
-  rly_set_table (scene->rly, newer);
-  rly_set_table (scene->rly, older);
+  rly_set_table (scene->rly, newer, clock_now ());
+  rly_set_table (scene->rly, older, clock_now ());
   g_assert_cmpuint (rte_table_version (rly_table (scene->rly)), ==, 9);
   scene_free (scene);
 }
