--- a/libcoltsfootdrum/relay/jrn.h
+++ b/libcoltsfootdrum/relay/jrn.h
@@ -18,9 +18,9 @@
 #include "relay/org.h"
 
 /* Least time between the starts of two writes.  */
-#define JRN_WRITE_INTERVAL_MS 100
+#define JRN_WRITE_INTERVAL_MS 40
 /* Span of a slot.  */
-#define JRN_SPAN_MS 1000
+#define JRN_SPAN_MS 500
 /* Age beyond which a record isn't needed: that of org.  */
 #define JRN_KEEP_MS 20000
 /* Limits the memory: 24 bytes each.  */
@@ -29,7 +29,7 @@
    continues in the next slot.  */
 #define JRN_MAX_SLOT_RECORDS 4096u
 /* Limits the number of objects.  */
-#define JRN_MAX_SLOTS 40u
+#define JRN_MAX_SLOTS 60u
 
 /* Creates an empty journal.  */
 jrn_t *jrn_new (void);
--- a/libcoltsfootdrum/relay/test-jrn.c
+++ b/libcoltsfootdrum/relay/test-jrn.c
@@ -3,6 +3,8 @@
 #include "relay/jrn.h"
 
 #define NOW 1000000
+#define INTERVAL JRN_WRITE_INTERVAL_MS
+#define SPAN JRN_SPAN_MS
 
 static void
 add_many (jrn_t *jrn, cfd_time_t now, uint64_t first, unsigned count)
@@ -40,30 +42,30 @@
   /* A call for each stream.  */
   { "interval",
     { { 0, 1, JRN_WRITTEN, 0, 1 },
-      { 199, 1, JRN_WRITTEN, -1, 0 },
-      { 200, 1, JRN_WRITTEN, 0, 3 } } },
+      { INTERVAL - 1, 1, JRN_WRITTEN, -1, 0 },
+      { INTERVAL, 1, JRN_WRITTEN, 0, 3 } } },
   /* Slots that grow without end.  */
   { "span",
     { { 0, 1, JRN_WRITTEN, 0, 1 },
-      { 1999, 1, JRN_WRITTEN, 0, 2 },
-      { 2300, 1, JRN_WRITTEN, 1, 1 },
-      { 4300, 1, JRN_WRITTEN, 2, 1 } } },
+      { SPAN - 1, 1, JRN_WRITTEN, 0, 2 },
+      { SPAN + 300, 1, JRN_WRITTEN, 1, 1 },
+      { 2 * SPAN + 300, 1, JRN_WRITTEN, 2, 1 } } },
   /* A refused write after whose span nothing new came: its records were never
      written.  */
   { "refused",
     { { 0, 1, JRN_WRITTEN, 0, 1 },
-      { 1800, 1, JRN_REFUSED, 0, 2 },
-      { 1999, 0, JRN_WRITTEN, -1, 0 },
-      { 2300, 0, JRN_WRITTEN, 1, 1 } } },
+      { SPAN - 200, 1, JRN_REFUSED, 0, 2 },
+      { SPAN - 1, 0, JRN_WRITTEN, -1, 0 },
+      { SPAN + 300, 0, JRN_WRITTEN, 1, 1 } } },
   { "refused-within-span",
     { { 0, 2, JRN_REFUSED, 0, 2 }, { 400, 1, JRN_WRITTEN, 0, 3 } } },
   /* A write without a response that the store does late: it replaced the
      records of a newer one of the same slot.  */
   { "late",
     { { 0, 1, JRN_WRITTEN, 0, 1 },
-      { 200, 1, JRN_UNKNOWN, 0, 2 },
-      { 400, 1, JRN_WRITTEN, -1, 0 },
-      { 600, 1, JRN_WRITTEN, 1, 3 } } },
+      { INTERVAL, 1, JRN_UNKNOWN, 0, 2 },
+      { INTERVAL + 200, 1, JRN_WRITTEN, -1, 0 },
+      { INTERVAL + 400, 1, JRN_WRITTEN, 1, 3 } } },
   /* Records that nobody asks for any more.  */
   { "old", { { 0, 1, JRN_REFUSED, 0, 1 }, { 20001, 0, JRN_WRITTEN, -1, 0 } } },
   /* Objects of a megabyte.  */
@@ -110,11 +112,11 @@
   add_many (jrn, NOW, 1, 1);
   g_assert_true (jrn_begin_write (jrn, NOW, &write));
   g_assert_false (write.exists);
-  add_many (jrn, NOW + 500, 2, 1);
-  g_assert_false (jrn_begin_write (jrn, NOW + 500, &write));
-  jrn_end_write (jrn, NOW + 600, JRN_WRITTEN);
+  add_many (jrn, NOW + 300, 2, 1);
+  g_assert_false (jrn_begin_write (jrn, NOW + 300, &write));
+  jrn_end_write (jrn, NOW + 400, JRN_WRITTEN);
   g_assert_cmpuint (jrn_count_unwritten (jrn), ==, 1);
-  g_assert_true (jrn_begin_write (jrn, NOW + 600, &write));
+  g_assert_true (jrn_begin_write (jrn, NOW + 400, &write));
   g_assert_cmpuint (write.added, ==, 1);
   g_assert_true (write.exists);
 }
@@ -147,7 +149,8 @@
       max_slot = MAX (max_slot, write.slot);
       jrn_end_write (jrn, now, fails ? failure : JRN_WRITTEN);
     }
-  g_assert_cmpuint (max_slot, <, failure == JRN_UNKNOWN ? 24 : 13);
+  g_assert_cmpuint (max_slot, <,
+                    JRN_KEEP_MS / SPAN + (failure == JRN_UNKNOWN ? 14 : 3));
 }
 
 /* An outage of the store takes memory without end.  */
