Versions that left: only what a router saw itself is sent

Routers tell each other for how long a version has left. What one learned from such a report it sent on, as old as when it came, so that each exchange moved the departure forward by the delay of the datagram, and with delays near the interval the version counted for ever: the service stayed mixed, its records were published and stored, and streams were refused.

Weighed: keeping the first time that is known. A router that has forgotten the version takes it from the next report again, a delay later, so that with delays near the interval it still returns. Now each router reports only the departures that its own list showed. A registered version counts by the register, so that nothing is lost when all that saw it leave have ended.

/org/retired-exchange, with 200 ms between exchanges and 150 ms of delay, is red before: 'org_is_mixed (all[i], NOW + KEEP_MS + 1000, "app")' should be FALSE.

--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -34,9 +34,11 @@
   char *name; /* NULL: only reported by other routers */
   bool is_listed;
   bool is_registered;
-  bool was_registered;   /* before org_begin_register */
-  bool is_dropped;       /* from the register, and not listed since then */
-  cfd_time_t retired_at; /* unless it is listed */
+  bool was_registered;    /* before org_begin_register */
+  bool is_dropped;        /* from the register, and not listed since then */
+  cfd_time_t retired_at;  /* unless it is listed */
+  bool has_seen_it_leave; /* this router's list had it before */
+  cfd_time_t seen_leaving_at;
 } org_version_t;
 
 typedef struct
@@ -281,7 +283,11 @@
           = &g_array_index (service->versions, org_version_t, i);
 
       if (!version->is_listed && version->retired_at == CFD_TIME_NEVER)
-        version->retired_at = now;
+        {
+          version->retired_at = now;
+          version->has_seen_it_leave = true;
+          version->seen_leaving_at = now;
+        }
       if (!counts (version, now))
         g_array_remove_index_fast (service->versions, i);
     }
@@ -661,11 +667,13 @@
         {
           const org_version_t *version
               = &g_array_index (service->versions, org_version_t, i);
-          org_retired_t retired = { .service = *(const uint64_t *)key,
-                                    .origin = version->origin,
-                                    .retired_ms = now - version->retired_at };
+          org_retired_t retired
+              = { .service = *(const uint64_t *)key,
+                  .origin = version->origin,
+                  .retired_ms = now - version->seen_leaving_at };
 
-          if (!version->is_listed && counts (version, now))
+          if (!version->is_listed && version->has_seen_it_leave
+              && retired.retired_ms <= ORG_STREAM_KEEP_MS)
             each (user, &retired);
         }
     }
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -160,7 +160,9 @@
   int64_t retired_ms; /* since it left */
 } org_retired_t;
 
-/* Calls EACH for the versions that left service lately.  */
+/* Calls EACH for the versions that left service lately, as this router's list
+   showed.  What others report isn't passed on: a report is late by the delay
+   of its datagram, so that reports of reports would never end.  */
 void org_foreach_retired (const org_t *org, cfd_time_t now,
                           void (*each) (void *user,
                                         const org_retired_t *retired),
--- a/libcoltsfootdrum/relay/test-org.c
+++ b/libcoltsfootdrum/relay/test-org.c
@@ -338,6 +338,53 @@
   org_free (org);
 }
 
+static void
+deliver_retired (void *user, const org_retired_t *retired)
+{
+  g_array_append_val ((GArray *)user, *retired);
+}
+
+/* Has TO learn at NOW what FROM sent at SENT_AT.  */
+static void
+exchange_retired (const org_t *from, cfd_time_t sent_at, org_t *to,
+                  cfd_time_t now)
+{
+  g_autoptr (GArray) rows = g_array_new (FALSE, FALSE, sizeof (org_retired_t));
+
+  org_foreach_retired (from, sent_at, deliver_retired, rows);
+  for (guint i = 0; i < rows->len; i++)
+    org_add_retired (to, now, &g_array_index (rows, org_retired_t, i));
+}
+
+/* Guards against a version that never counts as gone: routers that tell each
+   other for how long it has left moved its departure forward each time, by the
+   delay of the datagram.  The third router started after it had left.  */
+static void
+test_retired_exchange (void)
+{
+  const int64_t delay_ms = 150;
+  const int64_t interval_ms = 200;
+  org_t *all[3];
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (all); i++)
+    {
+      all[i] = org_new ();
+      list_named (all[i], NOW - 100, "v1", i < 2 ? "v2" : NULL);
+      list_named (all[i], NOW + 100 * i, "v1", NULL);
+    }
+  for (cfd_time_t now = NOW + 300; now <= NOW + KEEP_MS + 1000;
+       now += interval_ms)
+    for (unsigned i = 0; i < 9; i++)
+      if (i / 3 != i % 3)
+        exchange_retired (all[i / 3], now, all[i % 3], now + delay_ms);
+  for (unsigned i = 0; i < G_N_ELEMENTS (all); i++)
+    {
+      g_assert_true (org_is_mixed (all[i], NOW + KEEP_MS, "app"));
+      g_assert_false (org_is_mixed (all[i], NOW + KEEP_MS + 1000, "app"));
+      org_free (all[i]);
+    }
+}
+
 static void
 test_hash (void)
 {
@@ -371,6 +418,7 @@
   g_test_add_func ("/org/record-age", test_record_age);
   g_test_add_func ("/org/flood", test_flood);
   g_test_add_func ("/org/retired-flood", test_retired_flood);
+  g_test_add_func ("/org/retired-exchange", test_retired_exchange);
   g_test_add_func ("/org/hash", test_hash);
   return g_test_run ();
 }
