Origins: a router's own record stays, and one without an origin is ignored

A record of another router replaced the one that this router had made of a stream that it began itself, and a row with the origin 0, as a malformed datagram may have it, erased what was known: a lookup takes 0 for no record.

/org/record-kept is red before: assertion failed (org_find (org, NOW, 1).origin == 5): (6 == 5).

--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -597,13 +597,14 @@
 }
 
 /* Returns whether stream KEY of another router is new.  A repeated record is
-   as old as the first one.  */
+   as old as the first one, and this router's own record stays.  */
 static bool
 add_peer_stream (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin)
 {
   const org_stream_t *known = g_hash_table_lookup (org->streams, &key);
 
-  if (known != NULL && known->origin == origin)
+  if (origin == ORG_ANY
+      || (known != NULL && (known->is_own || known->origin == origin)))
     return false;
   add_stream (org, now, key, origin, false);
   return true;
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -121,7 +121,8 @@
    other routers are to learn it.  */
 void org_add (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin,
               bool published);
-/* Records the same of another router's stream.  */
+/* Records the same of another router's stream.  Ignored when this router has
+   a record of its own, or for ORG_ANY, as in a malformed datagram.  */
 void org_add_peer (org_t *org, cfd_time_t now, uint64_t key,
                    org_origin_t origin);
 /* The same of a router of this one's cell, which the cell is to store.  */
--- a/libcoltsfootdrum/relay/test-org.c
+++ b/libcoltsfootdrum/relay/test-org.c
@@ -281,6 +281,26 @@
   org_free (org);
 }
 
+/* Guards against another router's record, or a malformed one without an
+   origin, that replaces what this router knows of a stream.  */
+static void
+test_record_kept (void)
+{
+  org_t *org = org_new ();
+
+  org_add (org, NOW, 1, 5, true);
+  org_add_peer (org, NOW, 1, 6);
+  org_add_near (org, NOW, 1, 6);
+  g_assert_cmpuint (org_find (org, NOW, 1).origin, ==, 5);
+  g_assert_true (org_find (org, NOW, 1).is_own);
+  org_add_peer (org, NOW, 2, 7);
+  org_add_peer (org, NOW, 2, ORG_ANY);
+  g_assert_cmpuint (org_find (org, NOW, 2).origin, ==, 7);
+  org_add_peer (org, NOW, 3, ORG_ANY);
+  g_assert_cmpuint (org_count_streams (org), ==, 2);
+  org_free (org);
+}
+
 /* A flood of streams takes a bounded amount of memory and of datagrams, and
    the newest are kept.  */
 static void
@@ -416,6 +436,7 @@
   g_test_add_func ("/org/mixed", test_mixed);
   g_test_add_func ("/org/published-later", test_published_later);
   g_test_add_func ("/org/record-age", test_record_age);
+  g_test_add_func ("/org/record-kept", test_record_kept);
   g_test_add_func ("/org/flood", test_flood);
   g_test_add_func ("/org/retired-flood", test_retired_flood);
   g_test_add_func ("/org/retired-exchange", test_retired_exchange);
