Endpoints: one whose process ended is of no version until its entry is renewed

A process that ended and listens again under its id, before the list has its new entry, was taken for one of the listed version, and streams of that version went on there. The header that names the instance doesn't help, as the id is the same.

Once a connection was refused and none is open, the endpoint has the origin ORG_ANY, which no bound stream has, so that the comparisons on the hot path stay as they are. Its entry of a newer revision, or another start, sets the origin again. A stream that begins there meanwhile is recorded with ORG_UNMATCHED and published also while the service has one version: by the register it would be of the listed one. New streams may begin there, so whether an endpoint is registered goes by its listed version. A probe without an answer says nothing of the process, so the version stays known then.

/rly-moves/started-again is red before: 'g_str_has_prefix (caller->text->str, REFUSED)' should be TRUE; /rly-moves/begun-again: assertion failed (org_updates (scene->org, clock_now ())->len == 1): (0 == 1).

--- a/libcoltsfootdrum/relay/con.c
+++ b/libcoltsfootdrum/relay/con.c
@@ -39,6 +39,7 @@
   uint64_t sent; /* bytes written since the start */
   bool *freed;   /* set to true when freed during a callback */
   bool connected;
+  bool is_refused;
   bool shutdown_pending; /* shut down once OUT is written */
   bool failed;
 };
@@ -152,6 +153,7 @@
   if (getsockopt (con->reader.fd, SOL_SOCKET, SO_ERROR, &problem, &length) != 0
       || problem != 0)
     {
+      con->is_refused = problem == ECONNREFUSED;
       notify_ended (con, CON_END_CONNECT_FAILED);
       return false;
     }
@@ -302,6 +304,12 @@
   return con->connected;
 }
 
+bool
+con_is_refused (const con_t *con)
+{
+  return con->is_refused;
+}
+
 /* Appends what is left of the shared bytes to the buffer.  */
 static void
 copy_shared (con_t *con)
--- a/libcoltsfootdrum/relay/con.h
+++ b/libcoltsfootdrum/relay/con.h
@@ -52,6 +52,8 @@
 void con_set_ops (con_t *con, const con_ops_t *ops, void *user);
 
 bool con_is_connected (const con_t *con);
+/* Returns whether the peer refused the connection: no process listens.  */
+bool con_is_refused (const con_t *con);
 
 /* Writes or buffers BYTES.  The ended callback reports a failure later.  */
 void con_write (con_t *con, const void *bytes, size_t length);
--- a/libcoltsfootdrum/relay/edp-break.c
+++ b/libcoltsfootdrum/relay/edp-break.c
@@ -68,6 +68,19 @@
     set->on_break (set->break_user, edp, has_ended, first_at);
 }
 
+/* Another process may listen under the id of EDP, at any version.  */
+static void
+forget_version (edp_t *edp)
+{
+  if (edp->origin != ORG_ANY)
+    log_info ("endpoints",
+              "The version of an endpoint isn't known until its entry is "
+              "renewed: endpoint=%s service=%s version=%s.",
+              edp->report->id, edp->report->service,
+              edp->report->version != NULL ? edp->report->version : "");
+  edp->origin = ORG_ANY;
+}
+
 /* No connection survived, and a new one can't be opened.  */
 static void
 settle_ended (edp_t *edp, const char *evidence)
@@ -90,10 +103,16 @@
 static void
 on_probe_ended (void *user, con_end_t end)
 {
+  edp_t *edp = user;
+
   if (end == CON_END_CONNECT_FAILED)
-    settle_ended (user, "refused");
+    {
+      if (con_is_refused (edp->broken.probe))
+        forget_version (edp);
+      settle_ended (edp, "refused");
+    }
   else
-    edp_settle_break (user, false, "connected");
+    edp_settle_break (edp, false, "connected");
 }
 
 static void
@@ -167,8 +186,11 @@
 void
 edp_note_unreachable (edp_t *edp, cfd_time_t now)
 {
-  if (!ups_has_connection_from_before (edp->ups, now))
-    edp_suspect_ended (edp, now, "unreachable");
+  if (ups_has_connection_from_before (edp->ups, now))
+    return;
+  if (ups_is_refused (edp->ups))
+    forget_version (edp);
+  edp_suspect_ended (edp, now, "unreachable");
 }
 
 void
--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -204,6 +204,9 @@
   if (edp->report->leaving != report->leaving)
     log_info ("endpoints", "An endpoint changed: endpoint=%s leaving=%d.",
               report->id, report->leaving);
+  /* It is of the process that listens now.  */
+  if (report->revision > edp->report->revision)
+    edp->origin = org_hash (report->service, report->version);
   g_hash_table_remove (set->by_id, report->id);
   edp_report_free (edp->report);
   edp->report = report;
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -110,9 +110,11 @@
   list_node_t node;
   edp_set_t *set;
   edp_report_t *report;
-  uint64_t hash;       /* of its id and start time */
-  org_origin_t origin; /* of the streams that it begins */
-  bool is_registered;  /* its version, see relay/org.h */
+  uint64_t hash; /* of its id and start time */
+  /* Of the streams that it begins.  ORG_ANY: not known, as its process ended
+     and its entry wasn't renewed since then.  */
+  org_origin_t origin;
+  bool is_registered; /* its version, see relay/org.h */
   ups_t *ups;
   bool withdrawn;             /* its availability zone is out of service */
   bool has_announced_leaving; /* in an answer, whatever the list says */
--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -74,7 +74,9 @@
   uint64_t hash
       = XXH3_64bits_withSeed (text, strlen (text), hash_service (service));
 
-  return (org_origin_t)hash != ORG_ANY ? (org_origin_t)hash : 1u;
+  if ((org_origin_t)hash == ORG_ANY || (org_origin_t)hash == ORG_UNMATCHED)
+    return 1u;
+  return (org_origin_t)hash;
 }
 
 uint64_t
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -26,6 +26,8 @@
 /* A service and a version of its software, as a hash; never 0.  */
 typedef uint32_t org_origin_t;
 #define ORG_ANY 0u
+/* Recorded for a stream of an unknown version: no endpoint continues it.  */
+#define ORG_UNMATCHED UINT32_MAX
 
 /* Returns the origin of streams that endpoints of VERSION of SERVICE begin.
    NULL, not reported, is a version like any other.  */
--- a/libcoltsfootdrum/relay/rly-origin.c
+++ b/libcoltsfootdrum/relay/rly-origin.c
@@ -97,7 +97,8 @@
     {
       const edp_t *edp = g_ptr_array_index (all, i);
 
-      if (edp->origin == origin && edp->report->version != NULL)
+      if (origin != ORG_ANY && edp->origin == origin
+          && edp->report->version != NULL)
         return edp->report->version;
     }
   return "";
@@ -160,19 +161,23 @@
 rly_note_origin (rly_request_t *request, cfd_time_t now)
 {
   rly_t *rly = request->rly;
-  bool is_mixed;
+  bool is_unmatched;
+  bool is_published;
 
   if (request->origin_noted)
     return;
   request->origin_noted = true;
-  request->origin = request->edp->origin;
+  is_unmatched = request->edp->origin == ORG_ANY;
+  request->origin = is_unmatched ? ORG_UNMATCHED : request->edp->origin;
   if (rly->org == NULL || !request->route->resumable
       || request->stream_key == 0)
     return;
-  is_mixed = org_is_mixed (rly->org, now, request->service->name);
-  org_add (rly->org, now, request->stream_key, request->origin, is_mixed);
+  /* By the register it would be of the version that is listed.  */
+  is_published
+      = is_unmatched || org_is_mixed (rly->org, now, request->service->name);
+  org_add (rly->org, now, request->stream_key, request->origin, is_published);
   /* The record goes out with the changes of load.  */
-  if (is_mixed)
+  if (is_published)
     edp_set_note_changed (rly->endpoints, request->edp);
 }
 
@@ -206,8 +211,9 @@
     {
       edp_t *edp = list_entry (node, edp_t, node);
 
-      edp->is_registered
-          = org_is_registered (org, edp->report->service, edp->origin);
+      edp->is_registered = org_is_registered (
+          org, edp->report->service,
+          org_hash (edp->report->service, edp->report->version));
     }
 }
 
--- a/libcoltsfootdrum/relay/test-rly-moves.c
+++ b/libcoltsfootdrum/relay/test-rly-moves.c
@@ -129,11 +129,10 @@
   return edp_set_count_ended (((scene_t *)user)->endpoints) == 1;
 }
 
-/* Guards against a stream that goes on at an endpoint whose process ended, and
-   which listens again under its id before its entry in the list is renewed:
-   it may be of another version.  */
-static void
-test_started_again (void)
+/* Begins the streams "first" and "second" at e0, ends its process while the
+   latter runs, and has one listen in its place under its id.  */
+static scene_t *
+start_again (void)
 {
   static const scene_reply_t broken[] = { { EVENTS, SCENE_KEEP_OPEN } };
   scene_t *scene = scene_new (broken, 1, 4);
@@ -160,11 +159,65 @@
   /* Its back-off is over.  */
   edp_set_find (scene->endpoints, "e0")->backoff_until = 0;
   scene_caller_free (caller);
-  caller = scene_send_request (
-      scene, CALL ("again", "Last-Event-Id: 1\r\nX-Resumes: first\r\n"));
+  return scene;
+}
+
+static void
+assert_refused (scene_t *scene, const char *request)
+{
+  scene_caller_t *caller = scene_send_request (scene, request);
+
   scene_wait_for (scene, caller, "\r\n\r\n");
   g_assert_true (g_str_has_prefix (caller->text->str, REFUSED));
   scene_caller_free (caller);
+}
+
+#define RESUME_AFTER_EVENT(id)                                                \
+  CALL ("again", "Last-Event-Id: 1\r\nX-Resumes: " id "\r\n")
+
+/* Guards against a stream that goes on at an endpoint whose process ended, and
+   which listens again under its id before its entry in the list is renewed:
+   it may be of another version.  */
+static void
+test_started_again (void)
+{
+  scene_t *scene = start_again ();
+
+  assert_refused (scene, RESUME_AFTER_EVENT ("first"));
+  scene_free (scene);
+}
+
+/* Guards against a stream of unknown version that goes on as one of the
+   version that the list still has for its endpoint: it began there after the
+   process had ended.  */
+static void
+test_begun_again (void)
+{
+  scene_t *scene = start_again ();
+  scene_caller_t *caller = scene_send_request (scene, CALL ("third", ""));
+  edp_t *edp = edp_set_find (scene->endpoints, "e0");
+  GPtrArray *reports = g_ptr_array_new ();
+  edp_report_t *report = g_new0 (edp_report_t, 1);
+
+  scene_wait_for (scene, caller, E1);
+  scene_caller_free (caller);
+  /* The other routers learn it, though the service has one version.  */
+  g_assert_cmpuint (org_updates (scene->org, clock_now ())->len, ==, 1);
+  assert_refused (scene, RESUME_AFTER_EVENT ("third"));
+  /* The entry is renewed, with the same version.  */
+  report->id = g_strdup ("e0");
+  report->service = g_strdup ("app");
+  report->address = g_strdup (edp->report->address);
+  report->zone = g_strdup ("z");
+  report->version = g_strdup ("v1");
+  report->revision = 2;
+  g_ptr_array_add (reports, report);
+  edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
+  rly_update_versions (scene->rly, clock_now ());
+  assert_refused (scene, RESUME_AFTER_EVENT ("third"));
+  caller = scene_send_request (scene, RESUME);
+  scene_wait_for (scene, caller, E1);
+  scene_caller_free (caller);
   scene_free (scene);
 }
 
@@ -176,5 +229,6 @@
   g_test_add_func ("/rly-moves/split", test_split);
   g_test_add_func ("/rly-moves/published", test_published);
   g_test_add_func ("/rly-moves/started-again", test_started_again);
+  g_test_add_func ("/rly-moves/begun-again", test_begun_again);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -31,6 +31,7 @@
   list_node_t used;
   unsigned connection_count;
   uint64_t connects;
+  bool is_refused;                                 /* see ups_is_refused */
   void (*on_closed) (void *user, int64_t idle_ms); /* may be NULL */
   void *closed_user;
 };
@@ -316,8 +317,10 @@
                   && !is_close_expected (connection);
 
   connection->in_callback = true;
+  ups->is_refused = con_is_refused (connection->con);
   if (connection->exchange != NULL)
     end_exchange (connection, classify_end (connection, end));
+  ups->is_refused = false;
   connection->in_callback = false;
   connection_free (connection);
   if (is_noted)
@@ -509,6 +512,12 @@
   return false;
 }
 
+bool
+ups_is_refused (const ups_t *ups)
+{
+  return ups->is_refused;
+}
+
 bool
 ups_has_connection_from_before (const ups_t *ups, cfd_time_t time)
 {
--- a/libcoltsfootdrum/relay/ups.h
+++ b/libcoltsfootdrum/relay/ups.h
@@ -101,6 +101,9 @@
 /* Returns whether a connection that was opened before TIME is established and
    not closed, as far as was read from its socket.  */
 bool ups_has_connection_from_before (const ups_t *ups, cfd_time_t time);
+/* Returns, while an exchange ends, whether it does as its connection was
+   refused.  */
+bool ups_is_refused (const ups_t *ups);
 /* Returns the number of connections started since ups_new.  */
 uint64_t ups_count_connects (const ups_t *ups);
 
