--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -35,9 +35,11 @@
   char *name; /* NULL: only reported by other routers */
   bool is_listed;
   bool is_registered;
-  bool was_registered;   /* before org_begin_register */
-  bool is_dropped;       /* from the register, and not listed since then */
-  cfd_time_t retired_at; /* unless it is listed */
+  bool was_registered;    /* before org_begin_register */
+  bool is_dropped;        /* from the register, and not listed since then */
+  cfd_time_t retired_at;  /* unless it is listed */
+  bool has_seen_it_leave; /* this router's list had it before */
+  cfd_time_t seen_leaving_at;
 } org_version_t;
 
 typedef struct
@@ -74,7 +76,9 @@
   uint64_t hash
       = XXH3_64bits_withSeed (text, strlen (text), hash_service (service));
 
-  return (org_origin_t)hash != ORG_ANY ? (org_origin_t)hash : 1u;
+  if ((org_origin_t)hash == ORG_ANY || (org_origin_t)hash == ORG_UNMATCHED)
+    return 1u;
+  return (org_origin_t)hash;
 }
 
 uint64_t
@@ -284,7 +288,11 @@
           = &g_array_index (service->versions, org_version_t, i);
 
       if (!version->is_listed && version->retired_at == CFD_TIME_NEVER)
-        version->retired_at = now;
+        {
+          version->retired_at = now;
+          version->has_seen_it_leave = true;
+          version->seen_leaving_at = now;
+        }
       if (!counts (version, now))
         g_array_remove_index_fast (service->versions, i);
     }
@@ -605,13 +613,14 @@
 }
 
 /* Returns whether stream KEY of another router is new.  A repeated record is
-   as old as the first one.  */
+   as old as the first one, and this router's own record stays.  */
 static bool
 add_peer_stream (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin)
 {
   const org_stream_t *known = g_hash_table_lookup (org->streams, &key);
 
-  if (known != NULL && known->origin == origin)
+  if (origin == ORG_ANY
+      || (known != NULL && (known->is_own || known->origin == origin)))
     return false;
   add_stream (org, now, key, origin, false);
   return true;
@@ -675,11 +684,13 @@
         {
           const org_version_t *version
               = &g_array_index (service->versions, org_version_t, i);
-          org_retired_t retired = { .service = *(const uint64_t *)key,
-                                    .origin = version->origin,
-                                    .retired_ms = now - version->retired_at };
+          org_retired_t retired
+              = { .service = *(const uint64_t *)key,
+                  .origin = version->origin,
+                  .retired_ms = now - version->seen_leaving_at };
 
-          if (!version->is_listed && counts (version, now))
+          if (!version->is_listed && version->has_seen_it_leave
+              && retired.retired_ms <= ORG_STREAM_KEEP_MS)
             each (user, &retired);
         }
     }
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -27,6 +27,8 @@
 /* A service and a version of its software, as a hash; never 0.  */
 typedef uint32_t org_origin_t;
 #define ORG_ANY 0u
+/* Recorded for a stream of an unknown version: no endpoint continues it.  */
+#define ORG_UNMATCHED UINT32_MAX
 
 /* Returns the origin of streams that endpoints of VERSION of SERVICE begin.
    NULL, not reported, is a version like any other.  */
@@ -128,7 +130,8 @@
    other routers are to learn it.  */
 void org_add (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin,
               bool published);
-/* Records the same of another router's stream.  */
+/* Records the same of another router's stream.  Ignored when this router has
+   a record of its own, or for ORG_ANY, as in a malformed datagram.  */
 void org_add_peer (org_t *org, cfd_time_t now, uint64_t key,
                    org_origin_t origin);
 /* The same of a router of this one's cell, which the cell is to store.  */
@@ -167,7 +170,9 @@
   int64_t retired_ms; /* since it left */
 } org_retired_t;
 
-/* Calls EACH for the versions that left service lately.  */
+/* Calls EACH for the versions that left service lately, as this router's list
+   showed.  What others report isn't passed on: a report is late by the delay
+   of its datagram, so that reports of reports would never end.  */
 void org_foreach_retired (const org_t *org, cfd_time_t now,
                           void (*each) (void *user,
                                         const org_retired_t *retired),
