--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -504,16 +504,14 @@
 
 /* Returns whether the connection with which the answer to REQUEST ended may
    have been closed by the end of the endpoint's process.  The kernel closes
-   the connections of a process that was killed in order, and all of them.
-   The close of the only connection shows nothing.  */
+   the connections of a process that was killed in order, and all of them.  */
 static bool
 may_have_ended (const rly_request_t *request)
 {
   const edp_t *edp = request->edp;
 
   return request->answer.is_stream && !edp->report->leaving
-         && !edp->has_announced_leaving
-         && (edp->active > 1 || ups_count_connections (edp->ups) > 1);
+         && !edp->has_announced_leaving;
 }
 
 void
--- a/libcoltsfootdrum/relay/rly-break.c
+++ b/libcoltsfootdrum/relay/rly-break.c
@@ -180,14 +180,16 @@
 rly_check_closed (rly_request_t *request, cfd_time_t now)
 {
   edp_t *edp = request->edp;
+  bool is_due = now - request->closed_at >= CLOSE_MS;
 
   /* One that leaves ends its answers before it ends, and isn't asked.  */
   if (edp->report->leaving
-      || rly_is_past_deadline (request, now)
-      || (now - request->closed_at >= CLOSE_MS
+      || (is_due
           && ups_has_connection_from_before (edp->ups, request->closed_at)))
     rly_settle_closed (request, false, now);
-  else if (now - request->closed_at >= CLOSE_MS && !request->closed_is_probed)
+  else if (rly_is_past_deadline (request, now))
+    rly_fail (request, 504, "timeout");
+  else if (is_due && !request->closed_is_probed)
     {
       request->closed_is_probed = true;
       edp_set_note_break (request->rly->endpoints, edp, now, false);
