--- a/libcoltsfootdrum/relay/test-rly-ends-process.c
+++ b/libcoltsfootdrum/relay/test-rly-ends-process.c
@@ -13,7 +13,7 @@
 #define LATE_MS 262
 
 #define CALL(deadline)                                                        \
-  "POST /events-once/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"                    \
+  "POST /events-once/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n"                     \
   "X-Deadline: " deadline "\r\nAuthorization: Bearer key-of-the-mill\r\n"     \
   "Content-Length: 0\r\n\r\n"
 
