Streams: the first event waits until its record is stored

Cause: a stream's first event was passed on at once, its record of origin stored some 50 to 100 ms later. Class: an effect that others may rely on before what makes it safe is stored.

The reports go to the routers of the cell with the next datagram. Whole answers, and events before a break, are passed on at once; with one version nothing is held back.

Weighed: publishing at the send costs no time, but a retry at another version makes the stored record false, which would join streams.

test-pal: the presence stands one byte further from the datagram's end, as an item follows on it; and two more lengths of datagrams are accepted.

--- a/libcoltsfootdrum/relay/jrn.c
+++ b/libcoltsfootdrum/relay/jrn.c
@@ -32,6 +32,7 @@
   int current;          /* number of the current slot; -1: none */
   cfd_time_t opened_at; /* when it became the current one */
   guint written;        /* records of CONTENT that are confirmed */
+  guint written_before; /* the same before the last write */
   bool is_writing;
   cfd_time_t next_write_at;
 };
@@ -106,6 +107,7 @@
   limit_waiting (jrn, JRN_MAX_RECORDS);
   g_array_set_size (jrn->content, 0);
   jrn->written = 0;
+  jrn->written_before = 0;
   jrn->current = -1;
 }
 
@@ -198,6 +200,7 @@
     {
     case JRN_WRITTEN:
       slot->exists = true;
+      jrn->written_before = jrn->written;
       jrn->written = jrn->content->len;
       return;
     case JRN_REFUSED:
@@ -209,6 +212,14 @@
   jrn->next_write_at = now + RETRY_MS;
 }
 
+void
+jrn_foreach_confirmed (const jrn_t *jrn,
+                       void (*each) (void *user, uint64_t key), void *user)
+{
+  for (guint i = jrn->written_before; i < jrn->written; i++)
+    each (user, g_array_index (jrn->content, record_t, i).key);
+}
+
 static void
 append_key (GByteArray *bytes, uint64_t key)
 {
--- a/libcoltsfootdrum/relay/jrn.h
+++ b/libcoltsfootdrum/relay/jrn.h
@@ -70,6 +70,11 @@
    next one.  After JRN_UNKNOWN that goes to another slot: done late, the old
    write would replace a newer one of the same slot.  */
 void jrn_end_write (jrn_t *jrn, cfd_time_t now, jrn_result_t result);
+/* Calls EACH for the records that the last write added, after it was
+   confirmed and before the next one.  */
+void jrn_foreach_confirmed (const jrn_t *jrn,
+                            void (*each) (void *user, uint64_t key),
+                            void *user);
 
 /* Reads KEYS, the keys of one origin in an object, and appends them to OUT
    (uint64_t).  Returns false, with OUT unchanged, if they are malformed.  */
--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -26,6 +26,7 @@
   uint64_t key;
   org_origin_t origin;
   bool is_own;
+  bool is_stored; /* an own record, in the journal */
   cfd_time_t at;
 } org_stream_t;
 
@@ -55,6 +56,10 @@
   list_node_t order;   /* the same, the earliest record first */
   GArray *updates;     /* org_update_t, the oldest first */
   uint64_t last_number;
+  GArray *stored; /* org_stored_t, the oldest first */
+  uint64_t last_stored;
+  void (*on_stored) (void *user, uint64_t key); /* may be NULL */
+  void *stored_user;
   GHashTable *services;     /* hash of the name to org_service_t */
   cfd_time_t several_until; /* see org_set_several_until */
   bool knows_versions;
@@ -131,6 +136,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, stream_free);
   list_init (&org->order);
   org->updates = g_array_new (FALSE, FALSE, sizeof (org_update_t));
+  org->stored = g_array_new (FALSE, FALSE, sizeof (org_stored_t));
   org->services = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
                                          service_free);
   org->knows_versions = true;
@@ -144,6 +150,7 @@
     return;
   g_hash_table_unref (org->streams);
   g_array_unref (org->updates);
+  g_array_unref (org->stored);
   g_hash_table_unref (org->services);
   g_free (org);
 }
@@ -566,6 +573,12 @@
   org->jrn = jrn;
 }
 
+bool
+org_is_storing (const org_t *org, cfd_time_t now)
+{
+  return org->jrn != NULL && org_is_any_mixed (org, now);
+}
+
 void
 org_set_loading (org_t *org, bool is_loading)
 {
@@ -649,7 +662,66 @@
     return record;
   return (org_record_t){ .origin = stream->origin,
                          .is_own = stream->is_own,
-                         .age_ms = now - stream->at };
+                         .age_ms = now - stream->at,
+                         .is_stored = stream->is_stored };
+}
+
+void
+org_note_stored (org_t *org, uint64_t key)
+{
+  org_stream_t *stream = g_hash_table_lookup (org->streams, &key);
+
+  if (stream == NULL || !stream->is_own || stream->is_stored)
+    return;
+  stream->is_stored = true;
+  if (org->on_stored != NULL)
+    org->on_stored (org->stored_user, key);
+}
+
+void
+org_add_stored (org_t *org, cfd_time_t now, uint64_t key)
+{
+  const org_stream_t *stream = g_hash_table_lookup (org->streams, &key);
+  org_stored_t stored = { .key = key, .at = now };
+
+  if (stream != NULL && stream->is_own)
+    {
+      org_note_stored (org, key);
+      return;
+    }
+  stored.number = ++org->last_stored;
+  if (org->stored->len >= MAX_UPDATES)
+    g_array_remove_index (org->stored, 0);
+  g_array_append_val (org->stored, stored);
+}
+
+void
+org_set_stored_callback (org_t *org,
+                         void (*callback) (void *user, uint64_t key),
+                         void *user)
+{
+  org->on_stored = callback;
+  org->stored_user = user;
+}
+
+const GArray *
+org_get_stored (org_t *org, cfd_time_t now)
+{
+  guint old = 0;
+
+  while (old < org->stored->len
+         && now - g_array_index (org->stored, org_stored_t, old).at
+                > ORG_UPDATE_KEEP_MS)
+    old++;
+  if (old > 0)
+    g_array_remove_range (org->stored, 0, old);
+  return org->stored;
+}
+
+uint64_t
+org_get_last_stored (const org_t *org)
+{
+  return org->last_stored;
 }
 
 const GArray *
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -122,6 +122,34 @@
 
 /* Adds the records to be stored to JRN, which is not owned; NULL: to none.  */
 void org_set_journal (org_t *org, jrn_t *jrn);
+
+/* Records that the journal has stored this router's record of stream KEY, as
+   another router that wrote it reports.  Ignored for a stream that didn't
+   begin here.  */
+void org_note_stored (org_t *org, uint64_t key);
+/* The same as this router has written it: what began at others is reported to
+   them.  */
+void org_add_stored (org_t *org, cfd_time_t now, uint64_t key);
+/* Calls CALLBACK for each stream of this router that was stored.  */
+void org_set_stored_callback (org_t *org,
+                              void (*callback) (void *user, uint64_t key),
+                              void *user);
+
+/* A record that this router has stored, to be reported to the others.  */
+typedef struct
+{
+  uint64_t key;
+  uint64_t number; /* sequence number */
+  cfd_time_t at;
+} org_stored_t;
+
+/* Returns the reports of the last ORG_UPDATE_KEEP_MS, the oldest first, valid
+   until the next call.  */
+const GArray *org_get_stored (org_t *org, cfd_time_t now);
+/* Returns the sequence number of the last one; 0: none.  */
+uint64_t org_get_last_stored (const org_t *org);
+/* Returns whether records are added to a journal that is in use.  */
+bool org_is_storing (const org_t *org, cfd_time_t now);
 /* Sets whether stored records are still to be read.  */
 void org_set_loading (org_t *org, bool is_loading);
 bool org_is_loading (const org_t *org);
@@ -142,6 +170,7 @@
   org_origin_t origin; /* ORG_ANY: the stream isn't recorded */
   bool is_own;         /* it began here; otherwise another router reported */
   int64_t age_ms;      /* of the record */
+  bool is_stored;      /* see org_note_stored */
 } org_record_t;
 
 /* Returns what is recorded of stream KEY.  */
--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -241,6 +241,32 @@
     }
 }
 
+/* Packs the streams whose record this router has stored, for the routers of
+   its cell, for which it does so.  */
+static void
+pack_stored (pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+             pal_content_t content)
+{
+  const GArray *stored = pal->org != NULL && content != PAL_SUMMARY
+                             ? org_get_stored (pal->org, now)
+                             : NULL;
+  cfd_time_t resent_since
+      = content == PAL_FULL ? now - STREAM_RESEND_MS : CFD_TIME_NEVER;
+  guint count = stored != NULL ? stored->len : 0;
+  guint first = 0;
+
+  while (first < count
+         && g_array_index (stored, org_stored_t, first).number
+                <= pal->last_stored_sent
+         && g_array_index (stored, org_stored_t, first).at < resent_since)
+    first++;
+  msgpack_pack_array (packer, count - first);
+  for (guint i = first; i < count; i++)
+    msgpack_pack_uint64 (packer, g_array_index (stored, org_stored_t, i).key);
+  if (count > 0)
+    pal->last_stored_sent = org_get_last_stored (pal->org);
+}
+
 static void
 count_retired (void *user, const org_retired_t *retired)
 {
@@ -453,6 +479,7 @@
   pack_speeds (pal, &packer, now, content);
   pack_capacity (pal, &packer, content);
   pack_store (pal, &packer, content);
+  pack_stored (pal, &packer, now, content);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -29,6 +29,7 @@
 #define MAX_REFUSAL_ROWS 8192u
 #define MAX_EVIDENCE_ROWS 4096u
 #define MAX_STREAM_ROWS 4096u
+#define MAX_STORED_ROWS 4096u
 #define MAX_RETIRED_ROWS 256u
 #define MAX_COLD_ROWS 1024u
 #define MAX_QUARANTINE_ROWS 4096u
@@ -43,7 +44,8 @@
 #define SPEEDS_ITEM 17   /* endpoint, observed and expected milliseconds */
 #define CAPACITY_ITEM 18 /* processor share, busy share, readiness */
 #define STORE_ITEM 19    /* whether writes to the platform's store fail */
-#define STATE_ITEMS 20
+#define STORED_ITEM 20   /* streams whose record was stored */
+#define STATE_ITEMS 21
 
 typedef struct
 {
@@ -142,6 +144,7 @@
   uint64_t last_refusal_sent;      /* ret_update_t.number */
   uint64_t last_stream_sent;       /* org_update_t.number */
   uint64_t last_stream_summarized; /* the same, to other cells */
+  uint64_t last_stored_sent;       /* org_stored_t.number */
   uint64_t last_end_sent;          /* number of qua_collect */
   uint64_t last_end_summarized;    /* the same, to other cells */
   uint64_t last_part_sent;         /* number of prt_collect */
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -105,7 +105,8 @@
          && is_number_rows (&items[16], 5, MAX_PART_ROWS)
          && is_optional_rows (node, SPEEDS_ITEM, 3, MAX_SPEED_ROWS)
          && is_optional_rows (node, CAPACITY_ITEM, 3, 1)
-         && is_optional_rows (node, STORE_ITEM, 1, 1);
+         && is_optional_rows (node, STORE_ITEM, 1, 1)
+         && is_optional_rows (node, STORED_ITEM, 1, MAX_STORED_ROWS);
 }
 
 static guint
@@ -501,6 +502,13 @@
     peer->fails_writes = row->u.items[0].u.number != 0;
 }
 
+static void
+receive_stored (const pal_t *pal, const msg_node_t *keys)
+{
+  for (unsigned i = 0; pal->org != NULL && i < keys->length; i++)
+    org_note_stored (pal->org, keys->u.items[i].u.number);
+}
+
 static int64_t
 decode_stable_ms (const msg_node_t *node)
 {
@@ -560,6 +568,8 @@
     receive_capacity (pal, peer, now, &items[CAPACITY_ITEM]);
   if (state->length > STORE_ITEM)
     receive_store (peer, &items[STORE_ITEM]);
+  if (state->length > STORED_ITEM)
+    receive_stored (pal, &items[STORED_ITEM]);
 }
 
 bool
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -503,13 +503,22 @@
   send_state (pal, now, PAL_SUMMARY);
 }
 
+/* Returns whether other routers are to learn that records were stored, for
+   which they hold events back.  */
+static bool
+has_new_stored (const pal_t *pal)
+{
+  return pal->org != NULL
+         && org_get_last_stored (pal->org) > pal->last_stored_sent;
+}
+
 static void
 send_changes (pal_t *pal, cfd_time_t now)
 {
   int64_t interval_ms
       = (int64_t)pal->near_addresses->len * CHANGES_INTERVAL_MS_PER_ROUTER;
 
-  if (!edp_set_has_changed (pal->endpoints)
+  if ((!edp_set_has_changed (pal->endpoints) && !has_new_stored (pal))
       || now - pal->changes_sent_at < interval_ms)
     return;
   edp_set_clear_changed (pal->endpoints);
--- a/libcoltsfootdrum/relay/rly-answer.c
+++ b/libcoltsfootdrum/relay/rly-answer.c
@@ -179,7 +179,7 @@
 void
 rly_forward (rly_request_t *request)
 {
-  if (!request->answer.is_stream)
+  if (!request->answer.is_stream || rly_is_held (request))
     return;
   forward_body (request);
 }
@@ -484,10 +484,11 @@
               "An exchange ended: request=%s endpoint=%s status=%u end=%s "
               "bytes=%" G_GUINT64_FORMAT
               " events=%u longest_pause_ms=%" G_GINT64_FORMAT
-              " late_events=%u.",
+              " late_events=%u held_ms=%" G_GINT64_FORMAT ".",
               request->id, endpoint, answer->status, end_get_name (kind),
               answer->received_bytes, answer->events.events,
-              request->longest_pause_ms, request->late_events);
+              request->longest_pause_ms, request->late_events,
+              request->held_ms);
 }
 
 end_kind_t
@@ -530,6 +531,7 @@
 {
   end_kind_t kind = rly_note_end (request, end);
 
+  rly_end_hold (request, now);
   rly_note_break (request, kind, now);
   /* The events before a break are delivered: a resumed stream goes on after
      them.  */
--- a/libcoltsfootdrum/relay/rly-metrics.c
+++ b/libcoltsfootdrum/relay/rly-metrics.c
@@ -28,6 +28,8 @@
     { "cfd_relay_quarantine_refused_total", NULL, counts->quarantined },
     { "cfd_relay_part_refused_total", NULL, counts->part_refused },
     { "cfd_relay_slow_callers_total", NULL, counts->slow_callers },
+    { "cfd_relay_held_streams_total", NULL, counts->held },
+    { "cfd_relay_hold_timeouts_total", NULL, counts->hold_timeouts },
     { "cfd_relay_cold_requests_total", NULL, counts->cold_requests },
   };
 
@@ -144,6 +146,7 @@
                     labels);
   prom_hist_append (&service->total_ms, out, "cfd_relay_answer_ms", labels);
   prom_hist_append (&service->pause_ms, out, "cfd_relay_pause_ms", labels);
+  prom_hist_append (&service->hold_ms, out, "cfd_relay_hold_ms", labels);
 }
 
 void
--- a/libcoltsfootdrum/relay/rly-origin.c
+++ b/libcoltsfootdrum/relay/rly-origin.c
@@ -199,9 +199,13 @@
   /* By the register it would be of the version that is listed.  */
   is_published = is_unmatched || must_publish (request, now);
   org_add (rly->org, now, request->stream_key, request->origin, is_published);
+  if (!is_published)
+    return;
   /* The record goes out with the changes of load.  */
-  if (is_published)
-    edp_set_note_changed (rly->endpoints, request->edp);
+  edp_set_note_changed (rly->endpoints, request->edp);
+  /* That of a resumed stream is stored already.  */
+  if (!request->is_resumed)
+    rly_hold_events (request, now);
 }
 
 static void
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -33,6 +33,7 @@
   prom_hist_t first_byte_ms; /* from there to the first byte; successes */
   prom_hist_t total_ms;      /* from there to the last byte; successes */
   prom_hist_t pause_ms;      /* longest time between events of each exchange */
+  prom_hist_t hold_ms;       /* for which first events were held back */
   list_node_t queues;        /* rly_queue_t, none of them empty */
   unsigned waiting;
   bool dispatch_scheduled;   /* at the end of this loop iteration */
@@ -75,7 +76,12 @@
   bool is_list_old;     /* see rly_set_list_old */
   list_node_t services; /* rly_service_t */
   list_node_t running;  /* rly_request_t */
-  list_node_t breaks;   /* of rly-break.c */
+  list_node_t held;     /* of rly-hold.c; rly_request_t, the earliest first */
+  /* Since when no record was stored although some should have been;
+     CFD_TIME_NEVER: not so.  */
+  cfd_time_t stalled_since;
+  cfd_time_t no_hold_until;
+  list_node_t breaks; /* of rly-break.c */
   unsigned break_count;
   rly_counts_t counts;
   size_t answer_budget;  /* see rly_set_answer_budget */
@@ -129,11 +135,14 @@
    * anywhere.
    */
   org_origin_t origin;
-  bool origin_noted; /* the first event of this answer was passed on */
-  bool is_resumed;   /* its caller resumes a stream, at a known origin */
-  bool started;      /* an endpoint began a successful answer */
-  bool went_on;      /* this exchange's answer cleared the parts */
-  bool is_trial;     /* of a quarantined part */
+  bool origin_noted;     /* the first event of this answer was received */
+  list_node_t held_node; /* in rly_t.held while its events are held back */
+  cfd_time_t held_since;
+  int64_t held_ms;
+  bool is_resumed; /* its caller resumes a stream, at a known origin */
+  bool started;    /* an endpoint began a successful answer */
+  bool went_on;    /* this exchange's answer cleared the parts */
+  bool is_trial;   /* of a quarantined part */
 
   cfd_time_t arrived_at; /* its first byte */
   /* When it was whole.  The time that its caller takes to send it is not this
@@ -208,7 +217,7 @@
 /* Binds REQUEST to the version at which the stream that it resumes began.
    Chooses its service, where the route has several.  */
 rly_resume_t rly_bind_origin (rly_request_t *request, cfd_time_t now);
-/* To be called when events of REQUEST's answer were passed on: from now on it
+/* To be called before events of REQUEST's answer are passed on: from now on it
    is bound to the version of its endpoint.  */
 void rly_note_origin (rly_request_t *request, cfd_time_t now);
 /* Returns whether EDP may continue the stream of REQUEST, or begin one.  */
@@ -216,6 +225,19 @@
 /* Returns whether REQUEST may be sent again here.  */
 bool rly_can_continue (const rly_request_t *request);
 
+/* rly-hold.c: events that are held back until the record of their stream's
+   origin is stored.  */
+/* Holds the events of REQUEST back, unless records aren't stored now.  */
+void rly_hold_events (rly_request_t *request, cfd_time_t now);
+/* Ends that, if it is so.  Forwards nothing.  */
+void rly_end_hold (rly_request_t *request, cfd_time_t now);
+bool rly_is_held (const rly_request_t *request);
+/* For org_set_stored_callback; USER is the relay.  Passes on the events of
+   stream KEY.  */
+void rly_on_stored (void *user, uint64_t key);
+/* Passes on what was held back for too long.  */
+void rly_check_held (rly_t *rly, cfd_time_t now);
+
 /* rly-queue.c: waiting requests.  */
 /* Refuses REQUEST, which may be sent again after DELAY_MS and a random time
    more, so that refused callers don't return all at once.  */
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -118,6 +118,8 @@
   rly->history = rth_new ();
   list_init (&rly->services);
   list_init (&rly->running);
+  list_init (&rly->held);
+  rly->stalled_since = CFD_TIME_NEVER;
   list_init (&rly->breaks);
   edp_set_set_break_callback (endpoints, rly_settle_breaks, rly);
   rly->routers = 1;
@@ -201,6 +203,7 @@
 rly_set_origins (rly_t *rly, org_t *org)
 {
   rly->org = org;
+  org_set_stored_callback (org, rly_on_stored, rly);
 }
 
 rly_service_t *
@@ -325,6 +328,7 @@
   if (request->queue != NULL)
     rly_dequeue (request);
   list_remove (&request->node);
+  list_remove (&request->held_node);
   rly_answer_clear (&request->answer);
   pfx_prompt_free (request->prompt);
   if (request->parts != NULL)
@@ -440,6 +444,7 @@
   if (route->timeout_ms > 0)
     request->route_deadline = request->received_at + route->timeout_ms;
   list_init (&request->node);
+  list_init (&request->held_node);
   evs_init (&request->answer.events);
   /* The endpoint may repeat events that the caller has.  */
   if (last_event != NULL && route->kind == RTE_STREAM && route->resumable)
@@ -661,6 +666,7 @@
     }
   rly_count_buffered (rly);
   update_running (rly, now);
+  rly_check_held (rly, now);
   edp_set_check_breaks (rly->endpoints, now);
   rly_decide_parts (rly, now);
   if (rly->table != NULL)
--- a/libcoltsfootdrum/relay/rly.h
+++ b/libcoltsfootdrum/relay/rly.h
@@ -85,6 +85,8 @@
   uint64_t quarantined;   /* refused, or not sent again */
   uint64_t part_refused;  /* the same, for a part of their prompt */
   uint64_t slow_callers;  /* disconnected, since they read too slowly */
+  uint64_t held;          /* streams whose first event was held back */
+  uint64_t hold_timeouts; /* of these, such as were not stored in time */
   /* Refused for want of processor time of this router, and of endpoints.  */
   uint64_t lacked_processor;
   uint64_t lacked[PLC_SHORTAGES];
--- a/libcoltsfootdrum/relay/test-jrn.c
+++ b/libcoltsfootdrum/relay/test-jrn.c
@@ -101,6 +101,41 @@
     }
 }
 
+static void
+append_confirmed (void *user, uint64_t key)
+{
+  g_array_append_val ((GArray *)user, key);
+}
+
+/* Records are reported as stored once, by the write that added them, and not
+   those that wait or whose write failed.  */
+static void
+test_confirmed (void)
+{
+  g_autoptr (jrn_t) jrn = jrn_new ();
+  g_autoptr (GArray) keys = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  jrn_write_t write;
+
+  add_many (jrn, NOW, 1, 2);
+  g_assert_true (jrn_begin_write (jrn, NOW, &write));
+  add_many (jrn, NOW, 3, 1);
+  jrn_foreach_confirmed (jrn, append_confirmed, keys);
+  g_assert_cmpuint (keys->len, ==, 0);
+  jrn_end_write (jrn, NOW + 5, JRN_WRITTEN);
+  jrn_foreach_confirmed (jrn, append_confirmed, keys);
+  g_assert_cmpuint (keys->len, ==, 2);
+  g_assert_true (jrn_begin_write (jrn, NOW + 100, &write));
+  jrn_end_write (jrn, NOW + 105, JRN_WRITTEN);
+  jrn_foreach_confirmed (jrn, append_confirmed, keys);
+  g_assert_cmpuint (keys->len, ==, 3);
+  g_assert_cmpuint (g_array_index (keys, uint64_t, 2), ==, 3);
+  add_many (jrn, NOW + 200, 4, 1);
+  g_assert_true (jrn_begin_write (jrn, NOW + 200, &write));
+  jrn_end_write (jrn, NOW + 205, JRN_UNKNOWN);
+  jrn_foreach_confirmed (jrn, append_confirmed, keys);
+  g_assert_cmpuint (keys->len, ==, 3);
+}
+
 /* A second call while the first one is unanswered: the store may do them in
    any order.  */
 static void
@@ -257,6 +292,7 @@
 
       g_test_add_data_func (path, &cases[i], test_steps);
     }
+  g_test_add_func ("/jrn/confirmed", test_confirmed);
   g_test_add_func ("/jrn/one-at-a-time", test_one_at_a_time);
   g_test_add_data_func ("/jrn/reuse", GINT_TO_POINTER (JRN_REFUSED),
                         test_reuse);
--- a/libcoltsfootdrum/relay/test-org.c
+++ b/libcoltsfootdrum/relay/test-org.c
@@ -301,6 +301,41 @@
   org_free (org);
 }
 
+static void
+count_stored (void *user, uint64_t key)
+{
+  ++*(unsigned *)user;
+}
+
+/* What this router stores is reported to the routers where it began, each of
+   which notes it once.  */
+static void
+test_stored (void)
+{
+  org_t *org = org_new ();
+  unsigned stored = 0;
+
+  org_set_stored_callback (org, count_stored, &stored);
+  org_add (org, NOW, 1, 5, true);
+  org_add_near (org, NOW, 2, 6);
+  org_add_stored (org, NOW, 2);
+  g_assert_cmpuint (stored, ==, 0);
+  g_assert_false (org_find (org, NOW, 1).is_stored);
+  g_assert_cmpuint (org_get_stored (org, NOW)->len, ==, 1);
+  g_assert_cmpuint (
+      g_array_index (org_get_stored (org, NOW), org_stored_t, 0).key, ==, 2);
+  org_add_stored (org, NOW, 1);
+  org_note_stored (org, 1);
+  org_note_stored (org, 2);
+  org_note_stored (org, 3);
+  g_assert_cmpuint (stored, ==, 1);
+  g_assert_true (org_find (org, NOW, 1).is_stored);
+  g_assert_cmpuint (org_get_last_stored (org), ==, 1);
+  g_assert_cmpuint (org_get_stored (org, NOW + ORG_UPDATE_KEEP_MS + 1)->len,
+                    ==, 0);
+  org_free (org);
+}
+
 /* A flood of streams takes a bounded amount of memory and of datagrams, and
    the newest are kept.  */
 static void
@@ -437,6 +472,7 @@
   g_test_add_func ("/org/published-later", test_published_later);
   g_test_add_func ("/org/record-age", test_record_age);
   g_test_add_func ("/org/record-kept", test_record_kept);
+  g_test_add_func ("/org/stored", test_stored);
   g_test_add_func ("/org/flood", test_flood);
   g_test_add_func ("/org/retired-flood", test_retired_flood);
   g_test_add_func ("/org/retired-exchange", test_retired_exchange);
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -391,6 +391,13 @@
   g_assert_cmpuint (org_find (here.org, NOW, 77).origin, ==, 5);
   g_assert_false (org_find (here.org, NOW, 77).is_own);
   g_assert_cmpuint (org_find (here.org, NOW, 78).origin, ==, ORG_ANY);
+  org_add_near (here.org, NOW, 80, 5);
+  org_add_stored (here.org, NOW, 77);
+  deliver (&here, &one, NOW, PAL_SUMMARY);
+  g_assert_false (org_find (one.org, NOW, 77).is_stored);
+  deliver (&here, &one, NOW, PAL_CHANGES);
+  g_assert_false (org_find (one.org, NOW, 78).is_stored);
+  g_assert_true (org_find (one.org, NOW, 77).is_stored);
   org_add (one.org, NOW + 10, 79, 7, true);
   lost = pal_pack (one.pal, NOW + 10, PAL_CHANGES);
   g_assert_nonnull (lost);
@@ -977,8 +984,8 @@
 }
 
 /* Guards against routers that count as ready though they are leaving, or for a
-   presence of a later version; the last item of the datagram, of two bytes,
-   follows on it.  */
+   presence of a later version; the last items of the datagram, of two bytes
+   and of one, follow on it.  */
 static void
 test_presence (void)
 {
@@ -999,7 +1006,7 @@
       bal_update (far, NOW, &sample);
       pal_set_balance (one.pal, far);
       bytes = pal_pack (one.pal, NOW, PAL_FULL);
-      at = bytes->len - 3;
+      at = bytes->len - 4;
       g_assert_cmpuint (bytes->data[at], ==, BAL_READY);
       bytes->data[at] = presence;
       g_assert_true (pal_receive (here.pal, NOW, bytes->data, bytes->len));
@@ -1088,7 +1095,7 @@
 }
 
 /* Guards against routers of two versions that ignore each other: an earlier
-   one sends 17 items, a later one may send 20.  */
+   one sends 17 items, a later one may send 22.  */
 static void
 test_other_versions (void)
 {
@@ -1097,6 +1104,8 @@
   g_assert_true (accepts (18, NULL, 0));
   g_assert_true (accepts (19, NULL, 0));
   g_assert_true (accepts (20, NULL, 0));
+  g_assert_true (accepts (21, NULL, 0));
+  g_assert_true (accepts (22, NULL, 0));
 }
 
 /* Speeds that are no rows of three numbers are rejected with their datagram;
--- a/libcoltsfootdrum/relay/test-rly-versions.c
+++ b/libcoltsfootdrum/relay/test-rly-versions.c
@@ -2,6 +2,7 @@
    resumes it: the router within one response, or its caller.  Endpoint e0 is
    of version "v1" and e1 of "v2".  */
 
+#include "relay/jrn.h"
 #include "test-rly-scene.h"
 
 #include <string.h>
@@ -204,6 +205,126 @@
   scene_free (scene);
 }
 
+typedef struct
+{
+  scene_t *scene;
+  uint64_t held;
+} expected_hold_t;
+
+static bool
+has_held (void *user)
+{
+  const expected_hold_t *expected = user;
+
+  return rly_counts (expected->scene->rly)->held == expected->held;
+}
+
+/* Returns a scene of two registered versions whose origins go to JRN.  */
+static scene_t *
+new_journal_scene (const scene_reply_t *replies, unsigned count, jrn_t *jrn)
+{
+  scene_t *scene = scene_new (replies, count, 4);
+
+  org_set_journal (scene->org, jrn);
+  list_versions (scene, 0, "v1", "v2");
+  register_versions (scene, "v1", "v2");
+  return scene;
+}
+
+/* Guards against callers that have events of a stream of which no record is
+   stored: when all routers end then, it can't be resumed.  */
+static void
+test_held_until_stored (void)
+{
+  static const scene_reply_t replies[] = { { EVENTS E1, SCENE_KEEP_OPEN } };
+  g_autoptr (jrn_t) jrn = jrn_new ();
+  scene_t *scene = new_journal_scene (replies, 1, jrn);
+  expected_hold_t expected = { scene, 1 };
+  scene_caller_t *caller = scene_send_request (scene, CALL ("first", ""));
+
+  scene_run (scene, has_held, &expected);
+  g_assert_cmpuint (jrn_count_unwritten (jrn), ==, 1);
+  g_assert_cmpuint (caller->text->len, ==, 0);
+  org_add_stored (scene->org, clock_now (), org_stream_key ("first"));
+  scene_wait_for (scene, caller, E1);
+  g_assert_cmpuint (rly_counts (scene->rly)->hold_timeouts, ==, 0);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
+/* Guards against streams that wait for a store that is away: each is passed on
+   after a moment, and later ones at once, until records are stored again.  */
+static void
+test_held_in_outage (void)
+{
+  static const scene_reply_t replies[] = { { EVENTS E1, SCENE_KEEP_OPEN } };
+  g_autoptr (jrn_t) jrn = jrn_new ();
+  scene_t *scene = new_journal_scene (replies, 1, jrn);
+  scene_caller_t *callers[8];
+  uint64_t held = 0;
+  unsigned begun = 0;
+
+  for (;;)
+    {
+      g_assert_cmpuint (begun, <, G_N_ELEMENTS (callers));
+      callers[begun] = scene_send_request (scene, CALL ("a", ""));
+      scene_wait_for (scene, callers[begun++], E1);
+      if (rly_counts (scene->rly)->held == held)
+        break;
+      held = rly_counts (scene->rly)->held;
+    }
+  g_assert_cmpuint (held, >=, 2);
+  g_assert_cmpuint (rly_counts (scene->rly)->hold_timeouts, ==, held);
+  org_add_stored (scene->org, clock_now (), org_stream_key ("a"));
+  callers[begun++] = scene_send_request (scene, CALL ("b", ""));
+  scene_run (scene, has_held, &(expected_hold_t){ scene, held + 1 });
+  for (unsigned i = 0; i < begun; i++)
+    scene_caller_free (callers[i]);
+  scene_free (scene);
+}
+
+/* An answer that is whole is passed on at once, and so are the events of one
+   that breaks, which the router resumes.  */
+static void
+test_held_at_end (void)
+{
+  static const scene_reply_t whole[]
+      = { { EVENTS E1 E2 END, SCENE_KEEP_OPEN } };
+  static const scene_reply_t broken[]
+      = { { EVENTS E1, SCENE_CLOSE }, { EVENTS E2 END, SCENE_KEEP_OPEN } };
+  g_autoptr (jrn_t) jrn = jrn_new ();
+  scene_t *scene = new_journal_scene (whole, 1, jrn);
+
+  g_assert_cmpuint (send_and_wait (scene, CALL ("first", ""), END), ==, 200);
+  g_assert_cmpuint (rly_counts (scene->rly)->hold_timeouts, ==, 0);
+  scene_free (scene);
+  scene = new_journal_scene (broken, 2, jrn);
+  g_assert_cmpuint (send_and_wait (scene, CALL ("first", ""), "\r\n" END), ==,
+                    200);
+  g_assert_cmpuint (rly_counts (scene->rly)->held, ==, 1);
+  g_assert_cmpuint (rly_counts (scene->rly)->hold_timeouts, ==, 0);
+  scene_free (scene);
+}
+
+/* Nothing is held back while there is one version: no record is needed.  */
+static void
+test_not_held (void)
+{
+  static const scene_reply_t replies[] = { { EVENTS E1, SCENE_KEEP_OPEN } };
+  g_autoptr (jrn_t) jrn = jrn_new ();
+  scene_t *scene = scene_new (replies, 1, 4);
+  scene_caller_t *caller;
+
+  org_set_journal (scene->org, jrn);
+  list_versions (scene, 0, "v1", "v1");
+  register_versions (scene, "v1", NULL);
+  caller = scene_send_request (scene, CALL ("first", ""));
+  scene_wait_for (scene, caller, E1);
+  g_assert_cmpuint (rly_counts (scene->rly)->held, ==, 0);
+  scene_caller_free (caller);
+  scene_free (scene);
+}
+
 static void
 assert_refused (scene_t *scene, const char *bytes)
 {
@@ -397,6 +518,10 @@
   g_test_add_func ("/rly-versions/version-unavailable",
                    test_version_unavailable);
   g_test_add_func ("/rly-versions/published-at-once", test_published_at_once);
+  g_test_add_func ("/rly-versions/held-until-stored", test_held_until_stored);
+  g_test_add_func ("/rly-versions/held-in-outage", test_held_in_outage);
+  g_test_add_func ("/rly-versions/held-at-end", test_held_at_end);
+  g_test_add_func ("/rly-versions/not-held", test_not_held);
   g_test_add_func ("/rly-versions/unknown-stream", test_unknown_stream);
   g_test_add_func ("/rly-versions/register-unknown", test_register_unknown);
   g_test_add_func ("/rly-versions/sole-version", test_sole_version);
