Streams: resumed at another cell, when their version serves only there

Callers saw: in a fleet of several cells, a stream whose version has endpoints in other cells only was refused as version-unavailable (LOST). That is so for the first endpoint of each new version, at the routers of all cells but one.

Cause: edp_set_has_origin and the placement of a bound request looked at the endpoints of the own cell alone, while a stream may begin in another cell.

Change: an endpoint of another cell takes such a request, chosen by rendezvous hashing of the stream, unless it is cold or on trial.

Before: rly-versions/version-in-other-cell red (503 for 200). After: green, 20 of 20 resumptions at the other cell's endpoint.

--- a/libcoltsfootdrum/relay/edp.c
+++ b/libcoltsfootdrum/relay/edp.c
@@ -431,13 +431,14 @@
 edp_set_has_origin (const edp_set_t *set, const char *service,
                     org_origin_t origin)
 {
-  const GPtrArray *near = edp_set_get_near (set, service);
+  const GPtrArray *all = edp_set_get_all (set, service);
 
-  for (guint i = 0; near != NULL && i < near->len; i++)
+  for (guint i = 0; all != NULL && i < all->len; i++)
     {
-      const edp_t *edp = g_ptr_array_index (near, i);
+      const edp_t *edp = g_ptr_array_index (all, i);
 
-      if (edp->origin == origin && edp_is_usable (edp))
+      if (edp->origin == origin && edp_is_usable (edp)
+          && (edp->is_near || edp->standing == EDP_CURRENT))
         return true;
     }
   return false;
--- a/libcoltsfootdrum/relay/edp.h
+++ b/libcoltsfootdrum/relay/edp.h
@@ -274,8 +274,8 @@
 edp_t *edp_set_find (edp_set_t *set, const char *id);
 edp_t *edp_set_find_by_hash (edp_set_t *set, uint64_t hash);
 guint edp_set_count (const edp_set_t *set);
-/* Returns whether an endpoint of SERVICE that this router uses may continue
-   streams of ORIGIN, now or later.  */
+/* Returns whether an endpoint of SERVICE may continue streams of ORIGIN, now
+   or later.  Those of other cells may do so unless they are on trial.  */
 bool edp_set_has_origin (const edp_set_t *set, const char *service,
                          org_origin_t origin);
 /* Returns whether an endpoint is in use that the platform no longer lists.  */
--- a/libcoltsfootdrum/relay/rly-place.c
+++ b/libcoltsfootdrum/relay/rly-place.c
@@ -327,6 +327,71 @@
          && (edp->is_registered || !needs_registered (round, request));
 }
 
+/* Returns whether an endpoint of this cell may continue the stream of REQUEST,
+   now or later.  */
+static bool
+has_near_origin (const rly_request_t *request)
+{
+  const GPtrArray *near
+      = edp_set_get_near (request->rly->endpoints, request->service->name);
+
+  for (guint i = 0; near != NULL && i < near->len; i++)
+    {
+      const edp_t *edp = g_ptr_array_index (near, i);
+
+      if (rly_fits_origin (request, edp) && edp_is_usable (edp))
+        return true;
+    }
+  return false;
+}
+
+/* Returns the endpoint of another cell at which the stream of REQUEST goes on,
+   by rendezvous hashing; NULL if none is open.  */
+static edp_t *
+choose_of_origin (const rly_round_t *round, const rly_request_t *request)
+{
+  const GPtrArray *all
+      = edp_set_get_all (round->rly->endpoints, round->service->name);
+  edp_t *chosen = NULL;
+  uint64_t best = 0;
+
+  for (guint i = 0; all != NULL && i < all->len; i++)
+    {
+      edp_t *edp = g_ptr_array_index (all, i);
+      uint64_t weight = edp_compute_weight (edp, request->stream_key);
+
+      if (!rly_fits_origin (request, edp) || edp->standing != EDP_CURRENT
+          || !edp_is_open (edp, round->now) || edp_is_cold (edp, round->now)
+          || rly_has_failed_at (request, edp)
+          || (chosen != NULL && weight <= best))
+        continue;
+      chosen = edp;
+      best = weight;
+    }
+  return chosen;
+}
+
+/* Adds an endpoint of another cell when the version at which the stream of
+   REQUEST began serves only there.  Returns whether one was added.  */
+static bool
+add_of_origin (rly_round_t *round, const rly_request_t *request)
+{
+  edp_t *edp;
+
+  if (request->origin == ORG_ANY || round->canary_count > 0
+      || round->count == RLY_MAX_ENDPOINTS
+      || edp_set_get_cells (round->rly->endpoints) == 1
+      || has_near_origin (request))
+    return false;
+  edp = choose_of_origin (round, request);
+  if (edp == NULL)
+    return false;
+  round->has_remote = true;
+  round->endpoints[round->count] = edp;
+  round->loads[round->count] = estimate_remote_load (round, edp);
+  return true;
+}
+
 /* Adds the endpoint that the routers of all cells prefer for the prefix of
    REQUEST, unless it is of this cell.  If each cell used an endpoint of its
    own, a long prefix would be prefilled once in each.  */
@@ -636,6 +701,7 @@
 rly_place (rly_round_t *round, rly_request_t *request)
 {
   plc_request_t constraints;
+  bool is_elsewhere;
   int chosen;
 
   if (!round->has_free_slot || rly_is_past_deadline (request, round->now)
@@ -645,12 +711,14 @@
   round->has_remote = false;
   constraints = make_constraints (round, request);
   exclude_unfit (round, request);
+  is_elsewhere = add_of_origin (round, request);
   /* At high load all endpoints are full for most requests.  For these the
      lookup of cached prefixes is skipped.  */
-  if (!plc_has_candidate (round->loads, round->count + round->canary_count,
-                          &constraints))
+  if (!is_elsewhere
+      && !plc_has_candidate (round->loads, round->count + round->canary_count,
+                             &constraints))
     return false;
-  if (request->prompt != NULL)
+  if (request->prompt != NULL && !is_elsewhere)
     add_remote (round, request);
   if (request->prompt != NULL && set_prompt_work (round, request))
     constraints.max_missing_tokens = compute_max_missing_tokens (request);
--- a/libcoltsfootdrum/relay/test-rly-versions.c
+++ b/libcoltsfootdrum/relay/test-rly-versions.c
@@ -24,6 +24,8 @@
 
 #define RESUMPTIONS 20
 #define BEGINS 20
+#define CELLS 4
+#define CELL_ENDPOINTS 16
 
 /* Lists the endpoints from FIRST on, e0 of version V1 and e1 of V2.  */
 static void
@@ -161,6 +163,58 @@
   scene_free (scene);
 }
 
+/* Lists endpoints of this router's cell at the first server, of "v1", and
+   those of other cells at the second one, of "v2".  */
+static void
+list_cells (scene_t *scene)
+{
+  GPtrArray *reports = g_ptr_array_new ();
+
+  for (unsigned i = 0; i < CELL_ENDPOINTS; i++)
+    {
+      edp_report_t *report = g_new0 (edp_report_t, 1);
+      const edp_t *edp;
+      unsigned server;
+
+      report->id = g_strdup_printf ("c%u", i);
+      edp = edp_set_find (scene->endpoints, report->id);
+      server = edp != NULL && !edp->is_near;
+      report->service = g_strdup ("app");
+      report->address
+          = g_strdup_printf ("127.0.0.1:%u", scene->servers[server].port);
+      report->zone = g_strdup ("z");
+      report->version = g_strdup (server == 0 ? "v1" : "v2");
+      report->slots = 4;
+      g_ptr_array_add (reports, report);
+    }
+  edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
+  edp_set_choose_cell (scene->endpoints, 1, CELLS);
+  rly_update_versions (scene->rly, clock_now ());
+}
+
+/* Guards against streams that are refused as all endpoints of their version
+   are in other cells, as the first one of a new version is.  */
+static void
+test_version_in_other_cell (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E2 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+
+  /* Once more, as the cells are known then.  */
+  list_cells (scene);
+  list_cells (scene);
+  register_versions (scene, "v1", "v2");
+  org_add_peer (scene->org, clock_now (), org_stream_key ("first"),
+                org_hash ("app", "v2"));
+  for (unsigned i = 0; i < RESUMPTIONS; i++)
+    g_assert_cmpuint (send_and_wait (scene, RESUME ("again", "first"), END),
+                      ==, 200);
+  g_assert_cmpuint (scene->servers[0].requests, ==, 0);
+  g_assert_cmpuint (scene->servers[1].requests, ==, RESUMPTIONS);
+  scene_free (scene);
+}
+
 /* The version at which the stream began is gone: the caller is refused at once
    and may begin anew.  */
 static void
@@ -515,6 +569,8 @@
   g_test_add_func ("/rly-versions/resumed-in-one-version",
                    test_resumed_in_one_version);
   g_test_add_func ("/rly-versions/resumed-by-caller", test_resumed_by_caller);
+  g_test_add_func ("/rly-versions/version-in-other-cell",
+                   test_version_in_other_cell);
   g_test_add_func ("/rly-versions/version-unavailable",
                    test_version_unavailable);
   g_test_add_func ("/rly-versions/published-at-once", test_published_at_once);
