Streams: remembered for as long as their routes let them last

Callers saw nothing yet: on a route with a time-out over 15 s a stream could outlast what routers remember. They forgot after 20 s that a version had left, and where streams began; a stream that broke then was taken for one of the version that serves (ORDER).

Cause: a constant stood for the longest life of a stream, which the configuration decides.

Change: the time is that of the longest time-out of a resumable route, and 5 s within which callers come back; 20 s at least, as before. A route without a time-out counts as 60 s.

Before: rly-versions/long-streams red (a version that left 30 s ago didn't count, with time-outs of 30 s). After: green; jrn/long-kept for the slots. The deployments at hand have time-outs of 8 to 15 s, so nothing changes there.

--- a/libcoltsfootdrum/relay/jrn.c
+++ b/libcoltsfootdrum/relay/jrn.c
@@ -26,6 +26,7 @@
 
 struct jrn
 {
+  int64_t keep_ms;      /* see jrn_extend_keep_ms */
   GArray *waiting;      /* record_t in no slot, the oldest first */
   GArray *content;      /* record_t of the current slot */
   GArray *slots;        /* slot_t, by number */
@@ -42,6 +43,7 @@
 {
   jrn_t *jrn = g_new0 (jrn_t, 1);
 
+  jrn->keep_ms = JRN_KEEP_MS;
   jrn->waiting = g_array_new (FALSE, FALSE, sizeof (record_t));
   jrn->content = g_array_new (FALSE, FALSE, sizeof (record_t));
   jrn->slots = g_array_new (FALSE, FALSE, sizeof (slot_t));
@@ -60,6 +62,18 @@
   g_free (jrn);
 }
 
+void
+jrn_extend_keep_ms (jrn_t *jrn, int64_t keep_ms)
+{
+  jrn->keep_ms = MAX (jrn->keep_ms, keep_ms);
+}
+
+static int64_t
+get_span_ms (const jrn_t *jrn)
+{
+  return jrn->keep_ms * JRN_SPAN_MS / JRN_KEEP_MS;
+}
+
 /* Removes the oldest of the records that wait until at most COUNT are left. */
 static void
 limit_waiting (jrn_t *jrn, guint count)
@@ -124,7 +138,7 @@
     {
       const slot_t *slot = &g_array_index (jrn->slots, slot_t, i);
 
-      if (now - slot->last_begun_at > JRN_KEEP_MS)
+      if (now - slot->last_begun_at > jrn->keep_ms)
         return (int)i;
       if (slot->last_begun_at
           < g_array_index (jrn->slots, slot_t, oldest).last_begun_at)
@@ -157,7 +171,7 @@
 static bool
 is_span_over (const jrn_t *jrn, cfd_time_t now)
 {
-  return now - jrn->opened_at >= JRN_SPAN_MS
+  return now - jrn->opened_at >= get_span_ms (jrn)
          || jrn->content->len >= JRN_MAX_SLOT_RECORDS;
 }
 
@@ -170,7 +184,7 @@
     return false;
   if (jrn->current >= 0 && is_span_over (jrn, now))
     close_slot (jrn);
-  jrn_expire (jrn, now, JRN_KEEP_MS);
+  jrn_expire (jrn, now, jrn->keep_ms);
   if (jrn_count_unwritten (jrn) == 0)
     return false;
   if (jrn->current < 0)
--- a/libcoltsfootdrum/relay/jrn.h
+++ b/libcoltsfootdrum/relay/jrn.h
@@ -19,9 +19,9 @@
 
 /* Least time between the starts of two writes.  */
 #define JRN_WRITE_INTERVAL_MS 40
-/* Span of a slot.  */
+/* Least span of a slot.  */
 #define JRN_SPAN_MS 500
-/* Age beyond which a record isn't needed: that of org.  */
+/* Least age beyond which a record isn't needed: that of org.  */
 #define JRN_KEEP_MS 20000
 /* Limits the memory: 24 bytes each.  */
 #define JRN_MAX_RECORDS 40000u
@@ -34,6 +34,9 @@
 /* Creates an empty journal.  */
 jrn_t *jrn_new (void);
 void jrn_free (jrn_t *jrn);
+/* Sets the age beyond which a record isn't needed.  It is never shortened. The
+   span of a slot grows with it, as the number of slots is limited.  */
+void jrn_extend_keep_ms (jrn_t *jrn, int64_t keep_ms);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (jrn_t, jrn_free)
 
 /* Adds a record that is to be written.  */
--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -13,9 +13,11 @@
 #define MAX_VERSIONS 64
 /* Updates kept for the other routers, less than fill a datagram.  */
 #define MAX_UPDATES 2048
-/* Streams of this age are published when a second version appears, or a route
-   gets a second service.  */
-#define MAX_PUBLISHED_AGE_MS 10000
+/* Streams up to this part of the age at which they can't be resumed any more
+   are published when a second version appears, or a route gets a second
+   service.
+ */
+#define PUBLISHED_AGE_DIVISOR 2
 /* 40 bits keep datagrams short; among some ten thousand streams collisions
    are unlikely.  */
 #define KEY_MASK UINT64_C (0xffffffffff)
@@ -52,6 +54,7 @@
 
 struct org
 {
+  int64_t keep_ms;     /* see org_extend_keep_ms */
   GHashTable *streams; /* key to org_stream_t */
   list_node_t order;   /* the same, the earliest record first */
   GArray *updates;     /* org_update_t, the oldest first */
@@ -132,6 +135,7 @@
 {
   org_t *org = g_new0 (org_t, 1);
 
+  org->keep_ms = ORG_STREAM_KEEP_MS;
   org->streams
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, stream_free);
   list_init (&org->order);
@@ -201,27 +205,39 @@
   return one;
 }
 
+void
+org_extend_keep_ms (org_t *org, int64_t keep_ms)
+{
+  org->keep_ms = MAX (org->keep_ms, keep_ms);
+}
+
+int64_t
+org_get_keep_ms (const org_t *org)
+{
+  return org->keep_ms;
+}
+
 static bool
-left_lately (const org_version_t *version, cfd_time_t now)
+left_lately (const org_t *org, const org_version_t *version, cfd_time_t now)
 {
-  return now - version->retired_at <= ORG_STREAM_KEEP_MS;
+  return now - version->retired_at <= org->keep_ms;
 }
 
 static bool
-counts (const org_version_t *version, cfd_time_t now)
+counts (const org_t *org, const org_version_t *version, cfd_time_t now)
 {
   return version->is_listed || version->is_registered
-         || left_lately (version, now);
+         || left_lately (org, version, now);
 }
 
 static bool
-is_mixed (const org_service_t *service, cfd_time_t now)
+is_mixed (const org_t *org, const org_service_t *service, cfd_time_t now)
 {
   unsigned count = 0;
 
   for (guint i = 0; i < service->versions->len; i++)
-    count
-        += counts (&g_array_index (service->versions, org_version_t, i), now);
+    count += counts (org, &g_array_index (service->versions, org_version_t, i),
+                     now);
   return count > 1;
 }
 
@@ -248,7 +264,8 @@
     {
       const org_stream_t *stream = list_entry (node, org_stream_t, node);
 
-      if (stream->is_own && now - stream->at <= MAX_PUBLISHED_AGE_MS)
+      if (stream->is_own
+          && now - stream->at <= org->keep_ms / PUBLISHED_AGE_DIVISOR)
         publish (org, now, stream->key, stream->origin);
     }
 }
@@ -287,7 +304,7 @@
 
 /* Notes which versions the last list had and this one lacks.  */
 static void
-update_retired (org_service_t *service, cfd_time_t now)
+update_retired (const org_t *org, org_service_t *service, cfd_time_t now)
 {
   for (guint i = service->versions->len; i-- > 0;)
     {
@@ -300,7 +317,7 @@
           version->has_seen_it_leave = true;
           version->seen_leaving_at = now;
         }
-      if (!counts (version, now))
+      if (!counts (org, version, now))
         g_array_remove_index_fast (service->versions, i);
     }
 }
@@ -319,8 +336,8 @@
       org_service_t *service = data;
       bool mixed;
 
-      update_retired (service, now);
-      mixed = is_mixed (service, now);
+      update_retired (org, service, now);
+      mixed = is_mixed (org, service, now);
       becomes_mixed |= mixed && !service->was_mixed;
       service->was_mixed = mixed;
     }
@@ -486,12 +503,13 @@
 /* Returns whether VERSION ought to be registered.  By an old list a version
    may seem to have left that came back.  */
 static bool
-is_due (const org_version_t *version, cfd_time_t now, bool is_list_current)
+is_due (const org_t *org, const org_version_t *version, cfd_time_t now,
+        bool is_list_current)
 {
   if (version->is_listed || (version->is_registered && !is_list_current))
     return true;
   return version->name != NULL && !version->is_dropped
-         && left_lately (version, now);
+         && left_lately (org, version, now);
 }
 
 bool
@@ -513,7 +531,7 @@
         {
           const org_version_t *version
               = &g_array_index (service->versions, org_version_t, i);
-          bool due = is_due (version, now, is_list_current);
+          bool due = is_due (org, version, now, is_list_current);
 
           differs |= due != version->is_registered;
           if (due && each != NULL)
@@ -540,7 +558,7 @@
 {
   const org_service_t *found = find_service (org, service);
 
-  return found != NULL && is_mixed (found, now);
+  return found != NULL && is_mixed (org, found, now);
 }
 
 void
@@ -562,7 +580,7 @@
     return true;
   g_hash_table_iter_init (&each, org->services);
   while (g_hash_table_iter_next (&each, NULL, &service))
-    if (is_mixed (service, now))
+    if (is_mixed (org, service, now))
       return true;
   return false;
 }
@@ -658,7 +676,7 @@
   const org_stream_t *stream = g_hash_table_lookup (org->streams, &key);
   org_record_t record = { .origin = ORG_ANY };
 
-  if (stream == NULL || now - stream->at > ORG_STREAM_KEEP_MS)
+  if (stream == NULL || now - stream->at > org->keep_ms)
     return record;
   return (org_record_t){ .origin = stream->origin,
                          .is_own = stream->is_own,
@@ -762,7 +780,7 @@
                   .retired_ms = now - version->seen_leaving_at };
 
           if (!version->is_listed && version->has_seen_it_leave
-              && retired.retired_ms <= ORG_STREAM_KEEP_MS)
+              && retired.retired_ms <= org->keep_ms)
             each (user, &retired);
         }
     }
@@ -774,7 +792,7 @@
   org_service_t *service;
   org_version_t *version;
 
-  if (retired->retired_ms > ORG_STREAM_KEEP_MS)
+  if (retired->retired_ms > org->keep_ms)
     return;
   service = g_hash_table_lookup (org->services, &retired->service);
   if (service == NULL || service->versions->len >= MAX_VERSIONS)
@@ -789,7 +807,7 @@
 {
   const org_stream_t *stream = get_oldest (org);
 
-  while (stream != NULL && now - stream->at > ORG_STREAM_KEEP_MS)
+  while (stream != NULL && now - stream->at > org->keep_ms)
     {
       g_hash_table_remove (org->streams, &stream->key);
       stream = get_oldest (org);
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -59,8 +59,7 @@
 
 org_verdict_t org_decide (const org_inputs_t *inputs);
 
-/* Time for which a stream may still be resumed: longer than callers wait for
-   a whole answer.  */
+/* Least time for which a stream may still be resumed.  */
 #define ORG_STREAM_KEEP_MS 20000
 
 typedef struct org org_t;
@@ -69,6 +68,11 @@
 org_t *org_new (void);
 void org_free (org_t *org);
 
+/* Sets for how long a stream may still be resumed after its first event.  It
+   is never shortened: streams that began before last as long as they could. */
+void org_extend_keep_ms (org_t *org, int64_t keep_ms);
+int64_t org_get_keep_ms (const org_t *org);
+
 /* Lists the versions that are in service: begin, one call for each endpoint,
    end.  A version that is no longer listed counts for some time yet.  NULL is
    a version that isn't reported.  */
--- a/libcoltsfootdrum/relay/rly.c
+++ b/libcoltsfootdrum/relay/rly.c
@@ -28,6 +28,8 @@
 /* Deadline of a request that gives none, and the longest one.  */
 #define DEFAULT_DEADLINE_MS 60000.
 #define MAX_DEADLINE_MS 3600000.
+/* Time within which the caller of a broken stream resumes it.  */
+#define RESUME_DELAY_MS 5000
 /* Most generated tokens that are expected of a request.  The number comes from
    its caller and counts in the sums of all accounts.  */
 #define MAX_OUTPUT_TOKENS 1e6
@@ -265,6 +267,31 @@
   return false;
 }
 
+static void
+find_longest_stream (void *user, const rte_route_t *route)
+{
+  int64_t *longest_ms = user;
+  int64_t length_ms = route->timeout_ms > 0 ? route->timeout_ms
+                                            : (int64_t)DEFAULT_DEADLINE_MS;
+
+  if (route->kind == RTE_STREAM && route->resumable)
+    *longest_ms = MAX (*longest_ms, length_ms);
+}
+
+/* Extends the time for which is remembered where streams began: an attempt
+   lasts until its route's time-out, and its caller comes back within a
+   moment.  */
+static void
+extend_stream_memory (const rly_t *rly, const rte_table_t *table)
+{
+  int64_t longest_ms = 0;
+
+  rte_table_foreach_route (table, find_longest_stream, &longest_ms);
+  rth_extend_keep_ms (rly->history, longest_ms + RESUME_DELAY_MS);
+  if (rly->org != NULL)
+    org_extend_keep_ms (rly->org, longest_ms + RESUME_DELAY_MS);
+}
+
 void
 rly_set_table (rly_t *rly, rte_table_t *table, cfd_time_t now)
 {
@@ -279,6 +306,7 @@
             rte_table_version (table), rte_table_route_count (table));
   rte_table_unref (rly->table);
   rly->table = rte_table_ref (table);
+  extend_stream_memory (rly, table);
   is_wider = rth_set_table (rly->history, now, table);
   if (rly->org != NULL)
     org_set_several_until (rly->org, now, rth_get_several_until (rly->history),
--- a/libcoltsfootdrum/relay/rth.c
+++ b/libcoltsfootdrum/relay/rth.c
@@ -11,6 +11,7 @@
 
 struct rth
 {
+  int64_t keep_ms;          /* see rth_extend_keep_ms */
   rte_table_t *table;       /* in force; NULL: none yet */
   GArray *past;             /* rth_past_t, the earliest first */
   cfd_time_t dropped_until; /* until when a table counts that was dropped */
@@ -28,6 +29,7 @@
 {
   rth_t *rth = g_new0 (rth_t, 1);
 
+  rth->keep_ms = RTH_KEEP_MS;
   rth->past = g_array_new (FALSE, FALSE, sizeof (rth_past_t));
   g_array_set_clear_func (rth->past, clear_past);
   return rth;
@@ -43,6 +45,12 @@
   g_free (rth);
 }
 
+void
+rth_extend_keep_ms (rth_t *rth, int64_t keep_ms)
+{
+  rth->keep_ms = MAX (rth->keep_ms, keep_ms);
+}
+
 /* Adds the services that TABLE, which may be NULL, gives to streams of HOST
    and TARGET.  Returns whether they may be resumed.  */
 static bool
@@ -79,7 +87,7 @@
     {
       const rth_past_t *past = &g_array_index (rth->past, rth_past_t, i);
 
-      if (now - past->replaced_at <= RTH_KEEP_MS)
+      if (now - past->replaced_at <= rth->keep_ms)
         add_services (services, past->routes, host, target);
     }
   return services;
@@ -154,7 +162,7 @@
 {
   while (rth->past->len > 0
          && now - g_array_index (rth->past, rth_past_t, 0).replaced_at
-                > RTH_KEEP_MS)
+                > rth->keep_ms)
     g_array_remove_index (rth->past, 0);
 }
 
@@ -169,8 +177,8 @@
 
   if (is_full)
     {
-      rth->dropped_until
-          = g_array_index (rth->past, rth_past_t, 0).replaced_at + RTH_KEEP_MS;
+      rth->dropped_until = g_array_index (rth->past, rth_past_t, 0).replaced_at
+                           + rth->keep_ms;
       g_array_remove_index (rth->past, 0);
     }
   g_array_append_val (rth->past, past);
@@ -194,7 +202,7 @@
       is_resumable
           |= add_services (services, past->routes, route->host, route->prefix);
       if (until == 0 && services->len > 1)
-        until = past->replaced_at + RTH_KEEP_MS;
+        until = past->replaced_at + rth->keep_ms;
     }
   return is_resumable ? until : 0;
 }
--- a/libcoltsfootdrum/relay/rth.h
+++ b/libcoltsfootdrum/relay/rth.h
@@ -13,8 +13,8 @@
 #include "relay/org.h"
 #include "relay/rte.h"
 
-/* Time for which a replaced table counts: streams that began by it may still
-   be resumed.  */
+/* Least time for which a replaced table counts: streams that began by it may
+   still be resumed.  */
 #define RTH_KEEP_MS ORG_STREAM_KEEP_MS
 /* Limits the memory and the time of rth_set_table: replaced tables that are
    kept, with their routes alone.  While one that was dropped would count, no
@@ -26,14 +26,17 @@
 rth_t *rth_new (void);
 void rth_free (rth_t *rth);
 
+/* Sets for how long a replaced table counts.  It is never shortened.  */
+void rth_extend_keep_ms (rth_t *rth, int64_t keep_ms);
+
 /* Puts TABLE in force.  Returns whether other routers may conclude less than
    before of a stream that began here: a route, or a part of its paths, gets a
-   service beside those that it has had in the last RTH_KEEP_MS, or a table was
-   dropped.  */
+   service beside those that it has had in that time, or a table was dropped.
+ */
 bool rth_set_table (rth_t *rth, cfd_time_t now, rte_table_t *table);
 
 /* Returns the only service that the stream routes of HOST and TARGET have had
-   in the last RTH_KEEP_MS, valid until the next call of rth_set_table; NULL if
+   in that time, valid until the next call of rth_set_table; NULL if
    they had several or none.  */
 const char *rth_get_sole_service (const rth_t *rth, cfd_time_t now,
                                   const char *host, const char *target);
--- a/libcoltsfootdrum/relay/test-jrn.c
+++ b/libcoltsfootdrum/relay/test-jrn.c
@@ -101,6 +101,34 @@
     }
 }
 
+/* With records that are needed for longer, no slot is used again too early,
+   and the number of slots stays limited.  */
+static void
+test_long_kept (void)
+{
+  const int64_t keep_ms = 3 * JRN_KEEP_MS;
+  g_autoptr (jrn_t) jrn = jrn_new ();
+  cfd_time_t written_at[JRN_MAX_SLOTS] = { 0 };
+  unsigned last = JRN_MAX_SLOTS;
+
+  jrn_extend_keep_ms (jrn, keep_ms);
+  jrn_extend_keep_ms (jrn, JRN_KEEP_MS);
+  for (unsigned i = 0; i < 600; i++)
+    {
+      cfd_time_t now = NOW + (cfd_time_t)i * 300;
+      jrn_write_t write;
+
+      add_many (jrn, now, i + 1, 1);
+      g_assert_true (jrn_begin_write (jrn, now, &write));
+      g_assert_cmpuint (write.slot, <, JRN_MAX_SLOTS);
+      if (written_at[write.slot] != 0 && write.slot != last)
+        g_assert_cmpint (now - written_at[write.slot], >, keep_ms);
+      written_at[write.slot] = now;
+      last = write.slot;
+      jrn_end_write (jrn, now, JRN_WRITTEN);
+    }
+}
+
 static void
 append_confirmed (void *user, uint64_t key)
 {
@@ -293,6 +321,7 @@
       g_test_add_data_func (path, &cases[i], test_steps);
     }
   g_test_add_func ("/jrn/confirmed", test_confirmed);
+  g_test_add_func ("/jrn/long-kept", test_long_kept);
   g_test_add_func ("/jrn/one-at-a-time", test_one_at_a_time);
   g_test_add_data_func ("/jrn/reuse", GINT_TO_POINTER (JRN_REFUSED),
                         test_reuse);
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -285,7 +285,7 @@
   route->max_attempts = attempts;
   route->resumable = resumable;
   route->target_latency_ms = 300;
-  route->timeout_ms = 30000;
+  route->timeout_ms = SCENE_TIMEOUT_MS;
   rte_route_add_traffic_share (route, "app", 1.);
   rte_table_add_route (table, route);
   return route;
--- a/libcoltsfootdrum/relay/test-rly-scene.h
+++ b/libcoltsfootdrum/relay/test-rly-scene.h
@@ -12,6 +12,8 @@
 #define SCENE_MAX_PAUSE_MS 100
 /* Time-out of the route of /brief/.  */
 #define SCENE_BRIEF_TIMEOUT_MS 400
+/* Time-out of the other routes.  */
+#define SCENE_TIMEOUT_MS 30000
 
 /* A reply of the endpoints.  Replies are sent in order, by whichever endpoint
    gets the request.  In BYTES "%I" stands for the request's id.  */
--- a/libcoltsfootdrum/relay/test-rly-versions.c
+++ b/libcoltsfootdrum/relay/test-rly-versions.c
@@ -545,6 +545,27 @@
   scene_free (scene);
 }
 
+/* Guards against streams of two versions that are joined, as they last longer
+   than routers remember versions that left: the route's time-out bounds how
+   long one lasts.  */
+static void
+test_long_streams (void)
+{
+  static const scene_reply_t replies[]
+      = { { EVENTS E1 END, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, 1, 4);
+  cfd_time_t now = clock_now ();
+
+  list_versions (scene, 0, "v1", "v2");
+  org_add (scene->org, now, 1, org_hash ("app", "v1"), true);
+  list_versions (scene, 0, "v2", "v2");
+  now += SCENE_TIMEOUT_MS;
+  g_assert_true (org_is_mixed (scene->org, now, "app"));
+  g_assert_cmpuint (org_find (scene->org, now, 1).origin, ==,
+                    org_hash ("app", "v1"));
+  scene_free (scene);
+}
+
 /* A request that begins anew isn't bound, whatever it names.  */
 static void
 test_begins_anew (void)
@@ -586,6 +607,7 @@
   g_test_add_func ("/rly-versions/none-registered", test_none_registered);
   g_test_add_func ("/rly-versions/registered-while-waiting",
                    test_registered_while_waiting);
+  g_test_add_func ("/rly-versions/long-streams", test_long_streams);
   g_test_add_func ("/rly-versions/begins-anew", test_begins_anew);
   return g_test_run ();
 }
