--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -61,6 +61,7 @@
   bool precedes[PAL_LIST_COUNT];
   bool sends_summaries; /* its cell is another one */
   bool fails_writes;    /* to the platform's store */
+  unsigned share;       /* of a processor, in thousandths; 0: not known */
   GHashTable *loads;    /* hash of the endpoint to pal_load_t */
   GHashTable *speeds;   /* hash of the endpoint to pal_speed_t */
 } pal_peer_t;
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -480,18 +480,20 @@
 }
 
 static void
-receive_capacity (pal_t *pal, const pal_peer_t *peer, cfd_time_t now,
+receive_capacity (pal_t *pal, pal_peer_t *peer, cfd_time_t now,
                   const msg_node_t *row)
 {
   bal_figures_t figures;
 
-  if (pal->bal == NULL || row->length < 3)
+  if (row->length < 3)
     return;
-  figures = (bal_figures_t){
-    .share = (unsigned)MIN (row->u.items[0].u.number, UINT32_MAX),
-    .busy = (unsigned)MIN (row->u.items[1].u.number, UINT32_MAX),
-    .presence = decode_presence (&row->u.items[2])
-  };
+  peer->share = (unsigned)MIN (row->u.items[0].u.number, UINT32_MAX);
+  if (pal->bal == NULL)
+    return;
+  figures = (bal_figures_t){ .share = peer->share,
+                             .busy = (unsigned)MIN (row->u.items[1].u.number,
+                                                    UINT32_MAX),
+                             .presence = decode_presence (&row->u.items[2]) };
   bal_set_figures (pal->bal, now, peer->name, &figures);
 }
 
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -680,6 +680,20 @@
   return rank;
 }
 
+/* Returns whether router NAME goes before this one for a task: the one with
+   the larger share of a processor, or by KEY.  PEER is NULL when it has sent
+   nothing.  */
+static bool
+precedes (const pal_t *pal, const char *name, const pal_peer_t *peer,
+          uint64_t key)
+{
+  unsigned share = pal->bal != NULL ? bal_get_figures (pal->bal).share : 0;
+
+  if (peer != NULL && peer->share != 0 && share != 0 && peer->share != share)
+    return peer->share > share;
+  return cold_ranks_before (name, pal->name, key);
+}
+
 /* Returns how many routers of NAMES precede this one by KEY, of those that
    were heard within MAX_SILENCE_MS and whose writes don't fail.  */
 static unsigned
@@ -701,7 +715,7 @@
                         ? now - peer->last_received_at <= max_silence_ms
                         : is_joining;
 
-      if (!counts || !cold_ranks_before (name, pal->name, key))
+      if (!counts || !precedes (pal, name, peer, key))
         continue;
       if (peer != NULL && peer->fails_writes && failing < MAX_FAILING_WRITERS)
         failing++;
--- a/libcoltsfootdrum/relay/pal.h
+++ b/libcoltsfootdrum/relay/pal.h
@@ -89,11 +89,11 @@
 /* Sets whether this router's writes to the platform's store fail, so that
    others take over the tasks for which they are needed.  */
 void pal_set_fails_writes (pal_t *pal, bool fails);
-/* Returns the same for a task of the whole cell that needs such writes, in an
-   order by KEY.  For a moment after the start, routers that have sent nothing
-   yet count too; 1 at least while the other routers aren't known.  Routers
-   whose writes fail don't count, but for all beyond two: in an outage of the
-   store three try.  */
+/* Returns the same for a task of the whole cell that needs such writes: those
+   with a larger share of a processor go first, then in an order by KEY.  For a
+   moment after the start, routers that have sent nothing yet count too; 1 at
+   least while the other routers aren't known.  Routers whose writes fail don't
+   count, but for all beyond two: in an outage of the store three try.  */
 unsigned pal_get_cell_rank (const pal_t *pal, cfd_time_t now, uint64_t key);
 /* Returns the same for a task of the whole fleet, among all routers that
    datagrams were received from lately.  */
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -537,6 +537,44 @@
     router_free (&others[i]);
 }
 
+/* Guards against a task of the cell that falls to a router without the
+   processor time for it: one with a larger share goes first.  */
+static void
+test_strong_first (void)
+{
+  static const pal_member_t listed[] = { { "one", "127.0.0.1:9", true } };
+  static const unsigned shares[] = { 0, 68, 500, 500 };
+  static const unsigned other_shares[] = { 500, 500, 68, 500 };
+  uint64_t keys[2] = { 0, 0 };
+
+  /* By the key alone: behind the other one, and before it.  */
+  while (!cold_ranks_before ("one", "here", keys[0]))
+    keys[0]++;
+  while (cold_ranks_before ("one", "here", keys[1]))
+    keys[1]++;
+  for (unsigned i = 0; i < G_N_ELEMENTS (shares); i++)
+    {
+      router_t here = router_new ("here");
+      router_t one = router_new ("one");
+      g_autoptr (bal_t) own = bal_new ("here", shares[i]);
+      g_autoptr (bal_t) other = bal_new ("one", other_shares[i]);
+      bool is_comparable = shares[i] != 0 && shares[i] != other_shares[i];
+      unsigned by_share = other_shares[i] > shares[i];
+
+      pal_set_balance (here.pal, own);
+      pal_set_balance (one.pal, other);
+      pal_set_peers (here.pal, listed, G_N_ELEMENTS (listed));
+      deliver (&one, &here, NOW, PAL_FULL);
+      deliver (&one, &here, NOW + 1, PAL_CHANGES);
+      g_assert_cmpuint (pal_get_cell_rank (here.pal, NOW + 2, keys[0]), ==,
+                        is_comparable ? by_share : 1);
+      g_assert_cmpuint (pal_get_cell_rank (here.pal, NOW + 2, keys[1]), ==,
+                        is_comparable ? by_share : 0);
+      router_free (&here);
+      router_free (&one);
+    }
+}
+
 typedef struct
 {
   unsigned count;
@@ -1377,6 +1415,7 @@
   g_test_add_func ("/pal/found-cold", test_found_cold);
   g_test_add_func ("/pal/first-router", test_first_router);
   g_test_add_func ("/pal/task-rank", test_task_rank);
+  g_test_add_func ("/pal/strong-first", test_strong_first);
   g_test_add_func ("/pal/retired-versions", test_retired_versions);
   g_test_add_func ("/pal/cold-endpoint-of-other-cell",
                    test_cold_endpoint_of_other_cell);
