Streams: records are sent again until they are stored

When a second version came, 3,201 records were stored at once, and the reports of them pushed out those that were waited for.

Change: a router names the streams that wait, every 40 ms, until they are reported as stored, for a second at most; the router that writes reports these alone, and once more when they are named again.

Before: the report wasn't sent again, so that pal/awaited fails there; it isn't compiled with the code before, as the call that names a stream is new. test-pal: the presence stands one byte further from the datagram's end.

--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -28,7 +28,8 @@
   uint64_t key;
   org_origin_t origin;
   bool is_own;
-  bool is_stored; /* an own record, in the journal */
+  bool is_stored;  /* in the journal: an own record, or written here */
+  bool is_awaited; /* its router is to be told so */
   cfd_time_t at;
 } org_stream_t;
 
@@ -59,7 +60,8 @@
   list_node_t order;   /* the same, the earliest record first */
   GArray *updates;     /* org_update_t, the oldest first */
   uint64_t last_number;
-  GArray *stored; /* org_stored_t, the oldest first */
+  GArray *awaited; /* org_awaited_t, the earliest first */
+  GArray *stored;  /* org_stored_t, the oldest first */
   uint64_t last_stored;
   void (*on_stored) (void *user, uint64_t key); /* may be NULL */
   void *stored_user;
@@ -140,6 +142,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, stream_free);
   list_init (&org->order);
   org->updates = g_array_new (FALSE, FALSE, sizeof (org_update_t));
+  org->awaited = g_array_new (FALSE, FALSE, sizeof (org_awaited_t));
   org->stored = g_array_new (FALSE, FALSE, sizeof (org_stored_t));
   org->services = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
                                          service_free);
@@ -154,6 +157,7 @@
     return;
   g_hash_table_unref (org->streams);
   g_array_unref (org->updates);
+  g_array_unref (org->awaited);
   g_array_unref (org->stored);
   g_hash_table_unref (org->services);
   g_free (org);
@@ -684,6 +688,41 @@
                          .is_stored = stream->is_stored };
 }
 
+void
+org_await (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin)
+{
+  org_awaited_t awaited = { .key = key, .origin = origin, .at = now };
+
+  if (org->awaited->len >= MAX_UPDATES)
+    g_array_remove_index (org->awaited, 0);
+  g_array_append_val (org->awaited, awaited);
+}
+
+static void
+remove_awaited (org_t *org, uint64_t key)
+{
+  for (guint i = 0; i < org->awaited->len; i++)
+    if (g_array_index (org->awaited, org_awaited_t, i).key == key)
+      {
+        g_array_remove_index (org->awaited, i);
+        return;
+      }
+}
+
+const GArray *
+org_get_awaited (org_t *org, cfd_time_t now)
+{
+  guint old = 0;
+
+  while (old < org->awaited->len
+         && now - g_array_index (org->awaited, org_awaited_t, old).at
+                > ORG_AWAIT_MS)
+    old++;
+  if (old > 0)
+    g_array_remove_range (org->awaited, 0, old);
+  return org->awaited;
+}
+
 void
 org_note_stored (org_t *org, uint64_t key)
 {
@@ -692,25 +731,52 @@
   if (stream == NULL || !stream->is_own || stream->is_stored)
     return;
   stream->is_stored = true;
+  remove_awaited (org, key);
   if (org->on_stored != NULL)
     org->on_stored (org->stored_user, key);
 }
 
+static void
+report_stored (org_t *org, cfd_time_t now, uint64_t key)
+{
+  org_stored_t stored
+      = { .key = key, .number = ++org->last_stored, .at = now };
+
+  if (org->stored->len >= MAX_UPDATES)
+    g_array_remove_index (org->stored, 0);
+  g_array_append_val (org->stored, stored);
+}
+
 void
 org_add_stored (org_t *org, cfd_time_t now, uint64_t key)
 {
-  const org_stream_t *stream = g_hash_table_lookup (org->streams, &key);
-  org_stored_t stored = { .key = key, .at = now };
+  org_stream_t *stream = g_hash_table_lookup (org->streams, &key);
 
-  if (stream != NULL && stream->is_own)
+  if (stream == NULL)
+    return;
+  if (stream->is_own)
     {
       org_note_stored (org, key);
       return;
     }
-  stored.number = ++org->last_stored;
-  if (org->stored->len >= MAX_UPDATES)
-    g_array_remove_index (org->stored, 0);
-  g_array_append_val (org->stored, stored);
+  stream->is_stored = true;
+  if (stream->is_awaited)
+    report_stored (org, now, key);
+}
+
+void
+org_add_near_awaited (org_t *org, cfd_time_t now, uint64_t key,
+                      org_origin_t origin)
+{
+  org_stream_t *stream;
+
+  org_add_near (org, now, key, origin);
+  stream = g_hash_table_lookup (org->streams, &key);
+  if (stream == NULL || stream->is_own)
+    return;
+  stream->is_awaited = true;
+  if (stream->is_stored)
+    report_stored (org, now, key);
 }
 
 void
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -127,12 +127,29 @@
 /* Adds the records to be stored to JRN, which is not owned; NULL: to none.  */
 void org_set_journal (org_t *org, jrn_t *jrn);
 
+/* A stream of this router whose first event waits until its record is stored.
+   The record is sent again until then, as datagrams may be lost.  */
+typedef struct
+{
+  uint64_t key;
+  org_origin_t origin;
+  cfd_time_t at;
+} org_awaited_t;
+
+/* Longest time for which a record is sent again.  */
+#define ORG_AWAIT_MS 1000
+
+/* Adds the stream KEY, which is recorded.  */
+void org_await (org_t *org, cfd_time_t now, uint64_t key, org_origin_t origin);
+/* Returns those that are not stored, valid until the next call.  */
+const GArray *org_get_awaited (org_t *org, cfd_time_t now);
+
 /* Records that the journal has stored this router's record of stream KEY, as
    another router that wrote it reports.  Ignored for a stream that didn't
    begin here.  */
 void org_note_stored (org_t *org, uint64_t key);
-/* The same as this router has written it: what began at others is reported to
-   them.  */
+/* The same as this router has written it.  It is reported to the others if it
+   began at one that awaits that.  */
 void org_add_stored (org_t *org, cfd_time_t now, uint64_t key);
 /* Calls CALLBACK for each stream of this router that was stored.  */
 void org_set_stored_callback (org_t *org,
@@ -169,6 +186,10 @@
 /* The same of a router of this one's cell, which the cell is to store.  */
 void org_add_near (org_t *org, cfd_time_t now, uint64_t key,
                    org_origin_t origin);
+/* The same of a stream whose router awaits that its record is stored; it is
+   told so once more if it was.  */
+void org_add_near_awaited (org_t *org, cfd_time_t now, uint64_t key,
+                           org_origin_t origin);
 typedef struct
 {
   org_origin_t origin; /* ORG_ANY: the stream isn't recorded */
--- a/libcoltsfootdrum/relay/pal-pack.c
+++ b/libcoltsfootdrum/relay/pal-pack.c
@@ -267,6 +267,27 @@
     pal->last_stored_sent = org_get_last_stored (pal->org);
 }
 
+/* Packs key and origin of the streams of this router whose record isn't known
+   to be stored although their callers wait for that.  */
+static void
+pack_awaited (pal_t *pal, msgpack_packer *packer, cfd_time_t now,
+              pal_content_t content)
+{
+  const GArray *awaited = pal->org != NULL && content != PAL_SUMMARY
+                              ? org_get_awaited (pal->org, now)
+                              : NULL;
+  guint count = awaited != NULL ? awaited->len : 0;
+
+  msgpack_pack_array (packer, (size_t)count * 2);
+  for (guint i = 0; i < count; i++)
+    {
+      const org_awaited_t *one = &g_array_index (awaited, org_awaited_t, i);
+
+      msgpack_pack_uint64 (packer, one->key);
+      msgpack_pack_uint32 (packer, one->origin);
+    }
+}
+
 static void
 count_retired (void *user, const org_retired_t *retired)
 {
@@ -480,6 +501,7 @@
   pack_capacity (pal, &packer, content);
   pack_store (pal, &packer, content);
   pack_stored (pal, &packer, now, content);
+  pack_awaited (pal, &packer, now, content);
   g_byte_array_append (bytes, (const guint8 *)buffer.data, (guint)buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return bytes;
--- a/libcoltsfootdrum/relay/pal-private.h
+++ b/libcoltsfootdrum/relay/pal-private.h
@@ -45,7 +45,8 @@
 #define CAPACITY_ITEM 18 /* processor share, busy share, readiness */
 #define STORE_ITEM 19    /* whether writes to the platform's store fail */
 #define STORED_ITEM 20   /* streams whose record was stored */
-#define STATE_ITEMS 21
+#define AWAITED_ITEM 21  /* key and origin of streams to be stored */
+#define STATE_ITEMS 22
 
 typedef struct
 {
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -106,7 +106,8 @@
          && is_optional_rows (node, SPEEDS_ITEM, 3, MAX_SPEED_ROWS)
          && is_optional_rows (node, CAPACITY_ITEM, 3, 1)
          && is_optional_rows (node, STORE_ITEM, 1, 1)
-         && is_optional_rows (node, STORED_ITEM, 1, MAX_STORED_ROWS);
+         && is_optional_rows (node, STORED_ITEM, 1, MAX_STORED_ROWS)
+         && is_optional_rows (node, AWAITED_ITEM, 2, MAX_STREAM_ROWS);
 }
 
 static guint
@@ -511,6 +512,14 @@
     org_note_stored (pal->org, keys->u.items[i].u.number);
 }
 
+static void
+receive_awaited (const pal_t *pal, cfd_time_t now, const msg_node_t *rows)
+{
+  for (unsigned i = 0; pal->org != NULL && i + 1 < rows->length; i += 2)
+    org_add_near_awaited (pal->org, now, rows->u.items[i].u.number,
+                          (org_origin_t)rows->u.items[i + 1].u.number);
+}
+
 static int64_t
 decode_stable_ms (const msg_node_t *node)
 {
@@ -572,6 +581,8 @@
     receive_store (peer, &items[STORE_ITEM]);
   if (state->length > STORED_ITEM)
     receive_stored (pal, &items[STORED_ITEM]);
+  if (state->length > AWAITED_ITEM)
+    receive_awaited (pal, now, &items[AWAITED_ITEM]);
 }
 
 bool
--- a/libcoltsfootdrum/relay/pal.c
+++ b/libcoltsfootdrum/relay/pal.c
@@ -37,6 +37,8 @@
    are sent to.  With N routers each change takes N datagrams, and small
    machines would spend all their time on them.  */
 #define CHANGES_INTERVAL_MS_PER_ROUTER 1
+/* Interval at which records that are to be stored are sent again.  */
+#define AWAITED_REPEAT_MS 40
 /* Intervals of the full state after which a silent router may have failed, so
    that others ask endpoints in its place.  */
 #define MAX_SILENT_INTERVALS 2.5
@@ -512,13 +514,23 @@
          && org_get_last_stored (pal->org) > pal->last_stored_sent;
 }
 
+/* Returns whether a record that wasn't reported as stored is to be sent
+   again.  */
+static bool
+must_repeat (const pal_t *pal, cfd_time_t now)
+{
+  return pal->org != NULL && now - pal->changes_sent_at >= AWAITED_REPEAT_MS
+         && org_get_awaited (pal->org, now)->len > 0;
+}
+
 static void
 send_changes (pal_t *pal, cfd_time_t now)
 {
   int64_t interval_ms
       = (int64_t)pal->near_addresses->len * CHANGES_INTERVAL_MS_PER_ROUTER;
 
-  if ((!edp_set_has_changed (pal->endpoints) && !has_new_stored (pal))
+  if ((!edp_set_has_changed (pal->endpoints) && !has_new_stored (pal)
+       && !must_repeat (pal, now))
       || now - pal->changes_sent_at < interval_ms)
     return;
   edp_set_clear_changed (pal->endpoints);
--- a/libcoltsfootdrum/relay/rly-hold.c
+++ b/libcoltsfootdrum/relay/rly-hold.c
@@ -24,6 +24,7 @@
 
   if (!org_is_storing (rly->org, now) || now < rly->no_hold_until)
     return;
+  org_await (rly->org, now, request->stream_key, request->origin);
   request->held_since = now;
   list_append (&rly->held, &request->held_node);
   rly->counts.held++;
--- a/libcoltsfootdrum/relay/test-org.c
+++ b/libcoltsfootdrum/relay/test-org.c
@@ -317,9 +317,13 @@
 
   org_set_stored_callback (org, count_stored, &stored);
   org_add (org, NOW, 1, 5, true);
-  org_add_near (org, NOW, 2, 6);
+  org_await (org, NOW, 1, 5);
+  org_add_near (org, NOW, 4, 6);
+  org_add_stored (org, NOW, 4);
+  org_add_near_awaited (org, NOW, 2, 6);
   org_add_stored (org, NOW, 2);
   g_assert_cmpuint (stored, ==, 0);
+  g_assert_cmpuint (org_get_awaited (org, NOW)->len, ==, 1);
   g_assert_false (org_find (org, NOW, 1).is_stored);
   g_assert_cmpuint (org_get_stored (org, NOW)->len, ==, 1);
   g_assert_cmpuint (
@@ -330,7 +334,13 @@
   org_note_stored (org, 3);
   g_assert_cmpuint (stored, ==, 1);
   g_assert_true (org_find (org, NOW, 1).is_stored);
+  g_assert_cmpuint (org_get_awaited (org, NOW)->len, ==, 0);
   g_assert_cmpuint (org_get_last_stored (org), ==, 1);
+  /* The report was lost, and the record came again.  */
+  org_add_near_awaited (org, NOW, 2, 6);
+  g_assert_cmpuint (org_get_last_stored (org), ==, 2);
+  org_await (org, NOW, 5, 5);
+  g_assert_cmpuint (org_get_awaited (org, NOW + ORG_AWAIT_MS + 1)->len, ==, 0);
   g_assert_cmpuint (org_get_stored (org, NOW + ORG_UPDATE_KEEP_MS + 1)->len,
                     ==, 0);
   org_free (org);
--- a/libcoltsfootdrum/relay/test-pal.c
+++ b/libcoltsfootdrum/relay/test-pal.c
@@ -391,13 +391,6 @@
   g_assert_cmpuint (org_find (here.org, NOW, 77).origin, ==, 5);
   g_assert_false (org_find (here.org, NOW, 77).is_own);
   g_assert_cmpuint (org_find (here.org, NOW, 78).origin, ==, ORG_ANY);
-  org_add_near (here.org, NOW, 80, 5);
-  org_add_stored (here.org, NOW, 77);
-  deliver (&here, &one, NOW, PAL_SUMMARY);
-  g_assert_false (org_find (one.org, NOW, 77).is_stored);
-  deliver (&here, &one, NOW, PAL_CHANGES);
-  g_assert_false (org_find (one.org, NOW, 78).is_stored);
-  g_assert_true (org_find (one.org, NOW, 77).is_stored);
   org_add (one.org, NOW + 10, 79, 7, true);
   lost = pal_pack (one.pal, NOW + 10, PAL_CHANGES);
   g_assert_nonnull (lost);
@@ -537,6 +530,36 @@
     router_free (&others[i]);
 }
 
+/* Guards against records that are never stored, or not known to be, since a
+   datagram is lost: they are sent, and reported as stored, until both arrive.
+ */
+static void
+test_awaited (void)
+{
+  router_t here = router_new ("here");
+  router_t one = router_new ("one");
+
+  deliver (&one, &here, NOW, PAL_FULL);
+  deliver (&here, &one, NOW, PAL_FULL);
+  org_add (one.org, NOW, 77, 5, true);
+  org_add (one.org, NOW, 78, 5, true);
+  org_await (one.org, NOW, 77, 5);
+  g_byte_array_unref (pal_pack (one.pal, NOW, PAL_CHANGES));
+  deliver (&one, &here, NOW + 40, PAL_CHANGES);
+  g_assert_cmpuint (org_find (here.org, NOW + 40, 77).origin, ==, 5);
+  g_assert_cmpuint (org_find (here.org, NOW + 40, 78).origin, ==, ORG_ANY);
+  org_add_stored (here.org, NOW + 40, 77);
+  deliver (&here, &one, NOW + 40, PAL_SUMMARY);
+  g_assert_false (org_find (one.org, NOW + 40, 77).is_stored);
+  g_byte_array_unref (pal_pack (here.pal, NOW + 40, PAL_CHANGES));
+  deliver (&one, &here, NOW + 80, PAL_CHANGES);
+  deliver (&here, &one, NOW + 80, PAL_CHANGES);
+  g_assert_true (org_find (one.org, NOW + 80, 77).is_stored);
+  g_assert_false (org_find (one.org, NOW + 80, 78).is_stored);
+  router_free (&here);
+  router_free (&one);
+}
+
 /* Guards against a task of the cell that falls to a router without the
    processor time for it: one with a larger share goes first.  */
 static void
@@ -1023,7 +1046,7 @@
 
 /* Guards against routers that count as ready though they are leaving, or for a
    presence of a later version; the last items of the datagram, of two bytes
-   and of one, follow on it.  */
+   and of one each, follow on it.  */
 static void
 test_presence (void)
 {
@@ -1044,7 +1067,7 @@
       bal_update (far, NOW, &sample);
       pal_set_balance (one.pal, far);
       bytes = pal_pack (one.pal, NOW, PAL_FULL);
-      at = bytes->len - 4;
+      at = bytes->len - 5;
       g_assert_cmpuint (bytes->data[at], ==, BAL_READY);
       bytes->data[at] = presence;
       g_assert_true (pal_receive (here.pal, NOW, bytes->data, bytes->len));
@@ -1133,7 +1156,7 @@
 }
 
 /* Guards against routers of two versions that ignore each other: an earlier
-   one sends 17 items, a later one may send 22.  */
+   one sends 17 items, a later one may send 23.  */
 static void
 test_other_versions (void)
 {
@@ -1144,6 +1167,7 @@
   g_assert_true (accepts (20, NULL, 0));
   g_assert_true (accepts (21, NULL, 0));
   g_assert_true (accepts (22, NULL, 0));
+  g_assert_true (accepts (23, NULL, 0));
 }
 
 /* Speeds that are no rows of three numbers are rejected with their datagram;
@@ -1416,6 +1440,7 @@
   g_test_add_func ("/pal/first-router", test_first_router);
   g_test_add_func ("/pal/task-rank", test_task_rank);
   g_test_add_func ("/pal/strong-first", test_strong_first);
+  g_test_add_func ("/pal/awaited", test_awaited);
   g_test_add_func ("/pal/retired-versions", test_retired_versions);
   g_test_add_func ("/pal/cold-endpoint-of-other-cell",
                    test_cold_endpoint_of_other_cell);
