--- a/libcoltsfootdrum/relay/org.c
+++ b/libcoltsfootdrum/relay/org.c
@@ -13,9 +13,8 @@
 #define MAX_VERSIONS 64
 /* Updates kept for the other routers, less than fill a datagram.  */
 #define MAX_UPDATES 2048
-/* Streams up to this part of the age at which they can't be resumed any more
-   are published when a second version appears, or a route gets a second
-   service.
+/* Streams younger than this part of the time for which they may be resumed are
+   published when a second version appears, or a route gets a second service.
  */
 #define PUBLISHED_AGE_DIVISOR 2
 /* 40 bits keep datagrams short; among some ten thousand streams collisions
@@ -63,7 +62,7 @@
   GArray *awaited; /* org_awaited_t, the earliest first */
   GArray *stored;  /* org_stored_t, the oldest first */
   uint64_t last_stored;
-  void (*on_stored) (void *user, uint64_t key); /* may be NULL */
+  void (*on_stored) (void *user, cfd_time_t now, uint64_t key);
   void *stored_user;
   GHashTable *services;     /* hash of the name to org_service_t */
   cfd_time_t several_until; /* see org_set_several_until */
@@ -724,7 +723,7 @@
 }
 
 void
-org_note_stored (org_t *org, uint64_t key)
+org_note_stored (org_t *org, cfd_time_t now, uint64_t key)
 {
   org_stream_t *stream = g_hash_table_lookup (org->streams, &key);
 
@@ -733,7 +732,7 @@
   stream->is_stored = true;
   remove_awaited (org, key);
   if (org->on_stored != NULL)
-    org->on_stored (org->stored_user, key);
+    org->on_stored (org->stored_user, now, key);
 }
 
 static void
@@ -756,7 +755,7 @@
     return;
   if (stream->is_own)
     {
-      org_note_stored (org, key);
+      org_note_stored (org, now, key);
       return;
     }
   stream->is_stored = true;
@@ -781,7 +780,8 @@
 
 void
 org_set_stored_callback (org_t *org,
-                         void (*callback) (void *user, uint64_t key),
+                         void (*callback) (void *user, cfd_time_t now,
+                                           uint64_t key),
                          void *user)
 {
   org->on_stored = callback;
--- a/libcoltsfootdrum/relay/org.h
+++ b/libcoltsfootdrum/relay/org.h
@@ -147,13 +147,14 @@
 /* Records that the journal has stored this router's record of stream KEY, as
    another router that wrote it reports.  Ignored for a stream that didn't
    begin here.  */
-void org_note_stored (org_t *org, uint64_t key);
+void org_note_stored (org_t *org, cfd_time_t now, uint64_t key);
 /* The same as this router has written it.  It is reported to the others if it
    began at one that awaits that.  */
 void org_add_stored (org_t *org, cfd_time_t now, uint64_t key);
 /* Calls CALLBACK for each stream of this router that was stored.  */
 void org_set_stored_callback (org_t *org,
-                              void (*callback) (void *user, uint64_t key),
+                              void (*callback) (void *user, cfd_time_t now,
+                                                uint64_t key),
                               void *user);
 
 /* A record that this router has stored, to be reported to the others.  */
--- a/libcoltsfootdrum/relay/pal-receive.c
+++ b/libcoltsfootdrum/relay/pal-receive.c
@@ -506,10 +506,10 @@
 }
 
 static void
-receive_stored (const pal_t *pal, const msg_node_t *keys)
+receive_stored (const pal_t *pal, cfd_time_t now, const msg_node_t *keys)
 {
   for (unsigned i = 0; pal->org != NULL && i < keys->length; i++)
-    org_note_stored (pal->org, keys->u.items[i].u.number);
+    org_note_stored (pal->org, now, keys->u.items[i].u.number);
 }
 
 static void
@@ -580,7 +580,7 @@
   if (state->length > STORE_ITEM)
     receive_store (peer, &items[STORE_ITEM]);
   if (state->length > STORED_ITEM)
-    receive_stored (pal, &items[STORED_ITEM]);
+    receive_stored (pal, now, &items[STORED_ITEM]);
   if (state->length > AWAITED_ITEM)
     receive_awaited (pal, now, &items[AWAITED_ITEM]);
 }
--- a/libcoltsfootdrum/relay/rly-hold.c
+++ b/libcoltsfootdrum/relay/rly-hold.c
@@ -54,10 +54,9 @@
 }
 
 void
-rly_on_stored (void *user, uint64_t key)
+rly_on_stored (void *user, cfd_time_t now, uint64_t key)
 {
   rly_t *rly = user;
-  cfd_time_t now = clock_now ();
 
   rly->stalled_since = CFD_TIME_NEVER;
   rly->no_hold_until = 0;
--- a/libcoltsfootdrum/relay/rly-private.h
+++ b/libcoltsfootdrum/relay/rly-private.h
@@ -234,7 +234,7 @@
 bool rly_is_held (const rly_request_t *request);
 /* For org_set_stored_callback; USER is the relay.  Passes on the events of
    stream KEY.  */
-void rly_on_stored (void *user, uint64_t key);
+void rly_on_stored (void *user, cfd_time_t now, uint64_t key);
 /* Passes on what was held back for too long.  */
 void rly_check_held (rly_t *rly, cfd_time_t now);
 
--- a/libcoltsfootdrum/relay/rth.h
+++ b/libcoltsfootdrum/relay/rth.h
@@ -31,8 +31,7 @@
 
 /* Puts TABLE in force.  Returns whether other routers may conclude less than
    before of a stream that began here: a route, or a part of its paths, gets a
-   service beside those that it has had in that time, or a table was dropped.
- */
+   service that it hasn't had in that time, or a table was dropped.  */
 bool rth_set_table (rth_t *rth, cfd_time_t now, rte_table_t *table);
 
 /* Returns the only service that the stream routes of HOST and TARGET have had
--- a/libcoltsfootdrum/relay/test-org.c
+++ b/libcoltsfootdrum/relay/test-org.c
@@ -302,7 +302,7 @@
 }
 
 static void
-count_stored (void *user, uint64_t key)
+count_stored (void *user, cfd_time_t now, uint64_t key)
 {
   ++*(unsigned *)user;
 }
@@ -329,9 +329,9 @@
   g_assert_cmpuint (
       g_array_index (org_get_stored (org, NOW), org_stored_t, 0).key, ==, 2);
   org_add_stored (org, NOW, 1);
-  org_note_stored (org, 1);
-  org_note_stored (org, 2);
-  org_note_stored (org, 3);
+  org_note_stored (org, NOW, 1);
+  org_note_stored (org, NOW, 2);
+  org_note_stored (org, NOW, 3);
   g_assert_cmpuint (stored, ==, 1);
   g_assert_true (org_find (org, NOW, 1).is_stored);
   g_assert_cmpuint (org_get_awaited (org, NOW)->len, ==, 0);
