Reader: a status line without a valid status is no answer

Callers saw an answer whose status was 000, as the endpoint in trouble had sent it; a 2xx written as "0200", and 099, 600 and 999, likewise.

Cause: libhttp-parser takes any number of digits up to the value 999 and any major version, and nothing after it looked at the status of what wasn't a 2xx. Since 0 also stands for "no answer yet" (rly-notice.c), such a request counted as unanswered after its head; one that also said "not run" became a 503.

Now the reader compares the start of each status line with its form, HTTP/1.D DDD and no fourth digit, before the parser gets it, and refuses a status outside of 100 to 599. It is the one reader of answers of endpoints, so requests, streams and health checks are covered: the exchange ends as malformed, the connection is closed, and the request is retried where its route allows that, or answered 502.

--- a/libcoltsfootdrum/relay/rd.c
+++ b/libcoltsfootdrum/relay/rd.c
@@ -5,6 +5,13 @@
 #include <http_parser.h>
 #include <string.h>
 
+/* The start of a status line: D stands for a digit, and N for any other byte.
+   The parser doesn't check the number of digits.  */
+#define STATUS_LINE "HTTP/1.D DDDN"
+#define STATUS_LINE_BYTES (sizeof STATUS_LINE - 1)
+#define MIN_STATUS 100
+#define MAX_STATUS 599
+
 struct rd
 {
   http_parser parser;
@@ -19,6 +26,9 @@
   GString *name;
   GString *value;
   rd_head_t head;
+  size_t status_line_read;    /* bytes of STATUS_LINE that were checked */
+  bool has_begun_status_line; /* the parser is paused after its first byte */
+  bool is_malformed;          /* in a way that the parser accepts */
   bool in_value;
   bool head_done;
   bool started;
@@ -67,10 +77,19 @@
                         + rd->body_bytes * RD_OVERHEAD_PER_BODY_BYTE;
 }
 
+/* Pauses the parser after the first byte of a status line, so that its bytes
+   are checked before they are parsed.  */
 static int
 on_begin (http_parser *parser)
 {
-  get_reader (parser)->started = true;
+  rd_t *rd = get_reader (parser);
+
+  rd->started = true;
+  if (rd->kind == RD_REQUESTS)
+    return 0;
+  rd->status_line_read = 1;
+  rd->has_begun_status_line = true;
+  http_parser_pause (parser, 1);
   return 0;
 }
 
@@ -112,6 +131,14 @@
   return parser->type == HTTP_RESPONSE && parser->status_code / 100 == 1;
 }
 
+static bool
+has_valid_status (const http_parser *parser)
+{
+  return parser->type == HTTP_REQUEST
+         || (parser->status_code >= MIN_STATUS
+             && parser->status_code <= MAX_STATUS);
+}
+
 /* Returns whether a message that has neither a length nor chunked encoding has
    no body: requests, and responses with these statuses.  */
 static bool
@@ -138,6 +165,8 @@
   rd_head_t *head = &rd->head;
 
   store_field (rd);
+  if (!has_valid_status (parser))
+    return -1;
   /* Protocol upgrades are not supported; the parser would stop here.  */
   parser->upgrade = 0;
   if (is_interim (parser))
@@ -238,6 +267,9 @@
   rd->head_bytes = 0;
   rd->read_bytes = 0;
   rd->body_bytes = 0;
+  rd->status_line_read = STATUS_LINE_BYTES;
+  rd->has_begun_status_line = false;
+  rd->is_malformed = false;
   rd->too_large = false;
   rd->in_value = false;
   rd->head_done = false;
@@ -250,16 +282,64 @@
   hdr_reset (&rd->head.fields);
 }
 
+static bool
+matches_form (char form, char byte)
+{
+  switch (form)
+    {
+    case 'D':
+      return g_ascii_isdigit (byte);
+    case 'N':
+      return !g_ascii_isdigit (byte);
+    default:
+      return byte == form;
+    }
+}
+
+/* Checks the part of BYTES that belongs to the start of a status line.
+   Returns whether it has the right form.  */
+static bool
+check_status_line (rd_t *rd, const char *bytes, size_t length)
+{
+  for (size_t i = 0; i < length && rd->status_line_read < STATUS_LINE_BYTES;
+       i++)
+    if (!matches_form (STATUS_LINE[rd->status_line_read++], bytes[i]))
+      return false;
+  return true;
+}
+
+/* Parses BYTES up to the end of the message.  Returns the number of bytes
+   read.  */
+static size_t
+parse (rd_t *rd, const char *bytes, size_t length)
+{
+  size_t done = 0;
+
+  while (done < length)
+    {
+      rd->is_malformed |= !check_status_line (rd, bytes + done, length - done);
+      if (rd->is_malformed)
+        break;
+      done += http_parser_execute (&rd->parser, &callbacks, bytes + done,
+                                   length - done);
+      if (!rd->has_begun_status_line)
+        break;
+      rd->has_begun_status_line = false;
+      http_parser_pause (&rd->parser, 0);
+    }
+  return done;
+}
+
 rd_result_t
 rd_feed (rd_t *rd, const char *bytes, size_t length, size_t *used)
 {
-  *used = http_parser_execute (&rd->parser, &callbacks, bytes, length);
+  *used = parse (rd, bytes, length);
   rd->read_bytes += *used;
   if (rd->complete)
     return RD_COMPLETE;
   if (rd->too_large || is_excessive (rd))
     return RD_TOO_LARGE;
-  if (HTTP_PARSER_ERRNO (&rd->parser) != HPE_OK)
+  if (rd->is_malformed || HTTP_PARSER_ERRNO (&rd->parser) != HPE_OK)
     return RD_INVALID;
   return RD_INCOMPLETE;
 }
@@ -267,6 +347,8 @@
 rd_result_t
 rd_finish (rd_t *rd)
 {
+  if (rd->is_malformed)
+    return RD_INVALID;
   http_parser_execute (&rd->parser, &callbacks, NULL, 0);
   return rd->complete ? RD_COMPLETE : RD_INVALID;
 }
--- a/libcoltsfootdrum/relay/test-rly-ends.c
+++ b/libcoltsfootdrum/relay/test-rly-ends.c
@@ -403,17 +403,6 @@
   return answer.is_whole || caller->ended;
 }
 
-/* Registers the version of the endpoints, without which no caller resumes a
-   stream.  */
-static void
-register_version (scene_t *scene)
-{
-  org_begin_register (scene->org);
-  org_register_version (scene->org, "app", NULL);
-  org_end_register (scene->org, clock_now (), true);
-  org_set_knows_versions (scene->org, true);
-}
-
 static void
 test_case (const void *data)
 {
@@ -423,7 +412,7 @@
   scene_caller_t *caller;
   answer_t answer;
 
-  register_version (scene);
+  scene_register_version (scene);
   caller = scene_send_request (scene, test->call);
   scene_run (scene, is_answered, caller);
   answer = read_answer (caller);
--- a/libcoltsfootdrum/relay/test-rly-scene.c
+++ b/libcoltsfootdrum/relay/test-rly-scene.c
@@ -272,6 +272,15 @@
   edp_set_update (scene->endpoints, clock_now (), reports, true, 0);
 }
 
+void
+scene_register_version (scene_t *scene)
+{
+  org_begin_register (scene->org);
+  org_register_version (scene->org, "app", NULL);
+  org_end_register (scene->org, clock_now (), true);
+  org_set_knows_versions (scene->org, true);
+}
+
 static rte_route_t *
 add_route (rte_table_t *table, const char *prefix, rte_kind_t kind,
            unsigned attempts, bool resumable)
--- a/libcoltsfootdrum/relay/test-rly-scene.h
+++ b/libcoltsfootdrum/relay/test-rly-scene.h
@@ -85,6 +85,10 @@
 /* Lists the last endpoint and COUNT addresses without a listener.  */
 void scene_list_dead (scene_t *scene, unsigned count);
 
+/* Registers the version of the endpoints, without which no caller resumes a
+   stream.  */
+void scene_register_version (scene_t *scene);
+
 /* Sends BYTES from the endpoints, on each connection with a request.  */
 void scene_answer (scene_t *scene, const char *bytes);
 
