Reader: the name of a field has no blank

Callers saw answers with a line such as "X Y: 1", passed on as it was. With "Content-Length : 6" or "Transfer-Encoding : chunked" they got an answer that can't be read: the router took the line for the body's framing, and passed it on as an unknown field beside a length of its own.

Cause: libhttp-parser, as Debian builds it, takes a blank for a byte of a name, also before the colon and at the start of the first line. It compares such a name with those that it knows up to the blank; the router compared all of it.

Now the reader accepts only the bytes that RFC 9110 allows in a name, in heads, interim answers and trailers. An answer with another name ends as malformed; since the head isn't reported, neither its status, "not run" nor its notices count. Requests are read by the same code, and are answered 400, as RFC 9112 asks: "Content-Length : 2" reached endpoints beside the router's own length.

A control byte or a tab in a name was refused before: name/control-byte, name/tab.

--- a/libcoltsfootdrum/relay/rd.c
+++ b/libcoltsfootdrum/relay/rd.c
@@ -9,6 +9,8 @@
    The parser doesn't check the number of digits.  */
 #define STATUS_LINE "HTTP/1.D DDDN"
 #define STATUS_LINE_BYTES (sizeof STATUS_LINE - 1)
+/* What names of fields may hold beside letters and digits.  */
+#define TOKEN_MARKS "!#$%&'*+-.^_`|~"
 #define MIN_STATUS 100
 #define MAX_STATUS 599
 
@@ -102,6 +104,18 @@
   return count_head_bytes (rd, length) ? 0 : 1;
 }
 
+/* Returns whether all bytes may be part of a field's name, by RFC 9110.  The
+   parser accepts blanks.  */
+static bool
+is_token (const char *at, size_t length)
+{
+  for (size_t i = 0; i < length; i++)
+    if (!g_ascii_isalnum (at[i])
+        && (at[i] == '\0' || strchr (TOKEN_MARKS, at[i]) == NULL))
+      return false;
+  return true;
+}
+
 static int
 on_name (http_parser *parser, const char *at, size_t length)
 {
@@ -109,7 +123,7 @@
 
   store_field (rd);
   rd->too_large |= hdr_count (&rd->head.fields) >= RD_MAX_FIELDS;
-  if (rd->too_large)
+  if (rd->too_large || !is_token (at, length))
     return 1;
   g_string_append_len (rd->name, at, (gssize)length);
   return count_head_bytes (rd, length) ? 0 : 1;
--- a/libcoltsfootdrum/relay/test-rd.c
+++ b/libcoltsfootdrum/relay/test-rd.c
@@ -123,6 +123,35 @@
     "b" },
   { "status/no-content", RESP, "HTTP/1.1 204 No\r\n\r\nab", RD_COMPLETE, NULL,
     "", "ab" },
+  /* Guards against a field that its reader and the next one take for
+     different ones, or that gives the body another length.  */
+  { "name/blank", RESP,
+    "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n", RD_INVALID, "",
+    "", NULL },
+  { "name/blank-first", RESP,
+    "HTTP/1.1 200 OK\r\n X: 1\r\nContent-Length: 0\r\n\r\n", RD_INVALID, "",
+    "", NULL },
+  { "name/blank-before-colon", RESP,
+    "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\na", RD_INVALID, "", "",
+    NULL },
+  { "name/blank-after-chunked-field", RESP,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+    RD_INVALID, "", "", NULL },
+  { "name/blank-in-interim", RESP,
+    "HTTP/1.1 103 E\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", RD_INVALID, "",
+    "", NULL },
+  { "name/blank-in-trailer", RESP,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "1\r\na\r\n0\r\nX Y: 1\r\n\r\n",
+    RD_INVALID, NULL, "a", NULL },
+  { "name/blank-in-request", REQ, "GET / HTTP/1.1\r\nX Y: 1\r\n\r\n",
+    RD_INVALID, "", "", NULL },
+  { "name/blank-before-colon-in-request", REQ,
+    "POST / HTTP/1.1\r\nContent-Length : 2\r\n\r\nab", RD_INVALID, "", "",
+    NULL },
+  { "value/blanks", RESP,
+    "HTTP/1.1 200 OK\r\nX:  a b  \r\nY:\r\nContent-Length: 0\r\n\r\n",
+    RD_COMPLETE, NULL, "", "" },
   { "unframed", RESP, "HTTP/1.1 200 OK\r\n\r\nab", RD_INCOMPLETE, NULL, "ab",
     NULL },
 };
@@ -291,6 +320,41 @@
   g_string_free (parsed.body, TRUE);
 }
 
+/* Returns whether BYTE may be part of a field's name, by RFC 9110.  */
+static bool
+is_name_byte (char byte)
+{
+  return g_ascii_isalnum (byte)
+         || (byte != '\0' && strchr ("!#$%&'*+-.^_`|~", byte) != NULL);
+}
+
+/* Guards against a name with a byte that names don't have.  */
+static void
+test_name_bytes (void)
+{
+  static const rd_ops_t ops = { on_head, on_body };
+
+  for (unsigned byte = 0; byte < 256; byte++)
+    {
+      char text[] = "HTTP/1.1 200 OK\r\nX?Y: 1\r\nContent-Length: 0\r\n\r\n";
+      parsed_t parsed
+          = { .head = g_string_new (NULL), .body = g_string_new (NULL) };
+      g_autoptr (rd_t) rd = rd_new (RESP, MAX_HEAD_BYTES, &ops, &parsed);
+      size_t used;
+      rd_result_t result;
+
+      *strchr (text, '?') = (char)byte;
+      result = rd_feed (rd, text, sizeof text - 1, &used);
+      g_test_message ("byte %u: result %d", byte, result);
+      /* A colon ends the name.  */
+      g_assert_cmpint (result, ==,
+                       is_name_byte ((char)byte) || byte == ':' ? RD_COMPLETE
+                                                                : RD_INVALID);
+      g_string_free (parsed.head, TRUE);
+      g_string_free (parsed.body, TRUE);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -303,6 +367,7 @@
     }
   g_test_add_func ("/rd/unframed-end", test_unframed_end);
   g_test_add_func ("/rd/large-head", test_large_head);
+  g_test_add_func ("/rd/name/each-byte", test_name_bytes);
   g_test_add_func ("/rd/overhead", test_overhead);
   g_test_add_func ("/rd/many-fields", test_many_fields);
   return g_test_run ();
