Reader: no field goes on in the next line

Callers saw another value than the endpoint's: a line that begins with a blank, such as " X: 1" after the response's stamp, was joined to the stamp.

Cause: libhttp-parser reads such a line as the rest of the value before (obsolete line folding) and joins the two without a blank. In the answer of an endpoint in trouble it may as well be a field whose name begins with a blank.

RFC 9112 has a proxy discard such a response and answer 502, or replace the fold by blanks; a request may be rejected by 400. The reader now rejects both. It looks for a line's end before the value, as the parser doesn't report folds; what precedes the bytes of a read is kept, so that their division into reads makes no difference (relay-rd feeds each case whole and byte by byte).

--- a/libcoltsfootdrum/relay/rd.c
+++ b/libcoltsfootdrum/relay/rd.c
@@ -28,6 +28,8 @@
   GString *name;
   GString *value;
   rd_head_t head;
+  const char *fed;            /* the bytes that are being parsed */
+  char last_byte;             /* the last one before them that is not blank */
   size_t status_line_read;    /* bytes of STATUS_LINE that were checked */
   bool has_begun_status_line; /* the parser is paused after its first byte */
   bool is_malformed;          /* in a way that the parser accepts */
@@ -129,11 +131,30 @@
   return count_head_bytes (rd, length) ? 0 : 1;
 }
 
+static bool
+is_blank (char byte)
+{
+  return byte == ' ' || byte == '\t';
+}
+
+/* Returns the last byte before AT that is not blank.  */
+static char
+find_byte_before (const rd_t *rd, const char *at)
+{
+  while (at > rd->fed && is_blank (at[-1]))
+    at--;
+  return at > rd->fed ? at[-1] : rd->last_byte;
+}
+
+/* Rejects a value that continues on a new line, as RFC 9112 allows: the line
+   may also be a field whose name begins with a blank.  */
 static int
 on_value (http_parser *parser, const char *at, size_t length)
 {
   rd_t *rd = get_reader (parser);
 
+  if (length > 0 && find_byte_before (rd, at) == '\n')
+    return 1;
   rd->in_value = true;
   g_string_append_len (rd->value, at, (gssize)length);
   return count_head_bytes (rd, length) ? 0 : 1;
@@ -281,6 +302,7 @@
   rd->head_bytes = 0;
   rd->read_bytes = 0;
   rd->body_bytes = 0;
+  rd->last_byte = '\0';
   rd->status_line_read = STATUS_LINE_BYTES;
   rd->has_begun_status_line = false;
   rd->is_malformed = false;
@@ -329,6 +351,7 @@
 {
   size_t done = 0;
 
+  rd->fed = bytes;
   while (done < length)
     {
       rd->is_malformed |= !check_status_line (rd, bytes + done, length - done);
@@ -341,6 +364,7 @@
       rd->has_begun_status_line = false;
       http_parser_pause (&rd->parser, 0);
     }
+  rd->last_byte = find_byte_before (rd, bytes + done);
   return done;
 }
 
--- a/libcoltsfootdrum/relay/test-rly-malformed.c
+++ b/libcoltsfootdrum/relay/test-rly-malformed.c
@@ -142,6 +142,12 @@
     STREAM,
     { { "HTTP/1.1 200 OK\r\nX Y: 1\r\n" FIELDS "\r\n" EVENT, SCENE_CLOSE } },
     GETS_FAILURE },
+
+  /* Guards against a line that becomes part of the value before it.  */
+  { "folded/stamp",
+    ONCE,
+    { { "HTTP/1.1 200 OK\r\n" FIELDS " X: 1\r\n" BROKEN, SCENE_KEEP_OPEN } },
+    GETS_FAILURE },
 };
 
 static bool
