Reader: chunked is the only transfer coding

Callers saw the framing of chunks as the body of an answer with "Transfer-Encoding: chunked, gzip", and compressed bytes, whose coding nobody told them, with gzip alone or before chunked.

Cause: the parser reads such an answer until the connection's end, or decodes the chunks alone, and the router drops the field as one that concerns a single connection. Nothing compared it with what the router decodes.

A request of the router names no coding in TE, so that only chunked may be used. The reader now accepts no other value, nor a second field. Requests are read by the same code: one whose body is coded is answered 400, before it reached its endpoint without its coding.

Evidence: failed before, in relay-rd 9 of the 11 cases "coding/", and in relay-rly-malformed all 3; all pass. coding/gzip-and-length and chunked-in-capitals passed before.

--- a/libcoltsfootdrum/relay/rd.c
+++ b/libcoltsfootdrum/relay/rd.c
@@ -174,6 +174,37 @@
              && parser->status_code <= MAX_STATUS);
 }
 
+/* Returns whether VALUE is "chunked", the one coding that is supported.  */
+static bool
+is_chunked (const char *value)
+{
+  static const char word[] = "chunked";
+
+  value += strspn (value, " \t");
+  if (g_ascii_strncasecmp (value, word, strlen (word)) != 0)
+    return false;
+  value += strlen (word);
+  return value[strspn (value, " \t")] == '\0';
+}
+
+/* Returns whether the body can be read: its coding is chunked, or it has
+   none.  */
+static bool
+has_known_coding (const hdr_t *fields)
+{
+  unsigned codings = 0;
+
+  for (guint i = 0; i < hdr_count (fields); i++)
+    {
+      if (g_ascii_strcasecmp (hdr_get_name (fields, i), "Transfer-Encoding")
+          != 0)
+        continue;
+      if (codings++ > 0 || !is_chunked (hdr_get_value (fields, i)))
+        return false;
+    }
+  return true;
+}
+
 /* Returns whether a message that has neither a length nor chunked encoding has
    no body: requests, and responses with these statuses.  */
 static bool
@@ -206,6 +237,8 @@
   parser->upgrade = 0;
   if (is_interim (parser))
     return 0;
+  if (!has_known_coding (&head->fields))
+    return -1;
   rd->head_done = true;
   head->method = http_method_str (parser->method);
   head->target = rd->target->str;
--- a/libcoltsfootdrum/relay/test-rd.c
+++ b/libcoltsfootdrum/relay/test-rd.c
@@ -166,6 +166,48 @@
   { "value/blanks", RESP,
     "HTTP/1.1 200 OK\r\nX:  a b  \r\nY:\r\nContent-Length: 0\r\n\r\n",
     RD_COMPLETE, NULL, "", "" },
+  /* Guards against a body that is passed on in a coding, or with the framing
+     of chunks.  */
+  { "coding/gzip", RESP, "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\na",
+    RD_INVALID, "", "", NULL },
+  { "coding/chunked-not-last", RESP,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n\r\n"
+    "1\r\na\r\n0\r\n\r\n",
+    RD_INVALID, "", "", NULL },
+  { "coding/gzip-in-chunks", RESP,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+    "1\r\na\r\n0\r\n\r\n",
+    RD_INVALID, "", "", NULL },
+  { "coding/gzip-in-other-field", RESP,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+    RD_INVALID, "", "", NULL },
+  { "coding/chunked-twice", RESP,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+    RD_INVALID, "", "", NULL },
+  { "coding/empty", RESP, "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n\r\na",
+    RD_INVALID, "", "", NULL },
+  { "coding/quoted", RESP,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: \"chunked\"\r\n\r\na", RD_INVALID,
+    "", "", NULL },
+  { "coding/parameter", RESP,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked;q=1\r\n\r\n"
+    "1\r\na\r\n0\r\n\r\n",
+    RD_INVALID, "", "", NULL },
+  { "coding/gzip-and-length", RESP,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 1\r\n\r\n"
+    "a",
+    RD_INVALID, "", "", NULL },
+  { "coding/gzip-in-request", REQ,
+    "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+    "1\r\na\r\n0\r\n\r\n",
+    RD_INVALID, "", "", NULL },
+  { "coding/chunked-in-capitals", RESP,
+    "HTTP/1.1 200 OK\r\nTRANSFER-ENCODING:  Chunked \r\n\r\n"
+    "1\r\na\r\n0\r\n\r\nb",
+    RD_COMPLETE, NULL, "a", "b" },
+
   { "unframed", RESP, "HTTP/1.1 200 OK\r\n\r\nab", RD_INCOMPLETE, NULL, "ab",
     NULL },
 };
--- a/libcoltsfootdrum/relay/test-rly-malformed.c
+++ b/libcoltsfootdrum/relay/test-rly-malformed.c
@@ -148,6 +148,26 @@
     ONCE,
     { { "HTTP/1.1 200 OK\r\n" FIELDS " X: 1\r\n" BROKEN, SCENE_KEEP_OPEN } },
     GETS_FAILURE },
+
+  /* Guards against a caller that gets the framing of chunks, or a body in a
+     coding, as the body.  */
+  { "coding/chunked-not-last",
+    ONCE,
+    { { "HTTP/1.1 200 OK\r\n" FIELDS "Transfer-Encoding: chunked, gzip\r\n\r\n"
+        "6\r\nbroken\r\n0\r\n\r\n",
+        SCENE_CLOSE } },
+    GETS_FAILURE },
+  { "coding/gzip-in-chunks",
+    ONCE,
+    { { "HTTP/1.1 200 OK\r\n" FIELDS "Transfer-Encoding: gzip, chunked\r\n\r\n"
+        "6\r\nbroken\r\n0\r\n\r\n",
+        SCENE_KEEP_OPEN } },
+    GETS_FAILURE },
+  { "coding/gzip",
+    ONCE,
+    { { "HTTP/1.1 500 Z\r\n" FIELDS "Transfer-Encoding: gzip\r\n\r\nbroken",
+        SCENE_CLOSE } },
+    GETS_FAILURE },
 };
 
 static bool
