Reader: an answer of 101 is refused

What an endpoint sent after a 101 was read as its answer: the reader skipped the 101 like another interim answer. No request asks for an upgrade, and after a 101 the bytes would be of another protocol.

Such an answer now ends as malformed. Other interim answers are skipped as before, unknown ones too, as RFC 9110 asks.

Evidence: relay-rd switching-protocols failed before and passes; interim/unknown passed before. That it hurt a caller was not seen.

--- a/libcoltsfootdrum/relay/rd.c
+++ b/libcoltsfootdrum/relay/rd.c
@@ -166,12 +166,15 @@
   return parser->type == HTTP_RESPONSE && parser->status_code / 100 == 1;
 }
 
+/* After 101 the bytes would be of another protocol, which no request asks
+   for.  */
 static bool
 has_valid_status (const http_parser *parser)
 {
   return parser->type == HTTP_REQUEST
          || (parser->status_code >= MIN_STATUS
-             && parser->status_code <= MAX_STATUS);
+             && parser->status_code <= MAX_STATUS
+             && parser->status_code != HTTP_STATUS_SWITCHING_PROTOCOLS);
 }
 
 /* Returns whether VALUE is "chunked", the one coding that is supported.  */
--- a/libcoltsfootdrum/relay/test-rd.c
+++ b/libcoltsfootdrum/relay/test-rd.c
@@ -112,6 +112,10 @@
     RD_INVALID, "", "", NULL },
   { "version/1.0", RESP, "HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nab",
     RD_COMPLETE, NULL, "a", "b" },
+  { "interim/unknown", RESP,
+    "HTTP/1.1 199 Z\r\nX: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+    "\r\nab",
+    RD_COMPLETE, "|Content-Length=1", "a", "b" },
   { "status/lowest-error", RESP,
     "HTTP/1.1 400 Z\r\nContent-Length: 1\r\n\r\nab", RD_COMPLETE, NULL, "a",
     "b" },
@@ -208,6 +212,12 @@
     "1\r\na\r\n0\r\n\r\nb",
     RD_COMPLETE, NULL, "a", "b" },
 
+  /* Guards against the bytes of another protocol that are read as an answer:
+     no request asks for an upgrade.  */
+  { "switching-protocols", RESP,
+    "HTTP/1.1 101 S\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    RD_INVALID, "", "", NULL },
   { "unframed", RESP, "HTTP/1.1 200 OK\r\n\r\nab", RD_INCOMPLETE, NULL, "ab",
     NULL },
 };
