Connections: a reset that recv doesn't report is one

A part of an answer without a length counted as complete, though its connection had been reset.

Cause: the kernel reports the error of a reset once. When a write has taken it, or the peer had closed its sending side before the reset, recv returns 0 after the last byte, as after an orderly end, and the connection reported CON_END_CLOSED. A write that failed is reported by a timer, so that the reading of the same turn of the loop could come before it.

Now the end of input is an orderly one only when no write has failed and the socket has no error (SO_ERROR).

--- a/libcoltsfootdrum/relay/con.c
+++ b/libcoltsfootdrum/relay/con.c
@@ -52,6 +52,30 @@
   con->ops->ended (con->user, end);
 }
 
+/* Returns the error of the socket and clears it; 0: none.  */
+static int
+take_error (con_t *con)
+{
+  int problem = 0;
+  socklen_t length = sizeof problem;
+
+  if (getsockopt (con->reader.fd, SOL_SOCKET, SO_ERROR, &problem, &length)
+      != 0)
+    return errno;
+  return problem;
+}
+
+/* Reports the end of input.  After a reset the socket reports an orderly end
+   too, when the peer had closed its sending side before, or when a write has
+   taken the error.  */
+static void
+notify_closed (con_t *con)
+{
+  bool was_reset = con->failed || take_error (con) != 0;
+
+  notify_ended (con, was_reset ? CON_END_RESET : CON_END_CLOSED);
+}
+
 static void
 on_failure_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -147,11 +171,9 @@
 static bool
 finish_connect (con_t *con)
 {
-  int problem = 0;
-  socklen_t length = sizeof problem;
+  int problem = take_error (con);
 
-  if (getsockopt (con->reader.fd, SOL_SOCKET, SO_ERROR, &problem, &length) != 0
-      || problem != 0)
+  if (problem != 0)
     {
       con->is_refused = problem == ECONNREFUSED;
       notify_ended (con, CON_END_CONNECT_FAILED);
@@ -196,9 +218,14 @@
 
       if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
-      if (n <= 0)
+      if (n == 0)
+        {
+          notify_closed (con);
+          return;
+        }
+      if (n < 0)
         {
-          notify_ended (con, n == 0 ? CON_END_CLOSED : CON_END_RESET);
+          notify_ended (con, CON_END_RESET);
           return;
         }
       con->freed = &freed;
