Upstream: an early answer without a length ends after its request

A caller got a part of an answer as complete: the endpoint answered a long upload at once with a 200 that had no length, closed its sending side after a part, and reset the connection while the upload was still being written.

Cause: the router took the end of input for the end of the answer, closed the connection, and never saw the reset that came next.

An endpoint that ends such an answer in order reads on (RFC 9112, 9.6). The router now goes on writing and settles it by what comes: all acknowledged, and the answer is complete; a reset, and it isn't. When neither comes, the socket fails 2.5 s after its last acknowledgement, as it does for any unacknowledged output. SIOCOUTQ has no event, so it is asked every 2 ms; that concerns only answers that end with their connection while their request is being written. Such a connection no longer counts as open when it is asked whether the endpoint's process ended.

Not seen by this: a reset after the host has acknowledged all of the request though its endpoint hasn't read it.

--- a/libcoltsfootdrum/relay/con.c
+++ b/libcoltsfootdrum/relay/con.c
@@ -5,9 +5,11 @@
 
 #include <errno.h>
 #include <glib.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 /* Size of one read: larger than a usual request or event, so that one call
@@ -23,13 +25,17 @@
    broken network path sends no reset, and the client would wait until its
    deadline.  */
 #define ACK_TIMEOUT_MS 2500
+/* Interval at which output is checked for its acknowledgement, for which there
+   is no event.  */
+#define DELIVERY_CHECK_MS 2
 
 struct con
 {
   struct ev_loop *loop;
   ev_io reader;
   ev_io writer;
-  ev_timer failure_timer; /* reports a failed write from the event loop */
+  ev_timer failure_timer;  /* reports a failed write from the event loop */
+  ev_timer delivery_timer; /* see con_finish_output */
   const con_ops_t *ops;
   void *user;
   GByteArray *out;
@@ -49,6 +55,7 @@
 {
   ev_io_stop (con->loop, &con->reader);
   ev_io_stop (con->loop, &con->writer);
+  ev_timer_stop (con->loop, &con->delivery_timer);
   con->ops->ended (con->user, end);
 }
 
@@ -238,6 +245,18 @@
     }
 }
 
+/* A reset leaves output unacknowledged, and may be reported nowhere else.  */
+static void
+on_delivery_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  con_t *con = timer->data;
+
+  if (take_error (con) != 0)
+    notify_ended (con, CON_END_RESET);
+  else if (con_is_output_delivered (con))
+    notify_ended (con, CON_END_CLOSED);
+}
+
 static void
 set_options (int fd)
 {
@@ -262,9 +281,12 @@
   ev_io_init (&con->reader, on_readable, fd, EV_READ);
   ev_io_init (&con->writer, on_writable, fd, EV_WRITE);
   ev_timer_init (&con->failure_timer, on_failure_timer, 0., 0.);
+  ev_timer_init (&con->delivery_timer, on_delivery_timer, 0.,
+                 DELIVERY_CHECK_MS / 1000.);
   con->reader.data = con;
   con->writer.data = con;
   con->failure_timer.data = con;
+  con->delivery_timer.data = con;
   return con;
 }
 
@@ -303,6 +325,7 @@
   ev_io_stop (con->loop, &con->reader);
   ev_io_stop (con->loop, &con->writer);
   ev_timer_stop (con->loop, &con->failure_timer);
+  ev_timer_stop (con->loop, &con->delivery_timer);
   close (con->reader.fd);
   g_byte_array_unref (con->out);
   release_shared (con);
@@ -429,6 +452,24 @@
     shutdown (con->reader.fd, SHUT_WR);
 }
 
+bool
+con_is_output_delivered (const con_t *con)
+{
+  int unacknowledged = 0;
+
+  return con_get_unsent_bytes (con) == 0
+         && (ioctl (con->reader.fd, SIOCOUTQ, &unacknowledged) != 0
+             || unacknowledged == 0);
+}
+
+void
+con_finish_output (con_t *con)
+{
+  if (con_get_unsent_bytes (con) > 0)
+    ev_io_start (con->loop, &con->writer);
+  ev_timer_again (con->loop, &con->delivery_timer);
+}
+
 bool
 con_is_peer_open (const con_t *con)
 {
--- a/libcoltsfootdrum/relay/con.h
+++ b/libcoltsfootdrum/relay/con.h
@@ -27,7 +27,8 @@
 {
   void (*connected) (void *user); /* outbound only; may be NULL */
   void (*bytes) (void *user, const char *bytes, size_t length);
-  /* The last callback; the user must free the connection.  */
+  /* The last callback; the user must free the connection, unless it calls
+     con_finish_output.  */
   void (*ended) (void *user, con_end_t end);
 } con_ops_t;
 
@@ -76,6 +77,14 @@
    resets the connection, and the peer might lose the last output.  */
 void con_shutdown_after_flush (con_t *con);
 
+/* Returns whether the peer's host has acknowledged all output.  */
+bool con_is_output_delivered (const con_t *con);
+
+/* Goes on writing after the ended callback reported that the peer closed its
+   side.  It is called again: with CON_END_CLOSED when all output is delivered,
+   or with CON_END_RESET.  */
+void con_finish_output (con_t *con);
+
 /* Returns false when the peer has closed and all its output was read, even if
    the ended callback was not called yet.  */
 bool con_is_peer_open (const con_t *con);
--- a/libcoltsfootdrum/relay/test-con.c
+++ b/libcoltsfootdrum/relay/test-con.c
@@ -167,6 +167,27 @@
   ev_loop_destroy (loop);
 }
 
+/* Guards against a reset that counts as an orderly end, as it came while
+   reading was paused.  */
+static void
+test_reset_while_paused (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  link_t link = { 0 };
+
+  link_open (&link, loop);
+  con_set_read_paused (link.con, true);
+  send_bytes (&link, INPUT_BYTES);
+  reset_peer (&link);
+  ev_run (loop, EVRUN_NOWAIT);
+  g_assert_cmpuint (link.received, ==, 0);
+  con_set_read_paused (link.con, false);
+  run_until_end (loop, &link);
+  g_assert_cmpint (link.end, ==, CON_END_RESET);
+  link_close (&link);
+  ev_loop_destroy (loop);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -174,5 +195,6 @@
   g_test_add_func ("/con/closed", test_closed);
   g_test_add_func ("/con/reset-after-shutdown", test_reset_after_shutdown);
   g_test_add_func ("/con/reset-seen-by-write", test_reset_seen_by_write);
+  g_test_add_func ("/con/reset-while-paused", test_reset_while_paused);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/ups.c
+++ b/libcoltsfootdrum/relay/ups.c
@@ -53,7 +53,8 @@
   size_t stale_bytes; /* of such responses, since the last request */
   bool in_callback;   /* freeing is deferred */
   bool free_pending;
-  bool aborted; /* its request was cancelled */
+  bool aborted;     /* its request was cancelled */
+  bool peer_closed; /* the request is still being written */
 } ups_connection_t;
 
 struct ups_exchange
@@ -305,6 +306,18 @@
          && (!head->keep_alive || head->framing == RD_UNTIL_CLOSE);
 }
 
+/* Returns whether a reset may still show that the response is cut off: it ends
+   with its connection, and the endpoint hasn't received all of the request.
+   An endpoint that ends such a response in order reads on until then.  */
+static bool
+may_be_reset (const ups_connection_t *connection)
+{
+  return connection->exchange != NULL && connection->exchange->response_started
+         && !connection->stale_response
+         && rd_get_head (connection->rd)->framing == RD_UNTIL_CLOSE
+         && !con_is_output_delivered (connection->con);
+}
+
 static void
 on_ended (void *user, con_end_t end)
 {
@@ -316,6 +329,12 @@
   bool is_noted = end != CON_END_CONNECT_FAILED && ups->on_closed != NULL
                   && !is_close_expected (connection);
 
+  if (end == CON_END_CLOSED && may_be_reset (connection))
+    {
+      connection->peer_closed = true;
+      con_finish_output (connection->con);
+      return;
+    }
   connection->in_callback = true;
   ups->is_refused = con_is_refused (connection->con);
   if (connection->exchange != NULL)
@@ -506,7 +525,7 @@
           = list_entry (node, ups_connection_t, node);
 
       if (connection->opened_at < time && !connection->free_pending
-          && con_is_connected (connection->con))
+          && !connection->peer_closed && con_is_connected (connection->con))
         return true;
     }
   return false;
