HTTP client: the lines of a head are checked

Agents, through whom routers reach endpoints, gave their callers answers with the status 600 or 999, of HTTP/2, with "X Y: 1", with a control byte in a name, and with lengths and chunks behind "Content-Length : 2". After a 101 what followed was passed on as a body without a head. What calls the platform's store read such answers too.

Cause: libcurl accepts them, and fetch.c passed on each line as it came. Its own status was whatever number stands after the first blank.

Now each line of a head, and of trailers, must be a status line of HTTP/1.1 or 1.0 with a valid status, or a field with a name of RFC 9110 and no control byte in its value; else the fetch ends as FETCH_INCOMPLETE ("it may have taken effect") and its head isn't reported. DONE gets a status only when the head was reported; before, also that of a head that libcurl refused later. The checks are in the new http/syn.c, from which the relay's reader takes those of names and statuses: both readers refuse the same.

--- a/libcoltsfootdrum/http/fetch.c
+++ b/libcoltsfootdrum/http/fetch.c
@@ -6,6 +6,7 @@
 #include "http/fetch.h"
 #include "base/list.h"
 #include "http/fetch-easy.h"
+#include "http/syn.h"
 
 #include <glib.h>
 #include <string.h>
@@ -44,6 +45,7 @@
   bool timed_out_idle;  /* exceeded idle_timeout_ms */
   size_t head_bytes;    /* see MAX_HEAD_BYTES */
   bool too_large;       /* the head or body exceeded its limit */
+  bool malformed;       /* the head or the trailers are not HTTP/1.1 */
   bool finished;        /* the done callback has been reached */
   bool has_head;        /* the final response head is complete */
   bool pause_requested; /* by fetch_pause */
@@ -131,6 +133,8 @@
     return "no byte came within the silence limit";
   if (fetch->too_large)
     return "the answer is larger than the client takes";
+  if (fetch->malformed)
+    return "the answer is not HTTP/1.1";
   if (fetch->error[0] != '\0')
     return fetch->error;
   return code == CURLE_OK ? "" : curl_easy_strerror (code);
@@ -147,7 +151,7 @@
   fetch->finished = true;
   g_byte_array_append (fetch->body, (const guint8 *)"", 1);
   if (request->done != NULL)
-    request->done (request->user, result, fetch->status,
+    request->done (request->user, result, fetch->has_head ? fetch->status : 0,
                    (const char *)fetch->body->data, length,
                    get_detail (fetch, code));
   fetch_destroy (fetch);
@@ -299,14 +303,6 @@
   finish (fetch, CURLE_OPERATION_TIMEDOUT);
 }
 
-static unsigned
-parse_status (const char *line, size_t length)
-{
-  const char *space = memchr (line, ' ', length);
-
-  return space == NULL ? 0 : (unsigned)g_ascii_strtoull (space, NULL, 10);
-}
-
 static void
 finish_head (fetch_t *fetch)
 {
@@ -321,12 +317,43 @@
                    (const char *const *)fetch->head->pdata);
 }
 
+static size_t
+trim_line_end (const char *line, size_t length)
+{
+  while (length > 0 && (line[length - 1] == '\r' || line[length - 1] == '\n'))
+    length--;
+  return length;
+}
+
+/* Takes a line of the head or of the trailers, without its end.  Returns false
+   when a response has no such line: libcurl accepts more.  */
+static bool
+take_line (fetch_t *fetch, const char *line, size_t length)
+{
+  if (length == 0)
+    {
+      if (!fetch->has_head)
+        finish_head (fetch);
+      return true;
+    }
+  if (!fetch->has_head && length >= 5 && memcmp (line, "HTTP/", 5) == 0)
+    {
+      fetch->status = syn_parse_status_line (line, length);
+      g_ptr_array_set_size (fetch->head, 0);
+      return fetch->status != 0;
+    }
+  if (!syn_is_field (line, length))
+    return false;
+  if (!fetch->has_head)
+    g_ptr_array_add (fetch->head, g_strndup (line, length));
+  return true;
+}
+
 static size_t
 on_header (char *line, size_t size, size_t count, void *user)
 {
   fetch_t *fetch = user;
   size_t length = size * count;
-  size_t trimmed_length = length;
 
   if (fetch->is_cancelled)
     return 0;
@@ -335,21 +362,11 @@
   if (fetch->too_large)
     return 0;
   restart_idle_timer (fetch);
-  if (fetch->has_head)
-    return length; /* a trailer */
-  while (trimmed_length > 0
-         && (line[trimmed_length - 1] == '\r'
-             || line[trimmed_length - 1] == '\n'))
-    trimmed_length--;
-  if (trimmed_length == 0)
-    finish_head (fetch);
-  else if (trimmed_length >= 5 && memcmp (line, "HTTP/", 5) == 0)
+  if (!take_line (fetch, line, trim_line_end (line, length)))
     {
-      fetch->status = parse_status (line, trimmed_length);
-      g_ptr_array_set_size (fetch->head, 0);
+      fetch->malformed = true;
+      return 0;
     }
-  else
-    g_ptr_array_add (fetch->head, g_strndup (line, trimmed_length));
   return fetch->is_cancelled ? 0 : length;
 }
 
--- a/libcoltsfootdrum/http/fetch.h
+++ b/libcoltsfootdrum/http/fetch.h
@@ -44,8 +44,8 @@
   void (*head) (void *user, unsigned status, const char *const *headers);
   /* Receives the body in pieces.  If NULL, the body is collected for DONE.  */
   void (*data) (void *user, const void *bytes, size_t length);
-  /* Last callback.  STATUS is 0 unless a response began.  BODY is
-     NUL-terminated.  */
+  /* Last callback.  STATUS is 0 unless a response's head was received.  BODY
+     is NUL-terminated.  */
   void (*done) (void *user, fetch_result_t result, unsigned status,
                 const char *body, size_t length, const char *detail);
   void *user;
--- a/libcoltsfootdrum/http/test-fetch.c
+++ b/libcoltsfootdrum/http/test-fetch.c
@@ -309,6 +309,74 @@
     }
 }
 
+#define END "Content-Length: 2\r\n\r\nhi"
+
+static void
+fetch_script (fixture_t *f, const char *script, unsigned count)
+{
+  g_test_message ("answer %u: %s", count, script);
+  f->script = script;
+  start (f, "POST", 0, 0);
+  run_until (f, &f->done_calls, count);
+}
+
+/* Guards against an answer that is not HTTP/1.1, and which its caller takes
+   for complete.  */
+static void
+test_malformed (fixture_t *f, gconstpointer data)
+{
+  static const char *const scripts[] = {
+    "HTTP/1.1 000 Z\r\n" END,
+    "HTTP/1.1 099 Z\r\n" END,
+    "HTTP/1.1 600 Z\r\n" END,
+    "HTTP/1.1 999 Z\r\n" END,
+    "HTTP/1.1 2 OK\r\n" END,
+    "HTTP/1.1 0200 OK\r\n" END,
+    "HTTP/1.1 2000 OK\r\n" END,
+    "HTTP/1.1  200 OK\r\n" END,
+    "HTTP/1.1 2O0 OK\r\n" END,
+    "HTTP/1.1\r\n" END,
+    "HTTP/2 200 OK\r\n" END,
+    "HTTP/2.0 200 OK\r\n" END,
+    "HTTP/0.9 200 OK\r\n" END,
+    "HTTP/1.1 101 S\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" OK_HEAD END,
+    OK_HEAD "X Y: 1\r\n" END,
+    OK_HEAD " X: 1\r\n" END,
+    OK_HEAD "X: 1\r\n Y: 2\r\n" END,
+    OK_HEAD "X\001Y: 1\r\n" END,
+    OK_HEAD "X\tY: 1\r\n" END,
+    OK_HEAD "XY\r\n" END,
+    OK_HEAD ": 1\r\n" END,
+    OK_HEAD "Content-Length : 2\r\n\r\nhi",
+    OK_HEAD "Transfer-Encoding : chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+    "HTTP/1.1 103 E\r\nX Y: 1\r\n\r\n" OK_HEAD END,
+    "HTTP/1.1 103 E\r\n\r\nHTTP/1.1 000 Z\r\n" END,
+    OK_HEAD "X: a\001\r\n" END,
+  };
+  /* Their heads are valid.  */
+  static const char *const bodies[] = {
+    OK_HEAD "Transfer-Encoding: chunked, gzip\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+    OK_HEAD "Transfer-Encoding: gzip\r\n\r\nhi",
+    OK_HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX Y: 1\r\n\r\n",
+  };
+  unsigned count = 0;
+
+  f->after = CLOSE_CONNECTION;
+  for (guint i = 0; i < G_N_ELEMENTS (scripts); i++)
+    {
+      fetch_script (f, scripts[i], ++count);
+      g_assert_cmpint (f->result, ==, FETCH_INCOMPLETE);
+      g_assert_cmpuint (f->status, ==, 0);
+      g_assert_cmpuint (f->head_calls, ==, 0);
+      g_assert_cmpuint (f->body->len, ==, 0);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      fetch_script (f, bodies[i], ++count);
+      g_assert_cmpint (f->result, ==, FETCH_INCOMPLETE);
+    }
+}
+
 static void
 test_unreached (fixture_t *f, gconstpointer data)
 {
@@ -520,6 +588,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   add ("/fetch/results", test_results);
+  add ("/fetch/malformed", test_malformed);
   add ("/fetch/unreached", test_unreached);
   add ("/fetch/never-repeated", test_never_repeated);
   add ("/fetch/inside-callbacks", test_inside_callbacks);
--- a/libcoltsfootdrum/relay/rd.c
+++ b/libcoltsfootdrum/relay/rd.c
@@ -2,6 +2,7 @@
 
 #include "relay/rd.h"
 
+#include "http/syn.h"
 #include <http_parser.h>
 #include <string.h>
 
@@ -9,10 +10,6 @@
    The parser doesn't check the number of digits.  */
 #define STATUS_LINE "HTTP/1.D DDDN"
 #define STATUS_LINE_BYTES (sizeof STATUS_LINE - 1)
-/* What names of fields may hold beside letters and digits.  */
-#define TOKEN_MARKS "!#$%&'*+-.^_`|~"
-#define MIN_STATUS 100
-#define MAX_STATUS 599
 
 struct rd
 {
@@ -106,18 +103,6 @@
   return count_head_bytes (rd, length) ? 0 : 1;
 }
 
-/* Returns whether all bytes may be part of a field's name, by RFC 9110.  The
-   parser accepts blanks.  */
-static bool
-is_token (const char *at, size_t length)
-{
-  for (size_t i = 0; i < length; i++)
-    if (!g_ascii_isalnum (at[i])
-        && (at[i] == '\0' || strchr (TOKEN_MARKS, at[i]) == NULL))
-      return false;
-  return true;
-}
-
 static int
 on_name (http_parser *parser, const char *at, size_t length)
 {
@@ -125,7 +110,7 @@
 
   store_field (rd);
   rd->too_large |= hdr_count (&rd->head.fields) >= RD_MAX_FIELDS;
-  if (rd->too_large || !is_token (at, length))
+  if (rd->too_large || !syn_is_name (at, length))
     return 1;
   g_string_append_len (rd->name, at, (gssize)length);
   return count_head_bytes (rd, length) ? 0 : 1;
@@ -166,17 +151,6 @@
   return parser->type == HTTP_RESPONSE && parser->status_code / 100 == 1;
 }
 
-/* After 101 the bytes would be of another protocol, which no request asks
-   for.  */
-static bool
-has_valid_status (const http_parser *parser)
-{
-  return parser->type == HTTP_REQUEST
-         || (parser->status_code >= MIN_STATUS
-             && parser->status_code <= MAX_STATUS
-             && parser->status_code != HTTP_STATUS_SWITCHING_PROTOCOLS);
-}
-
 /* Returns whether VALUE is "chunked", the one coding that is supported.  */
 static bool
 is_chunked (const char *value)
@@ -234,7 +208,7 @@
   rd_head_t *head = &rd->head;
 
   store_field (rd);
-  if (!has_valid_status (parser))
+  if (rd->kind == RD_RESPONSES && !syn_is_status (parser->status_code))
     return -1;
   /* Protocol upgrades are not supported; the parser would stop here.  */
   parser->upgrade = 0;
