--- a/libcoltsfootdrum/http/test-fetch.c
+++ b/libcoltsfootdrum/http/test-fetch.c
@@ -21,7 +21,8 @@
 {
   KEEP_OPEN,
   CLOSE_CONNECTION,
-  RESET_CONNECTION
+  RESET_CONNECTION,
+  SHUT_DOWN_AND_RESET
 } after_script_t;
 
 typedef struct
@@ -106,7 +107,9 @@
       start_repeating (f);
       return;
     }
-  if (f->after == RESET_CONNECTION)
+  if (f->after == SHUT_DOWN_AND_RESET)
+    shutdown (io->fd, SHUT_WR);
+  if (f->after == RESET_CONNECTION || f->after == SHUT_DOWN_AND_RESET)
     {
       struct linger none = { .l_onoff = 1, .l_linger = 0 };
 
@@ -377,6 +380,31 @@
     }
 }
 
+#define UPLOAD_BYTES 3000000u
+
+/* Guards against a part of an answer that counts as complete, since its
+   connection was reset while the request was being written.  */
+static void
+test_reset_early (fixture_t *f, gconstpointer data)
+{
+  static const after_script_t ends[]
+      = { CLOSE_CONNECTION, RESET_CONNECTION, SHUT_DOWN_AND_RESET };
+  g_autofree char *body = g_strnfill (UPLOAD_BYTES, 'u');
+  fetch_request_t request = request_of (f, "POST", 0, 0);
+
+  request.body = body;
+  request.body_length = UPLOAD_BYTES;
+  f->script = OK_HEAD "\r\npart";
+  for (guint i = 0; i < G_N_ELEMENTS (ends); i++)
+    {
+      f->after = ends[i];
+      f->fetch = fetch_start (f->pool, &request);
+      run_until (f, &f->done_calls, i + 1);
+      g_test_message ("end %u: result %d", i, f->result);
+      g_assert_cmpint (f->result, ==, FETCH_INCOMPLETE);
+    }
+}
+
 static void
 test_unreached (fixture_t *f, gconstpointer data)
 {
@@ -589,6 +617,7 @@
   g_test_init (&argc, &argv, NULL);
   add ("/fetch/results", test_results);
   add ("/fetch/malformed", test_malformed);
+  add ("/fetch/reset-early", test_reset_early);
   add ("/fetch/unreached", test_unreached);
   add ("/fetch/never-repeated", test_never_repeated);
   add ("/fetch/inside-callbacks", test_inside_callbacks);
