Tests, soaks: malformed answers, as notices and on the way to callers

What follows from a head that the reader refuses, beyond its request: - a health check's answer isn't believed and counts as one failure of the endpoint: /edp-check/malformed-name and -status, both failed on (the endpoint was taken for cold); - a leave notice isn't believed: /rly-leaving/malformed-status and -name, both failed on.

The client of the failure tests (tests/call.c) takes no number for a status that isn't one.

--- a/libcoltsfootdrum/http/fetch.c
+++ b/libcoltsfootdrum/http/fetch.c
@@ -134,7 +134,7 @@
   if (fetch->too_large)
     return "the answer is larger than the client takes";
   if (fetch->malformed)
-    return "the answer is not HTTP/1.1";
+    return FETCH_MALFORMED;
   if (fetch->error[0] != '\0')
     return fetch->error;
   return code == CURLE_OK ? "" : curl_easy_strerror (code);
--- a/libcoltsfootdrum/http/fetch.h
+++ b/libcoltsfootdrum/http/fetch.h
@@ -22,6 +22,10 @@
   FETCH_TIMEOUT         /* like FETCH_INCOMPLETE, after a timeout */
 } fetch_result_t;
 
+/* The detail of a response that isn't HTTP/1.1, as far as the head and the
+   trailers show.  */
+#define FETCH_MALFORMED "the answer is not HTTP/1.1"
+
 typedef struct
 {
   const char *method;
--- a/libcoltsfootdrum/relay/test-edp-check.c
+++ b/libcoltsfootdrum/relay/test-edp-check.c
@@ -36,6 +36,14 @@
   return 3000;
 }
 
+static const edp_check_options_t options = { .endpoint_id = "X-Endpoint",
+                                             .cold_ms = "X-Cold",
+                                             .not_run = "X-Not-Run",
+                                             .request_id = "X-Id",
+                                             .get_path = get_path,
+                                             .get_rank = get_rank,
+                                             .count_routers = count_routers };
+
 static bool
 has_received_two (void *user)
 {
@@ -48,14 +56,6 @@
 static void
 test_second_answer (void)
 {
-  static const edp_check_options_t options
-      = { .endpoint_id = "X-Endpoint",
-          .cold_ms = "X-Cold",
-          .not_run = "X-Not-Run",
-          .request_id = "X-Id",
-          .get_path = get_path,
-          .get_rank = get_rank,
-          .count_routers = count_routers };
   static const scene_reply_t replies[] = { { ANSWER ("1"), SCENE_KEEP_OPEN },
                                            { ANSWER ("1"), SCENE_KEEP_OPEN },
                                            { ANSWER ("2"), SCENE_KEEP_OPEN } };
@@ -80,10 +80,43 @@
   scene_free (scene);
 }
 
+static bool
+is_check_over (void *user)
+{
+  return ((const edp_t *)user)->check.exchange == NULL;
+}
+
+/* Guards against a malformed answer to a health check that is believed: the
+   endpoint then got fewer requests.  */
+static void
+test_malformed_answer (gconstpointer data)
+{
+  const scene_reply_t reply = { data, SCENE_KEEP_OPEN };
+  scene_t *scene = scene_new (&reply, 1, 4);
+  edp_t *edp;
+
+  scene_list_endpoints (scene, 1, false, 4);
+  edp = edp_set_find (scene->endpoints, "e1");
+  edp_set_update_warm_up (scene->endpoints, get_warm_up_ms, NULL);
+  edp_set_check_health (scene->endpoints, clock_now (), &options, false);
+  g_assert_false (is_check_over (edp));
+  scene_run (scene, is_check_over, edp);
+  g_assert_cmpint (edp_get_found_cold_ms (edp, clock_now ()), ==, 0);
+  g_assert_cmpuint (edp->consecutive_failures, ==, 1);
+  scene_free (scene);
+}
+
+#define COLD "X-Endpoint: e1\r\nX-Cold: 2000\r\nContent-Length: 0\r\n\r\n"
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/edp-check/second-answer", test_second_answer);
+  g_test_add_data_func ("/edp-check/malformed-name",
+                        "HTTP/1.1 200 OK\r\nX Y: 1\r\n" COLD,
+                        test_malformed_answer);
+  g_test_add_data_func ("/edp-check/malformed-status",
+                        "HTTP/1.1 0200 OK\r\n" COLD, test_malformed_answer);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/relay/test-rly-leaving.c
+++ b/libcoltsfootdrum/relay/test-rly-leaving.c
@@ -43,6 +43,13 @@
     true },
   { "other-value", "/once/",
     HEAD ("200 OK", "X-Leaving: 0\r\nContent-Length: 1\r\n\r\nx"), false },
+  { "malformed-status", "/once/",
+    "HTTP/1.1 000 Z\r\nX-Id: %I\r\nX-Leaving: 1\r\nContent-Length: "
+    "0\r\n\r\n",
+    false },
+  { "malformed-name", "/once/",
+    HEAD ("200 OK", "X-Leaving: 1\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n"),
+    false },
   /* It is of the endpoint that has the address now.  */
   { "misdirected", "/once/",
     HEAD ("421 Not here", "X-Leaving: 1\r\nContent-Length: 0\r\n\r\n"),
--- a/tests/call.c
+++ b/tests/call.c
@@ -2,6 +2,7 @@
 
 #include "base/addr.h"
 #include "base/clock.h"
+#include "http/syn.h"
 #include <poll.h>
 #include <string.h>
 #include <unistd.h>
@@ -66,9 +67,8 @@
 unsigned
 call_get_status (const call_t *call)
 {
-  const char *space = strchr (call->text->str, ' ');
-
-  return space != NULL ? (unsigned)g_ascii_strtoull (space, NULL, 10) : 0;
+  return syn_parse_status_line (call->text->str,
+                                strcspn (call->text->str, "\r\n"));
 }
 
 static gboolean
--- a/tests/load.c
+++ b/tests/load.c
@@ -240,10 +240,12 @@
 }
 
 static load_outcome_t
-classify_outcome (caller_t *caller, fetch_result_t result)
+classify_outcome (caller_t *caller, fetch_result_t result, const char *detail)
 {
   load_request_t *request = caller->request;
 
+  if (g_str_equal (detail, FETCH_MALFORMED))
+    return LOAD_INCORRECT;
   if (result != FETCH_COMPLETE)
     return caller->has_wrong_content ? LOAD_INCORRECT : LOAD_INCOMPLETE;
   if (request->status >= 300)
@@ -269,7 +271,7 @@
   load_request_t *request = caller->request;
 
   request->status = status;
-  request->end = classify_outcome (caller, result);
+  request->end = classify_outcome (caller, result, detail);
   request->last_us = clock_now_us ();
   if (request->end != LOAD_CORRECT)
     request->detail
