Reader: lines end with CR LF, and chunks where they say

Callers got bytes that aren't the endpoint's as complete answers: a chunk with more data than its size was passed on cut, when two bytes followed that happened not to matter; a byte after a lone CR at the end of a head was lost. Values that begin with a control byte were passed on.

Cause: libhttp-parser, as Debian builds it, takes any byte for the line feed after CR, any two bytes for the line end after the data of a chunk, and doesn't check the first byte of a value.

The reader now checks all bytes outside of the body: a line feed must follow CR, and CR LF the data of a chunk. So that nothing is reported of a head that fails, the parser is paused after it, and the head is reported when its bytes were checked. A line that ends with a line feed alone stays accepted. The same holds for callers' requests, which are answered 400.

--- a/libcoltsfootdrum/relay/rd.c
+++ b/libcoltsfootdrum/relay/rd.c
@@ -11,6 +11,22 @@
 #define STATUS_LINE "HTTP/1.D DDDN"
 #define STATUS_LINE_BYTES (sizeof STATUS_LINE - 1)
 
+/* Where the parser is paused, in the middle of its input.  */
+typedef enum
+{
+  PAUSE_NONE,
+  PAUSE_IN_STATUS_LINE, /* after its first byte */
+  PAUSE_AFTER_HEAD      /* before its last byte */
+} pause_t;
+
+/* What may come next outside of the body.  */
+typedef enum
+{
+  NEXT_ANY,
+  NEXT_LF, /* after CR */
+  NEXT_CR  /* after the data of a chunk */
+} next_t;
+
 struct rd
 {
   http_parser parser;
@@ -25,11 +41,13 @@
   GString *name;
   GString *value;
   rd_head_t head;
-  const char *fed;            /* the bytes that are being parsed */
-  char last_byte;             /* the last one before them that is not blank */
-  size_t status_line_read;    /* bytes of STATUS_LINE that were checked */
-  bool has_begun_status_line; /* the parser is paused after its first byte */
-  bool is_malformed;          /* in a way that the parser accepts */
+  const char *fed;       /* the bytes that are being parsed */
+  char last_byte;        /* the last one before them that is not blank */
+  const char *unchecked; /* the first one of which line ends are unchecked */
+  next_t next;
+  pause_t pause;
+  size_t status_line_read; /* bytes of STATUS_LINE that were checked */
+  bool is_malformed;       /* in a way that the parser accepts */
   bool in_value;
   bool head_done;
   bool started;
@@ -78,8 +96,38 @@
                         + rd->body_bytes * RD_OVERHEAD_PER_BODY_BYTE;
 }
 
-/* Pauses the parser after the first byte of a status line, so that its bytes
-   are checked before they are parsed.  */
+static void
+pause_parser (rd_t *rd, pause_t pause)
+{
+  rd->pause = pause;
+  http_parser_pause (&rd->parser, 1);
+}
+
+/* Checks the bytes up to END, which don't belong to the body.  The parser
+   accepts any byte after CR, and any two after the data of a chunk.  */
+static void
+check_line_ends (rd_t *rd, const char *end)
+{
+  for (; rd->unchecked < end; rd->unchecked++)
+    {
+      char byte = *rd->unchecked;
+
+      switch (rd->next)
+        {
+        case NEXT_ANY:
+          break;
+        case NEXT_LF:
+          rd->is_malformed |= byte != '\n';
+          break;
+        case NEXT_CR:
+          rd->is_malformed |= byte != '\r';
+          break;
+        }
+      rd->next = byte == '\r' ? NEXT_LF : NEXT_ANY;
+    }
+}
+
+/* Pauses so that the status line is checked before it is parsed.  */
 static int
 on_begin (http_parser *parser)
 {
@@ -89,8 +137,7 @@
   if (rd->kind == RD_REQUESTS)
     return 0;
   rd->status_line_read = 1;
-  rd->has_begun_status_line = true;
-  http_parser_pause (parser, 1);
+  pause_parser (rd, PAUSE_IN_STATUS_LINE);
   return 0;
 }
 
@@ -131,6 +178,16 @@
   return at > rd->fed ? at[-1] : rd->last_byte;
 }
 
+/* The parser doesn't check the first byte of a value.  */
+static bool
+has_control_byte (const char *at, size_t length)
+{
+  for (size_t i = 0; i < length; i++)
+    if (g_ascii_iscntrl (at[i]) && at[i] != '\t')
+      return true;
+  return false;
+}
+
 /* Rejects a value that continues on a new line, as RFC 9112 allows: the line
    may also be a field whose name begins with a blank.  */
 static int
@@ -138,7 +195,8 @@
 {
   rd_t *rd = get_reader (parser);
 
-  if (length > 0 && find_byte_before (rd, at) == '\n')
+  if (has_control_byte (at, length)
+      || (length > 0 && find_byte_before (rd, at) == '\n'))
     return 1;
   rd->in_value = true;
   g_string_append_len (rd->value, at, (gssize)length);
@@ -228,8 +286,8 @@
   head->framing = find_framing (rd, head->length);
   if ((parser->flags & F_CHUNKED) != 0)
     head->length = -1;
-  if (!rd->ops->head (rd->user, head))
-    return -1;
+  /* The head is reported when its line ends were checked.  */
+  pause_parser (rd, PAUSE_AFTER_HEAD);
   return rd->no_body ? 1 : 0;
 }
 
@@ -238,6 +296,12 @@
 {
   rd_t *rd = get_reader (parser);
 
+  check_line_ends (rd, at);
+  if (rd->is_malformed)
+    return 1;
+  rd->unchecked = at + length;
+  if ((parser->flags & F_CHUNKED) != 0)
+    rd->next = NEXT_CR;
   rd->body_bytes += length;
   rd->ops->body (rd->user, at, length);
   return 0;
@@ -314,7 +378,8 @@
   rd->body_bytes = 0;
   rd->last_byte = '\0';
   rd->status_line_read = STATUS_LINE_BYTES;
-  rd->has_begun_status_line = false;
+  rd->pause = PAUSE_NONE;
+  rd->next = NEXT_ANY;
   rd->is_malformed = false;
   rd->too_large = false;
   rd->in_value = false;
@@ -354,6 +419,23 @@
   return true;
 }
 
+/* Parses BYTES up to a pause or the end of the message.  Returns the number of
+   bytes read.  */
+static size_t
+parse_part (rd_t *rd, const char *bytes, size_t length)
+{
+  size_t done;
+
+  rd->is_malformed |= !check_status_line (rd, bytes, length);
+  if (rd->is_malformed)
+    return 0;
+  rd->pause = PAUSE_NONE;
+  rd->unchecked = bytes;
+  done = http_parser_execute (&rd->parser, &callbacks, bytes, length);
+  check_line_ends (rd, bytes + done);
+  return done;
+}
+
 /* Parses BYTES up to the end of the message.  Returns the number of bytes
    read.  */
 static size_t
@@ -362,17 +444,15 @@
   size_t done = 0;
 
   rd->fed = bytes;
-  while (done < length)
+  while (done < length && !rd->is_malformed)
     {
-      rd->is_malformed |= !check_status_line (rd, bytes + done, length - done);
-      if (rd->is_malformed)
-        break;
-      done += http_parser_execute (&rd->parser, &callbacks, bytes + done,
-                                   length - done);
-      if (!rd->has_begun_status_line)
+      done += parse_part (rd, bytes + done, length - done);
+      if (rd->is_malformed || rd->pause == PAUSE_NONE)
         break;
-      rd->has_begun_status_line = false;
       http_parser_pause (&rd->parser, 0);
+      if (rd->pause == PAUSE_AFTER_HEAD)
+        rd->is_malformed
+            = bytes[done] != '\n' || !rd->ops->head (rd->user, &rd->head);
     }
   rd->last_byte = find_byte_before (rd, bytes + done);
   return done;
@@ -383,11 +463,13 @@
 {
   *used = parse (rd, bytes, length);
   rd->read_bytes += *used;
+  if (rd->is_malformed)
+    return RD_INVALID;
   if (rd->complete)
     return RD_COMPLETE;
   if (rd->too_large || is_excessive (rd))
     return RD_TOO_LARGE;
-  if (rd->is_malformed || HTTP_PARSER_ERRNO (&rd->parser) != HPE_OK)
+  if (HTTP_PARSER_ERRNO (&rd->parser) != HPE_OK)
     return RD_INVALID;
   return RD_INCOMPLETE;
 }
--- a/libcoltsfootdrum/relay/test-rd.c
+++ b/libcoltsfootdrum/relay/test-rd.c
@@ -49,6 +49,7 @@
 
 #define REQ RD_REQUESTS
 #define RESP RD_RESPONSES
+#define CHUNKED_RESP "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 static const case_t cases[] = {
   { "get", REQ, "GET /a/?b HTTP/1.1\r\nHost: h\r\n\r\n", RD_COMPLETE,
@@ -237,6 +238,42 @@
   { "value/control-byte", RESP,
     "HTTP/1.1 200 OK\r\nX: a\001\r\nContent-Length: 0\r\n\r\n", RD_INVALID, "",
     "", NULL },
+  /* Guards against a byte that is lost, as it stands where a line ends, and
+     against chunks of other sizes than they say.  */
+  { "line-end/head", RESP, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\rXa",
+    RD_INVALID, "", "", NULL },
+  { "line-end/status-line", RESP,
+    "HTTP/1.1 200 OK\rXContent-Length: 1\r\n\r\na", RD_INVALID, "", "", NULL },
+  { "line-end/interim", RESP,
+    "HTTP/1.1 100 C\r\n\rXHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    RD_INVALID, "", "", NULL },
+  { "line-end/request-line", REQ, "GET / HTTP/1.1\rXHost: h\r\n\r\n",
+    RD_INVALID, "", "", NULL },
+  { "line-end/request", REQ, "GET / HTTP/1.1\r\nHost: h\r\n\rX", RD_INVALID,
+    "", "", NULL },
+  { "line-end/chunk-size", RESP, CHUNKED_RESP "1\rXa\r\n0\r\n\r\n", RD_INVALID,
+    NULL, "", NULL },
+  { "line-end/chunk-data", RESP, CHUNKED_RESP "1\r\naXY0\r\n\r\n", RD_INVALID,
+    NULL, "a", NULL },
+  { "line-end/chunk-data-line-feed", RESP, CHUNKED_RESP "1\r\na\nY0\r\n\r\n",
+    RD_INVALID, NULL, "a", NULL },
+  { "line-end/chunk-too-short", RESP, CHUNKED_RESP "1\r\nabc0\r\n\r\n",
+    RD_INVALID, NULL, "a", NULL },
+  { "line-end/chunk-too-long", RESP, CHUNKED_RESP "2\r\na\r\n0\r\n\r\n",
+    RD_INVALID, NULL, NULL, NULL },
+  { "line-end/last-chunk", RESP, CHUNKED_RESP "1\r\na\r\n0\rX\r\n", RD_INVALID,
+    NULL, "a", NULL },
+  { "line-end/trailers", RESP, CHUNKED_RESP "1\r\na\r\n0\r\n\rX", RD_INVALID,
+    NULL, "a", NULL },
+  { "line-end/trailer", RESP, CHUNKED_RESP "1\r\na\r\n0\r\nT: 1\r\n\rX",
+    RD_INVALID, NULL, "a", NULL },
+  { "line-end/in-body", RESP, CHUNKED_RESP "4\r\n\rX\r\n\r\n0\r\n\r\nb",
+    RD_COMPLETE, NULL, "\rX\r\n", "b" },
+  { "line-end/line-feed", RESP, "HTTP/1.1 200 OK\nContent-Length: 1\n\nab",
+    RD_COMPLETE, NULL, "a", "b" },
+  { "value/first-control-byte", RESP,
+    "HTTP/1.1 200 OK\r\nX: \016\r\nContent-Length: 0\r\n\r\n", RD_INVALID, "",
+    "", NULL },
   { "unframed", RESP, "HTTP/1.1 200 OK\r\n\r\nab", RD_INCOMPLETE, NULL, "ab",
     NULL },
 };
@@ -338,7 +375,6 @@
   size_t max_bytes; /* 0: it is accepted */
 } repeated_t;
 
-#define CHUNKED_RESP "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define OVERHEAD_BYTES (MAX_HEAD_BYTES * RD_OVERHEAD_PER_HEAD_BYTE)
 
 /* Guards against a peer that is read without end, though it sends nothing that
--- a/libcoltsfootdrum/relay/test-rly-malformed.c
+++ b/libcoltsfootdrum/relay/test-rly-malformed.c
@@ -168,6 +168,21 @@
     { { "HTTP/1.1 500 Z\r\n" FIELDS "Transfer-Encoding: gzip\r\n\r\nbroken",
         SCENE_CLOSE } },
     GETS_FAILURE },
+
+  /* Guards against an answer that counts as whole, though its chunks are of
+     other sizes than they say.  */
+  { "chunks/too-short",
+    ONCE,
+    { { "HTTP/1.1 200 OK\r\n" FIELDS "Transfer-Encoding: chunked\r\n\r\n"
+        "6\r\nbroken: 0\r\n\r\n",
+        SCENE_KEEP_OPEN } },
+    GETS_FAILURE },
+  { "chunks/stream",
+    STREAM,
+    { { "HTTP/1.1 200 OK\r\n" FIELDS "Transfer-Encoding: chunked\r\n\r\n"
+        "f\r\n" EVENT "\n\n0\r\n\r\n",
+        SCENE_KEEP_OPEN } },
+    GETS_BROKEN_STREAM },
 };
 
 static bool
--- a/libcoltsfootdrum/relay/ups.h
+++ b/libcoltsfootdrum/relay/ups.h
@@ -8,7 +8,11 @@
    its connection unless it may get a copy; a further copy is skipped.  After a
    request with an id, a response without one ends the exchange as malformed.
    A connection that receives bytes which belong to no request is closed and
-   not used again.  */
+   not used again.
+
+   A response without length or chunks ends with its connection.  When the
+   endpoint closes that while its request is being written, what follows
+   decides: a reset, or the endpoint reads the request to its end.  */
 
 #ifndef RELAY_UPS_H
 #define RELAY_UPS_H
--- a/tests/fuzz-http.c
+++ b/tests/fuzz-http.c
@@ -7,6 +7,7 @@
      build-fuzz/tests/fuzz-http -max_total_time=60 \
        -artifact_prefix=build-fuzz/  */
 
+#include "http/syn.h"
 #include "relay/evs.h"
 #include "relay/pfx.h"
 #include "relay/rd.h"
@@ -28,6 +29,15 @@
 
 /* ---- messages ---- */
 
+static bool
+is_field (const char *name, const char *value)
+{
+  g_autofree char *line = g_strdup_printf ("%s:%s", name, value);
+
+  return syn_is_field (line, strlen (line))
+         && syn_is_name (name, strlen (name));
+}
+
 static bool
 on_head (void *user, rd_head_t *head)
 {
@@ -44,6 +54,7 @@
       double number = hdr_parse_number (value, MAX_NUMBER, 1.);
       g_autoptr (pfx_prompt_t) prompt = pfx_prompt_parse (value);
 
+      check (is_field (hdr_get_name (&head->fields, i), value));
       check (number >= 0. && number <= MAX_NUMBER);
       check (
           prompt == NULL
@@ -56,6 +67,13 @@
   return true;
 }
 
+static bool
+on_response_head (void *user, rd_head_t *head)
+{
+  check (syn_is_status (head->status) && head->status >= 200);
+  return on_head (user, head);
+}
+
 static void
 on_body (void *user, const char *bytes, size_t length)
 {
@@ -66,7 +84,8 @@
 static GString *
 read_messages (rd_kind_t kind, const char *bytes, size_t length, size_t piece)
 {
-  static const rd_ops_t ops = { on_head, on_body };
+  const rd_ops_t ops
+      = { kind == RD_RESPONSES ? on_response_head : on_head, on_body };
   GString *out = g_string_new (NULL);
   g_autoptr (rd_t) rd = rd_new (kind, MAX_HEAD_BYTES, &ops, out);
 
