--- a/libcoltsfootdrum/http/test-fetch.c
+++ b/libcoltsfootdrum/http/test-fetch.c
@@ -358,6 +358,9 @@
   };
   /* Their heads are valid.  */
   static const char *const bodies[] = {
+    OK_HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nhiXY0\r\n\r\n",
+    OK_HEAD "Transfer-Encoding: chunked\r\n\r\n1\r\nhi\r\n0\r\n\r\n",
+    OK_HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\rX",
     OK_HEAD "Transfer-Encoding: chunked, gzip\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
     OK_HEAD "Transfer-Encoding: gzip\r\n\r\nhi",
     OK_HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX Y: 1\r\n\r\n",
