Entry: the answer to HEAD has no body

Callers saw: bytes that are no answer. The answer to a HEAD on a streaming route was followed by the last chunk, "0 CR LF CR LF", which the caller reads as the start of its next answer: a line whose status is 0. The answer of the metrics address to HEAD had a body.

Cause: ent.c wrote the body and the framing of chunks whatever the method was. A stream's answer is always sent in chunks, so that a HEAD, whose body is empty, still got the chunk that ends it. It takes no endpoint in trouble.

Red before: /ent/head, which got the bodies of all four answers to HEAD.

The method is known once the head was read, and all responses pass the functions that are changed, so that no response to HEAD has a body now, by whichever of them it is sent.

--- a/libcoltsfootdrum/relay/ent-private.h
+++ b/libcoltsfootdrum/relay/ent-private.h
@@ -64,6 +64,7 @@
   cfd_time_t unsent_since; /* since when the client has read nothing */
   ent_state_t state;
   bool head_done;
+  bool is_head; /* the request is HEAD: its response has no body */
   bool too_large;
   bool expects_continue;
   bool chunked;
--- a/libcoltsfootdrum/relay/ent.c
+++ b/libcoltsfootdrum/relay/ent.c
@@ -76,6 +76,7 @@
   const char *expect = hdr_get (&head->fields, "Expect");
 
   call->head_done = true;
+  call->is_head = strcmp (head->method, "HEAD") == 0;
   if (limit > 0 && head->length > (int64_t)limit)
     {
       call->too_large = true;
@@ -586,6 +587,7 @@
     }
   rd_reset (call->rd);
   call->head_done = false;
+  call->is_head = false;
   call->too_large = false;
   set_state (call, ENT_IDLE);
   if (call->pipelined->len == 0)
@@ -614,7 +616,7 @@
   g_autoptr (GString) text = build_head (call, status, fields);
 
   g_string_append_printf (text, "Content-Length: %zu\r\n\r\n", length);
-  if (length > 0)
+  if (length > 0 && !call->is_head)
     g_string_append_len (text, body, (gssize)length);
   write_text (call, text);
   finish_call (call);
@@ -646,7 +648,7 @@
 append_body (const ent_call_t *call, GString *text, const void *bytes,
              size_t length)
 {
-  if (length == 0)
+  if (length == 0 || call->is_head)
     return;
   if (call->chunked)
     g_string_append_printf (text, "%zx\r\n", length);
@@ -685,7 +687,8 @@
       return;
     }
   g_string_append_printf (text, "Content-Length: %zu\r\n\r\n", body->len);
-  g_string_append_len (text, body->str, (gssize)body->len);
+  if (!call->is_head)
+    g_string_append_len (text, body->str, (gssize)body->len);
   write_text (call, text);
   finish_call (call);
 }
@@ -720,7 +723,7 @@
     }
   text = take_head (call);
   append_body (call, text, bytes, length);
-  if (call->chunked)
+  if (call->chunked && !call->is_head)
     g_string_append (text, "0\r\n\r\n");
   write_text (call, text);
   finish_call (call);
--- a/libcoltsfootdrum/relay/ent.h
+++ b/libcoltsfootdrum/relay/ent.h
@@ -125,7 +125,8 @@
 /* Closes the connection after the response to CALL.  */
 void ent_close_after (ent_call_t *call);
 
-/* Sends a complete response.  FIELDS are formatted header lines, or NULL.  */
+/* Sends a complete response.  FIELDS are formatted header lines, or NULL.  The
+   body of a response to HEAD is not sent, here and below.  */
 void ent_respond (ent_call_t *call, unsigned status, const char *fields,
                   const void *body, size_t length);
 
--- a/libcoltsfootdrum/relay/test-ent.c
+++ b/libcoltsfootdrum/relay/test-ent.c
@@ -368,6 +368,68 @@
   fixture_clear (&fixture);
 }
 
+/* Answers in the way that the target names.  */
+static void
+on_named_request (void *user, ent_call_t *call)
+{
+  const char *target = ent_get_head (call)->target;
+
+  if (strcmp (target, "/whole") == 0)
+    {
+      ent_respond (call, 200, NULL, "body", 4);
+      return;
+    }
+  ent_begin_response (call, 200, NULL,
+                      strcmp (target, "/chunks") == 0 ? -1 : 4);
+  ent_send_body (call, "bo", 2);
+  ent_finish_response (call, "dy", 2);
+}
+
+/* Guards against bytes behind the head of an answer to HEAD, such as the last
+   chunk of a stream, which the client takes for its next answer.  */
+static void
+test_head (void)
+{
+  static const ent_ops_t ops
+      = { .request = on_named_request, .disconnected = on_disconnected };
+  static const char requests[] = "HEAD /whole HTTP/1.1\r\n\r\n"
+                                 "HEAD /chunks HTTP/1.1\r\n\r\n"
+                                 "HEAD /length HTTP/1.1\r\n\r\n"
+                                 "GET /chunks HTTP/1.1\r\n\r\n"
+                                 "HEAD /chunks HTTP/1.0\r\n\r\n";
+  static const char answers[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+        "Content-Length: 4\r\n\r\n";
+  fixture_t fixture = { .loop = ev_loop_new (EVFLAG_AUTO) };
+  g_autofree char *address = NULL;
+  cfd_time_t until = clock_now () + WAIT_MS;
+  char buffer[1024] = { 0 };
+  size_t total = 0;
+  ssize_t n = 0;
+  int fd;
+
+  fixture.ent = ent_new (fixture.loop, "127.0.0.1:0", &ops, NULL, NULL);
+  address = g_strdup_printf ("127.0.0.1:%u", ent_get_port (fixture.ent));
+  g_assert_true (addr_parse (address, &fixture.address, NULL));
+  fd = addr_connect (&fixture.address);
+  run_for (&fixture, clock_now ());
+  send_request (&fixture, fd, requests);
+  while (n >= 0 && clock_now () < until)
+    {
+      ev_run (fixture.loop, EVRUN_NOWAIT);
+      n = read_some (fd, buffer + total, sizeof buffer - total - 1);
+      total += (size_t)MAX (n, 0);
+    }
+  g_assert_cmpstr (buffer, ==, answers);
+  close (fd);
+  fixture_clear (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -379,5 +441,6 @@
   g_test_add_func ("/ent/stop-during-answer", test_stop_during_answer);
   g_test_add_func ("/ent/idle-during-answer", test_idle_during_answer);
   g_test_add_func ("/ent/reads-nothing", test_reads_nothing);
+  g_test_add_func ("/ent/head", test_head);
   return g_test_run ();
 }
