HTTP server: the answer to HEAD has no last chunk

Cause: libmicrohttpd 0.9.75 sends the last chunk of a response of unknown size also to HEAD. Its flag for responses without a body (MHD_RF_HEAD_ONLY) is newer than that. /web/head read up to an empty line, and the last chunk ends with one.

Red before: /web/head-of-stream ("\r\n\r\n0\r\n\r\n" == "\r\n\r\n"). /web/head-with-length was green and is kept.

Such a response is sent without chunks and closes its connection, which the caller is told. One with a length keeps it.

--- a/libcoltsfootdrum/http/test-web.c
+++ b/libcoltsfootdrum/http/test-web.c
@@ -352,6 +352,43 @@
   close (fd);
 }
 
+/* Guards against a last chunk behind the head of an answer to HEAD, which the
+   caller takes for its next answer.  */
+static void
+test_head_of_stream (fixture_t *f, gconstpointer data)
+{
+  int fd = send_request (f, "HEAD /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+
+  run_until (f, &f->handler_calls, 1);
+  web_stream_write (f->newest_request, "body", 4);
+  web_stream_end (f->newest_request, true);
+  g_autofree char *text = read_response (f, fd, NULL, NULL);
+  g_assert_true (g_str_has_prefix (text, "HTTP/1.1 200 OK\r\n"));
+  g_assert_cmpstr (strstr (text, "\r\n\r\n"), ==, "\r\n\r\n");
+  g_assert_nonnull (strstr (text, "Connection: close\r\n"));
+  close (fd);
+}
+
+/* The same for one whose length is known: the connection goes on.  */
+static void
+test_head_with_length (fixture_t *f, gconstpointer data)
+{
+  f->stream_headers[0] = "Content-Length: 4";
+  int fd = send_request (f, "HEAD /stream HTTP/1.1\r\nHost: a\r\n\r\n"
+                            "GET /echo HTTP/1.1\r\nHost: a\r\n"
+                            "Connection: close\r\n\r\n");
+
+  run_until (f, &f->handler_calls, 1);
+  web_stream_write (f->newest_request, "body", 4);
+  web_stream_end (f->newest_request, true);
+  g_autofree char *text = read_response (f, fd, NULL, NULL);
+  const char *second = strstr (text, "\r\n\r\n");
+  g_assert_nonnull (strstr (text, "Content-Length: 4\r\n"));
+  g_assert_nonnull (second);
+  g_assert_true (g_str_has_prefix (second, "\r\n\r\nHTTP/1.1 200 OK\r\n"));
+  close (fd);
+}
+
 static void
 test_quiesce (fixture_t *f, gconstpointer data)
 {
@@ -445,6 +482,8 @@
   ADD ("slow-reader", test_slow_reader);
   ADD ("caller-leaves", test_caller_leaves);
   ADD ("head", test_head);
+  ADD ("head-of-stream", test_head_of_stream);
+  ADD ("head-with-length", test_head_with_length);
   ADD ("quiesce", test_quiesce);
   ADD ("bodies", test_bodies);
   ADD ("free-with-work", test_free_with_work);
--- a/libcoltsfootdrum/http/web-answer.c
+++ b/libcoltsfootdrum/http/web-answer.c
@@ -198,14 +198,29 @@
   return MHD_SIZE_UNKNOWN;
 }
 
+/* Creates the response of REQUEST, whose body is read from its buffer.  */
+static struct MHD_Response *
+create_stream_response (web_request_t *request, const char *const *headers)
+{
+  uint64_t size = get_stream_size (headers);
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      size, STREAM_BLOCK_BYTES, on_read, request, NULL);
+
+  /* MHD would send the last chunk although a response to HEAD has no body.  */
+  if (size == MHD_SIZE_UNKNOWN
+      && strcmp (request->method, MHD_HTTP_METHOD_HEAD) == 0)
+    MHD_set_response_options (response, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
+                              MHD_RO_END);
+  return response;
+}
+
 void
 web_stream_begin (web_request_t *request, unsigned status,
                   const char *const *headers,
                   void (*on_drained) (void *user, uint64_t sent_bytes),
                   void *user)
 {
-  struct MHD_Response *response = MHD_create_response_from_callback (
-      get_stream_size (headers), STREAM_BLOCK_BYTES, on_read, request, NULL);
+  struct MHD_Response *response = create_stream_response (request, headers);
 
   request->buffer = g_byte_array_new ();
   request->on_drained = on_drained;
