Router: the head that an agent passes on is checked

Callers saw, when an agent passed on the status 0: the connection closed without an answer. With 600 they got an answer of 600; with a status whose highest bit is set the status line "ICY 200 OK"; with 102 interim answers without end, 7 s until the test's client gave up; fields that are none were dropped, and the answer passed on without them.

Cause: answer_handle_head took the status and the fields of the frame as they came. What endpoints answer is checked by the agent alone, and agents before pass on 600 and names with blanks. Routers and agents are upgraded independently, so that such agents go on beside new routers.

Evidence: the outcomes above are those of /router/malformed-heads on the code before, a case at a time.

Red before: /router/malformed-heads, /router/malformed-head-retried.

A head whose status is not 200 to 599, or one of whose fields is none, counts as a lost attempt: a retry where that is allowed, or 502 with "unknown". The agent goes on with a request that must not be cut off, as after other losses.

--- a/libcoltsfootdrum/router/router-answer.c
+++ b/libcoltsfootdrum/router/router-answer.c
@@ -1,9 +1,12 @@
 #include "router/router-private.h"
 
 #include "base/log.h"
+#include "http/syn.h"
 
 #include <string.h>
 
+#define MIN_FINAL_STATUS 200
+
 /* How many bytes of an answer are sent to the caller between two
    acknowledgements to the agent; a part of the mebibyte that the agent
    buffers, so that it never has to wait for a caller that reads fast
@@ -100,6 +103,18 @@
   return request;
 }
 
+/* Agents of other versions may check less of what endpoints answer.  */
+static bool
+is_valid_head (const msg_head_t *head)
+{
+  if (head->status < MIN_FINAL_STATUS || !syn_is_status (head->status))
+    return false;
+  for (uint32_t i = 0; i < head->header_count; i++)
+    if (!syn_is_field (head->headers[i], strlen (head->headers[i])))
+      return false;
+  return true;
+}
+
 void
 answer_handle_head (cfd_router_t *router, const peer_id_t *peer,
                     const msg_head_t *head, cfd_time_t now)
@@ -108,6 +123,15 @@
 
   if (request == NULL || request->has_head)
     return;
+  if (!is_valid_head (head))
+    {
+      log_warn ("router",
+                "Agent passed on an answer that is not HTTP: agent=%s "
+                "request=%s status=%u; upgrade it.",
+                request->agent->name, request->id, head->status);
+      request_handle_event (request, REQ_EV_LOST, now);
+      return;
+    }
   request->has_head = true;
   request->status = head->status;
   request->answer_headers = g_ptr_array_new_with_free_func (g_free);
--- a/libcoltsfootdrum/router/test-router-fixture.c
+++ b/libcoltsfootdrum/router/test-router-fixture.c
@@ -215,18 +215,24 @@
 }
 
 void
-agent_send_head (fake_agent_t *agent, const char *request)
+agent_send_head_with (fake_agent_t *agent, const char *request,
+                      unsigned status, const char *header)
 {
-  static const char *const headers[] = { "Content-Type: text/plain" };
   msg_t message = { .kind = MSG_HEAD,
                     .u.head = { .request = request,
-                                .status = 200,
+                                .status = status,
                                 .header_count = 1,
-                                .headers = headers } };
+                                .headers = &header } };
 
   peer_hub_send (agent->hub, "r", &message);
 }
 
+void
+agent_send_head (fake_agent_t *agent, const char *request)
+{
+  agent_send_head_with (agent, request, 200, "Content-Type: text/plain");
+}
+
 void
 agent_send_data (fake_agent_t *agent, const char *request, uint64_t offset,
                  const char *text)
--- a/libcoltsfootdrum/router/test-router-fixture.h
+++ b/libcoltsfootdrum/router/test-router-fixture.h
@@ -84,6 +84,9 @@
 void agent_send_grant (fake_agent_t *agent, const char *account,
                        double limit_vt);
 void agent_send_head (fake_agent_t *agent, const char *request);
+/* The same with another status and header.  */
+void agent_send_head_with (fake_agent_t *agent, const char *request,
+                           unsigned status, const char *header);
 void agent_send_data (fake_agent_t *agent, const char *request,
                       uint64_t offset, const char *text);
 void agent_send_end (fake_agent_t *agent, const char *request,
--- a/libcoltsfootdrum/router/test-router.c
+++ b/libcoltsfootdrum/router/test-router.c
@@ -176,6 +176,79 @@
   fixture_end (&fixture);
 }
 
+/* ---- heads that are not HTTP ---- */
+
+#define ICY 0x80000000u /* libmicrohttpd writes another status line */
+
+static const struct
+{
+  const char *name;
+  unsigned status;
+  const char *header;
+} malformed_heads[] = {
+  { "no status", 0, "X: 1" },
+  { "below all statuses", 99, "X: 1" },
+  { "an interim status", 102, "X: 1" },
+  { "above all statuses", 600, "X: 1" },
+  { "four digits", 2000, "X: 1" },
+  { "another protocol", ICY | 200, "X: 1" },
+  { "a blank in a name", 200, "X Y: 1" },
+  { "a control byte in a value", 200, "X: a\001" },
+  { "a line end in a value", 200, "X: a\r\n\r\nb" },
+  { "no colon", 200, "X" },
+};
+
+/* Guards against a caller that gets an answer whose status is none, or a field
+   that is none, from an agent of a version that passes them on.  */
+static void
+test_malformed_heads (void)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (malformed_heads); i++)
+    {
+      fixture_t fixture;
+      call_t call;
+
+      g_test_message ("%s", malformed_heads[i].name);
+      fixture_begin (&fixture);
+      call_post_register (&fixture, &call);
+      g_autofree char *request
+          = agent_await_assignment (REGISTER (&fixture), 1);
+      agent_send_head_with (REGISTER (&fixture), request,
+                            malformed_heads[i].status,
+                            malformed_heads[i].header);
+      agent_send_data (REGISTER (&fixture), request, 0, "broken");
+      agent_send_end (REGISTER (&fixture), request, OUTCOME_COMPLETE, 6);
+      call_read_answer (&fixture, &call);
+      g_assert_true (g_str_has_prefix (call.text->str, "HTTP/1.1 502 "));
+      g_assert_nonnull (strstr (call.text->str, "\"run\":\"unknown\""));
+      g_assert_null (strstr (call.text->str, "broken"));
+      call_end (&call);
+      fixture_end (&fixture);
+    }
+}
+
+/* The same for a request that may be repeated.  */
+static void
+test_malformed_head_retried (void)
+{
+  fixture_t fixture;
+  call_t call;
+
+  fixture_begin (&fixture);
+  call_get_register (&fixture, &call);
+  g_autofree char *first = agent_await_assignment (REGISTER (&fixture), 1);
+  agent_send_head_with (REGISTER (&fixture), first, 0, "X: 1");
+  g_autofree char *second = agent_await_assignment (REGISTER (&fixture), 2);
+  agent_send_head (REGISTER (&fixture), second);
+  agent_send_data (REGISTER (&fixture), second, 0, "sound");
+  agent_send_end (REGISTER (&fixture), second, OUTCOME_COMPLETE, 5);
+  g_assert_true (call_read_answer (&fixture, &call));
+  g_autofree char *body = decode_body (&call);
+  g_assert_cmpstr (body, ==, "sound");
+  call_end (&call);
+  fixture_end (&fixture);
+}
+
 /* ---- attempts that end without an answer ---- */
 
 typedef enum
@@ -443,6 +516,9 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/router/answers", test_answers);
   g_test_add_func ("/router/crossed", test_crossed);
+  g_test_add_func ("/router/malformed-heads", test_malformed_heads);
+  g_test_add_func ("/router/malformed-head-retried",
+                   test_malformed_head_retried);
   g_test_add_func ("/router/attempts", test_attempts);
   g_test_add_func ("/router/retry-elsewhere", test_retry_elsewhere);
   g_test_add_func ("/router/declines", test_declines);
