Once: a stored answer without a valid status is not replayed

A caller that repeats a request with its key gets the answer that a router stored. The status was taken from the record as it stood.

Red before: /once/finished-without-status.

Both places use syn_is_final_status.

--- a/libcoltsfootdrum/http/syn.c
+++ b/libcoltsfootdrum/http/syn.c
@@ -8,6 +8,7 @@
 /* What names of fields may hold beside letters and digits.  */
 #define NAME_MARKS "!#$%&'*+-.^_`|~"
 #define MIN_STATUS 100
+#define MIN_FINAL_STATUS 200
 #define MAX_STATUS 599
 #define SWITCHING_PROTOCOLS 101
 
@@ -33,6 +34,12 @@
          && status != SWITCHING_PROTOCOLS;
 }
 
+bool
+syn_is_final_status (int64_t status)
+{
+  return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+}
+
 unsigned
 syn_parse_status_line (const char *line, size_t length)
 {
--- a/libcoltsfootdrum/http/syn.h
+++ b/libcoltsfootdrum/http/syn.h
@@ -6,6 +6,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 /* Returns whether LENGTH bytes from AT on may be part of a field's name.  */
 bool syn_is_name (const char *at, size_t length);
@@ -14,6 +15,10 @@
    no request asks for an upgrade.  */
 bool syn_is_status (unsigned status);
 
+/* Returns whether STATUS, which another process gave, may be that of a whole
+   answer: 200 to 599.  */
+bool syn_is_final_status (int64_t status);
+
 /* Returns the status of the status line of LENGTH bytes, without its line end;
    0: it is no status line of HTTP/1.1 or 1.0, or has no valid status.  */
 unsigned syn_parse_status_line (const char *line, size_t length);
--- a/libcoltsfootdrum/http/test-syn.c
+++ b/libcoltsfootdrum/http/test-syn.c
@@ -47,6 +47,30 @@
     }
 }
 
+static void
+test_final_status (void)
+{
+  static const struct
+  {
+    int64_t status;
+    bool is_final;
+  } rows[] = {
+    { 200, true },
+    { 599, true },
+    { 0, false },
+    { 100, false },
+    { 199, false },
+    { 600, false },
+    { -1, false },
+    { INT64_C (0x80000000) | 200, false },
+    { (INT64_C (1) << 32) + 200, false },
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (rows); i++)
+    g_assert_cmpint (syn_is_final_status (rows[i].status), ==,
+                     rows[i].is_final);
+}
+
 static void
 test_field (void)
 {
@@ -81,6 +105,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/syn/status-line", test_status_line);
+  g_test_add_func ("/syn/final-status", test_final_status);
   g_test_add_func ("/syn/field", test_field);
   return g_test_run ();
 }
--- a/libcoltsfootdrum/once/once.c
+++ b/libcoltsfootdrum/once/once.c
@@ -1,5 +1,6 @@
 #include "once/once.h"
 #include "base/log.h"
+#include "http/syn.h"
 #include "once/once-job.h"
 
 #include <sodium.h>
@@ -114,16 +115,21 @@
   finish_with_status (claim, ONCE_CLAIMED);
 }
 
+/* Routers of other versions may have stored a status that they did not check.
+   Such an answer counts as not stored.  */
 static void
 report_finished (pending_claim_t *claim, JsonObject *spec)
 {
   once_claim_result_t result = { .claim_status = ONCE_FINISHED };
+  gint64 status
+      = json_object_get_int_member_with_default (spec, "status", 200);
 
-  result.status = (unsigned)json_object_get_int_member_with_default (
-      spec, "status", 200);
-  result.type = once_get_text (spec, "type");
-  if (json_object_has_member (spec, "body"))
-    result.body = once_get_text (spec, "body");
+  if (json_object_has_member (spec, "body") && syn_is_final_status (status))
+    {
+      result.status = (unsigned)status;
+      result.type = once_get_text (spec, "type");
+      result.body = once_get_text (spec, "body");
+    }
   finish_claim (claim, &result);
 }
 
--- a/libcoltsfootdrum/once/once.h
+++ b/libcoltsfootdrum/once/once.h
@@ -41,7 +41,8 @@
   once_claim_status_t claim_status;
   unsigned status; /* HTTP status of the stored answer */
   const char *type;
-  const char *body; /* NULL when it was too large to store or is not text */
+  const char *body; /* NULL when it was too large to store or is not text, or
+                       when its status is none */
 } once_claim_result_t;
 
 /* OWNER must be unique to this incarnation of the process.  PLAT must outlive
--- a/libcoltsfootdrum/once/test-once.c
+++ b/libcoltsfootdrum/once/test-once.c
@@ -107,6 +107,26 @@
   wait_for_writes (f);
 }
 
+/* Guards against a stored answer whose status is none, as a router of another
+   version may have kept it: its caller would get it with each repetition.  */
+static void
+test_finished_without_status (fixture_t *f, gconstpointer data)
+{
+  static const unsigned statuses[] = { 0, 99, 102, 600, 0x80000000u | 200 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    {
+      g_autofree char *key = g_strdup_printf ("key-%zu", i);
+
+      claim_key (f, f->router, key, "d");
+      once_finish (f->router, "mill", key, statuses[i], "text/plain",
+                   "broken");
+      wait_for_writes (f);
+      g_assert_cmpint (claim_key (f, f->other, key, "d"), ==, ONCE_FINISHED);
+      g_assert_null (f->result.body);
+    }
+}
+
 static void
 test_finished (fixture_t *f, gconstpointer data)
 {
@@ -283,6 +303,7 @@
   g_test_init (&argc, &argv, NULL);
   log_setup ("test", LOG_ERROR, false);
   add ("/once/finished", test_finished);
+  add ("/once/finished-without-status", test_finished_without_status);
   add ("/once/released", test_released);
   add ("/once/answer-not-stored", test_answer_not_stored);
   add ("/once/race", test_race);
--- a/libcoltsfootdrum/router/router-answer.c
+++ b/libcoltsfootdrum/router/router-answer.c
@@ -5,8 +5,6 @@
 
 #include <string.h>
 
-#define MIN_FINAL_STATUS 200
-
 /* How many bytes of an answer are sent to the caller between two
    acknowledgements to the agent; a part of the mebibyte that the agent
    buffers, so that it never has to wait for a caller that reads fast
@@ -107,7 +105,7 @@
 static bool
 is_valid_head (const msg_head_t *head)
 {
-  if (head->status < MIN_FINAL_STATUS || !syn_is_status (head->status))
+  if (!syn_is_final_status (head->status))
     return false;
   for (uint32_t i = 0; i < head->header_count; i++)
     if (!syn_is_field (head->headers[i], strlen (head->headers[i])))
