--- a/libcoltsfootdrum/relay/test-rly-malformed.c
+++ b/libcoltsfootdrum/relay/test-rly-malformed.c
@@ -238,6 +238,40 @@
   scene_free (scene);
 }
 
+static bool
+has_second_request (void *user)
+{
+  return ((const scene_t *)user)->requests_received == 2;
+}
+
+/* Guards against a caller that gets the answer without a status which its
+   endpoint sends on a kept connection, where the answer to the next request is
+   due.  */
+static void
+test_kept_connection (const void *data)
+{
+  const char *answer = data;
+  static const scene_reply_t replies[]
+      = { { SOUND, SCENE_KEEP_OPEN }, { NULL, SCENE_KEEP_OPEN } };
+  scene_t *scene = scene_new (replies, G_N_ELEMENTS (replies), 4);
+  scene_caller_t *first;
+  scene_caller_t *second;
+
+  scene_list_endpoints (scene, 1, false, 4);
+  first = scene_send_request (scene, ONCE);
+  scene_run (scene, is_answered, first);
+  second = scene_send_request (scene, ONCE);
+  scene_run (scene, has_second_request, scene);
+  g_assert_cmpuint (scene->server_cons->len, ==, 1);
+  scene_answer (scene, answer);
+  scene_run (scene, is_answered, second);
+  check_outcome (scene, first, GETS_SOUND);
+  check_outcome (scene, second, GETS_FAILURE);
+  scene_caller_free (first);
+  scene_caller_free (second);
+  scene_free (scene);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -248,5 +282,13 @@
 
       g_test_add_data_func (path, &cases[i], test_case);
     }
+  g_test_add_data_func ("/malformed/kept/own-id",
+                        "HTTP/1.1 000 Z\r\nX-Id: 1\r\nX-Stamp: s\r\n" BROKEN,
+                        test_kept_connection);
+  g_test_add_data_func ("/malformed/kept/other-id",
+                        "HTTP/1.1 000 Z\r\nX-Id: 0\r\nX-Stamp: s\r\n" BROKEN,
+                        test_kept_connection);
+  g_test_add_data_func ("/malformed/kept/no-id", "HTTP/1.1 000 Z\r\n" BROKEN,
+                        test_kept_connection);
   return g_test_run ();
 }
