--- a/tests/standin-malformed.c
+++ b/tests/standin-malformed.c
@@ -15,6 +15,7 @@
 #include <sys/socket.h>
 
 #define MAX_HEAD_BYTES 16384
+#define MAX_PORTS 256
 #define LATER_MS 40
 
 #define SOUND "HTTP/1.1 200 OK\r\n%FContent-Length: 5\r\n\r\nsound"
@@ -75,6 +76,7 @@
   struct ev_loop *loop;
   char *id_field;
   char *fields;
+  ev_io listeners[MAX_PORTS];
 } standin_t;
 
 typedef struct
@@ -236,23 +238,22 @@
 
 /* Listens on COUNT ports from that of ADDRESS on.  */
 static bool
-open_ports (standin_t *standin, const char *address, unsigned count,
-            ev_io *listeners, GError **error)
+open_ports (standin_t *standin, const char *address, int count, GError **error)
 {
   g_auto (GStrv) parts = g_strsplit (address, ":", 2);
-  unsigned first = (unsigned)g_ascii_strtoull (parts[1], NULL, 10);
+  int first = (int)g_ascii_strtoll (parts[1], NULL, 10);
 
-  for (unsigned i = 0; i < count; i++)
+  for (int i = 0; i < count; i++)
     {
-      g_autofree char *next = g_strdup_printf ("%s:%u", parts[0], first + i);
+      g_autofree char *next = g_strdup_printf ("%s:%d", parts[0], first + i);
       int fd = addr_listen (next, error);
 
       if (fd < 0)
         return false;
       listen (fd, SOMAXCONN);
-      ev_io_init (&listeners[i], on_accept, fd, EV_READ);
-      listeners[i].data = standin;
-      ev_io_start (standin->loop, &listeners[i]);
+      ev_io_init (&standin->listeners[i], on_accept, fd, EV_READ);
+      standin->listeners[i].data = standin;
+      ev_io_start (standin->loop, &standin->listeners[i]);
     }
   return true;
 }
@@ -277,11 +278,11 @@
   g_autoptr (GOptionContext) context = g_option_context_new ("");
   g_autoptr (GError) error = NULL;
   standin_t standin = { .loop = ev_loop_new (EVFLAG_AUTO) };
-  g_autofree ev_io *listeners = NULL;
 
   g_option_context_add_main_entries (context, options, NULL);
   if (!g_option_context_parse (context, &argc, &argv, &error)
-      || address == NULL || strchr (address, ':') == NULL || ports < 1)
+      || address == NULL || strchr (address, ':') == NULL || ports < 1
+      || ports > MAX_PORTS)
     {
       g_printerr ("malformed: %s\n",
                   error != NULL ? error->message : "see --help");
@@ -289,8 +290,7 @@
     }
   standin.id_field = id_field;
   standin.fields = fields;
-  listeners = g_new0 (ev_io, (gsize)ports);
-  if (!open_ports (&standin, address, (unsigned)ports, listeners, &error))
+  if (!open_ports (&standin, address, ports, &error))
     {
       g_printerr ("malformed: %s\n", error->message);
       return 2;
